--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,35 @@
+# chervilbend_package(NAME [DEPENDS targets...] [BINARY name])
+#
+# Builds packages/NAME/src into a library, src/main.cpp (if any) into the binary, and tests/*.cpp into one CppUnit
+# program registered with CTest. Sources are found by globbing, so that adding a file needs no edit here.
+function(chervilbend_package name)
+    cmake_parse_arguments(PARSE_ARGV 1 arg "" "BINARY" "DEPENDS")
+    set(library chervilbend_${name})
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+    list(FILTER sources EXCLUDE REGEX "/src/main\\.cpp$")
+    if(sources)
+        add_library(${library} STATIC ${sources})
+        target_include_directories(${library} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/src)
+        target_link_libraries(${library} PUBLIC ${arg_DEPENDS})
+    else()
+        add_library(${library} INTERFACE)
+        target_include_directories(${library} INTERFACE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+        target_link_libraries(${library} INTERFACE ${arg_DEPENDS})
+    endif()
+
+    if(arg_BINARY AND EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/src/main.cpp)
+        add_executable(${arg_BINARY} src/main.cpp)
+        target_link_libraries(${arg_BINARY} PRIVATE ${library})
+    endif()
+
+    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+    if(tests)
+        add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+        target_link_libraries(test_${name} PRIVATE ${library} external::cppunit external::rapidcheck)
+        target_compile_definitions(test_${name} PRIVATE TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
+        # -Wshadow and -Wnon-virtual-dtor fire inside macros of the test libraries.
+        target_compile_options(test_${name} PRIVATE -Wno-shadow -Wno-non-virtual-dtor)
+        add_test(NAME ${name} COMMAND test_${name})
+        set_tests_properties(${name} PROPERTIES TIMEOUT 240)
+    endif()
+endfunction()
--- /dev/null
+++ b/packages/base/src/chervilbend/base/clock.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace chervilbend::base
+{
+
+class time_source;
+
+using milliseconds = std::chrono::duration<std::int64_t, std::milli>;
+
+/// The project's only clock: monotonic, in milliseconds, read from the installed time source.
+///
+/// Meets the requirements of a chrono clock, so that Asio timers can run on it.
+class clock
+{
+public:
+    using duration = milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<clock, duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+
+    /// Wall-clock time since 1970-01-01 UTC, for log lines, pages and idempotency keys only. May jump.
+    static milliseconds wallNow() noexcept;
+
+    /// Replaces the time source for the whole process; nullptr restores the system's clocks. The source must outlive its use.
+    static void install(const time_source *source) noexcept;
+};
+
+using time_point = clock::time_point;
+
+} // namespace chervilbend::base
--- /dev/null
+++ b/packages/base/src/chervilbend/base/ids.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chervilbend/base/strong_id.hpp>
+
+namespace chervilbend::base
+{
+
+/// A host of the system, by the node that runs on it.
+using node_id = strong_id<struct node_id_tag>;
+/// A model engine or an instance of a plain service.
+using endpoint_id = strong_id<struct endpoint_id_tag>;
+/// An availability zone.
+using zone_id = strong_id<struct zone_id_tag>;
+/// A customer on whose behalf callers send requests.
+using account_id = strong_id<struct account_id_tag>;
+/// A service whose files declare models and routes.
+using service_id = strong_id<struct service_id_tag>;
+/// What an accelerator holds: "model@version" or "model@version/adapter@version".
+using item_id = strong_id<struct item_id_tag>;
+/// The name of a lease: "planner" or "endpoint/ID".
+using lease_name = strong_id<struct lease_name_tag>;
+
+} // namespace chervilbend::base
--- /dev/null
+++ b/packages/base/src/chervilbend/base/log.cpp
@@ -0,0 +1,27 @@
+#include <chervilbend/base/log.hpp>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/patternlayout.h>
+
+#include <string>
+
+namespace chervilbend::base
+{
+
+log4cxx::LoggerPtr partLogger(std::string_view part)
+{
+    return log4cxx::Logger::getLogger(std::string(part));
+}
+
+void configureLogging(std::string_view level)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [%c] %m%n"));
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(std::string(level), log4cxx::Level::getInfo()));
+}
+
+} // namespace chervilbend::base
--- /dev/null
+++ b/packages/base/src/chervilbend/base/manual_time_source.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/time_source.hpp>
+
+namespace chervilbend::base
+{
+
+/// A time source that stands still until advanced. Installs itself for its lifetime.
+class manual_time_source : public time_source
+{
+public:
+    manual_time_source()
+    {
+        clock::install(this);
+    }
+
+    ~manual_time_source() override
+    {
+        clock::install(nullptr);
+    }
+
+    manual_time_source(const manual_time_source &) = delete;
+    manual_time_source &operator=(const manual_time_source &) = delete;
+
+    void advance(milliseconds step)
+    {
+        m_elapsed += step;
+    }
+
+    std::int64_t steadyMilliseconds() const override
+    {
+        return m_elapsed.count();
+    }
+
+    std::int64_t wallMilliseconds() const override
+    {
+        return startOfWallTime.count() + m_elapsed.count();
+    }
+
+private:
+    /// 2026-01-01 00:00 UTC.
+    static constexpr milliseconds startOfWallTime{1'767'225'600'000};
+
+    milliseconds m_elapsed{1};
+};
+
+} // namespace chervilbend::base
--- /dev/null
+++ b/packages/base/src/chervilbend/base/work_class.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace chervilbend::base
+{
+
+/// How urgent a piece of work is, most urgent first.
+enum class work_class {
+    urgent,
+    normal,
+    batch,
+};
+
+/// Number of work classes.
+inline constexpr int workClassCount = 3;
+
+} // namespace chervilbend::base
--- /dev/null
+++ b/packages/config/src/chervilbend/config/model_declaration.cpp
@@ -0,0 +1,21 @@
+#include <chervilbend/config/model_declaration.hpp>
+
+namespace chervilbend::config
+{
+
+base::item_id itemOf(const model_declaration &model)
+{
+    return base::item_id(model.name + '@' + model.version);
+}
+
+base::item_id itemOf(const model_declaration &model, const adapter_declaration &adapter)
+{
+    return base::item_id(itemOf(model).value() + '/' + adapter.name + '@' + adapter.version);
+}
+
+base::item_id baseItemOf(const base::item_id &item)
+{
+    return base::item_id(item.value().substr(0, item.value().find('/')));
+}
+
+} // namespace chervilbend::config
--- /dev/null
+++ b/packages/control/src/chervilbend/control/order_answer.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chervilbend/base/error_kind.hpp>
+
+#include <string>
+
+namespace chervilbend::control
+{
+
+/// The answer to an order, from its endpoint or from the record of an earlier attempt.
+struct order_answer {
+    base::run_state state = base::run_state::unknown;
+    /// The endpoint's answer; 0 when there was none.
+    int httpStatus = 0;
+    std::string contentType;
+    std::string body;
+    /// Why there is no endpoint's answer.
+    base::error_kind kind = base::error_kind::outcomeUnknown;
+    std::string detail;
+    /// The answer is that of an earlier attempt with the same key.
+    bool replayed = false;
+};
+
+} // namespace chervilbend::control
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/figure.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace chervilbend::measure
+{
+
+/// One measured figure beside its baseline and target.
+struct figure {
+    std::string name;
+    double ours = 0;
+    /// NaN when there is no baseline.
+    double baseline = 0;
+    std::string unit;
+    std::uint64_t seed = 0;
+    /// The target in words, for example "<= 0.10 x baseline".
+    std::string target;
+    bool met = false;
+};
+
+} // namespace chervilbend::measure
--- /dev/null
+++ b/packages/measure/src/main.cpp
@@ -0,0 +1,55 @@
+#include <chervilbend/measure/measurements.hpp>
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <string>
+
+DEFINE_uint64(seed, 1, "First seed");
+DEFINE_int32(seeds, 3, "Number of seeds, 1 to 100");
+
+namespace
+{
+
+using namespace chervilbend::measure;
+
+void print(const figure &line)
+{
+    const double ratio = line.ours / line.baseline;
+    std::printf("%-36s %12.3f %12.3f %8.3f %-14s seed=%llu target %s: %s\n",
+                line.name.c_str(),
+                line.ours,
+                line.baseline,
+                ratio,
+                line.unit.c_str(),
+                static_cast<unsigned long long>(line.seed),
+                line.target.c_str(),
+                line.met ? "met" : "MISSED");
+}
+
+} // namespace
+
+/// Runs the named measurements, or all, and prints a line per figure. Exits 1 when a figure misses its target.
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("[--seed N] [--seeds N] [NAME...]: measures policies and processes against baselines");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::set<std::string> wanted(argv + 1, argv + argc);
+    std::printf("%-36s %12s %12s %8s %-14s\n", "name", "ours", "baseline", "ratio", "unit");
+    bool allMet = true;
+    for (const auto &measurement : allMeasurements()) {
+        if (!wanted.empty() && !wanted.contains(measurement->name())) {
+            continue;
+        }
+        for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + static_cast<std::uint64_t>(std::max(1, FLAGS_seeds)); ++seed) {
+            for (const figure &line : measurement->run(seed)) {
+                print(line);
+                allMet = allMet && line.met;
+            }
+        }
+    }
+    return allMet ? 0 : 1;
+}
--- /dev/null
+++ b/packages/net/src/chervilbend/net/address.cpp
@@ -0,0 +1,43 @@
+#include <chervilbend/net/address.hpp>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace chervilbend::net
+{
+
+std::optional<address> parseAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string_view ip = text.substr(0, colon);
+    const std::string_view portText = text.substr(colon + 1);
+    const bool bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+    if (bracketed) {
+        ip = ip.substr(1, ip.size() - 2);
+    }
+
+    std::uint16_t port = 0;
+    const char *const end = portText.data() + portText.size();
+    const auto [parsed, error] = std::from_chars(portText.data(), end, port);
+    if (error != std::errc{} || parsed != end || port == 0) {
+        return std::nullopt;
+    }
+    boost::system::error_code invalid;
+    const boost::asio::ip::address number = boost::asio::ip::make_address(std::string(ip), invalid);
+    if (invalid || number.is_v6() != bracketed) {
+        return std::nullopt;
+    }
+    return address{std::string(ip), port};
+}
+
+std::string toString(const address &where)
+{
+    const bool isV6 = where.ip.find(':') != std::string::npos;
+    return (isV6 ? '[' + where.ip + ']' : where.ip) + ':' + std::to_string(where.port);
+}
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/connection.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/net/timer.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace chervilbend::net
+{
+
+/// A TCP socket with its read buffer and a deadline that closes it.
+///
+/// Moving the deadline is cheap: the timer is armed anew only when it fires or the deadline moves forward in time.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    explicit connection(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::ip::tcp::socket &socket()
+    {
+        return m_socket;
+    }
+
+    boost::beast::flat_buffer &buffer()
+    {
+        return m_buffer;
+    }
+
+    /// Closes the socket when @p duration passes without another call; pending operations end with an error.
+    void expireAfter(base::milliseconds duration);
+    void neverExpire();
+
+    /// Whether the deadline closed the socket.
+    bool hasExpired() const
+    {
+        return m_expired;
+    }
+
+    void close();
+
+private:
+    void arm(base::time_point when);
+    void onTimer();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    timer m_timer;
+    std::optional<base::time_point> m_deadline;
+    std::optional<base::time_point> m_armedFor;
+    bool m_expired = false;
+};
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/http_types.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace chervilbend::net
+{
+
+class connection;
+class http_client_stream;
+
+/// How one request is sent.
+struct http_send_options {
+    base::milliseconds connectTimeout{1'000};
+    /// Until the whole answer, or the header of a streamed one, has arrived; then between two reads of a stream.
+    base::milliseconds answerTimeout{30'000};
+    /// Never uses a pooled connection. A pooled one may turn out closed only after the request was written, which leaves it
+    /// uncertain whether the request ran.
+    bool freshConnection = false;
+};
+
+/// Sends HTTP/1.1 requests over pooled connections. The pool keeps a bounded number of idle connections per address.
+class http_client : public base::reason_holder
+{
+public:
+    http_client();
+    ~http_client();
+
+    /// Sends a request and reads the whole answer. Without a value, lastReason() has the kind endpointRefused when nothing was written,
+    /// otherwise endpointFailed or endpointInvalidAnswer.
+    boost::asio::awaitable<std::optional<http_response>> send(address where, http_request request, http_send_options options = {});
+
+    /// Sends a request and reads the header of the answer; the body is read from the stream. Destroying the stream before its end
+    /// closes the connection, which cancels the work at the endpoint.
+    boost::asio::awaitable<std::shared_ptr<http_client_stream>> open(address where, http_request request, http_send_options options = {});
+
+    void closeIdle();
+
+private:
+    friend class http_client_stream;
+
+    boost::asio::awaitable<std::shared_ptr<connection>> connect(address where, http_send_options options);
+    std::shared_ptr<connection> takeIdle(const address &where);
+
+    std::shared_ptr<std::map<address, std::vector<std::shared_ptr<connection>>>> m_idle;
+};
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/http_types.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace chervilbend::net
+{
+
+class connection;
+
+/// The answer to a request whose body arrives piece by piece.
+class http_client_stream : public base::reason_holder
+{
+public:
+    using return_connection = std::function<void(std::shared_ptr<connection>)>;
+
+    http_client_stream(std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, return_connection giveBack);
+    ~http_client_stream();
+    http_client_stream(const http_client_stream &) = delete;
+    http_client_stream &operator=(const http_client_stream &) = delete;
+
+    /// Reads the header. False with a last reason when the connection fails or the answer is malformed.
+    boost::asio::awaitable<bool> readHeader();
+
+    const http::response_header<> &header() const
+    {
+        return m_parser.get().base();
+    }
+
+    /// The next piece of the body, valid until the next call; an empty piece is the end. No value when the connection fails.
+    boost::asio::awaitable<std::optional<std::string_view>> read();
+
+private:
+    std::shared_ptr<connection> m_connection;
+    base::milliseconds m_readTimeout;
+    return_connection m_giveBack;
+    http::response_parser<http::buffer_body> m_parser;
+    std::array<char, 16 * 1024> m_piece;
+};
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/http_exchange.cpp
@@ -0,0 +1,91 @@
+#include <chervilbend/net/http_exchange.hpp>
+
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/connection.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::net
+{
+
+namespace
+{
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+} // namespace
+
+http_exchange::http_exchange(std::shared_ptr<connection> caller, http_request request, base::milliseconds writeTimeout)
+    : m_connection(std::move(caller))
+    , m_request(std::move(request))
+    , m_writeTimeout(writeTimeout)
+    , m_keepAlive(m_request.keep_alive())
+{
+}
+
+std::string http_exchange::remoteAddress() const
+{
+    boost::system::error_code error;
+    const auto remote = m_connection->socket().remote_endpoint(error);
+    return error ? "gone" : toString({remote.address().to_string(), remote.port()});
+}
+
+asio::awaitable<bool> http_exchange::respond(http_response response)
+{
+    if (m_started) {
+        co_return false;
+    }
+    m_started = true;
+    response.version(11);
+    response.keep_alive(m_keepAlive);
+    response.prepare_payload();
+    m_connection->expireAfter(m_writeTimeout);
+    const auto [error, size] = co_await http::async_write(m_connection->socket(), response, awaitTuple);
+    m_finished = !error;
+    co_return m_finished;
+}
+
+asio::awaitable<bool> http_exchange::startStream(http::response<http::empty_body> header)
+{
+    if (m_started) {
+        co_return false;
+    }
+    m_started = true;
+    header.version(11);
+    header.keep_alive(m_keepAlive);
+    header.chunked(true);
+    http::response_serializer<http::empty_body> serializer(header);
+    m_connection->expireAfter(m_writeTimeout);
+    const auto [error, size] = co_await http::async_write_header(m_connection->socket(), serializer, awaitTuple);
+    co_return !error;
+}
+
+asio::awaitable<bool> http_exchange::writeChunk(std::string_view chunk)
+{
+    if (chunk.empty()) {
+        // An empty chunk would end the stream.
+        co_return true;
+    }
+    m_connection->expireAfter(m_writeTimeout);
+    const auto [error, size] = co_await asio::async_write(m_connection->socket(), http::make_chunk(asio::buffer(chunk)), awaitTuple);
+    co_return !error;
+}
+
+asio::awaitable<bool> http_exchange::finishStream()
+{
+    m_connection->expireAfter(m_writeTimeout);
+    const auto [error, size] = co_await asio::async_write(m_connection->socket(), http::make_chunk_last(), awaitTuple);
+    m_finished = !error;
+    co_return m_finished;
+}
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -0,0 +1,89 @@
+#include <chervilbend/net/http_server.hpp>
+
+#include <chervilbend/net/internal/http_session.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::net
+{
+
+http_server::http_server(const asio::any_io_executor &executor, http_handler &handler, http_server_limits limits)
+    : m_executor(executor)
+    , m_handler(handler)
+    , m_limits(limits)
+    , m_acceptor(executor)
+{
+}
+
+http_server::~http_server() = default;
+
+std::optional<std::uint16_t> http_server::listen(const address &where)
+{
+    boost::system::error_code error;
+    const auto number = asio::ip::make_address(where.ip, error);
+    if (error) {
+        return fail(base::error_kind::settingInvalid, "not an IP number: " + where.ip);
+    }
+    const asio::ip::tcp::endpoint endpoint(number, where.port);
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return fail(base::error_kind::settingInvalid, "cannot listen on " + toString(where) + ": " + error.message());
+    }
+    startAccepting();
+    return m_acceptor.local_endpoint().port();
+}
+
+void http_server::drain()
+{
+    m_draining = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    const std::vector<http_session *> sessions(m_sessions.begin(), m_sessions.end());
+    for (http_session *session : sessions) {
+        session->closeIfIdle();
+    }
+}
+
+void http_server::closeAll()
+{
+    drain();
+    const std::vector<http_session *> sessions(m_sessions.begin(), m_sessions.end());
+    for (http_session *session : sessions) {
+        session->close();
+    }
+}
+
+std::size_t http_server::openRequests() const
+{
+    return static_cast<std::size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const http_session *session) { return session->isBusy(); }));
+}
+
+void http_server::startAccepting()
+{
+    m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        if (!self->m_acceptor.is_open()) {
+            return;
+        }
+        if (!error && self->m_sessions.size() < self->m_limits.connections) {
+            boost::system::error_code ignored;
+            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            std::make_shared<http_session>(self, std::move(socket))->start();
+        }
+        self->startAccepting();
+    });
+}
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/http_server_limits.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace chervilbend::net
+{
+
+class http_handler;
+class http_session;
+
+/// Accepts HTTP/1.1 connections on one address; one task per connection.
+class http_server : public std::enable_shared_from_this<http_server>, public base::reason_holder
+{
+public:
+    /// The handler must outlive the server's sessions.
+    http_server(const boost::asio::any_io_executor &executor, http_handler &handler, http_server_limits limits = {});
+    ~http_server();
+
+    /// Binds and starts to accept; gives the bound port. No value when the address cannot be bound.
+    std::optional<std::uint16_t> listen(const address &where);
+
+    /// Takes no new connections, closes idle ones and answers open requests with "Connection: close".
+    void drain();
+
+    /// Closes all connections.
+    void closeAll();
+
+    /// Requests that are not answered yet.
+    std::size_t openRequests() const;
+
+    std::size_t openConnections() const
+    {
+        return m_sessions.size();
+    }
+
+private:
+    friend class http_session;
+
+    void startAccepting();
+
+    boost::asio::any_io_executor m_executor;
+    http_handler &m_handler;
+    http_server_limits m_limits;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<http_session *> m_sessions;
+    bool m_draining = false;
+};
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/src/chervilbend/net/problem.cpp
@@ -0,0 +1,38 @@
+#include <chervilbend/net/problem.hpp>
+
+#include <chervilbend/base/error_answer.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <string>
+
+namespace chervilbend::net
+{
+
+namespace
+{
+/// Seconds after which a caller may try again.
+constexpr std::string_view retryAfter = "1";
+} // namespace
+
+http_response problemResponse(const base::reason &why)
+{
+    const base::error_answer &answer = base::answerFor(why.kind);
+    boost::json::object document;
+    document["type"] = "urn:chervilbend:error:" + std::string(answer.name);
+    document["title"] = answer.title;
+    document["status"] = answer.httpStatus;
+    document["detail"] = why.text;
+    document["run"] = base::toString(answer.state);
+
+    http_response response(static_cast<http::status>(answer.httpStatus), 11);
+    response.set(http::field::content_type, "application/problem+json");
+    if (answer.retryLater) {
+        response.set(http::field::retry_after, retryAfter);
+    }
+    response.body() = boost::json::serialize(document) + '\n';
+    return response;
+}
+
+} // namespace chervilbend::net
--- /dev/null
+++ b/packages/peers/src/chervilbend/peers/rpc_method.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chervilbend/base/reason_holder.hpp>
+
+#include <json/value.h>
+
+#include <optional>
+#include <string>
+
+namespace chervilbend::peers
+{
+
+/// One JSON-RPC method of a node. Commands change state and answer at once; queries only read.
+class rpc_method : public base::reason_holder
+{
+public:
+    virtual ~rpc_method() = default;
+
+    virtual std::string name() const = 0;
+
+    /// Answers one call with named parameters. Without a value, lastReason() becomes the JSON-RPC error.
+    virtual std::optional<Json::Value> call(const Json::Value &parameters) = 0;
+};
+
+} // namespace chervilbend::peers
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/engine_control.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/platform/engine_command.hpp>
+#include <chervilbend/platform/engine_report.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+
+namespace chervilbend::platform
+{
+
+/// Commands to model engines and their reports.
+class engine_control : public base::reason_holder
+{
+public:
+    virtual ~engine_control() = default;
+
+    virtual boost::asio::awaitable<command_status> send(net::address engine, engine_command command) = 0;
+
+    virtual boost::asio::awaitable<std::optional<engine_report>> report(net::address engine) = 0;
+};
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/engine_report.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/base/units.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace chervilbend::platform
+{
+
+/// An item in an engine's memory.
+struct resident_item {
+    base::item_id item;
+    base::byte_count bytes;
+    /// False while its weights are still in transit.
+    bool loaded = false;
+};
+
+/// What an engine says of itself. It describes a moment that lies @p lag back.
+struct engine_report {
+    /// Changes with every start of the engine's process.
+    base::incarnation life;
+    /// Highest fencing token that the engine had seen.
+    base::log_offset fencingToken;
+    std::vector<resident_item> items;
+    std::int64_t running = 0;
+    std::int64_t queued = 0;
+    base::milliseconds lag{0};
+};
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/host_list.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/platform/host_entry.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace chervilbend::platform
+{
+
+/// The platform's list of live and leaving hosts. It lags.
+class host_list : public base::reason_holder
+{
+public:
+    virtual ~host_list() = default;
+
+    virtual boost::asio::awaitable<std::optional<std::vector<host_entry>>> fetch() = 0;
+};
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/state/src/chervilbend/state/entries.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/error_kind.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/base/units.hpp>
+#include <chervilbend/config/service_declaration.hpp>
+
+#include <map>
+#include <string>
+#include <variant>
+
+namespace chervilbend::state
+{
+
+/// Replaces the declarations of one service. In effect when @p base is the version in force (0 for a new service).
+struct publish_entry {
+    base::log_offset base;
+    /// Chosen by the publisher; an id that was seen before has no further effect.
+    std::string publishId;
+    std::string author;
+    /// A declaration without models and routes withdraws the service.
+    config::service_declaration declaration;
+};
+
+enum class lease_action {
+    take,
+    handOver,
+    release,
+};
+
+/// Changes the holder of a lease. In effect when @p base is the offset of the lease's current record (0 for none).
+struct lease_entry {
+    base::lease_name name;
+    base::log_offset base;
+    lease_action action = lease_action::take;
+    base::node_id holder;
+    base::incarnation life;
+};
+
+/// Renews all leases of a node, and says how far it has folded the log.
+struct heartbeat_entry {
+    base::node_id node;
+    base::incarnation life;
+    base::log_offset folded;
+    /// Whether the node may have engine commands on their way.
+    bool commandsOutstanding = false;
+};
+
+/// Describes an engine's endpoint. In effect under the current planner's token.
+struct endpoint_entry {
+    base::endpoint_id endpoint;
+    std::string address;
+    base::zone_id zone;
+    base::byte_count memory;
+    bool checksFencing = false;
+    /// The host list no longer shows it: its items no longer count.
+    bool gone = false;
+    base::log_offset plannerToken;
+};
+
+/// Reserves memory for an item at an endpoint. In effect under the current planner's token, and when it fits.
+struct assign_entry {
+    base::endpoint_id endpoint;
+    base::item_id item;
+    base::byte_count bytes;
+    base::log_offset plannerToken;
+};
+
+/// The endpoint's owner saw the item loaded.
+struct loaded_entry {
+    base::endpoint_id endpoint;
+    base::item_id item;
+    base::log_offset ownerToken;
+};
+
+/// Asks the endpoint's owner to unload. In effect under the current planner's token, unless it is the last loaded copy of a declared item.
+struct drop_entry {
+    base::endpoint_id endpoint;
+    base::item_id item;
+    base::log_offset plannerToken;
+};
+
+/// The endpoint's owner saw the item unloaded; its memory is free again.
+struct released_entry {
+    base::endpoint_id endpoint;
+    base::item_id item;
+    base::log_offset ownerToken;
+};
+
+/// A node's claim to run one non-repeatable order.
+struct claim_entry {
+    /// Hash of account, route and idempotency key.
+    std::string keyHash;
+    std::string bodyHash;
+    base::node_id node;
+    base::incarnation life;
+    /// Distinguishes claims of one node.
+    std::string claimId;
+    /// Wall-clock time of the claim; the key's life counts from it.
+    base::milliseconds claimedAt{0};
+};
+
+/// What became of a claim.
+struct outcome_entry {
+    std::string keyHash;
+    std::string claimId;
+    base::run_state state = base::run_state::unknown;
+    int httpStatus = 0;
+    std::string contentType;
+    /// The endpoint's answer, up to 8 KB; longer ones are not kept.
+    std::string body;
+};
+
+/// Counts of one node for one minute, for the daily page.
+struct day_entry {
+    base::node_id node;
+    base::incarnation life;
+    /// Wall-clock start of the minute.
+    base::milliseconds minute{0};
+    std::map<std::string, std::int64_t> counts;
+};
+
+using entry = std::variant<publish_entry,
+                           lease_entry,
+                           heartbeat_entry,
+                           endpoint_entry,
+                           assign_entry,
+                           loaded_entry,
+                           drop_entry,
+                           released_entry,
+                           claim_entry,
+                           outcome_entry,
+                           day_entry>;
+
+} // namespace chervilbend::state
