Read and check service files

Operators keep short YAML files beside their services' code, and an error in one must be found before it reaches the log.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -26,6 +26,7 @@
     if(tests)
         add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
         target_link_libraries(test_${name} PRIVATE ${library} external::cppunit external::rapidcheck)
+        target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR}/cmake)
         target_compile_definitions(test_${name} PRIVATE TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
         # -Wshadow and -Wnon-virtual-dtor fire inside macros of the test libraries.
         target_compile_options(test_${name} PRIVATE -Wno-shadow -Wno-non-virtual-dtor)
--- /dev/null
+++ b/packages/config/src/chervilbend/config/concat.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstddef>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace chervilbend::config
+{
+
+/// The parts, one after the other, in one allocation.
+inline std::string concat(std::initializer_list<std::string_view> parts)
+{
+    std::size_t size = 0;
+    for (const std::string_view part : parts) {
+        size += part.size();
+    }
+    std::string text;
+    text.reserve(size);
+    for (const std::string_view part : parts) {
+        text += part;
+    }
+    return text;
+}
+
+} // namespace chervilbend::config
--- /dev/null
+++ b/packages/config/src/chervilbend/config/yaml_reader.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chervilbend/config/fault.hpp>
+#include <chervilbend/config/yaml_node.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervilbend::config
+{
+
+/// Parses one YAML document within bounds: at most 256 KiB, 16 levels and 20,000 values; no anchors or aliases, no tags, no duplicate
+/// keys.
+class yaml_reader
+{
+public:
+    /// @p file names the source in faults.
+    explicit yaml_reader(std::string file)
+        : m_file(std::move(file))
+    {
+    }
+
+    /// No value when the text is not YAML or exceeds a bound. A duplicate key only adds a fault; its first value stays.
+    std::optional<yaml_node> read(const std::string &text);
+
+    const std::vector<fault> &faults() const
+    {
+        return m_faults;
+    }
+
+private:
+    std::string m_file;
+    std::vector<fault> m_faults;
+};
+
+} // namespace chervilbend::config
