--- /dev/null
+++ b/packages/control/src/chervilbend/control/host_listener.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chervilbend/platform/host_entry.hpp>
+
+#include <vector>
+
+namespace chervilbend::control
+{
+
+/// Is told when the list of hosts has changed.
+class host_listener
+{
+public:
+    virtual ~host_listener() = default;
+
+    virtual void hostsChanged(const std::vector<platform::host_entry> &hosts) = 0;
+};
+
+} // namespace chervilbend::control
--- /dev/null
+++ b/packages/control/src/chervilbend/control/report_poller.cpp
@@ -0,0 +1,79 @@
+#include <chervilbend/control/report_poller.hpp>
+
+#include <chervilbend/control/report_listener.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/platform/engine_control.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::control
+{
+
+report_poller::report_poller(const asio::any_io_executor &executor, platform::engine_control &engines, report_listener &listener, base::milliseconds interval)
+    : m_executor(executor)
+    , m_engines(engines)
+    , m_listener(listener)
+    , m_interval(interval)
+{
+}
+
+report_poller::~report_poller()
+{
+    for (const auto &[endpoint, engine] : m_targets) {
+        engine->wanted = false;
+    }
+}
+
+void report_poller::setFilter(filter wanted)
+{
+    m_filter = std::move(wanted);
+}
+
+void report_poller::hostsChanged(const std::vector<platform::host_entry> &hosts)
+{
+    std::map<base::endpoint_id, std::shared_ptr<target>> kept;
+    for (const platform::host_entry &host : hosts) {
+        if (host.kind != platform::host_kind::modelEngine || (m_filter && !m_filter(host))) {
+            continue;
+        }
+        const base::endpoint_id endpoint(host.id);
+        const auto known = m_targets.find(endpoint);
+        if (known != m_targets.end() && known->second->where == host.where) {
+            kept.insert(m_targets.extract(known));
+            continue;
+        }
+        const auto engine = std::make_shared<target>(target{host.where});
+        kept[endpoint] = engine;
+        asio::co_spawn(m_executor, poll(endpoint, engine), asio::detached);
+    }
+    for (const auto &[endpoint, engine] : m_targets) {
+        engine->wanted = false;
+    }
+    m_targets = std::move(kept);
+}
+
+asio::awaitable<void> report_poller::poll(base::endpoint_id endpoint, std::shared_ptr<target> engine)
+{
+    int missed = 0;
+    while (engine->wanted) {
+        const std::optional<platform::engine_report> report = co_await m_engines.report(engine->where);
+        if (!engine->wanted) {
+            break;
+        }
+        if (report) {
+            missed = 0;
+            m_listener.reportArrived(endpoint, *report);
+        } else {
+            m_listener.reportMissed(endpoint, ++missed);
+        }
+        co_await net::sleepFor(m_interval);
+    }
+}
+
+} // namespace chervilbend::control
--- /dev/null
+++ b/packages/control/src/chervilbend/control/report_poller.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/control/host_listener.hpp>
+#include <chervilbend/net/address.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace chervilbend::platform
+{
+class engine_control;
+} // namespace chervilbend::platform
+
+namespace chervilbend::control
+{
+
+class report_listener;
+
+/// Polls the load reports of engines: one task for each engine in the host list that the filter lets through.
+class report_poller : public host_listener
+{
+public:
+    using filter = std::function<bool(const platform::host_entry &)>;
+
+    /// All references must outlive the tasks. An empty filter lets all engines through.
+    report_poller(const boost::asio::any_io_executor &executor, platform::engine_control &engines, report_listener &listener, base::milliseconds interval);
+    ~report_poller() override;
+
+    void setFilter(filter wanted);
+    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+
+private:
+    struct target {
+        net::address where;
+        bool wanted = true;
+    };
+
+    boost::asio::awaitable<void> poll(base::endpoint_id endpoint, std::shared_ptr<target> engine);
+
+    boost::asio::any_io_executor m_executor;
+    platform::engine_control &m_engines;
+    report_listener &m_listener;
+    base::milliseconds m_interval;
+    filter m_filter;
+    std::map<base::endpoint_id, std::shared_ptr<target>> m_targets;
+};
+
+} // namespace chervilbend::control
