--- /dev/null
+++ b/packages/peers/src/chervilbend/peers/internal/rpc_dispatcher.cpp
@@ -0,0 +1,44 @@
+#include <chervilbend/peers/internal/rpc_dispatcher.hpp>
+
+#include <chervilbend/base/error_answer.hpp>
+
+#include <jsonrpccpp/common/exception.h>
+
+#include <utility>
+
+namespace chervilbend::peers
+{
+
+rpc_dispatcher::rpc_dispatcher(jsonrpc::AbstractServerConnector &transport)
+    : AbstractServer(transport, jsonrpc::JSONRPC_SERVER_V2)
+{
+}
+
+void rpc_dispatcher::add(std::shared_ptr<rpc_method> method)
+{
+    const std::string name = method->name();
+    const jsonrpc::Procedure procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr);
+    if (bindAndAddMethod(procedure, &rpc_dispatcher::unusedProcedure)) {
+        m_methods.emplace(name, std::move(method));
+    }
+}
+
+void rpc_dispatcher::HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input, Json::Value &output)
+{
+    rpc_method &method = *m_methods.at(procedure.GetProcedureName());
+    std::optional<Json::Value> result = method.call(input);
+    if (!result) {
+        const base::reason why = method.lastReason();
+        Json::Value data(Json::objectValue);
+        data["kind"] = std::string(base::answerFor(why.kind).name);
+        // Codes from 1 upwards are free for applications; the kind is what callers read.
+        throw jsonrpc::JsonRpcException(1, why.text, data);
+    }
+    output = std::move(*result);
+}
+
+void rpc_dispatcher::unusedProcedure(const Json::Value & /*input*/, Json::Value & /*output*/)
+{
+}
+
+} // namespace chervilbend::peers
--- /dev/null
+++ b/packages/peers/src/chervilbend/peers/internal/rpc_dispatcher.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chervilbend/peers/rpc_method.hpp>
+
+#include <jsonrpccpp/server/abstractserver.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chervilbend::peers
+{
+
+/// libjsonrpccpp's server with rpc_method objects in place of member functions.
+class rpc_dispatcher : public jsonrpc::AbstractServer<rpc_dispatcher>
+{
+public:
+    explicit rpc_dispatcher(jsonrpc::AbstractServerConnector &transport);
+
+    void add(std::shared_ptr<rpc_method> method);
+
+    void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input, Json::Value &output) override;
+
+private:
+    /// The base class wants a member function for each procedure; HandleMethodCall replaces the calls to it.
+    void unusedProcedure(const Json::Value &input, Json::Value &output);
+
+    std::map<std::string, std::shared_ptr<rpc_method>> m_methods;
+};
+
+} // namespace chervilbend::peers
--- /dev/null
+++ b/packages/peers/src/chervilbend/peers/internal/rpc_transport.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <jsonrpccpp/server/abstractserverconnector.h>
+
+#include <string>
+
+namespace chervilbend::peers
+{
+
+/// Connects libjsonrpccpp's server to messages that the HTTP server has already read.
+class rpc_transport : public jsonrpc::AbstractServerConnector
+{
+public:
+    bool StartListening() override
+    {
+        return true;
+    }
+
+    bool StopListening() override
+    {
+        return true;
+    }
+
+    /// Keeps the response in the std::string that OnRequest was given.
+    bool SendResponse(const std::string &response, void *addInfo) override
+    {
+        *static_cast<std::string *>(addInfo) = response;
+        return true;
+    }
+};
+
+} // namespace chervilbend::peers
