Fold the log's records into the shared state

Cause: the state package had only skeletons of its headers. Change: a JSON codec for records that skips unknown kinds and survives damage, one fold per concern behind replicated_state, time taken from the records, checkpoints in chunks of at most 64 KB, and dump and restore. Claims name the record that last freed their key, so that a slow attempt cannot run an order after another attempt was answered "not run".

--- /dev/null
+++ b/packages/state/src/chervilbend/state/checkpoint_collector.cpp
@@ -0,0 +1,61 @@
+#include <chervilbend/state/checkpoint_collector.hpp>
+
+#include <chervilbend/state/record_codec.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilbend::state
+{
+
+checkpoint_collector::checkpoint_collector(std::string stream)
+    : m_stream(std::move(stream))
+{
+}
+
+void checkpoint_collector::add(std::string_view payload)
+{
+    for (const entry &each : decodeRecord(payload).entries) {
+        const auto *chunk = std::get_if<checkpoint_entry>(&each);
+        if (chunk && chunk->stream == m_stream) {
+            add(*chunk);
+        }
+    }
+}
+
+void checkpoint_collector::add(const checkpoint_entry &chunk)
+{
+    if (m_newest && chunk.folded <= m_newest->folded) {
+        return;
+    }
+    if (!m_partials.contains(chunk.checkpointId)) {
+        m_order.push_back(chunk.checkpointId);
+        if (m_order.size() > partialsKept) {
+            m_partials.erase(m_order.front());
+            m_order.erase(m_order.begin());
+        }
+        m_partials[chunk.checkpointId] = {chunk.folded, {}, chunk.chunks};
+    }
+    partial &target = m_partials[chunk.checkpointId];
+    if (chunk.folded != target.folded || chunk.chunks != target.chunks) {
+        return;
+    }
+    target.data[chunk.chunk] = chunk.data;
+    if (std::cmp_less(target.data.size(), target.chunks)) {
+        return;
+    }
+    checkpoint &complete = m_newest.emplace();
+    complete.folded = target.folded;
+    for (const auto &[number, data] : target.data) {
+        complete.dump += data;
+    }
+    m_partials.erase(chunk.checkpointId);
+    std::erase(m_order, chunk.checkpointId);
+}
+
+const std::optional<checkpoint_collector::checkpoint> &checkpoint_collector::newest() const
+{
+    return m_newest;
+}
+
+} // namespace chervilbend::state
--- a/packages/state/src/chervilbend/state/entries.hpp
+++ b/packages/state/src/chervilbend/state/entries.hpp
@@ -45,6 +45,15 @@
     base::log_offset folded;
     /// Whether the node may have engine commands on their way.
     bool commandsOutstanding = false;
+    /// Wall-clock time of sending.
+    base::milliseconds sentAt{0};
+};
+
+/// An observer knows that this life of a node has ended: its port refuses connections, or the host list has not shown it for 10 minutes.
+/// To be appended only when so much time has passed since then that commands of that life cannot arrive any more.
+struct ended_entry {
+    base::node_id node;
+    base::incarnation life;
 };
 
 /// Describes an engine's endpoint. In effect under the current planner's token.
@@ -67,11 +76,13 @@
     base::log_offset plannerToken;
 };
 
-/// The endpoint's owner saw the item loaded.
+/// The endpoint's owner saw the item loaded, or no longer loaded after a restart of the engine.
 struct loaded_entry {
     base::endpoint_id endpoint;
     base::item_id item;
     base::log_offset ownerToken;
+    /// The engine lost the item: it counts as assigned again, until it is reloaded.
+    bool lost = false;
 };
 
 /// Asks the endpoint's owner to unload. In effect under the current planner's token, unless it is the last loaded copy of a declared item.
@@ -97,8 +108,13 @@
     base::incarnation life;
     /// Distinguishes claims of one node.
     std::string claimId;
-    /// Wall-clock time of the claim; the key's life counts from it.
+    /// Wall-clock time of the claim.
     base::milliseconds claimedAt{0};
+    /// Offset of the record that last freed the key, as folded when the attempt arrived (0 for none). In effect only when it still is the
+    /// last one, so that an attempt that was under way when another was answered "not run" cannot run the order afterwards.
+    base::log_offset base;
+    /// How long the key is remembered, up to 24 h. Part of the record, because all nodes must forget the key at the same record.
+    base::milliseconds lifetime{7'200'000};
 };
 
 /// What became of a claim.
@@ -121,6 +137,20 @@
     std::map<std::string, std::int64_t> counts;
 };
 
+/// A chunk of the folded state of a stream. Read when a follower starts; the fold passes over it.
+struct checkpoint_entry {
+    /// The stream whose records the state was folded from.
+    std::string stream;
+    /// The state holds all records of the stream up to this one.
+    base::log_offset folded;
+    /// Chunks of one checkpoint carry the same id.
+    std::string checkpointId;
+    int chunk = 0;
+    /// Number of chunks, 1 to 65,536.
+    int chunks = 1;
+    std::string data;
+};
+
 using entry = std::variant<publish_entry,
                            lease_entry,
                            heartbeat_entry,
@@ -131,6 +161,8 @@
                            released_entry,
                            claim_entry,
                            outcome_entry,
-                           day_entry>;
+                           day_entry,
+                           ended_entry,
+                           checkpoint_entry>;
 
 } // namespace chervilbend::state
--- /dev/null
+++ b/packages/state/src/chervilbend/state/internal/claim_fold.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chervilbend/state/entries.hpp>
+#include <chervilbend/state/internal/field_reader.hpp>
+#include <chervilbend/state/internal/fold_context.hpp>
+#include <chervilbend/state/views.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace chervilbend::state
+{
+
+/// Idempotency keys and what became of their orders.
+class claim_fold
+{
+public:
+    bool apply(const claim_entry &claim, const fold_context &context);
+    bool apply(const outcome_entry &outcome, const fold_context &context);
+    void expire(base::milliseconds now);
+
+    const claim_view *claim(const std::string &keyHash) const;
+    /// Offset of the record that last freed the key; 0 when none did.
+    base::log_offset freedAt(const std::string &keyHash) const;
+    /// Keys that are remembered.
+    std::size_t size() const;
+
+    boost::json::object toJson() const;
+    void restore(field_reader &fields);
+
+private:
+    /// Answers above this size are not kept, in bytes.
+    static constexpr std::size_t longestBody = 8192;
+
+    struct slot {
+        std::optional<claim_view> claim;
+        base::log_offset freedAt;
+        base::milliseconds lifetime{0};
+        base::milliseconds expiresAt{0};
+    };
+
+    void remember(const std::string &keyHash, slot &target, base::milliseconds now);
+
+    std::map<std::string, slot> m_slots;
+    /// Expiry times with the keys that they belong to.
+    std::set<std::pair<base::milliseconds, std::string>> m_expiries;
+};
+
+} // namespace chervilbend::state
--- /dev/null
+++ b/packages/state/src/chervilbend/state/internal/configuration_fold.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chervilbend/state/entries.hpp>
+#include <chervilbend/state/internal/field_reader.hpp>
+#include <chervilbend/state/internal/fold_context.hpp>
+#include <chervilbend/state/views.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace chervilbend::state
+{
+
+/// The declarations in force, and the latest publishes.
+class configuration_fold
+{
+public:
+    /// Returns whether the publish came into force.
+    bool apply(const publish_entry &publish, const fold_context &context);
+
+    const std::map<base::service_id, service_view> &services() const;
+    /// The latest publishes, oldest first; at most publishesKept.
+    const std::deque<publish_view> &publishes() const;
+    const publish_view *publishOf(const std::string &publishId) const;
+    /// Whether a service declares the model or adapter.
+    bool isDeclared(const base::item_id &item) const;
+
+    boost::json::object toJson() const;
+    void restore(field_reader &fields);
+
+private:
+    /// A third of a day's 3,000 changes at the target size: publishers look up their result within seconds.
+    static constexpr std::size_t publishesKept = 1024;
+
+    bool isBaseCurrent(const publish_entry &publish) const;
+    void collectDeclaredItems();
+
+    std::map<base::service_id, service_view> m_services;
+    /// Offset of the record that withdrew the service.
+    std::map<base::service_id, base::log_offset> m_withdrawn;
+    std::deque<publish_view> m_publishes;
+    std::set<base::item_id> m_declared;
+};
+
+} // namespace chervilbend::state
--- /dev/null
+++ b/packages/state/src/chervilbend/state/internal/day_fold.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chervilbend/state/entries.hpp>
+#include <chervilbend/state/internal/field_reader.hpp>
+#include <chervilbend/state/internal/fold_context.hpp>
+#include <chervilbend/state/views.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <map>
+
+namespace chervilbend::state
+{
+
+/// Counts for the daily page, summed per UTC day.
+class day_fold
+{
+public:
+    /// Adds the counts of a minute. A minute that the node has already reported has no effect.
+    bool apply(const day_entry &day, const fold_context &context);
+
+    /// By day number since 1970-01-01 UTC; at most the last daysKept days.
+    const std::map<std::int64_t, day_view> &days() const;
+
+    boost::json::object toJson() const;
+    void restore(field_reader &fields);
+
+private:
+    static constexpr std::int64_t daysKept = 3;
+    /// Limits the memory that a faulty node's records can take.
+    static constexpr std::size_t namesKept = 256;
+
+    std::map<std::int64_t, day_view> m_days;
+};
+
+} // namespace chervilbend::state
--- /dev/null
+++ b/packages/state/src/chervilbend/state/internal/lease_fold.cpp
@@ -0,0 +1,166 @@
+#include <chervilbend/state/internal/lease_fold.hpp>
+
+#include <algorithm>
+
+namespace json = boost::json;
+
+namespace chervilbend::state
+{
+
+namespace
+{
+
+/// Replaced hosts do not come back under the same id and life after that; until then their ends lift quarantines.
+constexpr base::milliseconds silentNodeKept{24 * 3'600'000};
+
+} // namespace
+
+lease_fold::result lease_fold::apply(const lease_entry &lease, const fold_context &context)
+{
+    const bool isRelease = lease.action == lease_action::release;
+    const auto current = m_leases.find(lease.name);
+    const base::log_offset currentBase = current == m_leases.end() ? base::log_offset(0) : current->second.token;
+    if (lease.name.empty() || lease.base != currentBase || (!isRelease && lease.holder.empty())) {
+        return {};
+    }
+    result applied{true, std::nullopt};
+    const lease_view next = isRelease ? lease_view{{}, {}, context.offset} : lease_view{lease.holder, lease.life, context.offset};
+    if (current != m_leases.end()) {
+        const lease_view &former = current->second;
+        if (!former.holder.empty() && (former.holder != next.holder || former.life != next.life)) {
+            applied.lost = owner_change{lease.name, former.holder, former.life};
+        }
+    }
+    m_leases[lease.name] = next;
+    if (lease.action == lease_action::take) {
+        endLivesBelow(lease.holder, lease.life, context);
+    }
+    return applied;
+}
+
+bool lease_fold::apply(const heartbeat_entry &heartbeat, const fold_context &context)
+{
+    if (heartbeat.node.empty() || hasEnded(heartbeat.node, heartbeat.life)) {
+        return false;
+    }
+    endLivesBelow(heartbeat.node, heartbeat.life, context);
+    m_heartbeats[heartbeat.node] = {heartbeat.life, heartbeat.folded, heartbeat.commandsOutstanding, heartbeat.sentAt, context.offset};
+    return true;
+}
+
+void lease_fold::apply(const ended_entry &ended, const fold_context &context)
+{
+    endLivesBelow(ended.node, base::incarnation(ended.life.count() + 1), context);
+}
+
+void lease_fold::endLivesBelow(const base::node_id &node, base::incarnation life, const fold_context &context)
+{
+    life_end &end = m_ends[node];
+    end.firstLiving = std::max(end.firstLiving, life);
+    end.time = std::max(end.time, context.time);
+    if (const auto heartbeat = m_heartbeats.find(node); heartbeat != m_heartbeats.end() && heartbeat->second.life < end.firstLiving) {
+        m_heartbeats.erase(heartbeat);
+    }
+    forgetSilentNodes(context.time);
+}
+
+void lease_fold::forgetSilentNodes(base::milliseconds now)
+{
+    std::erase_if(m_ends, [&](const auto &each) {
+        const bool isSilent = each.second.time + silentNodeKept < now;
+        if (isSilent) {
+            m_heartbeats.erase(each.first);
+        }
+        return isSilent;
+    });
+}
+
+const std::map<base::lease_name, lease_view> &lease_fold::leases() const
+{
+    return m_leases;
+}
+
+const std::map<base::node_id, heartbeat_view> &lease_fold::heartbeats() const
+{
+    return m_heartbeats;
+}
+
+base::log_offset lease_fold::token(const base::lease_name &name) const
+{
+    const auto found = m_leases.find(name);
+    return found == m_leases.end() || found->second.holder.empty() ? base::log_offset(0) : found->second.token;
+}
+
+bool lease_fold::hasEnded(const base::node_id &node, base::incarnation life) const
+{
+    const auto found = m_ends.find(node);
+    return found != m_ends.end() && life < found->second.firstLiving;
+}
+
+void lease_fold::forget(const base::lease_name &name)
+{
+    m_leases.erase(name);
+}
+
+json::object lease_fold::toJson() const
+{
+    json::array leases;
+    for (const auto &[name, lease] : m_leases) {
+        leases.emplace_back(json::object{{"name", name.value()}, {"node", lease.holder.value()}, {"life", lease.life.count()}, {"token", lease.token.count()}});
+    }
+    json::array heartbeats;
+    for (const auto &[node, last] : m_heartbeats) {
+        heartbeats.emplace_back(json::object{{"node", node.value()},
+                                             {"life", last.life.count()},
+                                             {"folded", last.folded.count()},
+                                             {"outstanding", last.commandsOutstanding},
+                                             {"sentAt", last.sentAt.count()},
+                                             {"record", last.record.count()}});
+    }
+    json::array ends;
+    for (const auto &[node, end] : m_ends) {
+        ends.emplace_back(json::object{{"node", node.value()}, {"life", end.firstLiving.count()}, {"time", end.time.count()}});
+    }
+    return {{"leases", std::move(leases)}, {"heartbeats", std::move(heartbeats)}, {"ends", std::move(ends)}};
+}
+
+void lease_fold::restore(field_reader &fields)
+{
+    bool ok = true;
+    for (const json::value &each : fields.array("leases")) {
+        field_reader item(each);
+        base::lease_name name;
+        item.read("name", name);
+        lease_view &lease = m_leases[name];
+        item.read("node", lease.holder);
+        item.read("life", lease.life);
+        item.read("token", lease.token);
+        ok = ok && item.isOk();
+    }
+    for (const json::value &each : fields.array("heartbeats")) {
+        field_reader item(each);
+        base::node_id node;
+        item.read("node", node);
+        heartbeat_view &last = m_heartbeats[node];
+        item.read("life", last.life);
+        item.read("folded", last.folded);
+        item.read("outstanding", last.commandsOutstanding);
+        item.read("sentAt", last.sentAt);
+        item.read("record", last.record);
+        ok = ok && item.isOk();
+    }
+    for (const json::value &each : fields.array("ends")) {
+        field_reader item(each);
+        base::node_id node;
+        item.read("node", node);
+        life_end &end = m_ends[node];
+        item.read("life", end.firstLiving);
+        item.read("time", end.time);
+        ok = ok && item.isOk();
+    }
+    if (!ok) {
+        fields.fail();
+    }
+}
+
+} // namespace chervilbend::state
--- /dev/null
+++ b/packages/state/tests/fold_schedule_test.cpp
@@ -0,0 +1,126 @@
+#include "random_records.hpp"
+
+#include <chervilbend/state/checkpoint_collector.hpp>
+#include <chervilbend/state/checkpoint_writer.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace chervilbend;
+using namespace chervilbend::state;
+
+/// Guards against folds that differ between nodes, a checkpoint that loses state, and overcommitted memory, under random schedules of
+/// racing planners, owners, publishers and claimants. Each schedule is given by its seed.
+class fold_schedule_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fold_schedule_test);
+    CPPUNIT_TEST(sameRecordsGiveTheSameState);
+    CPPUNIT_TEST(checkpointAndRestEqualTheWhole);
+    CPPUNIT_TEST(memoryIsNeverOvercommitted);
+    CPPUNIT_TEST(schedulesReachAllStates);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t schedules = 60;
+    static constexpr int recordsPerSchedule = 400;
+
+    static std::vector<std::string> schedule(std::uint64_t seed)
+    {
+        random_records source(seed);
+        replicated_state current;
+        std::vector<std::string> records;
+        for (int i = 1; i <= recordsPerSchedule; ++i) {
+            records.push_back(source.next(current));
+            current.fold(base::log_offset(i), records.back());
+        }
+        return records;
+    }
+
+    static void foldAll(replicated_state &target, const std::vector<std::string> &records)
+    {
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            target.fold(base::log_offset(static_cast<std::int64_t>(i) + 1), records[i]);
+        }
+    }
+
+public:
+    void sameRecordsGiveTheSameState()
+    {
+        for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+            const std::vector<std::string> records = schedule(seed);
+            replicated_state left;
+            replicated_state right;
+            foldAll(left, records);
+            foldAll(right, records);
+            foldAll(right, records);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), left.dump(), right.dump());
+        }
+    }
+
+    void checkpointAndRestEqualTheWhole()
+    {
+        for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+            const std::vector<std::string> records = schedule(seed);
+            replicated_state whole;
+            foldAll(whole, records);
+            replicated_state prefix;
+            const auto cut = static_cast<std::size_t>(random_records(seed + 1000).pick(recordsPerSchedule - 1) + 1);
+            foldAll(prefix, {records.begin(), records.begin() + static_cast<std::ptrdiff_t>(cut)});
+            checkpoint_collector collector("control");
+            for (const std::string &record : checkpointRecords("control", prefix.folded(), prefix.dump(), "c1")) {
+                CPPUNIT_ASSERT(record.size() <= checkpointRecordBytes);
+                collector.add(record);
+            }
+            CPPUNIT_ASSERT(collector.newest());
+            replicated_state restored;
+            CPPUNIT_ASSERT(restored.restore(collector.newest()->dump));
+            foldAll(restored, records);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), whole.dump(), restored.dump());
+        }
+    }
+
+    void memoryIsNeverOvercommitted()
+    {
+        for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+            replicated_state current;
+            std::int64_t offset = 0;
+            for (const std::string &record : schedule(seed)) {
+                current.fold(base::log_offset(++offset), record);
+                for (const auto &[id, endpoint] : current.endpoints()) {
+                    base::byte_count sum;
+                    for (const auto &[itemId, item] : endpoint.items) {
+                        sum += item.bytes;
+                    }
+                    CPPUNIT_ASSERT_EQUAL(sum, endpoint.reserved);
+                    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " offset " + std::to_string(offset), sum <= endpoint.memory);
+                }
+            }
+        }
+    }
+
+    /// A generator that never gets far would make the other tests pass without testing anything.
+    void schedulesReachAllStates()
+    {
+        std::size_t loaded = 0;
+        std::size_t quarantined = 0;
+        std::size_t claims = 0;
+        std::size_t services = 0;
+        for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+            replicated_state current;
+            std::int64_t offset = 0;
+            for (const std::string &record : schedule(seed)) {
+                current.fold(base::log_offset(++offset), record);
+                quarantined += current.quarantined().size();
+                claims += current.claimsCount();
+                services += current.services().size();
+                for (const auto &[id, endpoint] : current.endpoints()) {
+                    loaded += static_cast<std::size_t>(
+                        std::count_if(endpoint.items.begin(), endpoint.items.end(), [](const auto &item) { return item.second.state == residency::loaded; }));
+                }
+            }
+        }
+        CPPUNIT_ASSERT(loaded > 1000 && quarantined > 1000 && claims > 1000 && services > 1000);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fold_schedule_test);
