Feed the host list and engine reports to the traffic director

Cause: the director needs to know which endpoints exist and what each serves. Change: routing_feed turns host list entries and reports into endpoint facts; items that are being dropped get no new work.

--- /dev/null
+++ b/packages/node/src/chervilbend/node/routing_feed.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/control/host_listener.hpp>
+#include <chervilbend/control/report_listener.hpp>
+#include <chervilbend/platform/engine_report.hpp>
+#include <chervilbend/platform/host_entry.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace chervilbend::routing
+{
+class traffic_director;
+} // namespace chervilbend::routing
+
+namespace chervilbend::state
+{
+class replicated_state;
+} // namespace chervilbend::state
+
+namespace chervilbend::node
+{
+
+/// Tells the traffic director which endpoints there are, what each of them serves, and how loaded they are.
+///
+/// An engine serves the items that it reports as loaded, except those that the replicated state shows as dropping: these get no new
+/// work before the unload is sent.
+class routing_feed : public control::host_listener, public control::report_listener
+{
+public:
+    /// References must outlive the feed. @p crossZoneRoundTripMs is added to the expected wait at endpoints in other zones.
+    routing_feed(routing::traffic_director &director, const state::replicated_state &state, base::zone_id ownZone, double crossZoneRoundTripMs);
+
+    /// Commands.
+
+    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+    void reportArrived(const base::endpoint_id &endpoint, const platform::engine_report &report) override;
+    void reportMissed(const base::endpoint_id &endpoint, int times) override;
+    /// Call after the replicated state has changed.
+    void stateChanged();
+    /// Called after each change of the director's endpoints, so that waiting requests are looked at again.
+    void onChange(std::function<void()> changed);
+
+    /// Queries.
+
+    /// Where an endpoint listens; no value when the host list does not show it.
+    std::optional<net::address> addressOf(const base::endpoint_id &endpoint) const;
+
+private:
+    struct known_endpoint {
+        platform::host_entry host;
+        std::optional<platform::engine_report> report;
+    };
+
+    void update(const base::endpoint_id &endpoint);
+    void notify() const;
+
+    routing::traffic_director &m_director;
+    const state::replicated_state &m_state;
+    base::zone_id m_ownZone;
+    double m_crossZoneRoundTripMs;
+    std::map<base::endpoint_id, known_endpoint> m_endpoints;
+    std::function<void()> m_changed;
+};
+
+} // namespace chervilbend::node
