Add node settings with one table for file, flags and page

A node learns its addresses, zone, secrets and tunables from its settings, and a bad value must stop it with a clear line. Secrets can be re-read from the file of a running node; broken ones leave the old ones in use.

--- /dev/null
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/units.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chervilbend::config
+{
+
+/// What a node is told at its start. nodeSettingTable() documents each member, with its range; docs/settings.md is generated from it.
+struct node_settings {
+    std::string node;
+    std::string zone;
+    /// "IP:PORT" or "[IPv6]:PORT", as are the other addresses.
+    std::string listen;
+    std::string peerListen;
+    std::string log;
+    std::string hosts;
+    std::string store;
+    /// One or two; the first signs, both are accepted.
+    std::vector<std::string> keys;
+    std::string logLevel = "INFO";
+
+    base::milliseconds leaseTerm{6'000};
+    base::milliseconds leaseMargin{1'000};
+    base::milliseconds heartbeatInterval{2'000};
+    std::int64_t leaseHolders = 32;
+    base::milliseconds quarantine{600'000};
+    base::milliseconds checkpointInterval{900'000};
+    base::milliseconds keyLifetime{7'200'000};
+    base::byte_count answerLimit{8 * 1024};
+
+    base::milliseconds probeInterval{1'000};
+    base::milliseconds demandInterval{2'000};
+    base::milliseconds reportInterval{2'000};
+    base::milliseconds hostInterval{2'000};
+
+    base::milliseconds balancerWait{5'000};
+    base::milliseconds shutdownBound{60'000};
+
+    base::byte_count headerLimit{16 * 1024};
+    base::byte_count bodyLimit{4 * 1024 * 1024};
+    std::int64_t connectionLimit = 10'000;
+    base::milliseconds readTimeout{10'000};
+    base::milliseconds writeTimeout{30'000};
+    base::milliseconds idleTimeout{60'000};
+    std::int64_t queueLength = 1'000;
+    std::int64_t retryPercent = 10;
+    std::int64_t hedgePercent = 2;
+    std::int64_t longWorkPercent = 50;
+    std::int64_t seed = 0;
+};
+
+} // namespace chervilbend::config
--- /dev/null
+++ b/packages/node/src/chervilbend/node/settings/settings_file.cpp
@@ -0,0 +1,71 @@
+#include <chervilbend/node/settings/settings_file.hpp>
+
+#include <chervilbend/config/node_settings_reader.hpp>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace chervilbend::node
+{
+
+settings_file::settings_file(std::string path)
+    : m_path(std::move(path))
+{
+}
+
+std::optional<config::node_settings> settings_file::load(const std::map<std::string, std::string> &overrides)
+{
+    m_faults.clear();
+    std::optional<std::string> text = readText();
+    if (!text) {
+        m_faults.push_back({m_path, 0, {}, lastReason().text});
+        return std::nullopt;
+    }
+    config::node_settings_reader reader;
+    auto settings = reader.read(m_path, *text, overrides);
+    m_faults = reader.faults();
+    if (!settings) {
+        return fail(reader.lastReason());
+    }
+    m_lastText = std::move(*text);
+    m_keys = settings->keys;
+    return settings;
+}
+
+std::optional<std::vector<std::string>> settings_file::rereadKeys()
+{
+    std::optional<std::string> text = readText();
+    if (!text) {
+        return std::nullopt;
+    }
+    if (*text == m_lastText) {
+        return fail(base::error_kind::settingInvalid, {});
+    }
+    m_lastText = std::move(*text);
+    config::node_settings_reader reader;
+    auto keys = reader.readKeys(m_path, m_lastText);
+    if (!keys) {
+        return fail(reader.lastReason());
+    }
+    if (*keys == m_keys) {
+        return fail(base::error_kind::settingInvalid, {});
+    }
+    m_keys = *keys;
+    return keys;
+}
+
+std::optional<std::string> settings_file::readText()
+{
+    std::ifstream stream(m_path, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    if (!stream.good() || !text.good()) {
+        return fail(base::error_kind::settingInvalid, m_path + " cannot be read: " + std::strerror(errno));
+    }
+    return text.str();
+}
+
+} // namespace chervilbend::node
