Forward callers' requests to endpoints

Callers had no way in: the node package was empty. caller_api now serves the OpenAI-compatible paths and the declared routes, admission connects coroutines with the traffic director, and order_desk runs non-idempotent orders in tasks that outlive their callers.

--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -52,6 +52,7 @@
     while (true) {
         const std::optional<std::string_view> piece = co_await stream->read();
         if (!piece) {
+            m_timedOut = stream->hasTimedOut();
             co_return fail(stream->lastReason());
         }
         if (piece->empty()) {
@@ -76,6 +77,7 @@
     endpoint->expireAfter(options.answerTimeout);
     const auto [error, size] = co_await http::async_write(endpoint->socket(), request, awaitTuple);
     if (error) {
+        m_timedOut = endpoint->hasExpired();
         fail(base::error_kind::endpointFailed, "write failed: " + error.message());
         endpoint->close();
         co_return nullptr;
@@ -86,9 +88,10 @@
             (*pool)[where].push_back(std::move(used));
         }
     };
-    const auto stream = std::make_shared<http_client_stream>(endpoint, options.answerTimeout, giveBackTo);
+    const auto stream = std::make_shared<http_client_stream>(endpoint, options.answerTimeout, options.deadline, giveBackTo);
     const bool answered = co_await stream->readHeader();
     if (!answered) {
+        m_timedOut = stream->hasTimedOut();
         fail(stream->lastReason());
         co_return nullptr;
     }
@@ -123,6 +126,7 @@
     boost::system::error_code invalid;
     const auto number = asio::ip::make_address(where.ip, invalid);
     if (invalid) {
+        m_timedOut = false;
         fail(base::error_kind::endpointRefused, "not an IP number: " + where.ip);
         co_return nullptr;
     }
@@ -130,6 +134,7 @@
     fresh->expireAfter(options.connectTimeout);
     const auto [error] = co_await fresh->socket().async_connect({number, where.port}, awaitTuple);
     if (error) {
+        m_timedOut = fresh->hasExpired();
         fail(base::error_kind::endpointRefused, "cannot connect to " + toString(where) + ": " + (fresh->hasExpired() ? "timed out" : error.message()));
         fresh->close();
         co_return nullptr;
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -24,6 +24,8 @@
     base::milliseconds connectTimeout{1'000};
     /// Until the whole answer, or the header of a streamed one, has arrived; then between two reads of a stream.
     base::milliseconds answerTimeout{30'000};
+    /// End of the whole exchange, including all reads of a stream.
+    base::time_point deadline = base::time_point::max();
     /// Never uses a pooled connection. A pooled one may turn out closed only after the request was written, which leaves it
     /// uncertain whether the request ran.
     bool freshConnection = false;
@@ -46,6 +48,12 @@
 
     void closeIdle();
 
+    /// Whether the last call without a value ended because time was up, rather than because the connection broke.
+    bool hasTimedOut() const
+    {
+        return m_timedOut;
+    }
+
 private:
     friend class http_client_stream;
 
@@ -53,6 +61,7 @@
     std::shared_ptr<connection> takeIdle(const address &where);
 
     std::shared_ptr<std::map<address, std::vector<std::shared_ptr<connection>>>> m_idle;
+    bool m_timedOut = false;
 };
 
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -18,9 +19,13 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 } // namespace
 
-http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, return_connection giveBack)
+http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint,
+                                       base::milliseconds readTimeout,
+                                       base::time_point deadline,
+                                       return_connection giveBack)
     : m_connection(std::move(endpoint))
     , m_readTimeout(readTimeout)
+    , m_deadline(deadline)
     , m_giveBack(std::move(giveBack))
 {
     m_parser.body_limit(boost::none);
@@ -36,9 +41,19 @@
     }
 }
 
+bool http_client_stream::hasTimedOut() const
+{
+    return m_connection->hasExpired();
+}
+
+void http_client_stream::expireInTime()
+{
+    m_connection->expireAfter(std::min(m_readTimeout, std::max(m_deadline - base::clock::now(), base::milliseconds(0))));
+}
+
 asio::awaitable<bool> http_client_stream::readHeader()
 {
-    m_connection->expireAfter(m_readTimeout);
+    expireInTime();
     const auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, awaitTuple);
     if (error) {
         fail(base::error_kind::endpointFailed, m_connection->hasExpired() ? "no answer in time" : error.message());
@@ -54,7 +69,7 @@
     }
     m_parser.get().body().data = m_piece.data();
     m_parser.get().body().size = m_piece.size();
-    m_connection->expireAfter(m_readTimeout);
+    expireInTime();
     const auto [error, size] = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, awaitTuple);
     if (error && error != http::error::need_buffer) {
         co_return fail(base::error_kind::endpointFailed, m_connection->hasExpired() ? "the stream stalled" : error.message());
--- a/packages/net/src/chervilbend/net/problem.cpp
+++ b/packages/net/src/chervilbend/net/problem.cpp
@@ -17,6 +17,11 @@
 } // namespace
 
 http_response problemResponse(const base::reason &why)
+{
+    return problemResponse(why, base::answerFor(why.kind).state);
+}
+
+http_response problemResponse(const base::reason &why, base::run_state state)
 {
     const base::error_answer &answer = base::answerFor(why.kind);
     boost::json::object document;
@@ -24,7 +29,7 @@
     document["title"] = answer.title;
     document["status"] = answer.httpStatus;
     document["detail"] = why.text;
-    document["run"] = base::toString(answer.state);
+    document["run"] = base::toString(state);
 
     http_response response(static_cast<http::status>(answer.httpStatus), 11);
     response.set(http::field::content_type, "application/problem+json");
--- /dev/null
+++ b/packages/net/tests/raw_peer.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <chervilbend/net/sleep.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace chervilbend::net::test
+{
+
+constexpr auto awaitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Runs @p task and everything it causes until it ends. Throws when it takes longer than 20 s.
+inline void runUntilDone(boost::asio::io_context &context, std::function<boost::asio::awaitable<void>()> task)
+{
+    bool done = false;
+    std::exception_ptr failure;
+    boost::asio::co_spawn(context, task, [&](std::exception_ptr thrown) {
+        failure = std::move(thrown);
+        done = true;
+    });
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    context.restart();
+    while (!done && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+    if (!done) {
+        throw std::runtime_error("the test's task did not end within 20 s");
+    }
+}
+
+/// Waits until @p condition holds; the caller's runUntilDone bounds the time.
+inline boost::asio::awaitable<void> until(std::function<bool()> condition)
+{
+    while (!condition()) {
+        co_await sleepFor(base::milliseconds(1));
+    }
+}
+
+/// A TCP connection that says exactly what a test wants.
+class raw_peer
+{
+public:
+    explicit raw_peer(boost::asio::ip::tcp::socket connected)
+        : socket(std::move(connected))
+    {
+    }
+
+    static boost::asio::awaitable<std::shared_ptr<raw_peer>> connect(std::uint16_t port)
+    {
+        boost::asio::ip::tcp::socket fresh(co_await boost::asio::this_coro::executor);
+        const boost::asio::ip::tcp::endpoint where(boost::asio::ip::address_v4::loopback(), port);
+        co_await fresh.async_connect(where, boost::asio::use_awaitable);
+        co_return std::make_shared<raw_peer>(std::move(fresh));
+    }
+
+    boost::asio::awaitable<bool> send(std::string text)
+    {
+        const auto [error, size] = co_await boost::asio::async_write(socket, boost::asio::buffer(text), awaitTuple);
+        co_return !error;
+    }
+
+    /// Reads until @p mark has arrived or the other side closes; gives all that has arrived and was not taken yet.
+    boost::asio::awaitable<std::string> readUntil(std::string mark)
+    {
+        while (received.find(mark) == std::string::npos) {
+            char piece[4096];
+            const auto [error, size] = co_await socket.async_read_some(boost::asio::buffer(piece), awaitTuple);
+            received.append(piece, size);
+            if (error) {
+                closed = true;
+                break;
+            }
+        }
+        const std::size_t found = received.find(mark);
+        const std::string taken = received.substr(0, found == std::string::npos ? found : found + mark.size());
+        received.erase(0, taken.size());
+        co_return taken;
+    }
+
+    /// Reads until the other side closes.
+    boost::asio::awaitable<std::string> readToEnd()
+    {
+        co_return co_await readUntil("\x01 never sent \x01");
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::string received;
+    bool closed = false;
+};
+
+/// Accepts connections on a loopback port and runs a script on each.
+class raw_server
+{
+public:
+    using script = std::function<boost::asio::awaitable<void>(std::shared_ptr<raw_peer>)>;
+
+    raw_server(boost::asio::io_context &context, script onConnection)
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+        , m_script(std::move(onConnection))
+    {
+        accept();
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    /// Connections so far.
+    int connections = 0;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            ++connections;
+            boost::asio::co_spawn(m_acceptor.get_executor(), m_script(std::make_shared<raw_peer>(std::move(socket))), boost::asio::detached);
+            accept();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    script m_script;
+};
+
+} // namespace chervilbend::net::test
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/admission.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/net/timer.hpp>
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace chervilbend::node
+{
+
+class admitted_request;
+
+/// Connects the traffic director, which does no I/O, with the coroutines that wait for its decisions.
+class admission
+{
+public:
+    admission(const boost::asio::any_io_executor &executor, routing::traffic_director &director);
+    ~admission();
+    admission(const admission &) = delete;
+    admission &operator=(const admission &) = delete;
+
+    /// Hands out what the director has decided and arms the timer for its next wake-up. To be called after every command that is given
+    /// to the director directly, such as setEndpoint().
+    void pump();
+
+    /// Requests that wait for their dispatch.
+    std::size_t waiting() const
+    {
+        return m_waiting.size();
+    }
+
+private:
+    friend class admitted_request;
+
+    void arm();
+
+    boost::asio::any_io_executor m_executor;
+    routing::traffic_director &m_director;
+    net::timer m_timer;
+    std::optional<base::time_point> m_armedFor;
+    std::unordered_map<routing::ticket, admitted_request *> m_waiting;
+    std::shared_ptr<admission *> m_self;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -0,0 +1,176 @@
+#include <chervilbend/node/callers/caller_api.hpp>
+
+#include <chervilbend/base/hash.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/node/callers/problem_answer.hpp>
+#include <chervilbend/node/callers/request_path.hpp>
+#include <chervilbend/node/callers/service_catalog.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+const log4cxx::LoggerPtr &httpLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("http");
+    return logger;
+}
+
+/// Hash of account, route, model and body, each with its length's boundary kept by chaining seeds.
+std::uint64_t fingerprintOf(const base::account_id &account, std::string_view route, std::string_view pool, std::string_view body)
+{
+    return base::hash64(body, base::hash64(pool, base::hash64(route, base::hash64(account.value()))));
+}
+
+asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::reason why)
+{
+    LOG4CXX_INFO(httpLog(),
+                 exchange->request().method_string() << ' ' << exchange->request().target() << " from " << exchange->remoteAddress()
+                                                     << " refused: " << why.text);
+    co_await exchange->respond(problemAnswer(why));
+}
+
+} // namespace
+
+caller_api::caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders)
+    : m_catalog(catalog)
+    , m_forwarder(requests)
+    , m_orders(orders)
+{
+}
+
+asio::awaitable<void> caller_api::handle(std::shared_ptr<net::http_exchange> exchange)
+{
+    std::string failure;
+    try {
+        co_await serve(exchange);
+        co_return;
+    } catch (const boost::system::system_error &error) {
+        if (error.code() == asio::error::operation_aborted) {
+            throw;
+        }
+        failure = error.what();
+    } catch (const std::exception &error) {
+        failure = error.what();
+    }
+    LOG4CXX_ERROR(httpLog(), exchange->request().method_string() << ' ' << exchange->request().target() << " failed: " << failure);
+    if (!exchange->isStarted()) {
+        co_await exchange->respond(problemAnswer({base::error_kind::internal, "internal error"}));
+    }
+}
+
+asio::awaitable<void> caller_api::serve(std::shared_ptr<net::http_exchange> exchange)
+{
+    const std::string_view target(exchange->request().target().data(), exchange->request().target().size());
+    const std::string_view path = target.substr(0, target.find('?'));
+    if (!isNormalizedPath(path)) {
+        co_await refuse(exchange, {base::error_kind::badRequest, "the path is not in its normal form"});
+        co_return;
+    }
+    if (path == "/v1/models") {
+        co_await serveModelList(exchange);
+    } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        co_await serveInference(exchange, path);
+    } else {
+        co_await serveRoute(exchange, path);
+    }
+}
+
+asio::awaitable<void> caller_api::serveInference(std::shared_ptr<net::http_exchange> exchange, std::string_view path)
+{
+    const net::http_request &request = exchange->request();
+    if (request.method() != http::verb::post) {
+        co_await refuse(exchange, {base::error_kind::unknownRoute, "this path takes only POST"});
+        co_return;
+    }
+    inference_request_reader reader;
+    const std::optional<inference_request> wanted = reader.read(request.body());
+    if (!wanted) {
+        co_await refuse(exchange, reader.lastReason());
+        co_return;
+    }
+    const model_target *const target = m_catalog.findModel(wanted->model);
+    if (!target) {
+        co_await refuse(exchange, {base::error_kind::unknownModel, "no service declares the model \"" + wanted->model + '"'});
+        co_return;
+    }
+    caller_terms_reader termsReader;
+    const std::optional<caller_terms> terms =
+        termsReader.read(request, {target->policy.highestUrgency, target->policy.defaultUrgency, target->policy.deadline});
+    if (!terms) {
+        co_await refuse(exchange, termsReader.lastReason());
+        co_return;
+    }
+    forwarding_plan plan;
+    plan.inference = true;
+    plan.facts.pool = target->pool;
+    plan.facts.account = terms->account;
+    plan.facts.urgency = terms->urgency;
+    plan.facts.deadline = terms->deadline;
+    plan.facts.promptTokens = wanted->promptTokens;
+    plan.facts.maxTokens = wanted->maxTokens;
+    plan.facts.prefix = wanted->prefix;
+    plan.facts.fingerprint = fingerprintOf(terms->account, path, target->pool, request.body());
+    co_await m_forwarder.forward(exchange, std::move(plan));
+}
+
+asio::awaitable<void> caller_api::serveModelList(std::shared_ptr<net::http_exchange> exchange)
+{
+    if (exchange->request().method() != http::verb::get) {
+        co_await refuse(exchange, {base::error_kind::unknownRoute, "this path takes only GET"});
+        co_return;
+    }
+    boost::json::array data;
+    for (const auto &[name, target] : m_catalog.models()) {
+        data.push_back({{"id", name}, {"object", "model"}, {"created", 0}, {"owned_by", target.service.value()}});
+    }
+    net::http_response response(http::status::ok, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = boost::json::serialize(boost::json::object{{"object", "list"}, {"data", std::move(data)}}) + '\n';
+    co_await exchange->respond(std::move(response));
+}
+
+asio::awaitable<void> caller_api::serveRoute(std::shared_ptr<net::http_exchange> exchange, std::string_view path)
+{
+    const net::http_request &request = exchange->request();
+    const std::string_view method(request.method_string().data(), request.method_string().size());
+    const route_target *const found = m_catalog.findRoute(method, path);
+    if (!found) {
+        co_await refuse(exchange, {base::error_kind::unknownRoute, "no declared route takes " + std::string(method) + ' ' + std::string(path)});
+        co_return;
+    }
+    const route_target target = *found;
+    caller_terms_reader termsReader;
+    const std::optional<caller_terms> terms = termsReader.read(request, {target.route.urgency, target.route.urgency, target.route.deadline});
+    if (!terms) {
+        co_await refuse(exchange, termsReader.lastReason());
+        co_return;
+    }
+    forwarding_plan plan;
+    plan.facts.pool = target.pool;
+    plan.facts.account = terms->account;
+    plan.facts.urgency = terms->urgency;
+    plan.facts.deadline = terms->deadline;
+    plan.facts.repeatable = target.route.repeatable;
+    plan.facts.fingerprint = fingerprintOf(terms->account, std::string(method) + ' ' + std::string(request.target()), target.pool, request.body());
+    if (target.route.repeatable) {
+        co_await m_forwarder.forward(exchange, std::move(plan));
+    } else {
+        co_await m_orders.take(exchange, target, std::move(plan));
+    }
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/caller_api.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chervilbend/net/http_handler.hpp>
+#include <chervilbend/node/callers/caller_terms.hpp>
+#include <chervilbend/node/callers/forwarder.hpp>
+#include <chervilbend/node/callers/inference_request.hpp>
+#include <chervilbend/node/callers/order_desk.hpp>
+
+#include <memory>
+#include <string_view>
+
+namespace chervilbend::node
+{
+
+class service_catalog;
+
+/// The callers' side of a node: the OpenAI-compatible API and the declared routes of plain services.
+class caller_api : public net::http_handler
+{
+public:
+    /// All collaborators must outlive the server that uses this handler.
+    caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders);
+
+    boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
+
+private:
+    boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange);
+    boost::asio::awaitable<void> serveInference(std::shared_ptr<net::http_exchange> exchange, std::string_view path);
+    boost::asio::awaitable<void> serveModelList(std::shared_ptr<net::http_exchange> exchange);
+    boost::asio::awaitable<void> serveRoute(std::shared_ptr<net::http_exchange> exchange, std::string_view path);
+
+    service_catalog &m_catalog;
+    forwarder &m_forwarder;
+    order_desk &m_orders;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/caller_terms.cpp
@@ -0,0 +1,77 @@
+#include <chervilbend/node/callers/caller_terms.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <string>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+constexpr std::size_t maxAccountLength = 128;
+
+std::string_view headerOf(const net::http_request &request, std::string_view name)
+{
+    const auto found = request.find(boost::beast::string_view(name.data(), name.size()));
+    return found == request.end() ? std::string_view() : std::string_view(found->value().data(), found->value().size());
+}
+
+std::optional<base::work_class> parseClass(std::string_view text)
+{
+    for (const base::work_class candidate : {base::work_class::urgent, base::work_class::normal, base::work_class::batch}) {
+        if (text == toString(candidate)) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<caller_terms> caller_terms_reader::read(const net::http_request &request, const caller_bounds &bounds)
+{
+    caller_terms terms;
+    const std::string_view account = headerOf(request, "X-Account");
+    if (account.size() > maxAccountLength) {
+        return fail(base::error_kind::badRequest, "X-Account is longer than 128 characters");
+    }
+    terms.account = base::account_id(account.empty() ? "default" : std::string(account));
+
+    const std::string_view priority = headerOf(request, "X-Priority");
+    const std::optional<base::work_class> asked = priority.empty() ? bounds.defaultUrgency : parseClass(priority);
+    if (!asked) {
+        return fail(base::error_kind::badRequest, "X-Priority is none of urgent, normal and batch");
+    }
+    terms.urgency = std::max(*asked, bounds.highestUrgency);
+
+    base::milliseconds time = bounds.deadline;
+    const std::string_view deadline = headerOf(request, "X-Deadline-Ms");
+    if (!deadline.empty()) {
+        std::int64_t count = 0;
+        const auto [end, error] = std::from_chars(deadline.data(), deadline.data() + deadline.size(), count);
+        if (error != std::errc{} || end != deadline.data() + deadline.size() || count <= 0) {
+            return fail(base::error_kind::badRequest, "X-Deadline-Ms is not a positive whole number");
+        }
+        time = std::min(time, base::milliseconds(count));
+    }
+    terms.deadline = base::clock::now() + time;
+    return terms;
+}
+
+std::string_view toString(base::work_class urgency)
+{
+    switch (urgency) {
+    case base::work_class::urgent:
+        return "urgent";
+    case base::work_class::normal:
+        return "normal";
+    case base::work_class::batch:
+        break;
+    }
+    return "batch";
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/endpoint_directory.cpp
@@ -0,0 +1,22 @@
+#include <chervilbend/node/callers/endpoint_directory.hpp>
+
+namespace chervilbend::node
+{
+
+void endpoint_directory::set(const base::endpoint_id &endpoint, const net::address &where)
+{
+    m_addresses.insert_or_assign(endpoint, where);
+}
+
+void endpoint_directory::remove(const base::endpoint_id &endpoint)
+{
+    m_addresses.erase(endpoint);
+}
+
+std::optional<net::address> endpoint_directory::find(const base::endpoint_id &endpoint) const
+{
+    const auto found = m_addresses.find(endpoint);
+    return found == m_addresses.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.cpp
@@ -0,0 +1,82 @@
+#include <chervilbend/node/callers/event_scanner.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+/// An event longer than this is passed on in parts, so that an endpoint cannot make the node hold memory without bound.
+constexpr std::size_t maxHeld = 256 * 1024;
+
+/// Length of @p text up to and including its last blank line; 0 when it has none.
+std::size_t endOfLastEvent(std::string_view text)
+{
+    const std::size_t plain = text.rfind("\n\n");
+    const std::size_t withReturns = text.rfind("\n\r\n");
+    const std::size_t plainEnd = plain == std::string_view::npos ? 0 : plain + 2;
+    const std::size_t returnsEnd = withReturns == std::string_view::npos ? 0 : withReturns + 3;
+    return std::max(plainEnd, returnsEnd);
+}
+
+} // namespace
+
+std::string_view event_scanner::feed(std::string_view piece)
+{
+    if (m_held.empty() && endOfLastEvent(piece) == piece.size()) {
+        scan(piece);
+        return piece;
+    }
+    m_held.append(piece);
+    std::size_t end = endOfLastEvent(m_held);
+    if (end == 0 && m_held.size() > maxHeld) {
+        end = m_held.size();
+    }
+    m_ready.assign(m_held, 0, end);
+    m_held.erase(0, end);
+    scan(m_ready);
+    return m_ready;
+}
+
+void event_scanner::scan(std::string_view events)
+{
+    while (!events.empty()) {
+        const std::size_t newline = events.find('\n');
+        std::string_view line = events.substr(0, newline);
+        events.remove_prefix(newline == std::string_view::npos ? events.size() : newline + 1);
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with("data:")) {
+            line.remove_prefix(5);
+            line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+            scanData(line);
+        }
+    }
+}
+
+void event_scanner::scanData(std::string_view data)
+{
+    constexpr std::string_view countField = "\"completion_tokens\":";
+    if (data == "[DONE]") {
+        m_done = true;
+        return;
+    }
+    const std::size_t field = data.find(countField);
+    if (field == std::string_view::npos) {
+        ++m_tokens;
+        return;
+    }
+    data.remove_prefix(field + countField.size());
+    data.remove_prefix(std::min(data.find_first_not_of(' '), data.size()));
+    std::int64_t count = 0;
+    const auto [end, error] = std::from_chars(data.data(), data.data() + data.size(), count);
+    if (error == std::errc{}) {
+        m_tokens = std::max(m_tokens, count);
+    }
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chervilbend/base/units.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chervilbend::node
+{
+
+/// Follows a stream of server-sent events: finds the ends of events, counts generated tokens and sees the closing "[DONE]".
+///
+/// Bytes of an event whose end has not arrived are held back, because a stream that breaks off inside an event would otherwise make the
+/// caller take the fragment together with the error event that follows it.
+class event_scanner
+{
+public:
+    /// Takes the next piece and gives the bytes that may be passed on now; valid until the next call.
+    std::string_view feed(std::string_view piece);
+
+    /// Tokens so far: the engine's own count where an event carried it, otherwise one per data event.
+    base::token_count tokens() const
+    {
+        return base::token_count(m_tokens);
+    }
+
+    /// Whether "[DONE]" has arrived.
+    bool isDone() const
+    {
+        return m_done;
+    }
+
+    /// Whether part of an event is held back.
+    bool isInsideEvent() const
+    {
+        return !m_held.empty();
+    }
+
+private:
+    void scan(std::string_view events);
+    void scanData(std::string_view data);
+
+    std::string m_held;
+    std::string m_ready;
+    std::int64_t m_tokens = 0;
+    bool m_done = false;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chervilbend/base/reason.hpp>
+#include <chervilbend/node/callers/forwarding_plan.hpp>
+#include <chervilbend/routing/request_outcome.hpp>
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace chervilbend::net
+{
+class http_client;
+class http_client_stream;
+class http_exchange;
+} // namespace chervilbend::net
+
+namespace chervilbend::node
+{
+
+class admission;
+class admitted_request;
+class endpoint_directory;
+
+/// Forwards requests that may be repeated to endpoints and passes the answers on.
+///
+/// Whole answers are read to their end before the first byte goes to the caller. Streams are passed on piece by piece; each piece waits
+/// until the caller's socket took it. A stream that breaks off ends with an error event, and its connection is not ended cleanly.
+class forwarder
+{
+public:
+    forwarder(admission &gate, endpoint_directory &endpoints, net::http_client &client);
+
+    boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
+
+private:
+    /// How one attempt ended.
+    struct attempt_result {
+        routing::request_outcome outcome = routing::request_outcome::answered;
+        /// Nothing more can be sent to the caller.
+        bool settled = false;
+        bool mayHaveRun = false;
+        base::reason why;
+    };
+
+    boost::asio::awaitable<attempt_result>
+        attempt(std::shared_ptr<net::http_exchange> exchange, const forwarding_plan &plan, routing::dispatch where, admitted_request &work);
+    boost::asio::awaitable<attempt_result>
+        passWhole(std::shared_ptr<net::http_exchange> exchange, std::shared_ptr<net::http_client_stream> answer, admitted_request &work, bool inference);
+    boost::asio::awaitable<attempt_result> passStream(std::shared_ptr<net::http_exchange> exchange,
+                                                      std::shared_ptr<net::http_client_stream> answer,
+                                                      admitted_request &work,
+                                                      std::string beginning,
+                                                      bool needsDone);
+
+    admission &m_admission;
+    endpoint_directory &m_endpoints;
+    net::http_client &m_client;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/order_desk.cpp
@@ -0,0 +1,228 @@
+#include <chervilbend/node/callers/order_desk.hpp>
+
+#include <chervilbend/base/error_answer.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/control/order_gateway.hpp>
+#include <chervilbend/net/http_client.hpp>
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/net/timer.hpp>
+#include <chervilbend/node/callers/admitted_request.hpp>
+#include <chervilbend/node/callers/caller_terms.hpp>
+#include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/node/callers/message_headers.hpp>
+#include <chervilbend/node/callers/problem_answer.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+using routing::request_outcome;
+
+constexpr std::size_t longestKey = 255;
+
+const log4cxx::LoggerPtr &routeLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("route");
+    return logger;
+}
+
+std::string keyFromBody(const std::string &body, const std::string &field)
+{
+    boost::json::error_code error;
+    const boost::json::value parsed = boost::json::parse(body, error);
+    const boost::json::object *const object = error ? nullptr : parsed.if_object();
+    const boost::json::value *const key = object ? object->if_contains(field) : nullptr;
+    if (!key) {
+        return {};
+    }
+    if (key->is_string()) {
+        return {key->get_string().data(), key->get_string().size()};
+    }
+    return key->is_int64() ? std::to_string(key->get_int64()) : std::string();
+}
+
+/// The key that the caller gave; no value, with a reason, when there is none or it cannot be a key.
+std::optional<std::string> keyOf(const net::http_request &request, const config::route_declaration &route, base::reason &why)
+{
+    const auto header = request["Idempotency-Key"];
+    std::string key(header.data(), header.size());
+    if (key.empty() && !route.idempotencyField.empty()) {
+        key = keyFromBody(request.body(), route.idempotencyField);
+    }
+    if (key.empty()) {
+        why = {base::error_kind::missingIdempotencyKey, "the route takes each order at most once and needs an Idempotency-Key"};
+        return std::nullopt;
+    }
+    const bool printable = std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c < 0x7f; });
+    if (key.size() > longestKey || !printable) {
+        why = {base::error_kind::badRequest, "the idempotency key is longer than 255 characters or not printable ASCII"};
+        return std::nullopt;
+    }
+    return key;
+}
+
+control::order_answer withoutAnswer(base::run_state state, const base::reason &why)
+{
+    control::order_answer answer;
+    answer.state = state;
+    answer.kind = why.kind;
+    answer.detail = why.text;
+    return answer;
+}
+
+net::http_response responseFor(const control::order_answer &answer)
+{
+    if (answer.httpStatus == 0) {
+        return problemAnswer({answer.kind, answer.detail}, answer.state);
+    }
+    net::http_response response(static_cast<http::status>(answer.httpStatus), 11);
+    if (!answer.contentType.empty()) {
+        response.set(http::field::content_type, answer.contentType);
+    }
+    const std::string_view state = base::toString(answer.state);
+    response.set(runStateField, boost::beast::string_view(state.data(), state.size()));
+    if (answer.replayed) {
+        response.set("Idempotency-Replayed", "true");
+    }
+    response.body() = answer.body;
+    return response;
+}
+
+} // namespace
+
+/// An order's state that its task and its caller share.
+struct order_desk::order_task {
+    order_task(const asio::any_io_executor &executor, control::order_request wanted)
+        : order(std::move(wanted))
+        , done(executor, base::time_point::max())
+    {
+    }
+
+    control::order_request order;
+    std::optional<control::order_answer> answer;
+    net::timer done;
+};
+
+order_desk::order_desk(control::order_gateway &gateway, admission &gate, endpoint_directory &endpoints, net::http_client &client)
+    : m_gateway(gateway)
+    , m_admission(gate)
+    , m_endpoints(endpoints)
+    , m_client(client)
+{
+}
+
+asio::awaitable<void> order_desk::take(std::shared_ptr<net::http_exchange> exchange, route_target target, forwarding_plan plan)
+{
+    const net::http_request &request = exchange->request();
+    base::reason why;
+    const std::optional<std::string> key = keyOf(request, target.route, why);
+    if (!key) {
+        co_await exchange->respond(problemAnswer(why));
+        co_return;
+    }
+    const std::string_view path(request.target().data(), request.target().size());
+    control::order_request order;
+    order.account = plan.facts.account;
+    order.route = target.service.value() + std::string(path.substr(0, path.find('?')));
+    order.idempotencyKey = *key;
+    // The method and the query belong to what the key stands for: the same key with another query is another order.
+    order.body = std::string(request.method_string()) + ' ' + std::string(path) + '\n' + request.body();
+    order.firstAttempt = request["Idempotency-Attempt"] == "1";
+    order.deadline = plan.facts.deadline;
+    plan.idempotencyKey = *key;
+
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    const auto task = std::make_shared<order_task>(executor, std::move(order));
+    asio::co_spawn(executor, run(task, exchange, std::move(plan)), asio::detached);
+    if (!task->answer) {
+        co_await task->done.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (task->answer) {
+        co_await exchange->respond(responseFor(*task->answer));
+    }
+}
+
+asio::awaitable<void> order_desk::run(std::shared_ptr<order_task> task, std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
+{
+    ++m_open;
+    const control::order_gateway::dispatch_order send = [this, exchange, plan] {
+        return dispatch(exchange, plan);
+    };
+    control::order_answer answer;
+    try {
+        answer = co_await m_gateway.run(task->order, send);
+    } catch (const std::exception &error) {
+        answer = withoutAnswer(base::run_state::unknown, {base::error_kind::internal, error.what()});
+    }
+    LOG4CXX_INFO(routeLog(),
+                 "order " << task->order.route << " key " << task->order.idempotencyKey << ", account " << task->order.account << ": "
+                          << base::toString(answer.state) << (answer.replayed ? " (replayed)" : "")
+                          << (answer.httpStatus == 0 ? ", " + answer.detail : std::string()));
+    task->answer = std::move(answer);
+    task->done.cancel();
+    --m_open;
+}
+
+asio::awaitable<control::order_answer> order_desk::dispatch(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
+{
+    admitted_request work(m_admission);
+    std::optional<routing::dispatch> where = co_await work.submit(plan.facts);
+    base::reason why;
+    while (where) {
+        LOG4CXX_INFO(routeLog(),
+                     plan.facts.pool << " order to " << where->endpoint << ", class " << toString(plan.facts.urgency) << ", account " << plan.facts.account
+                                     << ": " << where->why);
+        const std::optional<net::address> address = m_endpoints.find(where->endpoint);
+        std::optional<net::http_response> response;
+        if (address) {
+            net::http_send_options options;
+            options.freshConnection = true;
+            options.deadline = plan.facts.deadline;
+            options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+            options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
+            response = co_await m_client.send(*address, requestForEndpoint(exchange->request(), plan.idempotencyKey), options);
+            why = m_client.lastReason();
+        } else {
+            why = {base::error_kind::endpointRefused, "the address of " + where->endpoint.value() + " is not known"};
+        }
+        if (response) {
+            work.firstByte();
+            work.finish(request_outcome::answered);
+            control::order_answer answer;
+            answer.state = base::run_state::ran;
+            answer.httpStatus = static_cast<int>(response->result_int());
+            const auto type = (*response)[http::field::content_type];
+            answer.contentType.assign(type.data(), type.size());
+            answer.body = std::move(response->body());
+            co_return answer;
+        }
+        if (why.kind != base::error_kind::endpointRefused) {
+            work.finish(m_client.hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost);
+            co_return withoutAnswer(base::run_state::unknown, why);
+        }
+        where = co_await work.retry(request_outcome::notSent);
+    }
+    if (why.text.empty()) {
+        why = work.lastReason();
+    }
+    co_return withoutAnswer(base::run_state::notRun, why);
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/order_desk.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chervilbend/control/order_answer.hpp>
+#include <chervilbend/control/order_request.hpp>
+#include <chervilbend/node/callers/forwarding_plan.hpp>
+#include <chervilbend/node/callers/route_target.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chervilbend::control
+{
+class order_gateway;
+}
+
+namespace chervilbend::net
+{
+class http_client;
+class http_exchange;
+} // namespace chervilbend::net
+
+namespace chervilbend::node
+{
+
+class admission;
+class endpoint_directory;
+
+/// Takes non-idempotent orders to the order gateway, each in a task that outlives its caller's connection.
+class order_desk
+{
+public:
+    order_desk(control::order_gateway &gateway, admission &gate, endpoint_directory &endpoints, net::http_client &client);
+
+    /// Runs the order and answers the caller, if it is still there.
+    boost::asio::awaitable<void> take(std::shared_ptr<net::http_exchange> exchange, route_target target, forwarding_plan plan);
+
+    /// Orders whose task has not ended; a shutdown waits for them.
+    std::size_t openOrders() const
+    {
+        return m_open;
+    }
+
+private:
+    struct order_task;
+
+    boost::asio::awaitable<void> run(std::shared_ptr<order_task> task, std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
+    boost::asio::awaitable<control::order_answer> dispatch(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
+
+    control::order_gateway &m_gateway;
+    admission &m_admission;
+    endpoint_directory &m_endpoints;
+    net::http_client &m_client;
+    std::size_t m_open = 0;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/tests/test_director.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace chervilbend::node::test
+{
+
+/// Sends each request at once to the endpoints of its pool in turn, and records what it is told.
+class test_director : public routing::traffic_director
+{
+public:
+    void setEndpoint(const routing::endpoint_facts &facts) override
+    {
+        for (const std::string &pool : facts.pools) {
+            pools[pool].push_back(facts.endpoint);
+        }
+    }
+
+    void removeEndpoint(const base::endpoint_id & /*endpoint*/) override
+    {
+    }
+
+    void setReport(const base::endpoint_id & /*endpoint*/, const routing::load_report & /*report*/) override
+    {
+    }
+
+    void setNodeCount(int /*nodes*/) override
+    {
+    }
+
+    std::optional<routing::ticket> submit(const routing::request_facts &facts, base::reason &why) override
+    {
+        submitted.push_back(facts);
+        if (pools[facts.pool].empty()) {
+            why = {base::error_kind::noEndpoint, "no endpoint holds " + facts.pool};
+            return std::nullopt;
+        }
+        const routing::ticket ticket = ++lastTicket;
+        open[ticket] = facts;
+        queued.push_back(ticket);
+        return ticket;
+    }
+
+    bool retry(routing::ticket ticket, routing::request_outcome outcome, base::reason &why) override
+    {
+        outcomes.push_back(outcome);
+        if (retries == 0) {
+            open.erase(ticket);
+            why = {base::error_kind::overloaded, "the retry budget is spent"};
+            return false;
+        }
+        --retries;
+        queued.push_back(ticket);
+        return true;
+    }
+
+    std::vector<routing::dispatch> takeDispatches() override
+    {
+        std::vector<routing::dispatch> sent;
+        for (; !hold && !queued.empty(); queued.pop_front()) {
+            const std::vector<base::endpoint_id> &pool = pools[open[queued.front()].pool];
+            sent.push_back({queued.front(), pool[next++ % pool.size()], "in turn"});
+        }
+        return sent;
+    }
+
+    std::vector<routing::refusal> takeRefusals() override
+    {
+        return std::move(refusals);
+    }
+
+    void firstByte(routing::ticket /*ticket*/) override
+    {
+        ++firstBytes;
+    }
+
+    void progress(routing::ticket /*ticket*/, base::token_count generated) override
+    {
+        tokens = generated.count();
+    }
+
+    void finish(routing::ticket ticket, routing::request_outcome outcome) override
+    {
+        outcomes.push_back(outcome);
+        open.erase(ticket);
+        std::erase(queued, ticket);
+    }
+
+    void learnSuspicion(std::uint64_t /*fingerprint*/, int /*crashes*/) override
+    {
+    }
+
+    std::vector<std::pair<std::uint64_t, int>> suspicions() const override
+    {
+        return {};
+    }
+
+    base::time_point nextWakeup() const override
+    {
+        return wakeup;
+    }
+
+    std::map<std::string, std::vector<base::endpoint_id>> pools;
+    std::map<routing::ticket, routing::request_facts> open;
+    std::deque<routing::ticket> queued;
+    std::vector<routing::refusal> refusals;
+    std::vector<routing::request_facts> submitted;
+    std::vector<routing::request_outcome> outcomes;
+    base::time_point wakeup = base::time_point::max();
+    routing::ticket lastTicket = 0;
+    std::size_t next = 0;
+    std::int64_t tokens = 0;
+    int firstBytes = 0;
+    int retries = 0;
+    bool hold = false;
+};
+
+} // namespace chervilbend::node::test
--- /dev/null
+++ b/packages/node/tests/test_gateway.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chervilbend/control/order_gateway.hpp>
+
+#include <vector>
+
+namespace chervilbend::node::test
+{
+
+/// Dispatches every order once and keeps what it was asked.
+class test_gateway : public control::order_gateway
+{
+public:
+    boost::asio::awaitable<control::order_answer> run(control::order_request order, dispatch_order dispatch) override
+    {
+        orders.push_back(order);
+        control::order_answer answer = co_await dispatch();
+        answers.push_back(answer);
+        co_return answer;
+    }
+
+    std::vector<control::order_request> orders;
+    std::vector<control::order_answer> answers;
+};
+
+} // namespace chervilbend::node::test
