Keep endpoint addresses in one directory

Cause: routing_feed and the callers' side each had a table of addresses. Change: routing_feed fills endpoint_directory.

--- a/packages/node/src/chervilbend/node/routing_feed.cpp
+++ b/packages/node/src/chervilbend/node/routing_feed.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/node/routing_feed.hpp>
 
+#include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
@@ -26,8 +27,13 @@
 
 } // namespace
 
-routing_feed::routing_feed(routing::traffic_director &director, const state::replicated_state &state, base::zone_id ownZone, double crossZoneRoundTripMs)
+routing_feed::routing_feed(routing::traffic_director &director,
+                           endpoint_directory &directory,
+                           const state::replicated_state &state,
+                           base::zone_id ownZone,
+                           double crossZoneRoundTripMs)
     : m_director(director)
+    , m_directory(directory)
     , m_state(state)
     , m_ownZone(std::move(ownZone))
     , m_crossZoneRoundTripMs(crossZoneRoundTripMs)
@@ -51,6 +57,7 @@
     for (const auto &[endpoint, known] : m_endpoints) {
         if (!kept.contains(endpoint)) {
             m_director.removeEndpoint(endpoint);
+            m_directory.remove(endpoint);
         }
     }
     m_endpoints = std::move(kept);
@@ -95,15 +102,6 @@
     m_changed = std::move(changed);
 }
 
-std::optional<net::address> routing_feed::addressOf(const base::endpoint_id &endpoint) const
-{
-    const auto known = m_endpoints.find(endpoint);
-    if (known == m_endpoints.end()) {
-        return std::nullopt;
-    }
-    return known->second.host.where;
-}
-
 void routing_feed::update(const base::endpoint_id &endpoint)
 {
     const known_endpoint &known = m_endpoints.at(endpoint);
@@ -121,6 +119,7 @@
             }
         }
     }
+    m_directory.set(endpoint, known.host.where);
     m_director.setEndpoint(facts);
 }
 
--- a/packages/node/src/chervilbend/node/routing_feed.hpp
+++ b/packages/node/src/chervilbend/node/routing_feed.hpp
@@ -23,7 +23,9 @@
 namespace chervilbend::node
 {
 
-/// Tells the traffic director which endpoints there are, what each of them serves, and how loaded they are.
+class endpoint_directory;
+
+/// Tells the traffic director which endpoints there are, what each of them serves, and how loaded they are, and keeps their addresses.
 ///
 /// An engine serves the items that it reports as loaded, except those that the replicated state shows as dropping: these get no new
 /// work before the unload is sent.
@@ -31,7 +33,11 @@
 {
 public:
     /// References must outlive the feed. @p crossZoneRoundTripMs is added to the expected wait at endpoints in other zones.
-    routing_feed(routing::traffic_director &director, const state::replicated_state &state, base::zone_id ownZone, double crossZoneRoundTripMs);
+    routing_feed(routing::traffic_director &director,
+                 endpoint_directory &directory,
+                 const state::replicated_state &state,
+                 base::zone_id ownZone,
+                 double crossZoneRoundTripMs);
 
     /// Commands.
 
@@ -43,11 +49,6 @@
     /// Called after each change of the director's endpoints, so that waiting requests are looked at again.
     void onChange(std::function<void()> changed);
 
-    /// Queries.
-
-    /// Where an endpoint listens; no value when the host list does not show it.
-    std::optional<net::address> addressOf(const base::endpoint_id &endpoint) const;
-
 private:
     struct known_endpoint {
         platform::host_entry host;
@@ -58,6 +59,7 @@
     void notify() const;
 
     routing::traffic_director &m_director;
+    endpoint_directory &m_directory;
     const state::replicated_state &m_state;
     base::zone_id m_ownZone;
     double m_crossZoneRoundTripMs;
