--- /dev/null
+++ b/packages/control/src/chervilbend/control/log_follower.cpp
@@ -0,0 +1,170 @@
+#include <chervilbend/control/log_follower.hpp>
+
+#include <chervilbend/base/hash.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/control/checkpoint_transfer.hpp>
+#include <chervilbend/net/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::control
+{
+
+namespace
+{
+
+/// How much later than its longest wait a read may be answered before the log counts as unreachable.
+constexpr base::milliseconds answerMargin{3'000};
+
+const log4cxx::LoggerPtr &logger()
+{
+    static const log4cxx::LoggerPtr part = base::partLogger("log");
+    return part;
+}
+
+} // namespace
+
+log_follower::log_follower(asio::any_io_executor executor,
+                           platform::log_service &log,
+                           state::replicated_state &state,
+                           log_follower_options options,
+                           platform::log_service *checkpoints)
+    : m_executor(std::move(executor))
+    , m_log(log)
+    , m_state(state)
+    , m_options(std::move(options))
+    , m_checkpoints(checkpoints)
+{
+}
+
+void log_follower::start()
+{
+    asio::co_spawn(m_executor, follow(), asio::detached);
+}
+
+void log_follower::stop()
+{
+    m_stopped = true;
+}
+
+bool log_follower::restore(std::string_view dump)
+{
+    const bool restored = m_state.restore(dump);
+    if (restored) {
+        notify();
+    }
+    return restored;
+}
+
+void log_follower::notify()
+{
+    m_changed.notify();
+}
+
+const state::replicated_state &log_follower::state() const
+{
+    return m_state;
+}
+
+bool log_follower::isReachable() const
+{
+    return m_reachable && base::clock::now() - m_lastAnswer <= m_options.longestWait + m_options.leastInterval + answerMargin;
+}
+
+base::time_point log_follower::lastAtHead() const
+{
+    return m_lastAtHead;
+}
+
+asio::awaitable<bool> log_follower::foldedBeyond(base::log_offset offset, base::time_point until)
+{
+    while (m_state.folded() < offset && base::clock::now() < until) {
+        co_await m_changed.wait(until);
+    }
+    co_return m_state.folded() >= offset;
+}
+
+asio::awaitable<bool> log_follower::waitForChange(base::time_point until)
+{
+    return m_changed.wait(until);
+}
+
+void log_follower::setReachable(bool reachable)
+{
+    if (m_reachable != reachable) {
+        m_reachable = reachable;
+        LOG4CXX_INFO(logger(), "stream " << m_options.stream << (reachable ? " is readable" : " is not readable") << " at offset " << m_state.folded());
+        notify();
+    }
+}
+
+base::milliseconds log_follower::pauseAfter(int failures) const
+{
+    const base::milliseconds doubled = m_options.firstPause * (std::int64_t(1) << std::min(failures - 1, 16));
+    const base::milliseconds pause = std::min(doubled, m_options.longestPause);
+    // Up to a quarter less, so that nodes do not all come back at once after an outage.
+    const std::uint64_t draw = base::hash64(m_options.stream + std::to_string(failures), m_options.seed);
+    return pause - base::milliseconds(static_cast<std::int64_t>(draw % 256) * pause.count() / 1024);
+}
+
+asio::awaitable<void> log_follower::follow()
+{
+    int failures = 0;
+    if (m_checkpoints) {
+        co_await takeCheckpoint();
+    }
+    while (!m_stopped) {
+        const bool succeeded = co_await step();
+        setReachable(succeeded);
+        failures = succeeded ? 0 : failures + 1;
+        const base::milliseconds pause = succeeded ? m_options.leastInterval : pauseAfter(failures);
+        if (pause.count() > 0) {
+            co_await net::sleepFor(pause);
+        }
+    }
+}
+
+asio::awaitable<bool> log_follower::step()
+{
+    const base::time_point sent = base::clock::now();
+    const base::log_offset asked = m_state.folded();
+    const std::optional<platform::log_page> page = co_await m_log.read(asked, m_options.longestWait);
+    if (!page) {
+        co_return false;
+    }
+    m_lastAnswer = base::clock::now();
+    // A state restored from a peer while the read was under way may lie behind the page's start, but never before it.
+    if (page->firstRetained > m_state.folded() + base::log_offset(1)) {
+        LOG4CXX_WARN(logger(), "stream " << m_options.stream << " has lost records " << m_state.folded() << " to " << page->firstRetained);
+        if (m_checkpoints) {
+            co_await takeCheckpoint();
+        }
+        co_return page->firstRetained <= m_state.folded() + base::log_offset(1);
+    }
+    for (const platform::log_record &record : page->records) {
+        m_state.fold(record.offset, record.payload);
+    }
+    if (m_state.folded() >= page->head) {
+        m_lastAtHead = sent;
+    }
+    if (m_state.folded() != asked) {
+        notify();
+    }
+    co_return true;
+}
+
+asio::awaitable<void> log_follower::takeCheckpoint()
+{
+    const auto checkpoint = co_await readCheckpoint(*m_checkpoints, m_options.stream);
+    if (checkpoint && checkpoint->folded > m_state.folded() && restore(checkpoint->dump)) {
+        LOG4CXX_INFO(logger(), "stream " << m_options.stream << " restored from the checkpoint at offset " << m_state.folded());
+    }
+}
+
+} // namespace chervilbend::control
--- a/packages/state/src/chervilbend/state/entries.hpp
+++ b/packages/state/src/chervilbend/state/entries.hpp
@@ -6,6 +6,8 @@
 #include <chervilbend/base/units.hpp>
 #include <chervilbend/config/service_declaration.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <variant>
@@ -117,6 +119,9 @@
     base::milliseconds lifetime{7'200'000};
 };
 
+/// Answers above this size are not kept in the log, in bytes.
+inline constexpr std::size_t longestRecordedBody = 8192;
+
 /// What became of a claim.
 struct outcome_entry {
     std::string keyHash;
@@ -124,7 +129,7 @@
     base::run_state state = base::run_state::unknown;
     int httpStatus = 0;
     std::string contentType;
-    /// The endpoint's answer, up to 8 KB; longer ones are not kept.
+    /// The endpoint's answer, up to longestRecordedBody; longer ones are not kept.
     std::string body;
 };
 
--- a/packages/state/src/chervilbend/state/internal/claim_fold.cpp
+++ b/packages/state/src/chervilbend/state/internal/claim_fold.cpp
@@ -62,7 +62,7 @@
     }
     claim.outcome = outcome.state;
     claim.httpStatus = outcome.httpStatus;
-    const bool isKept = outcome.body.size() <= longestBody;
+    const bool isKept = outcome.body.size() <= longestRecordedBody;
     claim.contentType = isKept ? outcome.contentType : std::string();
     claim.body = isKept ? outcome.body : std::string();
     return true;
--- a/packages/state/src/chervilbend/state/internal/claim_fold.hpp
+++ b/packages/state/src/chervilbend/state/internal/claim_fold.hpp
@@ -35,9 +35,6 @@
     void restore(field_reader &fields);
 
 private:
-    /// Answers above this size are not kept, in bytes.
-    static constexpr std::size_t longestBody = 8192;
-
     struct slot {
         std::optional<claim_view> claim;
         base::log_offset freedAt;
