Add the adaptive traffic director and its measurements

The routing package had only interfaces. It gets the director made of small classes (cost prediction, selection by two draws, adaptive limits, fair queues, retry budget, slow endpoints, suspicions) and the measure package gets a discrete-event model of engines with four baselines.

--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/baselines/simple_director.cpp
@@ -0,0 +1,99 @@
+#include <chervilbend/measure/baselines/simple_director.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::measure
+{
+
+void simple_director::setEndpoint(const routing::endpoint_facts &facts)
+{
+    m_targets.push_back({facts.endpoint, 0});
+}
+
+void simple_director::removeEndpoint(const base::endpoint_id & /*endpoint*/)
+{
+}
+
+void simple_director::setReport(const base::endpoint_id & /*endpoint*/, const routing::load_report & /*report*/)
+{
+}
+
+void simple_director::setNodeCount(int nodes)
+{
+    m_nodes = nodes;
+}
+
+std::optional<routing::ticket> simple_director::submit(const routing::request_facts & /*facts*/, base::reason & /*why*/)
+{
+    m_waiting.push_back(++m_last);
+    return m_last;
+}
+
+bool simple_director::retry(routing::ticket request, routing::request_outcome outcome, base::reason &why)
+{
+    why = {base::error_kind::endpointFailed, "no retries"};
+    finish(request, outcome);
+    return false;
+}
+
+std::vector<routing::dispatch> simple_director::takeDispatches()
+{
+    std::vector<routing::dispatch> out;
+    std::size_t sent = 0;
+    while (sent < m_waiting.size()) {
+        const std::optional<std::size_t> chosen = choose();
+        if (!chosen) {
+            break;
+        }
+        ++m_targets[*chosen].inFlight;
+        m_running[m_waiting[sent]] = *chosen;
+        out.push_back({m_waiting[sent], m_targets[*chosen].endpoint, {}});
+        ++sent;
+    }
+    m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(sent));
+    return out;
+}
+
+std::vector<routing::refusal> simple_director::takeRefusals()
+{
+    return {};
+}
+
+void simple_director::firstByte(routing::ticket /*request*/)
+{
+}
+
+void simple_director::progress(routing::ticket /*request*/, base::token_count /*generated*/)
+{
+}
+
+void simple_director::finish(routing::ticket request, routing::request_outcome /*outcome*/)
+{
+    const auto found = m_running.find(request);
+    if (found != m_running.end()) {
+        --m_targets[found->second].inFlight;
+        m_running.erase(found);
+    }
+}
+
+void simple_director::learnSuspicion(std::uint64_t /*fingerprint*/, int /*crashes*/)
+{
+}
+
+std::vector<std::pair<std::uint64_t, int>> simple_director::suspicions() const
+{
+    return {};
+}
+
+base::time_point simple_director::nextWakeup() const
+{
+    return base::clock::now() + base::milliseconds(3'600'000);
+}
+
+std::size_t simple_director::leastOutstanding() const
+{
+    const auto least = std::min_element(m_targets.begin(), m_targets.end(), [](const target &a, const target &b) { return a.inFlight < b.inFlight; });
+    return static_cast<std::size_t>(least - m_targets.begin());
+}
+
+} // namespace chervilbend::measure
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/baselines/simple_director.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace chervilbend::measure
+{
+
+/// Base of the baselines: one pool, no classes, no refusals, no retries. Derived classes choose the endpoint.
+class simple_director : public routing::traffic_director
+{
+public:
+    void setEndpoint(const routing::endpoint_facts &facts) override;
+    void removeEndpoint(const base::endpoint_id &endpoint) override;
+    void setReport(const base::endpoint_id &endpoint, const routing::load_report &report) override;
+    void setNodeCount(int nodes) override;
+    std::optional<routing::ticket> submit(const routing::request_facts &facts, base::reason &why) override;
+    bool retry(routing::ticket request, routing::request_outcome outcome, base::reason &why) override;
+    std::vector<routing::dispatch> takeDispatches() override;
+    std::vector<routing::refusal> takeRefusals() override;
+    void firstByte(routing::ticket request) override;
+    void progress(routing::ticket request, base::token_count generated) override;
+    void finish(routing::ticket request, routing::request_outcome outcome) override;
+    void learnSuspicion(std::uint64_t fingerprint, int crashes) override;
+    std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
+    base::time_point nextWakeup() const override;
+
+protected:
+    struct target {
+        base::endpoint_id endpoint;
+        int inFlight = 0;
+    };
+
+    /// Index in targets() for the oldest waiting request; none while it has to wait.
+    virtual std::optional<std::size_t> choose() = 0;
+
+    const std::vector<target> &targets() const
+    {
+        return m_targets;
+    }
+    std::size_t leastOutstanding() const;
+    int nodeCount() const
+    {
+        return m_nodes;
+    }
+    std::size_t inFlight() const
+    {
+        return m_running.size();
+    }
+
+private:
+    std::vector<target> m_targets;
+    std::vector<routing::ticket> m_waiting;
+    std::map<routing::ticket, std::size_t> m_running;
+    routing::ticket m_last = 0;
+    int m_nodes = 1;
+};
+
+} // namespace chervilbend::measure
--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -1,11 +1,20 @@
 #include <chervilbend/measure/measurements.hpp>
 
+#include <chervilbend/measure/crest_measurement.hpp>
+#include <chervilbend/measure/poison_measurement.hpp>
+#include <chervilbend/measure/short_behind_long_measurement.hpp>
+#include <chervilbend/measure/slowed_measurement.hpp>
+
 namespace chervilbend::measure
 {
 
 std::vector<std::unique_ptr<measurement>> allMeasurements()
 {
     std::vector<std::unique_ptr<measurement>> all;
+    all.push_back(std::make_unique<short_behind_long_measurement>());
+    all.push_back(std::make_unique<crest_measurement>());
+    all.push_back(std::make_unique<slowed_measurement>());
+    all.push_back(std::make_unique<poison_measurement>());
     return all;
 }
 
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/sim/cluster_simulation.cpp
@@ -0,0 +1,347 @@
+#include <chervilbend/measure/sim/cluster_simulation.hpp>
+
+#include <chervilbend/measure/sim/arrivals.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace chervilbend::measure
+{
+
+namespace
+{
+
+constexpr std::size_t zones = 3;
+constexpr double sameZoneMs = 0.5;
+constexpr double otherZoneMs = 4;
+constexpr double pollMs = 2000;
+/// A report describes a moment that lies up to this far back.
+constexpr double reportLagMs = 1500;
+constexpr double probeMs = 1000;
+
+base::endpoint_id engineId(std::size_t engine)
+{
+    return base::endpoint_id("engine-" + std::to_string(engine));
+}
+
+std::size_t engineNumber(const base::endpoint_id &endpoint)
+{
+    return std::stoul(endpoint.value().substr(7));
+}
+
+} // namespace
+
+cluster_simulation::cluster_simulation(const cluster_settings &settings, std::vector<job> jobs)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_jobs(std::move(jobs))
+    , m_attempts(m_jobs.size())
+    , m_engines(static_cast<std::size_t>(settings.engines), engine_model(settings.engine))
+    , m_nodes(static_cast<std::size_t>(settings.nodes))
+    , m_gossip(m_nodes.size())
+{
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        m_nodes[node].director = settings.director(settings.seed * 1000 + node);
+        m_nodes[node].director->setNodeCount(settings.nodes);
+        for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
+            routing::endpoint_facts facts;
+            facts.endpoint = engineId(engine);
+            facts.zone = base::zone_id(std::to_string(engine % zones));
+            facts.pools = {"model"};
+            facts.zoneDistanceMs = 2 * oneWay(node, engine);
+            m_nodes[node].director->setEndpoint(facts);
+            schedule(uniform(m_random) * pollMs, kind::poll, node, engine);
+        }
+        schedule(uniform(m_random) * probeMs, kind::probe, node);
+    }
+    for (std::size_t index = 0; index < m_jobs.size(); ++index) {
+        schedule(m_jobs[index].arrival, kind::arrival, index);
+    }
+    for (int engine = 0; engine < settings.slowEngines; ++engine) {
+        schedule(settings.slowFromMs, kind::slow, static_cast<std::size_t>(engine));
+    }
+    if (settings.poisonSends > 0) {
+        schedule(settings.slowFromMs, kind::poison, 0);
+    }
+    schedule(1000, kind::second, 0);
+}
+
+cluster_simulation::~cluster_simulation() = default;
+
+double cluster_simulation::oneWay(std::size_t node, std::size_t engine) const
+{
+    return node % zones == engine % zones ? sameZoneMs : otherZoneMs;
+}
+
+void cluster_simulation::schedule(double when, kind what, std::size_t subject, std::size_t object, long version)
+{
+    m_events.push({when, m_order++, what, subject, object, version});
+}
+
+void cluster_simulation::setClock(double now)
+{
+    m_now = now;
+    // The clock starts at 1 ms, and only whole milliseconds show.
+    const auto whole = static_cast<std::int64_t>(now) + 1;
+    m_clock.advance(base::milliseconds(whole - base::clock::now().time_since_epoch().count()));
+}
+
+void cluster_simulation::run()
+{
+    while (!m_events.empty() && m_events.top().when <= m_settings.durationMs) {
+        const event due = m_events.top();
+        m_events.pop();
+        setClock(due.when);
+        handle(due);
+    }
+}
+
+void cluster_simulation::handle(const event &due)
+{
+    std::vector<engine_event> events;
+    switch (due.what) {
+    case kind::arrival:
+        submit(due.subject);
+        break;
+    case kind::engine:
+        if (m_engines[due.subject].version() == due.version) {
+            runEngine(due.subject);
+        }
+        break;
+    case kind::atEngine:
+        arriveAtEngine(due.subject, due.object);
+        break;
+    case kind::poll:
+        poll(due.subject, due.object);
+        break;
+    case kind::report:
+        m_nodes[due.subject].director->setReport(engineId(due.object), m_reports[static_cast<std::size_t>(due.version)]);
+        spread(due.subject);
+        pump(due.subject);
+        break;
+    case kind::wakeup:
+        if (m_nodes[due.subject].wakeup == due.when) {
+            m_nodes[due.subject].wakeup = -1;
+            pump(due.subject);
+        }
+        break;
+    case kind::probe:
+        schedule(m_now + probeMs, kind::probe, due.subject);
+        if (m_nodes.size() > 1) {
+            const std::size_t other = (due.subject + 1 + m_random() % (m_nodes.size() - 1)) % m_nodes.size();
+            schedule(m_now + otherZoneMs, kind::gossip, other, due.subject);
+            schedule(m_now + 2 * otherZoneMs, kind::gossip, due.subject, other);
+        }
+        break;
+    case kind::gossip:
+        for (const auto &[fingerprint, crashes] : m_gossip.hear(due.subject, due.object)) {
+            m_nodes[due.subject].director->learnSuspicion(fingerprint, crashes);
+        }
+        break;
+    case kind::slow:
+        m_engines[due.subject].setSlowness(m_settings.slowFactor, m_now, events);
+        report(due.subject, events);
+        break;
+    case kind::poison: {
+        job bad;
+        bad.arrival = m_now;
+        bad.deadline = m_now + 60'000;
+        bad.tokens = bad.maxTokens = 100;
+        bad.isPoison = true;
+        bad.fingerprint = 666;
+        bad.node = m_poisonSent++ % m_settings.nodes;
+        m_jobs.push_back(bad);
+        m_attempts.emplace_back();
+        submit(m_jobs.size() - 1);
+        break;
+    }
+    case kind::restart:
+        if (due.object == 1) {
+            crash(due.subject);
+        } else {
+            m_engines[due.subject].restart();
+        }
+        break;
+    case kind::second: {
+        double sum = 0;
+        for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
+            m_engines[engine].advance(m_now, events);
+            report(engine, events);
+            events.clear();
+            sum += m_engines[engine].work();
+        }
+        m_work.push_back(sum);
+        schedule(m_now + 1000, kind::second, 0);
+        break;
+    }
+    }
+}
+
+void cluster_simulation::submit(std::size_t index)
+{
+    const job &each = m_jobs[index];
+    routing::request_facts facts;
+    facts.pool = "model";
+    facts.account = base::account_id("account-" + std::to_string(each.account));
+    facts.urgency = each.urgency;
+    facts.deadline = base::time_point(base::milliseconds(static_cast<std::int64_t>(each.deadline)));
+    facts.promptTokens = base::token_count(each.promptTokens);
+    facts.maxTokens = base::token_count(each.maxTokens);
+    facts.fingerprint = each.fingerprint;
+    const auto node = static_cast<std::size_t>(each.node);
+    base::reason why;
+    const std::optional<routing::ticket> ticket = m_nodes[node].director->submit(facts, why);
+    if (ticket) {
+        m_nodes[node].jobs[*ticket] = index;
+        m_attempts[index].ticket = *ticket;
+    } else {
+        giveUp(index, why.kind == base::error_kind::requestRefused);
+    }
+    pump(node);
+}
+
+void cluster_simulation::giveUp(std::size_t index, bool asSuspect)
+{
+    m_jobs[index].givenUp = m_now;
+    m_jobs[index].wasRefusedAsSuspect = asSuspect;
+    if (m_jobs[index].isPoison && m_poisonSent < m_settings.poisonSends) {
+        schedule(m_now + m_settings.poisonPauseMs, kind::poison, 0);
+    }
+}
+
+void cluster_simulation::pump(std::size_t node)
+{
+    node_state &state = m_nodes[node];
+    for (const routing::dispatch &sent : state.director->takeDispatches()) {
+        const std::size_t index = state.jobs.at(sent.request);
+        const std::size_t engine = engineNumber(sent.endpoint);
+        m_attempts[index].engine = engine;
+        schedule(m_now + oneWay(node, engine), kind::atEngine, engine, index);
+    }
+    for (const routing::refusal &given : state.director->takeRefusals()) {
+        const std::size_t index = state.jobs.at(given.request);
+        state.jobs.erase(given.request);
+        giveUp(index, given.why.kind == base::error_kind::requestRefused);
+    }
+    const auto next = static_cast<double>(state.director->nextWakeup().time_since_epoch().count());
+    if (state.wakeup < 0 || next < state.wakeup) {
+        // The director's clock shows 1 ms more than the run's time.
+        state.wakeup = std::max(next - 1, m_now + 0.5);
+        schedule(state.wakeup, kind::wakeup, node);
+    }
+}
+
+void cluster_simulation::arriveAtEngine(std::size_t engine, std::size_t index)
+{
+    if (!m_engines[engine].isUp()) {
+        fail(index, routing::request_outcome::notSent);
+        return;
+    }
+    std::vector<engine_event> events;
+    const job each = m_jobs[index];
+    m_engines[engine].submit(index, each.promptTokens, each.tokens, m_now, events);
+    if (each.isPoison) {
+        schedule(m_now + m_settings.poisonRunMs, kind::restart, engine, 1);
+    }
+    report(engine, events);
+}
+
+void cluster_simulation::runEngine(std::size_t engine)
+{
+    std::vector<engine_event> events;
+    m_engines[engine].advance(m_now, events);
+    report(engine, events);
+}
+
+void cluster_simulation::report(std::size_t engine, const std::vector<engine_event> &events)
+{
+    std::vector<std::size_t> touched;
+    for (const engine_event &each : events) {
+        job &done = m_jobs[each.job];
+        const auto node = static_cast<std::size_t>(done.node);
+        routing::traffic_director &director = *m_nodes[node].director;
+        const routing::ticket ticket = m_attempts[each.job].ticket;
+        switch (each.what) {
+        case engine_event::kind::started:
+            done.started = m_now;
+            break;
+        case engine_event::kind::firstByte:
+            director.firstByte(ticket);
+            break;
+        case engine_event::kind::progress:
+            director.progress(ticket, base::token_count(each.generated));
+            break;
+        case engine_event::kind::ended:
+            done.ended = m_now;
+            director.progress(ticket, base::token_count(each.generated));
+            director.finish(ticket, routing::request_outcome::answered);
+            m_nodes[node].jobs.erase(ticket);
+            touched.push_back(node);
+            break;
+        }
+    }
+    const double next = m_engines[engine].nextEvent();
+    if (std::isfinite(next)) {
+        schedule(std::max(next, m_now), kind::engine, engine, 0, m_engines[engine].version());
+    }
+    for (const std::size_t node : touched) {
+        pump(node);
+    }
+}
+
+void cluster_simulation::fail(std::size_t index, routing::request_outcome outcome)
+{
+    const auto node = static_cast<std::size_t>(m_jobs[index].node);
+    const routing::ticket ticket = m_attempts[index].ticket;
+    base::reason why;
+    m_jobs[index].started = -1;
+    if (!m_nodes[node].director->retry(ticket, outcome, why)) {
+        m_nodes[node].jobs.erase(ticket);
+        giveUp(index, why.kind == base::error_kind::requestRefused);
+    }
+    spread(node);
+    pump(node);
+}
+
+void cluster_simulation::crash(std::size_t engine)
+{
+    if (!m_engines[engine].isUp()) {
+        return;
+    }
+    ++m_crashes;
+    schedule(m_now + m_settings.restartMs, kind::restart, engine, 0);
+    for (const std::size_t index : m_engines[engine].crash()) {
+        fail(index, routing::request_outcome::connectionLost);
+    }
+}
+
+void cluster_simulation::spread(std::size_t node)
+{
+    if (m_gossip.note(node, m_nodes[node].director->suspicions()).empty()) {
+        return;
+    }
+    for (std::size_t other = node % zones; other < m_nodes.size(); other += zones) {
+        if (other != node) {
+            schedule(m_now + sameZoneMs, kind::gossip, other, node);
+        }
+    }
+}
+
+void cluster_simulation::poll(std::size_t node, std::size_t engine)
+{
+    schedule(m_now + pollMs, kind::poll, node, engine);
+    if (!m_engines[engine].isUp()) {
+        return;
+    }
+    routing::load_report seen;
+    const double lag = 100 + uniform(m_random) * (reportLagMs - 100);
+    seen.running = static_cast<std::int64_t>(m_engines[engine].running());
+    seen.queued = static_cast<std::int64_t>(m_engines[engine].queued());
+    seen.lag = base::milliseconds(static_cast<std::int64_t>(lag));
+    seen.life = m_engines[engine].life();
+    m_reports.push_back(seen);
+    schedule(m_now + lag, kind::report, node, engine, static_cast<long>(m_reports.size() - 1));
+}
+
+} // namespace chervilbend::measure
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -0,0 +1,117 @@
+#include <chervilbend/routing/adaptive_director.hpp>
+
+#include <chervilbend/routing/internal/endpoint_state.hpp>
+#include <chervilbend/routing/internal/pool_state.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::routing
+{
+
+namespace
+{
+
+/// Longest time between two wake-ups, so that learned values and suspicions age without traffic.
+constexpr base::milliseconds idleWakeup{1000};
+
+} // namespace
+
+adaptive_director::adaptive_director(std::uint64_t seed, const director_settings &settings)
+    : m_settings(settings)
+    , m_suspicions(m_settings)
+    , m_selector(seed, m_settings, m_suspicions)
+    , m_slow(m_settings)
+    , m_retries(m_settings.retryShare, m_settings.retryBurst)
+{
+}
+
+adaptive_director::~adaptive_director() = default;
+
+std::unique_ptr<traffic_director> makeAdaptiveDirector(std::uint64_t seed, const director_settings &settings)
+{
+    return std::make_unique<adaptive_director>(seed, settings);
+}
+
+void adaptive_director::setReport(const base::endpoint_id &endpoint, const load_report &report)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    endpoint_state &state = *found->second;
+    const base::time_point now = base::clock::now();
+    const base::time_point trueAt = now - report.lag;
+    const bool restarted = state.life != 0 && report.life != 0 && report.life != state.life;
+    if (restarted) {
+        m_suspicions.confirmCrash(state.serial);
+    } else if (m_suspicions.isUnjudged(state.serial) && report.life != 0 && report.life == state.life && trueAt > m_suspicions.lossTime(state.serial)) {
+        m_suspicions.dismissCrash(state.serial);
+    }
+    if (state.isDown && trueAt > state.downSince) {
+        state.isDown = false;
+    }
+    state.setReport(report, now);
+    markDirty(state);
+}
+
+void adaptive_director::setNodeCount(int nodes)
+{
+    m_nodes = std::max(1, nodes);
+    m_nextTick = base::time_point{};
+}
+
+std::vector<dispatch> adaptive_director::takeDispatches()
+{
+    const base::time_point now = base::clock::now();
+    advance(now);
+    refuseExpired(now);
+    std::vector<dispatch> out;
+    for (pool_state *pool : m_dirty) {
+        sendSuspects(*pool, now, out);
+    }
+    // Class by class over all pools: urgent work of one pool goes before batch work of another on the endpoints that they share.
+    for (const base::work_class least : {base::work_class::urgent, base::work_class::normal, base::work_class::batch}) {
+        for (pool_state *pool : m_dirty) {
+            while (sendOne(*pool, least, now, out)) { }
+        }
+    }
+    for (pool_state *pool : m_dirty) {
+        pool->isDirty = false;
+    }
+    m_dirty.clear();
+    return out;
+}
+
+std::vector<refusal> adaptive_director::takeRefusals()
+{
+    const base::time_point now = base::clock::now();
+    refuseExpired(now);
+    for (const refusal &given : m_refusals) {
+        if (request_state *request = m_requests.find(given.request)) {
+            release(*request);
+        }
+    }
+    return std::exchange(m_refusals, {});
+}
+
+void adaptive_director::learnSuspicion(std::uint64_t fingerprint, int crashes)
+{
+    m_suspicions.learn(fingerprint, crashes, base::clock::now());
+}
+
+std::vector<std::pair<std::uint64_t, int>> adaptive_director::suspicions() const
+{
+    return m_suspicions.list();
+}
+
+base::time_point adaptive_director::nextWakeup() const
+{
+    const base::time_point now = base::clock::now();
+    if (m_latestStarts.empty()) {
+        return now + idleWakeup;
+    }
+    // A request is given up after its latest start, so one millisecond later.
+    return std::min(std::max(m_nextTick, now + base::milliseconds(1)), m_latestStarts.begin()->first + base::milliseconds(1));
+}
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <chervilbend/routing/director_settings.hpp>
+#include <chervilbend/routing/internal/endpoint_selector.hpp>
+#include <chervilbend/routing/internal/request_table.hpp>
+#include <chervilbend/routing/internal/slow_detector.hpp>
+#include <chervilbend/routing/internal/suspicion_ledger.hpp>
+#include <chervilbend/routing/retry_budget.hpp>
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace chervilbend::routing
+{
+
+struct endpoint_state;
+struct pool_state;
+
+/// The product's traffic director. The same seed, clock and calls give the same decisions.
+class adaptive_director : public traffic_director
+{
+public:
+    explicit adaptive_director(std::uint64_t seed, const director_settings &settings = {});
+    ~adaptive_director() override;
+
+    void setEndpoint(const endpoint_facts &facts) override;
+    void removeEndpoint(const base::endpoint_id &endpoint) override;
+    void setReport(const base::endpoint_id &endpoint, const load_report &report) override;
+    void setNodeCount(int nodes) override;
+    std::optional<ticket> submit(const request_facts &facts, base::reason &why) override;
+    bool retry(ticket request, request_outcome outcome, base::reason &why) override;
+    std::vector<dispatch> takeDispatches() override;
+    std::vector<refusal> takeRefusals() override;
+    void firstByte(ticket request) override;
+    void progress(ticket request, base::token_count generated) override;
+    void finish(ticket request, request_outcome outcome) override;
+    void learnSuspicion(std::uint64_t fingerprint, int crashes) override;
+    std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
+    base::time_point nextWakeup() const override;
+
+private:
+    /// adaptive_director_pools.cpp: endpoints and pools.
+    void joinPool(const std::shared_ptr<endpoint_state> &endpoint, const std::string &name);
+    void leavePool(endpoint_state &endpoint, pool_state &pool);
+    void dropPoolIfUnused(pool_state &pool);
+    void markDirty(pool_state &pool);
+    void markDirty(const endpoint_state &endpoint);
+    void advance(base::time_point now);
+    void advancePools(base::time_point now);
+
+    /// adaptive_director_queue.cpp: from submission to dispatch.
+    void predict(request_state &request);
+    bool admit(request_state &request, base::reason &why);
+    void enqueue(request_state &request, bool isRetry);
+    void takeFromQueue(request_state &request);
+    void refuse(request_state &request, base::error_kind kind, std::string text);
+    void refuseExpired(base::time_point now);
+    bool isTooLate(request_state &request, base::time_point now);
+    void sendSuspects(pool_state &pool, base::time_point now, std::vector<dispatch> &out);
+    bool sendProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &out);
+    bool sendOne(pool_state &pool, base::work_class least, base::time_point now, std::vector<dispatch> &out);
+    void start(request_state &request, pool_member &member, base::time_point now);
+
+    /// adaptive_director_outcome.cpp: from dispatch to the end.
+    void addSample(request_state &request, double cost, base::time_point now);
+    void setOutstanding(request_state &request, double cost);
+    void setCountsAsLong(request_state &request, bool isLong);
+    void endAttempt(request_state &request, request_outcome outcome, base::time_point now);
+    void noteAnswer(request_state &request);
+    bool mayRetry(const request_state &request, request_outcome outcome, base::time_point now, base::reason &why);
+    void release(request_state &request);
+
+    director_settings m_settings;
+    int m_nodes = 1;
+    std::unordered_map<base::endpoint_id, std::shared_ptr<endpoint_state>> m_endpoints;
+    std::unordered_map<std::string, std::unique_ptr<pool_state>> m_pools;
+    /// In the order of creation, so that decisions do not depend on hash order.
+    std::vector<pool_state *> m_poolOrder;
+    std::vector<pool_state *> m_dirty;
+    request_table m_requests;
+    /// Waiting requests by the time after which they are given up.
+    std::set<std::pair<base::time_point, ticket>> m_latestStarts;
+    std::vector<refusal> m_refusals;
+    suspicion_ledger m_suspicions;
+    endpoint_selector m_selector;
+    slow_detector m_slow;
+    retry_budget m_retries;
+    std::uint64_t m_nextSerial = 1;
+    base::time_point m_nextTick;
+    base::time_point m_nextExpiry;
+};
+
+/// The director for one node. @p seed decides its random draws; nodes should have different ones.
+std::unique_ptr<traffic_director> makeAdaptiveDirector(std::uint64_t seed, const director_settings &settings = {});
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -0,0 +1,144 @@
+#include <chervilbend/routing/adaptive_director.hpp>
+
+#include <chervilbend/routing/internal/endpoint_state.hpp>
+#include <chervilbend/routing/internal/pool_state.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace chervilbend::routing
+{
+
+namespace
+{
+
+/// Suspicions are looked through this often.
+constexpr base::milliseconds expiryInterval{1000};
+/// Costs from which a pool's median is trusted.
+constexpr long trustedCount = 20;
+
+} // namespace
+
+void adaptive_director::setEndpoint(const endpoint_facts &facts)
+{
+    std::shared_ptr<endpoint_state> &endpoint = m_endpoints[facts.endpoint];
+    if (!endpoint) {
+        endpoint = std::make_shared<endpoint_state>(facts, m_nextSerial++, m_settings);
+    }
+    endpoint->facts = facts;
+    for (const std::string &name : facts.pools) {
+        const auto known = m_pools.find(name);
+        if (known == m_pools.end() || known->second->memberOf(endpoint.get()) == nullptr) {
+            joinPool(endpoint, name);
+        }
+    }
+    const std::vector<pool_state *> pools = endpoint->pools;
+    for (pool_state *pool : pools) {
+        if (!facts.pools.contains(pool->name)) {
+            leavePool(*endpoint, *pool);
+        }
+    }
+    m_nextTick = base::time_point{};
+}
+
+void adaptive_director::removeEndpoint(const base::endpoint_id &endpoint)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    // Requests that still run on it keep it alive until they end.
+    const std::shared_ptr<endpoint_state> leaving = found->second;
+    m_endpoints.erase(found);
+    m_suspicions.confirmCrash(leaving->serial);
+    const std::vector<pool_state *> pools = leaving->pools;
+    for (pool_state *pool : pools) {
+        leavePool(*leaving, *pool);
+    }
+    m_nextTick = base::time_point{};
+}
+
+void adaptive_director::joinPool(const std::shared_ptr<endpoint_state> &endpoint, const std::string &name)
+{
+    std::unique_ptr<pool_state> &pool = m_pools[name];
+    if (!pool) {
+        pool = std::make_unique<pool_state>(name, m_settings);
+        m_poolOrder.push_back(pool.get());
+    }
+    pool_member member;
+    member.endpoint = endpoint;
+    pool->members.push_back(member);
+    endpoint->pools.push_back(pool.get());
+}
+
+void adaptive_director::leavePool(endpoint_state &endpoint, pool_state &pool)
+{
+    std::erase(endpoint.pools, &pool);
+    std::erase_if(pool.members, [&](const pool_member &member) { return member.endpoint.get() == &endpoint; });
+    dropPoolIfUnused(pool);
+}
+
+void adaptive_director::dropPoolIfUnused(pool_state &pool)
+{
+    if (pool.tickets > 0 || !pool.members.empty()) {
+        return;
+    }
+    std::erase(m_poolOrder, &pool);
+    std::erase(m_dirty, &pool);
+    m_pools.erase(std::string(pool.name));
+}
+
+void adaptive_director::markDirty(pool_state &pool)
+{
+    if (!pool.isDirty && pool.isWaiting()) {
+        pool.isDirty = true;
+        m_dirty.push_back(&pool);
+    }
+}
+
+void adaptive_director::markDirty(const endpoint_state &endpoint)
+{
+    for (pool_state *pool : endpoint.pools) {
+        markDirty(*pool);
+    }
+}
+
+void adaptive_director::advance(base::time_point now)
+{
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryInterval;
+        m_suspicions.expire(now);
+    }
+    if (now >= m_nextTick) {
+        m_nextTick = now + m_settings.window;
+        advancePools(now);
+    }
+}
+
+void adaptive_director::advancePools(base::time_point now)
+{
+    for (const auto &[id, endpoint] : m_endpoints) {
+        endpoint->limit.advance(now);
+        endpoint->leastMedian = std::numeric_limits<double>::infinity();
+    }
+    for (pool_state *pool : m_poolOrder) {
+        m_slow.judge(pool->members, m_nodes, now);
+        pool->refresh(m_nodes, now, m_settings);
+        if (pool->medianCost.count() >= trustedCount) {
+            for (const pool_member &member : pool->members) {
+                member.endpoint->leastMedian = std::min(member.endpoint->leastMedian, pool->medianCost.value());
+            }
+        }
+    }
+    for (pool_state *pool : m_poolOrder) {
+        // Pools that share an endpoint share its slots, so long is long for the shortest work among them.
+        double least = std::numeric_limits<double>::infinity();
+        for (const pool_member &member : pool->members) {
+            least = std::min(least, member.endpoint->leastMedian);
+        }
+        pool->longThreshold = m_settings.longFactor * least;
+        markDirty(*pool);
+    }
+}
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/admission_queue.cpp
@@ -0,0 +1,170 @@
+#include <chervilbend/routing/internal/admission_queue.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::routing
+{
+
+namespace
+{
+
+/// Share of the sent cost that an aged lane earns: urgent short and long, normal short and long, batch short and long. The sum leaves
+/// seven tenths to the normal order.
+constexpr std::array<double, 6> agedShare{0, 0.08, 0.08, 0.06, 0.05, 0.03};
+
+/// Part of the queue that a class keeps when more urgent work sheds. Without it, aged batch work would be shed before its turn.
+constexpr std::array<double, base::workClassCount> keptShare{0.4, 0.3, 0.15};
+
+std::size_t classIndex(base::work_class urgency)
+{
+    return static_cast<std::size_t>(urgency);
+}
+
+} // namespace
+
+admission_queue::admission_queue(const director_settings &settings)
+    : m_settings(settings)
+{
+}
+
+std::size_t admission_queue::indexOf(lane where)
+{
+    return classIndex(where.urgency) * 2 + (where.isLong ? 1 : 0);
+}
+
+admission_queue::lane admission_queue::laneAt(std::size_t index)
+{
+    return {static_cast<base::work_class>(index / 2), index % 2 == 1};
+}
+
+void admission_queue::setBounds(double shortCost, double longCost)
+{
+    m_shortBound = shortCost;
+    m_longBound = longCost;
+}
+
+fair_queue::place admission_queue::push(lane where, const base::account_id &account, const fair_queue::item &what)
+{
+    ++m_size;
+    return m_lanes[indexOf(where)].push(account, what);
+}
+
+fair_queue::place admission_queue::pushFront(lane where, const base::account_id &account, const fair_queue::item &what)
+{
+    ++m_size;
+    return m_lanes[indexOf(where)].pushFront(account, what);
+}
+
+void admission_queue::remove(lane where, const fair_queue::place &place)
+{
+    --m_size;
+    m_lanes[indexOf(where)].remove(place);
+}
+
+std::optional<admission_queue::lane> admission_queue::choose(base::time_point now, base::work_class least, bool longAllowed)
+{
+    std::optional<lane> first;
+    for (std::size_t index = 0; index < laneCount; ++index) {
+        const lane where = laneAt(index);
+        if (where.isLong && !longAllowed) {
+            continue;
+        }
+        const fair_queue::item *head = m_lanes[index].front();
+        if (head == nullptr) {
+            m_credit[index] = 0;
+            continue;
+        }
+        if (m_credit[index] >= head->cost && now - head->since >= m_settings.ageing) {
+            return where;
+        }
+        if (!first && where.urgency <= least) {
+            first = where;
+        }
+    }
+    return first;
+}
+
+const fair_queue::item *admission_queue::front(lane where)
+{
+    return m_lanes[indexOf(where)].front();
+}
+
+void admission_queue::pop(lane where)
+{
+    const std::size_t sent = indexOf(where);
+    const double cost = m_lanes[sent].front()->cost;
+    --m_size;
+    m_lanes[sent].pop();
+    m_credit[sent] = std::max(0.0, m_credit[sent] - cost);
+    for (std::size_t index = 0; index < laneCount; ++index) {
+        if (index != sent && m_lanes[index].size() > 0) {
+            // Credit beyond the next request would let a lane send a burst ahead of urgent work.
+            m_credit[index] = std::min(m_credit[index] + cost * agedShare[index], m_lanes[index].front()->cost);
+        }
+    }
+}
+
+double admission_queue::costOf(bool isLong) const
+{
+    double sum = 0;
+    for (std::size_t index = isLong ? 1 : 0; index < laneCount; index += 2) {
+        sum += m_lanes[index].cost();
+    }
+    return sum;
+}
+
+std::size_t admission_queue::sizeOf(bool isLong) const
+{
+    std::size_t sum = 0;
+    for (std::size_t index = isLong ? 1 : 0; index < laneCount; index += 2) {
+        sum += m_lanes[index].size();
+    }
+    return sum;
+}
+
+double admission_queue::bound(bool isLong) const
+{
+    return isLong ? m_longBound : m_shortBound;
+}
+
+double admission_queue::cost() const
+{
+    return costOf(false) + costOf(true);
+}
+
+bool admission_queue::hasRoom(lane where, double cost) const
+{
+    if (m_size >= m_settings.queueMaximum) {
+        return false;
+    }
+    return sizeOf(where.isLong) < m_settings.queueMinimum || costOf(where.isLong) + cost <= bound(where.isLong);
+}
+
+ticket admission_queue::leastValuable(lane where, const base::account_id &account, double cost) const
+{
+    for (std::size_t step = 0; step < base::workClassCount; ++step) {
+        const std::size_t kind = base::workClassCount - 1 - step;
+        if (kind < classIndex(where.urgency)) {
+            break;
+        }
+        const fair_queue &candidate = m_lanes[kind * 2 + (where.isLong ? 1 : 0)];
+        if (candidate.size() == 0) {
+            continue;
+        }
+        // Of its own class, a request displaces only one of an account that has more waiting.
+        const bool outranks = kind > classIndex(where.urgency) ? candidate.cost() > keptShare[kind] * bound(where.isLong)
+                                                               : candidate.largestBacklog() > candidate.backlogOf(account) + cost;
+        if (outranks) {
+            return candidate.newestOfLargest()->request;
+        }
+    }
+    return 0;
+}
+
+bool admission_queue::isCrowded() const
+{
+    return (sizeOf(false) >= m_settings.queueMinimum && costOf(false) > m_shortBound / 2)
+        || (sizeOf(true) >= m_settings.queueMinimum && costOf(true) > m_longBound / 2);
+}
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/concurrency_limit.cpp
@@ -0,0 +1,67 @@
+#include <chervilbend/routing/internal/concurrency_limit.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::routing
+{
+
+namespace
+{
+
+/// Samples that a window needs; with fewer it stays open.
+constexpr int samplesPerWindow = 4;
+constexpr double decreaseFactor = 0.9;
+/// Part by which the best latency follows the present one per window, so that it is forgotten within some minutes.
+constexpr double bestDrift = 0.0005;
+
+} // namespace
+
+concurrency_limit::concurrency_limit(const director_settings &settings)
+    : m_settings(settings)
+    , m_limit(settings.initialLimit)
+{
+}
+
+void concurrency_limit::addSample(double msToFirstByte, double inputCost)
+{
+    m_ms += msToFirstByte;
+    m_cost += inputCost;
+    ++m_samples;
+}
+
+void concurrency_limit::advance(base::time_point now)
+{
+    if (now < m_windowEnd) {
+        return;
+    }
+    if (m_refused) {
+        decrease();
+    } else if (m_samples >= samplesPerWindow) {
+        judge(m_ms / m_cost);
+    } else {
+        return;
+    }
+    m_windowEnd = now + m_settings.window;
+    m_ms = m_cost = 0;
+    m_samples = 0;
+    m_usedUp = m_refused = false;
+}
+
+void concurrency_limit::judge(double msPerCost)
+{
+    // Latency below the clock's resolution gives no ratio to compare.
+    const double seen = std::max(msPerCost, 1.0);
+    m_best = m_best == 0 || seen < m_best ? seen : m_best + (seen - m_best) * bestDrift;
+    if (seen > m_settings.latencyTolerance * m_best) {
+        decrease();
+    } else if (m_usedUp) {
+        m_limit = std::min(m_settings.maximumLimit, m_limit + 1);
+    }
+}
+
+void concurrency_limit::decrease()
+{
+    m_limit = std::max(1.0, m_limit * decreaseFactor);
+}
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/cost_predictor.cpp
@@ -0,0 +1,61 @@
+#include <chervilbend/routing/internal/cost_predictor.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <cstdint>
+
+namespace chervilbend::routing
+{
+
+namespace
+{
+
+/// Prediction before anything is learned.
+constexpr double firstGuess = 256;
+/// Samples from which a mean is trusted.
+constexpr long trustedCount = 5;
+/// Engines prefill a batch of prompt tokens in about the time of one decoding step.
+constexpr double promptTokenCost = 1.0 / 256;
+
+} // namespace
+
+void cost_predictor::mean::add(double sample)
+{
+    ++count;
+    value += (sample - value) * std::max(1.0 / static_cast<double>(count), 0.05);
+}
+
+int cost_predictor::bucketOf(base::token_count maxTokens)
+{
+    const auto bound = static_cast<std::uint64_t>(std::max<std::int64_t>(0, maxTokens.count()));
+    return std::min<int>(bucketCount - 1, std::bit_width(bound));
+}
+
+double cost_predictor::outputTokens(base::work_class urgency, base::token_count maxTokens) const
+{
+    const auto row = static_cast<std::size_t>(urgency);
+    const mean &exact = m_byBound[row][bucketOf(maxTokens)];
+    const mean &wide = m_byClass[row];
+    const double expected = exact.count >= trustedCount ? exact.value : wide.count >= trustedCount ? wide.value : firstGuess;
+    return std::clamp(expected, 0.0, static_cast<double>(std::max<std::int64_t>(0, maxTokens.count())));
+}
+
+void cost_predictor::learn(base::work_class urgency, base::token_count maxTokens, double generated)
+{
+    const auto row = static_cast<std::size_t>(urgency);
+    m_byBound[row][bucketOf(maxTokens)].add(generated);
+    m_byClass[row].add(generated);
+}
+
+double cost_predictor::remainingTokens(double predicted, double generated, base::token_count maxTokens)
+{
+    const double bound = std::max(0.0, static_cast<double>(maxTokens.count()) - generated);
+    return std::min(generated < predicted ? predicted - generated : generated, bound);
+}
+
+double cost_predictor::inputCost(base::token_count promptTokens)
+{
+    return 1 + static_cast<double>(std::max<std::int64_t>(0, promptTokens.count())) * promptTokenCost;
+}
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/fair_queue.cpp
@@ -0,0 +1,119 @@
+#include <chervilbend/routing/internal/fair_queue.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::routing
+{
+
+struct fair_queue::account_queue {
+    base::account_id account;
+    std::uint64_t serial = 0;
+    std::list<item> items;
+    std::list<account_queue *>::iterator turn;
+    double backlog = 0;
+    double deficit = 0;
+};
+
+fair_queue::fair_queue() = default;
+fair_queue::~fair_queue() = default;
+
+fair_queue::account_queue &fair_queue::queueOf(const base::account_id &account)
+{
+    auto &slot = m_accounts[account];
+    if (!slot) {
+        slot = std::make_unique<account_queue>();
+        slot->account = account;
+        slot->serial = m_nextSerial++;
+        slot->turn = m_round.insert(m_round.end(), slot.get());
+        m_byBacklog.insert({{0, slot->serial}, slot.get()});
+    }
+    return *slot;
+}
+
+void fair_queue::charge(account_queue &queue, double cost)
+{
+    m_byBacklog.erase({{queue.backlog, queue.serial}, &queue});
+    queue.backlog += cost;
+    m_cost += cost;
+    if (queue.items.empty()) {
+        if (m_round.front() == &queue) {
+            m_granted = false;
+        }
+        m_round.erase(queue.turn);
+        m_accounts.erase(base::account_id(queue.account));
+        return;
+    }
+    m_byBacklog.insert({{queue.backlog, queue.serial}, &queue});
+}
+
+fair_queue::place fair_queue::push(const base::account_id &account, const item &what)
+{
+    account_queue &queue = queueOf(account);
+    // A quantum of the largest recent cost lets every account send on each of its turns, so that a decision takes constant time.
+    m_quantum = std::max(m_quantum * 0.999, what.cost);
+    const place where{&queue, queue.items.insert(queue.items.end(), what)};
+    ++m_size;
+    charge(queue, what.cost);
+    return where;
+}
+
+fair_queue::place fair_queue::pushFront(const base::account_id &account, const item &what)
+{
+    account_queue &queue = queueOf(account);
+    const place where{&queue, queue.items.insert(queue.items.begin(), what)};
+    // It was paid for when it was first taken.
+    queue.deficit += what.cost;
+    ++m_size;
+    charge(queue, what.cost);
+    return where;
+}
+
+const fair_queue::item *fair_queue::front()
+{
+    while (!m_round.empty()) {
+        account_queue &queue = *m_round.front();
+        if (!m_granted) {
+            queue.deficit += m_quantum;
+            m_granted = true;
+        }
+        if (queue.deficit >= queue.items.front().cost) {
+            return &queue.items.front();
+        }
+        m_round.splice(m_round.end(), m_round, m_round.begin());
+        m_granted = false;
+    }
+    return nullptr;
+}
+
+void fair_queue::pop()
+{
+    account_queue &queue = *m_round.front();
+    queue.deficit -= queue.items.front().cost;
+    remove({&queue, queue.items.begin()});
+}
+
+void fair_queue::remove(const place &where)
+{
+    const double cost = where.position->cost;
+    where.account->items.erase(where.position);
+    --m_size;
+    charge(*where.account, -cost);
+}
+
+const fair_queue::item *fair_queue::newestOfLargest() const
+{
+    return m_byBacklog.empty() ? nullptr : &m_byBacklog.rbegin()->second->items.back();
+}
+
+double fair_queue::largestBacklog() const
+{
+    return m_byBacklog.empty() ? 0 : m_byBacklog.rbegin()->first.first;
+}
+
+double fair_queue::backlogOf(const base::account_id &account) const
+{
+    const auto found = m_accounts.find(account);
+    return found == m_accounts.end() ? 0 : found->second->backlog;
+}
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+namespace chervilbend::routing
+{
+
+/// Latency per unit of cost, as the ratio of two exponentially decayed sums.
+///
+/// A ratio of sums weighs each sample by its cost; a mean of ratios would be dominated by the fixed part of tiny requests.
+class latency_tracker
+{
+public:
+    /// Adds a span of a request: @p ms for @p cost units of work, cost above 0.
+    void add(double ms, double cost)
+    {
+        m_ms = m_ms * decay + ms;
+        m_cost = m_cost * decay + cost;
+        ++m_samples;
+    }
+
+    /// Forgets the samples, for an endpoint that is judged afresh. The ratio stays until the next sample.
+    void restart()
+    {
+        m_last = msPerCost(m_last);
+        m_ms = m_cost = 0;
+        m_samples = 0;
+    }
+
+    /// Milliseconds per unit of cost, @p otherwise without a sample.
+    double msPerCost(double otherwise) const
+    {
+        return m_cost > 0 ? m_ms / m_cost : m_last > 0 ? m_last : otherwise;
+    }
+
+    int samples() const
+    {
+        return m_samples;
+    }
+
+private:
+    /// The last 20 or so samples count: enough to smooth, and a change shows within one or two streams.
+    static constexpr double decay = 0.95;
+
+    double m_ms = 0;
+    double m_cost = 0;
+    double m_last = 0;
+    int m_samples = 0;
+};
+
+} // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -0,0 +1,66 @@
+#include <chervilbend/routing/internal/pool_state.hpp>
+
+#include <chervilbend/routing/internal/endpoint_state.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace chervilbend::routing
+{
+
+pool_state::pool_state(std::string called, const director_settings &settings)
+    : name(std::move(called))
+    , queue(settings)
+    , longThreshold(std::numeric_limits<double>::infinity())
+{
+}
+
+pool_member *pool_state::memberOf(const endpoint_state *endpoint)
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&](const pool_member &member) { return member.endpoint.get() == endpoint; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+void pool_state::refresh(int nodes, base::time_point now, const director_settings &settings)
+{
+    double shares = 0;
+    double costPerMs = 0;
+    double speed = 0;
+    int usable = 0;
+    for (const pool_member &member : members) {
+        if (member.endpoint->facts.leaving || member.endpoint->isDown || member.ejected) {
+            continue;
+        }
+        const double share = member.endpoint->share(nodes);
+        const double rate = std::max(0.01, member.latency.msPerCost(msPerCost));
+        shares += share;
+        costPerMs += share / rate;
+        speed += rate;
+        ++usable;
+    }
+    capacity = std::max(1.0, shares);
+    // While no endpoint is usable, the queue keeps its bounds: waiting is then all that can be done.
+    if (usable > 0) {
+        msPerCost = speed / usable;
+        queue.setBounds(costPerMs * static_cast<double>(settings.shortQueue.count()), costPerMs * static_cast<double>(settings.longQueue.count()));
+    }
+    ageReports(now);
+}
+
+void pool_state::ageReports(base::time_point now)
+{
+    double sum = 0;
+    int reported = 0;
+    for (const pool_member &member : members) {
+        if (member.endpoint->reportTime != base::time_point{}) {
+            sum += member.endpoint->others;
+            ++reported;
+        }
+    }
+    const double mean = reported > 0 ? sum / reported : 0;
+    for (const pool_member &member : members) {
+        member.endpoint->ageReport(mean, now);
+    }
+}
+
+} // namespace chervilbend::routing
