Answer the operators' publish, status, history and diff calls

The fold keeps no old declarations, so a bounded publish_archive remembers those that a node has read since its start, and a node says so when it has not seen a version. Adapters are limited to 64 GiB so that sums of sizes cannot overflow.

--- a/packages/config/src/chervilbend/config/declaration_check.cpp
+++ b/packages/config/src/chervilbend/config/declaration_check.cpp
@@ -19,7 +19,7 @@
 
 constexpr base::byte_count smallestModel{std::int64_t{1} << 20};
 constexpr base::byte_count largestModel{std::int64_t{16} << 40};
-constexpr base::byte_count largestAdapter{std::int64_t{1} << 40};
+constexpr base::byte_count largestAdapter{std::int64_t{64} << 30};
 constexpr base::milliseconds shortestDeadline{10};
 constexpr base::milliseconds longestDeadline{3'600'000};
 constexpr std::size_t longestName = 64;
--- /dev/null
+++ b/packages/node/src/chervilbend/node/operators/commands/publish_method.cpp
@@ -0,0 +1,182 @@
+#include <chervilbend/node/operators/commands/publish_method.hpp>
+
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/config/concat.hpp>
+#include <chervilbend/config/declaration_check.hpp>
+#include <chervilbend/config/declaration_diff.hpp>
+#include <chervilbend/config/memory_fit.hpp>
+#include <chervilbend/node/operators/operator_json.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace chervilbend::node::commands
+{
+
+namespace
+{
+
+constexpr std::size_t longestText = 128;
+
+/// All services as they would be with @p changed in force, which comes last.
+std::vector<config::service_declaration> servicesWith(const operator_view &view, const config::service_declaration &changed)
+{
+    std::vector<config::service_declaration> all;
+    for (const auto &[service, known] : view.services()) {
+        if (service != changed.service) {
+            all.push_back(known.declaration);
+        }
+    }
+    all.push_back(changed);
+    return all;
+}
+
+std::vector<config::memory_endpoint> endpointsOf(const operator_view &view)
+{
+    std::vector<config::memory_endpoint> endpoints;
+    for (const auto &[id, endpoint] : view.endpoints()) {
+        endpoints.push_back({id, endpoint.zone, endpoint.memory});
+    }
+    return endpoints;
+}
+
+base::byte_count needOf(const config::service_declaration &declaration)
+{
+    base::byte_count sum;
+    for (const config::model_declaration &model : declaration.models) {
+        base::byte_count copy = model.weights + model.kvReserve;
+        for (const config::adapter_declaration &adapter : model.adapters) {
+            copy += adapter.bytes;
+        }
+        sum += base::byte_count(copy.count() * model.copies);
+    }
+    return sum;
+}
+
+std::string joined(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += config::concat({text.empty() ? "" : "\n", line});
+    }
+    return text;
+}
+
+} // namespace
+
+publish_method::publish_method(const operator_view &view, entry_sink &sink)
+    : m_view(view)
+    , m_sink(sink)
+{
+}
+
+std::string publish_method::name() const
+{
+    return "publish";
+}
+
+std::optional<Json::Value> publish_method::call(const Json::Value &parameters)
+{
+    std::optional<state::publish_entry> entry = readEntry(parameters);
+    if (!entry) {
+        return std::nullopt;
+    }
+    Json::Value result(Json::objectValue);
+    result["publishId"] = entry->publishId;
+    result["service"] = entry->declaration.service.value();
+    result["warnings"] = Json::Value(Json::arrayValue);
+    if (const auto earlier = m_view.findPublish(entry->publishId)) {
+        result["state"] = earlier->accepted ? "accepted" : "rejected";
+        return result;
+    }
+    if (!checkRules(entry->declaration) || !checkBase(*entry) || !checkMemory(entry->declaration, result["warnings"])) {
+        LOG4CXX_INFO(base::partLogger("config"),
+                     "Refused publish " << entry->publishId << " of " << entry->author << " for service " << entry->declaration.service << '.');
+        return std::nullopt;
+    }
+    LOG4CXX_INFO(base::partLogger("config"),
+                 "Publish " << entry->publishId << " of " << entry->author << " for service " << entry->declaration.service << " goes to the log.");
+    if (!m_sink.submit(std::move(*entry))) {
+        return fail(m_sink.lastReason());
+    }
+    result["state"] = "submitted";
+    return result;
+}
+
+std::optional<state::publish_entry> publish_method::readEntry(const Json::Value &parameters)
+{
+    state::publish_entry entry;
+    entry.publishId = textParameter(parameters, "publishId");
+    entry.author = textParameter(parameters, "author");
+    const auto base = numberParameter(parameters, "base");
+    if (entry.publishId.empty() || entry.publishId.size() > longestText || entry.author.empty() || entry.author.size() > longestText || !base) {
+        return fail(base::error_kind::badRequest, "publishId and author (1 to 128 characters) and base (0 or more) are required");
+    }
+    entry.base = base::log_offset(*base);
+    std::string why;
+    auto declaration = declarationFromRpc(parameters["declaration"], why);
+    if (!declaration) {
+        return fail(base::error_kind::configInvalid, why);
+    }
+    entry.declaration = std::move(*declaration);
+    return entry;
+}
+
+bool publish_method::checkRules(const config::service_declaration &declaration)
+{
+    std::vector<std::string> lines;
+    const auto add = [&](const config::declaration_fault &found) {
+        lines.push_back(config::concat({found.path, found.path.empty() ? "" : ": ", found.text}));
+    };
+    std::ranges::for_each(config::checkDeclaration(declaration), add);
+    for (const config::declaration_fault &found : config::checkTogether(servicesWith(m_view, declaration))) {
+        if (found.service == declaration.service) {
+            add(found);
+        }
+    }
+    if (!lines.empty()) {
+        fail(base::error_kind::configInvalid, joined(lines));
+    }
+    return lines.empty();
+}
+
+bool publish_method::checkBase(const state::publish_entry &entry)
+{
+    const auto known = m_view.services().find(entry.declaration.service);
+    // A base that is newer than the version here may be in force already: this node may lag. The fold decides.
+    if (known == m_view.services().end() || entry.base >= known->second.version) {
+        return true;
+    }
+    const state::service_view &winner = known->second;
+    std::vector<std::string> lines{config::concat({"version ",
+                                                   std::to_string(winner.version.count()),
+                                                   " by ",
+                                                   winner.author,
+                                                   " was accepted first, this publish builds on ",
+                                                   std::to_string(entry.base.count()),
+                                                   "; what this publish would change there:"})};
+    std::ranges::move(config::diffLines(winner.declaration, entry.declaration), std::back_inserter(lines));
+    fail(base::error_kind::configConflict, joined(lines));
+    return false;
+}
+
+bool publish_method::checkMemory(const config::service_declaration &declaration, Json::Value &warnings)
+{
+    const std::vector<config::service_declaration> all = servicesWith(m_view, declaration);
+    const config::memory_fit fit = config::fitIntoMemory(all, endpointsOf(m_view));
+    if (fit.fits) {
+        return true;
+    }
+    const auto known = m_view.services().find(declaration.service);
+    const base::byte_count before = known == m_view.services().end() ? base::byte_count(0) : needOf(known->second.declaration);
+    // When endpoints were lost, what is in force may not fit either. A change that needs no more than before must stay possible then.
+    if (needOf(declaration) <= before) {
+        warnings.append("the declared models do not fit into the known memory; this change does not need more than before");
+        return true;
+    }
+    fail(base::error_kind::configDoesNotFit, joined(fit.arithmetic));
+    return false;
+}
+
+} // namespace chervilbend::node::commands
--- /dev/null
+++ b/packages/node/src/chervilbend/node/operators/operator_view.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chervilbend/node/operators/known_node.hpp>
+#include <chervilbend/node/operators/log_contact.hpp>
+#include <chervilbend/node/operators/publish_record.hpp>
+#include <chervilbend/state/views.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervilbend::node
+{
+
+/// All that the operators' calls read of a node.
+class operator_view
+{
+public:
+    virtual ~operator_view() = default;
+
+    /// Of the fold.
+
+    virtual base::log_offset folded() const = 0;
+    virtual const std::map<base::service_id, state::service_view> &services() const = 0;
+    virtual const std::map<base::lease_name, state::lease_view> &leases() const = 0;
+    virtual const std::map<base::endpoint_id, state::endpoint_view> &endpoints() const = 0;
+    /// The publish with this id, accepted or rejected; no value when the fold has not met it or has forgotten it.
+    virtual std::optional<publish_record> findPublish(const std::string &publishId) const = 0;
+    /// The publishes of a service that the fold remembers, oldest first.
+    virtual std::vector<publish_record> publishes(const base::service_id &service) const = 0;
+
+    /// The last publish of each service that is withdrawn, as far as the fold remembers.
+    virtual std::vector<publish_record> withdrawals() const = 0;
+
+    /// Of this node.
+
+    virtual base::node_id self() const = 0;
+    virtual log_contact log() const = 0;
+    virtual std::vector<known_node> nodes() const = 0;
+};
+
+} // namespace chervilbend::node
