Add the placement planner

What is resident where must follow demand without losing a declared model or overcommitting memory. placement_planner restores lost models by importance, keeps copies in different zones, follows demand with hysteresis when a move gains more than it costs, drops copies first only where memory is short, and paces loads by the store's slots and rate. test_placement passes with 8 tests, among them 30 seeded random runs (seeds 1 to 30) with changing demand and lost endpoints: no overcommitment, no dropped last copy, at most 4 loads in transit.

--- a/packages/membership/src/chervilbend/membership/endpoint_subset.cpp
+++ b/packages/membership/src/chervilbend/membership/endpoint_subset.cpp
@@ -64,6 +64,7 @@
     std::sort(ranked.begin(), ranked.end());
     ranked.resize(std::min(ranked.size(), std::max(maxSubset, guaranteed)));
     std::vector<base::endpoint_id> subset;
+    subset.reserve(ranked.size());
     for (const auto &[rank, weight, index] : ranked) {
         subset.push_back(orderedPool[index].id);
     }
--- /dev/null
+++ b/packages/placement/src/chervilbend/placement/demand_filter.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+
+#include <map>
+#include <optional>
+
+namespace chervilbend::placement
+{
+
+/// Exponential smoothing of demand that rises fast and falls slowly.
+class demand_filter
+{
+public:
+    demand_filter(base::milliseconds riseTime, base::milliseconds fallTime);
+
+    /// Takes one reading of all items; items that are missing read 0.
+    void update(const std::map<base::item_id, double> &reading);
+
+    double of(const base::item_id &item) const;
+
+private:
+    base::milliseconds m_riseTime;
+    base::milliseconds m_fallTime;
+    std::optional<base::time_point> m_updatedAt;
+    std::map<base::item_id, double> m_smoothed;
+};
+
+} // namespace chervilbend::placement
--- /dev/null
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -0,0 +1,452 @@
+#include <chervilbend/placement/internal/planning_pass.hpp>
+
+#include <chervilbend/config/model_declaration.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+#include <utility>
+
+namespace chervilbend::placement
+{
+
+namespace
+{
+
+std::string percent(double share)
+{
+    return std::to_string(std::lround(share * 100)) + "%";
+}
+
+/// The part of an item's id before its version.
+std::string_view nameOf(const base::item_id &item)
+{
+    return std::string_view(item.value()).substr(0, item.value().find('@'));
+}
+
+} // namespace
+
+planning_pass::planning_pass(placement_planner &planner, const planner_input &input, const std::set<placement_planner::place> &stuck)
+    : m_planner(planner)
+    , m_settings(planner.m_settings)
+    , m_budget(planner.m_budget)
+    , m_cluster(input, stuck)
+    , m_stuck(stuck)
+    , m_token(input.plannerToken)
+{
+    m_budget.startPass(input.store, m_cluster.modelsInTransit, m_cluster.adaptersInTransit);
+    m_cluster.splitDemand();
+}
+
+std::vector<planned_change> planning_pass::run()
+{
+    restoreMissing();
+    dropUndeclared();
+    dropStuck();
+    restoreCopies();
+    placeAdapters();
+    followDemand();
+    dropIdle();
+    dropOrphans();
+    return std::move(m_changes);
+}
+
+std::vector<std::size_t> planning_pass::modelsByImportance() const
+{
+    std::vector<std::size_t> models;
+    for (std::size_t i = 0; i < m_cluster.items.size(); ++i) {
+        if (isModel(i)) {
+            models.push_back(i);
+        }
+    }
+    std::stable_sort(models.begin(), models.end(), [this](std::size_t left, std::size_t right) {
+        return m_cluster.items[left].importance > m_cluster.items[right].importance;
+    });
+    return models;
+}
+
+void planning_pass::restoreMissing()
+{
+    for (const std::size_t model : modelsByImportance()) {
+        if (m_cluster.countedCopies(model) > 0) {
+            continue;
+        }
+        std::int64_t bytes = m_cluster.bundleBytes(model);
+        std::optional<candidate> place = placeToRestore(model, bytes, eviction::downToOne);
+        if (!place) {
+            // Without its adapters it is still reachable.
+            bytes = m_cluster.items[model].bytes;
+            place = placeToRestore(model, bytes, eviction::downToOne);
+        }
+        if (place) {
+            carryOut(model, *place, bytes, "no copy is left");
+        } else {
+            m_lacksRoom = true;
+        }
+    }
+}
+
+void planning_pass::dropUndeclared()
+{
+    for (const undeclared_item &extra : m_cluster.undeclared) {
+        // An earlier version of a model stays until the new one is loaded, unless its memory is needed.
+        const auto isNewerVersion = [&extra](const item_record &item) {
+            return nameOf(item.id) == nameOf(extra.item);
+        };
+        const auto newer = std::find_if(m_cluster.items.begin(), m_cluster.items.end(), isNewerVersion);
+        const bool waits = newer != m_cluster.items.end() && m_cluster.loadedCopies(newer->base) == 0 && !m_lacksRoom;
+        if (!waits) {
+            m_changes.push_back({state::drop_entry{extra.endpoint, extra.item, m_token}, "no service declares it"});
+        }
+    }
+}
+
+void planning_pass::dropStuck()
+{
+    for (std::size_t item = 0; item < m_cluster.items.size(); ++item) {
+        const std::vector<item_copy> copies = m_cluster.items[item].where;
+        for (const item_copy &copy : copies) {
+            const bool isStuck = m_stuck.contains({m_cluster.endpoints[copy.endpoint].id, m_cluster.items[item].id});
+            if (isStuck && copy.state == state::residency::assigned && m_cluster.loadedCopies(item) > 0) {
+                drop(item, copy.endpoint, "it was not loaded in time");
+            }
+        }
+    }
+}
+
+void planning_pass::restoreCopies()
+{
+    for (const std::size_t model : modelsByImportance()) {
+        const item_record &record = m_cluster.items[model];
+        const int counted = m_cluster.countedCopies(model);
+        if (counted == 0) {
+            continue;
+        }
+        const int zonesWanted = std::min(record.copies, m_cluster.usableZones);
+        const bool inTooFewZones = m_cluster.zonesOf(model) < zonesWanted;
+        if (counted >= record.copies && !inTooFewZones) {
+            continue;
+        }
+        const std::int64_t bytes = m_cluster.bundleBytes(model);
+        const std::optional<candidate> place = placeToRestore(model, bytes, eviction::downToDeclared);
+        const bool addsZone = place && m_cluster.copiesInZone(model, m_cluster.endpoints[place->endpoint].zone) == 0;
+        if (place && (counted < record.copies || addsZone)) {
+            carryOut(model, *place, bytes, std::to_string(counted) + " of " + std::to_string(record.copies) + " copies in different zones");
+        }
+    }
+}
+
+std::optional<planning_pass::candidate> planning_pass::placeAt(std::size_t model, std::size_t endpoint, std::int64_t bytes, eviction bound) const
+{
+    const endpoint_record &target = m_cluster.endpoints[endpoint];
+    if (!target.usable || m_cluster.copyAt(model, endpoint)) {
+        return std::nullopt;
+    }
+    candidate place;
+    place.endpoint = endpoint;
+    if (target.free >= bytes) {
+        return place;
+    }
+    if (target.free + target.dropping >= bytes) {
+        place.waits = true;
+        return place;
+    }
+    if (target.memory < bytes || !findVictims(place, bytes, bound, model)) {
+        return std::nullopt;
+    }
+    return place;
+}
+
+bool planning_pass::findVictims(candidate &place, std::int64_t bytes, eviction bound, std::size_t forModel) const
+{
+    const endpoint_record &target = m_cluster.endpoints[place.endpoint];
+    std::vector<std::pair<double, std::size_t>> options;
+    for (const std::size_t item : target.items) {
+        const item_record &record = m_cluster.items[item];
+        const item_copy *copy = m_cluster.copyAt(item, place.endpoint);
+        const int floor = bound == eviction::downToOne ? 1 : record.copies;
+        if (!isModel(item) || item == forModel || !copy->counts || m_cluster.countedCopies(item) <= floor || !m_cluster.mayDrop(item, place.endpoint)) {
+            continue;
+        }
+        const double level = m_cluster.levelWithout(record, place.endpoint);
+        const double overload = std::max(0.0, level - m_settings.keepBelow) * (m_cluster.countedCopies(item) - 1);
+        const double cold = copy->share * static_cast<double>(m_settings.coldCache.count()) / static_cast<double>(m_settings.payback.count());
+        const bool breaksZones = bound == eviction::downToDeclared && !keepsZones(item, place.endpoint);
+        if (!breaksZones) {
+            options.emplace_back(overload + cold, item);
+        }
+    }
+    std::sort(options.begin(), options.end());
+    std::int64_t room = target.free + target.dropping;
+    for (const auto &[loss, item] : options) {
+        if (room >= bytes) {
+            break;
+        }
+        place.victims.push_back(item);
+        place.loss += loss;
+        room += m_cluster.items[item].bytes;
+        for (const std::size_t adapter : m_cluster.items[item].adapters) {
+            const item_copy *copy = m_cluster.copyAt(adapter, place.endpoint);
+            room += copy && copy->state != state::residency::dropping ? m_cluster.items[adapter].bytes : 0;
+        }
+    }
+    return room >= bytes;
+}
+
+std::optional<planning_pass::candidate> planning_pass::placeToRestore(std::size_t model, std::int64_t bytes, eviction bound) const
+{
+    // Other zones first, then room that was made for it, then no need to wait or to evict, then the least load.
+    constexpr double perCopyInZone = 1'000;
+    constexpr double keptRoomBonus = 500;
+    constexpr double avoidedPenalty = 2'000;
+    constexpr double waitPenalty = 50;
+    constexpr double evictionPenalty = 100;
+    const item_record &record = m_cluster.items[model];
+    const auto kept = m_planner.m_keptRoom.find(record.id);
+    std::optional<candidate> best;
+    for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
+        std::optional<candidate> place = placeAt(model, endpoint, bytes, bound);
+        if (!place) {
+            continue;
+        }
+        const endpoint_record &target = m_cluster.endpoints[endpoint];
+        place->value = -target.load - perCopyInZone * m_cluster.copiesInZone(model, target.zone) - (place->waits ? waitPenalty : 0)
+            - (place->victims.empty() ? 0 : evictionPenalty + place->loss);
+        place->value += kept != m_planner.m_keptRoom.end() && kept->second.endpoint == target.id ? keptRoomBonus : 0;
+        place->value -= m_planner.m_avoidUntil.contains({target.id, record.id}) ? avoidedPenalty : 0;
+        if (!best || place->value > best->value) {
+            best = std::move(place);
+        }
+    }
+    return best;
+}
+
+bool planning_pass::carryOut(std::size_t model, const candidate &place, std::int64_t bytes, const std::string &why)
+{
+    if (!place.victims.empty()) {
+        // Nothing is dropped for a load that could not start anyway.
+        if (!m_budget.allowsLoad()) {
+            return false;
+        }
+        for (const std::size_t victim : place.victims) {
+            drop(victim, place.endpoint, "makes room for " + m_cluster.items[model].id.value());
+        }
+    }
+    if (!place.victims.empty() || place.waits) {
+        m_planner.m_keptRoom[m_cluster.items[model].id] = {m_cluster.endpoints[place.endpoint].id, base::clock::now() + m_settings.roomPatience};
+        m_cluster.promise(place.endpoint, bytes);
+        return false;
+    }
+    if (!m_budget.allowsLoad()) {
+        m_cluster.promise(place.endpoint, bytes);
+        return false;
+    }
+    m_budget.takeLoad();
+    assign(model, place.endpoint, why);
+    m_planner.m_keptRoom.erase(m_cluster.items[model].id);
+    assignAdapters(model, place.endpoint);
+    return true;
+}
+
+void planning_pass::assign(std::size_t item, std::size_t endpoint, std::string why)
+{
+    const item_record &record = m_cluster.items[item];
+    m_changes.push_back({state::assign_entry{m_cluster.endpoints[endpoint].id, record.id, base::byte_count(record.bytes), m_token}, std::move(why)});
+    m_cluster.assign(item, endpoint);
+    if (isModel(item)) {
+        m_cluster.splitDemand(m_cluster.items[item]);
+    }
+}
+
+void planning_pass::drop(std::size_t item, std::size_t endpoint, const std::string &why)
+{
+    for (const std::size_t adapter : m_cluster.items[item].adapters) {
+        const item_copy *copy = m_cluster.copyAt(adapter, endpoint);
+        if (copy && copy->state != state::residency::dropping) {
+            drop(adapter, endpoint, why);
+        }
+    }
+    m_changes.push_back({state::drop_entry{m_cluster.endpoints[endpoint].id, m_cluster.items[item].id, m_token}, why});
+    m_cluster.drop(item, endpoint);
+    if (isModel(item)) {
+        m_cluster.splitDemand(m_cluster.items[item]);
+    }
+}
+
+void planning_pass::assignAdapters(std::size_t model, std::size_t endpoint)
+{
+    for (const std::size_t adapter : m_cluster.items[model].adapters) {
+        const bool fits = m_cluster.endpoints[endpoint].free >= m_cluster.items[adapter].bytes;
+        if (!m_cluster.copyAt(adapter, endpoint) && fits && m_budget.allowsAdapterLoad()) {
+            m_budget.takeAdapterLoad();
+            assign(adapter, endpoint, "its base model is there");
+        }
+    }
+}
+
+void planning_pass::placeAdapters()
+{
+    for (const std::size_t model : modelsByImportance()) {
+        for (std::size_t i = 0; i < m_cluster.items[model].where.size(); ++i) {
+            const item_copy copy = m_cluster.items[model].where[i];
+            if (copy.counts) {
+                assignAdapters(model, copy.endpoint);
+            }
+        }
+        for (const std::size_t adapter : m_cluster.items[model].adapters) {
+            if (m_cluster.countedCopies(adapter) == 0 && m_budget.allowsAdapterLoad()) {
+                makeRoomForAdapter(adapter);
+            }
+        }
+    }
+}
+
+bool planning_pass::makeRoomForAdapter(std::size_t adapter)
+{
+    const std::size_t model = m_cluster.items[adapter].base;
+    const std::int64_t bytes = m_cluster.items[adapter].bytes;
+    for (const eviction bound : {eviction::downToDeclared, eviction::downToOne}) {
+        for (const item_copy &copy : m_cluster.items[model].where) {
+            candidate place;
+            place.endpoint = copy.endpoint;
+            const endpoint_record &target = m_cluster.endpoints[copy.endpoint];
+            if (!copy.counts || m_cluster.copyAt(adapter, copy.endpoint)) {
+                continue;
+            }
+            const bool comesFree = target.free + target.dropping >= bytes;
+            if (comesFree || findVictims(place, bytes, bound, model)) {
+                for (const std::size_t victim : place.victims) {
+                    drop(victim, place.endpoint, "makes room for " + m_cluster.items[adapter].id.value());
+                }
+                m_cluster.promise(place.endpoint, bytes);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void planning_pass::followDemand()
+{
+    std::vector<std::pair<double, std::size_t>> hot;
+    for (std::size_t model = 0; model < m_cluster.items.size(); ++model) {
+        const item_record &record = m_cluster.items[model];
+        if (isModel(model) && record.demand > 0 && record.level > m_settings.upUtilisation && m_cluster.countedCopies(model) > 0) {
+            hot.emplace_back(-record.level * record.importance, model);
+        }
+    }
+    std::sort(hot.begin(), hot.end());
+    // A search for victims looks at every endpoint; the bound keeps a pass short when everything is overloaded.
+    constexpr int maxSearches = 8;
+    int searches = 0;
+    for (const auto &[order, model] : hot) {
+        while (searches < maxSearches && m_budget.allowsLoad() && m_budget.allowsMove() && m_cluster.items[model].level > m_settings.upUtilisation) {
+            ++searches;
+            if (!addCopyFor(model)) {
+                break;
+            }
+        }
+    }
+}
+
+bool planning_pass::addCopyFor(std::size_t model)
+{
+    const item_record &record = m_cluster.items[model];
+    const std::int64_t bytes = m_cluster.bundleBytes(model);
+    const int copies = m_cluster.countedCopies(model);
+    const double loadSeconds = 2.0;
+    const double cost = loadSeconds * 1'000 / static_cast<double>(m_settings.payback.count());
+    const auto kept = m_planner.m_keptRoom.find(record.id);
+    std::optional<candidate> best;
+    for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
+        const endpoint_record &target = m_cluster.endpoints[endpoint];
+        const double levelAfter = (copies * record.level + target.load) / (copies + 1);
+        const double gain = std::min(levelAfter - target.load, copies * (record.level - m_settings.upUtilisation) + cost);
+        if (gain <= cost || m_planner.m_avoidUntil.contains({target.id, record.id})) {
+            continue;
+        }
+        std::optional<candidate> place = placeAt(model, endpoint, bytes, eviction::downToDeclared);
+        if (!place) {
+            continue;
+        }
+        place->value = gain - place->loss - cost * static_cast<double>(1 + place->victims.size());
+        place->value += kept != m_planner.m_keptRoom.end() && kept->second.endpoint == target.id ? 1.0 : 0.0;
+        if (place->value > 0 && (!best || place->value > best->value)) {
+            best = std::move(place);
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    const std::size_t before = m_changes.size();
+    const bool assigned = carryOut(model, *best, bytes, "expected utilisation " + percent(record.level) + " over " + std::to_string(copies) + " copies");
+    if (m_changes.size() > before) {
+        m_budget.takeMove();
+    }
+    return assigned;
+}
+
+bool planning_pass::isIdle(std::size_t model) const
+{
+    const auto since = m_planner.m_idleSince.find(m_cluster.items[model].id);
+    return since != m_planner.m_idleSince.end() && base::clock::now() - since->second >= m_settings.downAfter;
+}
+
+bool planning_pass::keepsZones(std::size_t model, std::size_t endpoint) const
+{
+    const int wanted = std::min(m_cluster.items[model].copies, m_cluster.usableZones);
+    const bool lastInZone = m_cluster.copiesInZone(model, m_cluster.endpoints[endpoint].zone) == 1;
+    return m_cluster.zonesOf(model) - (lastInZone ? 1 : 0) >= wanted;
+}
+
+void planning_pass::dropIdle()
+{
+    for (std::size_t model = 0; model < m_cluster.items.size(); ++model) {
+        const item_record &record = m_cluster.items[model];
+        const int copies = isModel(model) ? m_cluster.countedCopies(model) : 0;
+        const bool idleNow = copies > record.copies && record.demand / copies < m_settings.downUtilisation;
+        if (!idleNow) {
+            m_planner.m_idleSince.erase(record.id);
+            continue;
+        }
+        m_planner.m_idleSince.try_emplace(record.id, base::clock::now());
+        if (!isIdle(model) || !m_budget.allowsMove() || m_cluster.loadedCopies(model) < copies) {
+            continue;
+        }
+        const item_copy *choice = nullptr;
+        for (const item_copy &copy : record.where) {
+            const endpoint_record &target = m_cluster.endpoints[copy.endpoint];
+            // Where there is room for any model, an idle copy costs nothing and may be wanted again.
+            const bool roomIsShort = target.free + target.dropping < m_cluster.largestBundle;
+            const bool droppable = copy.counts && roomIsShort && m_cluster.mayDrop(model, copy.endpoint) && keepsZones(model, copy.endpoint)
+                && m_cluster.levelWithout(record, copy.endpoint) < m_settings.keepBelow;
+            if (droppable && (!choice || target.load > m_cluster.endpoints[choice->endpoint].load)) {
+                choice = &copy;
+            }
+        }
+        if (choice) {
+            m_budget.takeMove();
+            drop(model, choice->endpoint, "each of " + std::to_string(copies) + " copies is used by " + percent(record.demand / copies) + " only");
+        }
+    }
+}
+
+void planning_pass::dropOrphans()
+{
+    for (std::size_t adapter = 0; adapter < m_cluster.items.size(); ++adapter) {
+        if (isModel(adapter)) {
+            continue;
+        }
+        for (std::size_t i = 0; i < m_cluster.items[adapter].where.size(); ++i) {
+            const item_copy copy = m_cluster.items[adapter].where[i];
+            const item_copy *base = m_cluster.copyAt(m_cluster.items[adapter].base, copy.endpoint);
+            const bool baseStays = base && base->state != state::residency::dropping;
+            const bool isLast = m_cluster.loadedCopies(adapter) - (copy.counts ? 1 : 0) < 1;
+            if (!baseStays && copy.state != state::residency::dropping && !isLast) {
+                drop(adapter, copy.endpoint, "its base model is not there");
+            }
+        }
+    }
+}
+
+} // namespace chervilbend::placement
--- /dev/null
+++ b/packages/placement/src/chervilbend/placement/move_budget.cpp
@@ -0,0 +1,60 @@
+#include <chervilbend/placement/move_budget.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::placement
+{
+
+move_budget::move_budget(int movesPerMinute)
+    : m_movesPerMinute(movesPerMinute)
+{
+}
+
+void move_budget::startPass(const store_pace &store, int modelsInTransit, int adaptersInTransit)
+{
+    const base::time_point now = base::clock::now();
+    m_freeSlots = store.slots - std::max(store.inTransit, modelsInTransit);
+    m_freeAdapterSlots = store.adapterSlots - adaptersInTransit;
+    if (m_filledAt) {
+        m_tokens += store.loadsPerSecond * static_cast<double>((now - *m_filledAt).count()) / 1'000.0;
+    }
+    // A burst of one second's worth: passes come about once per second.
+    m_tokens = std::min(m_tokens, std::max(1.0, store.loadsPerSecond));
+    m_filledAt = now;
+    while (!m_moves.empty() && now - m_moves.front() >= std::chrono::minutes(1)) {
+        m_moves.pop_front();
+    }
+}
+
+void move_budget::takeLoad()
+{
+    --m_freeSlots;
+    m_tokens -= 1;
+}
+
+void move_budget::takeAdapterLoad()
+{
+    --m_freeAdapterSlots;
+}
+
+void move_budget::takeMove()
+{
+    m_moves.push_back(base::clock::now());
+}
+
+bool move_budget::allowsLoad() const
+{
+    return m_freeSlots > 0 && m_tokens >= 1;
+}
+
+bool move_budget::allowsAdapterLoad() const
+{
+    return m_freeAdapterSlots > 0;
+}
+
+bool move_budget::allowsMove() const
+{
+    return static_cast<int>(m_moves.size()) < m_movesPerMinute;
+}
+
+} // namespace chervilbend::placement
--- /dev/null
+++ b/packages/placement/src/chervilbend/placement/placement_planner.cpp
@@ -0,0 +1,54 @@
+#include <chervilbend/placement/placement_planner.hpp>
+
+#include <chervilbend/placement/internal/planning_pass.hpp>
+
+namespace chervilbend::placement
+{
+
+placement_planner::placement_planner(planner_settings settings)
+    : m_settings(settings)
+    , m_demand(settings.riseTime, settings.fallTime)
+    , m_budget(settings.movesPerMinute)
+{
+}
+
+std::vector<planned_change> placement_planner::plan(const planner_input &input)
+{
+    m_demand.update(input.demand);
+    const base::time_point now = base::clock::now();
+    std::erase_if(m_avoidUntil, [now](const auto &entry) { return entry.second <= now; });
+    std::erase_if(m_keptRoom, [now](const auto &entry) { return entry.second.until <= now; });
+    planner_input smoothed = input;
+    for (auto &[item, demand] : smoothed.demand) {
+        demand = m_demand.of(item);
+    }
+    const std::set<place> stuck = updateStuck(input);
+    planning_pass pass(*this, smoothed, stuck);
+    return pass.run();
+}
+
+std::set<placement_planner::place> placement_planner::updateStuck(const planner_input &input)
+{
+    const base::time_point now = base::clock::now();
+    std::map<place, base::time_point> assigned;
+    std::set<place> stuck;
+    for (const auto &[endpoint, view] : input.endpoints) {
+        for (const auto &[item, resident] : view.items) {
+            if (resident.state != state::residency::assigned) {
+                continue;
+            }
+            const place key(endpoint, item);
+            const auto known = m_assignedSince.find(key);
+            const base::time_point since = known == m_assignedSince.end() ? now : known->second;
+            assigned.emplace(key, since);
+            if (now - since >= m_settings.loadPatience) {
+                stuck.insert(key);
+                m_avoidUntil[key] = now + 5 * m_settings.loadPatience;
+            }
+        }
+    }
+    m_assignedSince = std::move(assigned);
+    return stuck;
+}
+
+} // namespace chervilbend::placement
--- /dev/null
+++ b/packages/placement/src/chervilbend/placement/planned_change.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chervilbend/state/entries.hpp>
+
+#include <string>
+
+namespace chervilbend::placement
+{
+
+/// An assign or drop entry and the reason for it, one short sentence without a full stop.
+struct planned_change {
+    state::entry entry;
+    std::string reason;
+};
+
+} // namespace chervilbend::placement
