--- /dev/null
+++ b/packages/control/src/chervilbend/control/command_ledger.cpp
@@ -0,0 +1,83 @@
+#include <chervilbend/control/command_ledger.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::control
+{
+
+void command_ledger::sending(const base::endpoint_id &endpoint, const base::item_id &item)
+{
+    load &entry = m_loads[endpoint][item];
+    entry.sentAt = base::clock::now();
+    entry.unansweredBefore = entry.unansweredUntil;
+    entry.unansweredUntil = entry.sentAt + unansweredLife;
+    ++entry.unanswered;
+}
+
+void command_ledger::sent(const base::endpoint_id &endpoint, const base::item_id &item, platform::command_status status)
+{
+    const auto engine = m_loads.find(endpoint);
+    if (engine == m_loads.end() || !engine->second.contains(item) || status == platform::command_status::unknown) {
+        return;
+    }
+    load &entry = engine->second.at(item);
+    entry.unansweredUntil = entry.unansweredBefore;
+    --entry.unanswered;
+    if (status != platform::command_status::notSent) {
+        entry.answeredUntil = base::clock::now() + answeredLife;
+    }
+}
+
+void command_ledger::seen(const base::endpoint_id &endpoint, const base::item_id &item, base::time_point moment)
+{
+    const auto engine = m_loads.find(endpoint);
+    if (engine == m_loads.end() || !engine->second.contains(item)) {
+        return;
+    }
+    load &entry = engine->second.at(item);
+    const bool isTheOnlyOne = entry.unanswered == 1 && entry.answeredUntil == base::time_point::min();
+    if (isTheOnlyOne && entry.sentAt <= moment) {
+        entry.unanswered = 0;
+        entry.unansweredUntil = base::time_point::min();
+        entry.answeredUntil = entry.sentAt + answeredLife;
+    }
+}
+
+void command_ledger::clear(const base::endpoint_id &endpoint)
+{
+    m_loads.erase(endpoint);
+}
+
+const command_ledger::load *command_ledger::find(const base::endpoint_id &endpoint, const base::item_id &item) const
+{
+    const auto engine = m_loads.find(endpoint);
+    if (engine == m_loads.end()) {
+        return nullptr;
+    }
+    const auto entry = engine->second.find(item);
+    return entry != engine->second.end() ? &entry->second : nullptr;
+}
+
+bool command_ledger::mayArrive(const base::endpoint_id &endpoint, const base::item_id &item) const
+{
+    const load *entry = find(endpoint, item);
+    return entry && std::max(entry->answeredUntil, entry->unansweredUntil) > base::clock::now();
+}
+
+bool command_ledger::isUnanswered(const base::endpoint_id &endpoint, const base::item_id &item) const
+{
+    const load *entry = find(endpoint, item);
+    return entry && entry->unansweredUntil > base::clock::now();
+}
+
+bool command_ledger::hasOutstanding(const std::function<bool(const base::endpoint_id &)> &concerns) const
+{
+    return std::any_of(m_loads.begin(), m_loads.end(), [&](const auto &engine) {
+        const auto mayStillArrive = [this, &engine](const auto &entry) {
+            return mayArrive(engine.first, entry.first);
+        };
+        return std::any_of(engine.second.begin(), engine.second.end(), mayStillArrive) && concerns(engine.first);
+    });
+}
+
+} // namespace chervilbend::control
--- /dev/null
+++ b/packages/control/src/chervilbend/control/gossip_codec.cpp
@@ -0,0 +1,90 @@
+#include <chervilbend/control/gossip_codec.hpp>
+
+#include <string>
+
+namespace chervilbend::control
+{
+
+namespace
+{
+
+Json::Value encode(const membership::member &known)
+{
+    Json::Value fields(Json::arrayValue);
+    fields.append(known.id.value());
+    fields.append(Json::Int64(known.life.count()));
+    fields.append(Json::Int64(known.revision));
+    fields.append(known.address);
+    fields.append(known.zone.value());
+    fields.append(static_cast<int>(known.state));
+    fields.append(known.leaving ? 1 : 0);
+    return fields;
+}
+
+std::optional<membership::member> decodeMember(const Json::Value &fields)
+{
+    constexpr Json::ArrayIndex count = 7;
+    if (!fields.isArray() || fields.size() != count || !fields[0].isString() || !fields[1].isInt64() || !fields[2].isInt64() || !fields[3].isString()
+        || !fields[4].isString() || !fields[5].isInt() || !fields[6].isInt() || fields[5].asInt() < 0 || fields[5].asInt() > 2) {
+        return std::nullopt;
+    }
+    membership::member known;
+    known.id = base::node_id(fields[0].asString());
+    known.life = base::incarnation(fields[1].asInt64());
+    known.revision = fields[2].asInt64();
+    known.address = fields[3].asString();
+    known.zone = base::zone_id(fields[4].asString());
+    known.state = static_cast<membership::member_state>(fields[5].asInt());
+    known.leaving = fields[6].asInt() != 0;
+    return known;
+}
+
+} // namespace
+
+Json::Value encodeGossip(const membership::gossip &message)
+{
+    Json::Value json(Json::objectValue);
+    json["from"] = encode(message.sender);
+    for (const membership::member &update : message.updates) {
+        json["members"].append(encode(update));
+    }
+    for (const membership::crash_suspicion &suspicion : message.suspicions) {
+        Json::Value pair(Json::arrayValue);
+        pair.append(Json::UInt64(suspicion.fingerprint));
+        pair.append(suspicion.crashes);
+        json["suspicions"].append(pair);
+    }
+    return json;
+}
+
+std::optional<membership::gossip> decodeGossip(const Json::Value &message)
+{
+    const Json::Value empty(Json::arrayValue);
+    if (!message.isObject()) {
+        return std::nullopt;
+    }
+    membership::gossip gossip;
+    const std::optional<membership::member> sender = decodeMember(message["from"]);
+    const Json::Value &members = message.isMember("members") ? message["members"] : empty;
+    const Json::Value &suspicions = message.isMember("suspicions") ? message["suspicions"] : empty;
+    if (!sender || !members.isArray() || !suspicions.isArray()) {
+        return std::nullopt;
+    }
+    gossip.sender = *sender;
+    for (const Json::Value &each : members) {
+        const std::optional<membership::member> update = decodeMember(each);
+        if (!update) {
+            return std::nullopt;
+        }
+        gossip.updates.push_back(*update);
+    }
+    for (const Json::Value &each : suspicions) {
+        if (!each.isArray() || each.size() != 2 || !each[0].isUInt64() || !each[1].isInt()) {
+            return std::nullopt;
+        }
+        gossip.suspicions.push_back({each[0].asUInt64(), each[1].asInt()});
+    }
+    return gossip;
+}
+
+} // namespace chervilbend::control
--- /dev/null
+++ b/packages/control/src/chervilbend/control/planner_task.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/control/host_listener.hpp>
+#include <chervilbend/membership/demand_tree.hpp>
+#include <chervilbend/placement/placement_planner.hpp>
+#include <chervilbend/platform/weight_store.hpp>
+#include <chervilbend/state/replicated_state.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace chervilbend::control
+{
+
+class entry_sink;
+class lease_keeper;
+
+/// Runs the planner while this node holds its lease: registers the engines of the host list and appends the planner's changes.
+class planner_task : public host_listener
+{
+public:
+    /// All references must outlive the task.
+    planner_task(
+        const state::replicated_state &state, lease_keeper &leases, entry_sink &sink, const membership::demand_tree &demand, platform::weight_store &store);
+
+    /// Commands.
+
+    /// Plans once per second until cancelled.
+    boost::asio::awaitable<void> run();
+
+    /// One pass. Waits until the fold has the entries that it appends.
+    boost::asio::awaitable<void> planOnce();
+
+    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+
+private:
+    /// Entries for engines that the host list shows anew, changed or no longer.
+    std::vector<state::entry> endpointChanges();
+    void addPlan(std::vector<state::entry> &entries, const std::optional<platform::weight_store_status> &store);
+
+    const state::replicated_state &m_state;
+    lease_keeper &m_leases;
+    entry_sink &m_sink;
+    const membership::demand_tree &m_demand;
+    platform::weight_store &m_store;
+    placement::placement_planner m_planner;
+    bool m_knowsHosts = false;
+    std::map<base::endpoint_id, platform::host_entry> m_engines;
+    /// Since when the host list has not shown an endpoint of the fold.
+    std::map<base::endpoint_id, base::time_point> m_missingSince;
+};
+
+} // namespace chervilbend::control
