Bundle a log stream's state, appender and follower; meter demand

Cause: leases, planner and drivers need one entry sink per stream, and the planner needs demand per model. Change: log_stream implements entry_sink and log_progress; metered_director decorates the traffic director and derives demand by Little's law.

--- /dev/null
+++ b/packages/control/src/chervilbend/control/log_stream.cpp
@@ -0,0 +1,50 @@
+#include <chervilbend/control/log_stream.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::control
+{
+
+log_stream::log_stream(const asio::any_io_executor &executor,
+                       platform::log_service &log,
+                       const log_follower_options &options,
+                       platform::log_service *checkpoints)
+    : m_executor(executor)
+    , m_appender(executor, log)
+    , m_follower(executor, log, m_state, options, checkpoints)
+{
+}
+
+void log_stream::append(state::entry entry)
+{
+    std::vector<state::entry> entries;
+    entries.push_back(std::move(entry));
+    appendTogether(std::move(entries));
+}
+
+void log_stream::appendTogether(std::vector<state::entry> entries)
+{
+    asio::co_spawn(m_executor, appendDetached(std::move(entries)), asio::detached);
+}
+
+asio::awaitable<bool> log_stream::appendAndFold(std::vector<state::entry> entries, base::time_point deadline)
+{
+    const platform::append_result result = co_await m_appender.append(std::move(entries));
+    if (result.status != platform::append_status::accepted) {
+        co_return false;
+    }
+    co_return co_await m_follower.foldedBeyond(result.offset, deadline);
+}
+
+asio::awaitable<void> log_stream::appendDetached(std::vector<state::entry> entries)
+{
+    // Whether the entries took effect is for the fold to tell, so the result is not used here.
+    co_await m_appender.append(std::move(entries));
+}
+
+} // namespace chervilbend::control
--- /dev/null
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -0,0 +1,153 @@
+#include <chervilbend/node/metered_director.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+constexpr base::milliseconds window{10'000};
+/// Weight of the newest service time in the mean.
+constexpr double newestShare = 0.1;
+constexpr double msPerSecond = 1'000;
+
+void forgetOld(std::deque<base::time_point> &arrivals, base::time_point now)
+{
+    while (!arrivals.empty() && arrivals.front() + window < now) {
+        arrivals.pop_front();
+    }
+}
+
+} // namespace
+
+metered_director::metered_director(routing::traffic_director &inner, double slotsPerEndpoint)
+    : m_inner(inner)
+    , m_slotsPerEndpoint(std::max(1.0, slotsPerEndpoint))
+{
+}
+
+void metered_director::setEndpoint(const routing::endpoint_facts &facts)
+{
+    m_inner.setEndpoint(facts);
+}
+
+void metered_director::removeEndpoint(const base::endpoint_id &endpoint)
+{
+    m_inner.removeEndpoint(endpoint);
+}
+
+void metered_director::setReport(const base::endpoint_id &endpoint, const routing::load_report &report)
+{
+    m_inner.setReport(endpoint, report);
+}
+
+void metered_director::setNodeCount(int nodes)
+{
+    m_inner.setNodeCount(nodes);
+}
+
+std::optional<routing::ticket> metered_director::submit(const routing::request_facts &facts, base::reason &why)
+{
+    const base::time_point now = base::clock::now();
+    pool_meter &meter = m_pools[facts.pool];
+    forgetOld(meter.arrivals, now);
+    meter.arrivals.push_back(now);
+    const std::optional<routing::ticket> request = m_inner.submit(facts, why);
+    if (request) {
+        m_open[*request].pool = facts.pool;
+    }
+    return request;
+}
+
+bool metered_director::retry(routing::ticket request, routing::request_outcome outcome, base::reason &why)
+{
+    const bool queued = m_inner.retry(request, outcome, why);
+    const auto open = m_open.find(request);
+    if (open != m_open.end()) {
+        open->second.sentAt.reset();
+        if (!queued) {
+            m_open.erase(open);
+        }
+    }
+    return queued;
+}
+
+std::vector<routing::dispatch> metered_director::takeDispatches()
+{
+    std::vector<routing::dispatch> dispatches = m_inner.takeDispatches();
+    const base::time_point now = base::clock::now();
+    for (const routing::dispatch &dispatch : dispatches) {
+        const auto open = m_open.find(dispatch.request);
+        if (open != m_open.end()) {
+            open->second.sentAt = now;
+        }
+    }
+    return dispatches;
+}
+
+std::vector<routing::refusal> metered_director::takeRefusals()
+{
+    std::vector<routing::refusal> refusals = m_inner.takeRefusals();
+    for (const routing::refusal &refusal : refusals) {
+        m_open.erase(refusal.request);
+    }
+    return refusals;
+}
+
+void metered_director::firstByte(routing::ticket request)
+{
+    m_inner.firstByte(request);
+}
+
+void metered_director::progress(routing::ticket request, base::token_count generated)
+{
+    m_inner.progress(request, generated);
+}
+
+void metered_director::finish(routing::ticket request, routing::request_outcome outcome)
+{
+    const auto open = m_open.find(request);
+    if (open != m_open.end()) {
+        if (outcome == routing::request_outcome::answered && open->second.sentAt) {
+            const double ms = static_cast<double>((base::clock::now() - *open->second.sentAt).count());
+            double &mean = m_pools[open->second.pool].serviceMs;
+            mean += newestShare * (ms - mean);
+        }
+        m_open.erase(open);
+    }
+    m_inner.finish(request, outcome);
+}
+
+void metered_director::learnSuspicion(std::uint64_t fingerprint, int crashes)
+{
+    m_inner.learnSuspicion(fingerprint, crashes);
+}
+
+std::vector<std::pair<std::uint64_t, int>> metered_director::suspicions() const
+{
+    return m_inner.suspicions();
+}
+
+base::time_point metered_director::nextWakeup() const
+{
+    return m_inner.nextWakeup();
+}
+
+membership::demand_by_item metered_director::demand() const
+{
+    const base::time_point now = base::clock::now();
+    membership::demand_by_item demand;
+    for (auto &[pool, meter] : m_pools) {
+        forgetOld(meter.arrivals, now);
+        if (meter.arrivals.empty() || pool.starts_with("service/")) {
+            continue;
+        }
+        const double perSecond = static_cast<double>(meter.arrivals.size()) * msPerSecond / static_cast<double>(window.count());
+        demand[base::item_id(pool)] = perSecond * meter.serviceMs / msPerSecond / m_slotsPerEndpoint;
+    }
+    return demand;
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/metered_director.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/control/demand_source.hpp>
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace chervilbend::node
+{
+
+/// Passes all calls on to another director and measures the demand for each model on the way.
+///
+/// Demand is the number of endpoints that the offered requests would keep busy: by Little's law, arrivals per second times the mean
+/// service time gives the requests in service, and an endpoint serves @c slotsPerEndpoint of them at once.
+class metered_director : public routing::traffic_director, public control::demand_source
+{
+public:
+    /// @p inner must outlive the object. @p slotsPerEndpoint is at least 1.
+    metered_director(routing::traffic_director &inner, double slotsPerEndpoint);
+
+    void setEndpoint(const routing::endpoint_facts &facts) override;
+    void removeEndpoint(const base::endpoint_id &endpoint) override;
+    void setReport(const base::endpoint_id &endpoint, const routing::load_report &report) override;
+    void setNodeCount(int nodes) override;
+    std::optional<routing::ticket> submit(const routing::request_facts &facts, base::reason &why) override;
+    bool retry(routing::ticket request, routing::request_outcome outcome, base::reason &why) override;
+    std::vector<routing::dispatch> takeDispatches() override;
+    std::vector<routing::refusal> takeRefusals() override;
+    void firstByte(routing::ticket request) override;
+    void progress(routing::ticket request, base::token_count generated) override;
+    void finish(routing::ticket request, routing::request_outcome outcome) override;
+    void learnSuspicion(std::uint64_t fingerprint, int crashes) override;
+    std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
+    base::time_point nextWakeup() const override;
+
+    membership::demand_by_item demand() const override;
+
+private:
+    struct open_request {
+        std::string pool;
+        std::optional<base::time_point> sentAt;
+    };
+
+    struct pool_meter {
+        /// Arrivals of the last ten seconds.
+        std::deque<base::time_point> arrivals;
+        /// Exponentially weighted mean in milliseconds.
+        double serviceMs = initialServiceMs;
+    };
+
+    /// Assumed for a model that has not answered yet, so that a model without a copy still has demand.
+    static constexpr double initialServiceMs = 1'000;
+
+    routing::traffic_director &m_inner;
+    double m_slotsPerEndpoint;
+    std::unordered_map<routing::ticket, open_request> m_open;
+    mutable std::map<std::string, pool_meter> m_pools;
+};
+
+} // namespace chervilbend::node
