Adapt limits faster and hold back long work less rigidly

Traces showed three causes: limits grew by single steps while engines were idle, nodes that share engines with 63 others queued work behind a share below one request, and long queues outlived the crest. Limits now start fast and remember their ceiling, each pool has its own limit, the share of long work widens only when it lacks slots for good, and lasting overload is shed to 2 s of work.

--- a/packages/measure/src/chervilbend/measure/short_behind_long_measurement.cpp
+++ b/packages/measure/src/chervilbend/measure/short_behind_long_measurement.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr double durationMs = 300'000;
+constexpr double durationMs = 1'200'000;
 constexpr double warmUpMs = 20'000;
 constexpr int shortTokens = 40;
 constexpr int longTokens = 20 * shortTokens;
@@ -60,6 +60,7 @@
     for (const bool declared : {true, false}) {
         arrival_settings arrivals;
         arrivals.durationMs = durationMs;
+        arrivals.exactLoad = true;
         arrivals.load = [](double) {
             return 0.85;
         };
@@ -69,7 +70,7 @@
         const std::vector<job> jobs = makeArrivals(arrivals, seed);
         cluster_settings cluster;
         cluster.engine = arrivals.engine;
-        cluster.durationMs = durationMs;
+        cluster.durationMs = jobs.back().arrival;
         cluster.seed = seed;
         const outcome ours = judge(*runVariant(cluster, adaptive(), jobs));
         const outcome first = judge(*runVariant(cluster, fifo(cluster.engine.slots), jobs));
--- a/packages/measure/src/chervilbend/measure/sim/arrivals.cpp
+++ b/packages/measure/src/chervilbend/measure/sim/arrivals.cpp
@@ -48,6 +48,19 @@
     return each.arrival + 60'000 + 200.0 * each.maxTokens;
 }
 
+void stretch(std::vector<job> &jobs, const arrival_settings &settings)
+{
+    double cost = 0;
+    for (const job &each : jobs) {
+        cost += each.tokens + each.promptTokens / settings.engine.promptTokensPerStep;
+    }
+    const double offered = cost / (settings.durationMs * settings.engines * settings.engine.fullRate());
+    for (job &each : jobs) {
+        each.arrival *= offered / settings.load(0);
+        each.deadline = deadlineOf(each);
+    }
+}
+
 } // namespace
 
 double uniform(std::mt19937_64 &random)
@@ -100,6 +113,9 @@
         each.deadline = deadlineOf(each);
         jobs.push_back(each);
     }
+    if (settings.exactLoad) {
+        stretch(jobs, settings);
+    }
     return jobs;
 }
 
--- a/packages/measure/src/chervilbend/measure/sim/arrivals.hpp
+++ b/packages/measure/src/chervilbend/measure/sim/arrivals.hpp
@@ -21,6 +21,9 @@
     std::function<double(double)> load;
     /// Multiplies the load by a factor that jumps between two values tenfold apart, with a mean of 1.
     bool swings = true;
+    /// Stretches time so that the offered load is what @p load says at the start; for a constant load. A run of some minutes sees few
+    /// swings, and without this its offered load is off by up to a seventh.
+    bool exactLoad = false;
     /// Draws the length of a job in tokens and whether it is long.
     std::function<int(std::mt19937_64 &, bool &)> length;
     /// Mean of length.
--- a/packages/measure/src/chervilbend/measure/sim/cluster_simulation.cpp
+++ b/packages/measure/src/chervilbend/measure/sim/cluster_simulation.cpp
@@ -239,6 +239,7 @@
         return;
     }
     std::vector<engine_event> events;
+    m_jobs[index].atEngine = m_now;
     const job each = m_jobs[index];
     m_engines[engine].submit(index, each.promptTokens, each.tokens, m_now, events);
     if (each.isPoison) {
--- a/packages/measure/src/chervilbend/measure/sim/job.hpp
+++ b/packages/measure/src/chervilbend/measure/sim/job.hpp
@@ -22,6 +22,8 @@
     bool isPoison = false;
     std::uint64_t fingerprint = 0;
 
+    /// When it arrived at an engine; negative when it has not.
+    double atEngine = -1;
     /// When an engine's batch took it; negative when none has.
     double started = -1;
     /// When it was answered; negative when it was not.
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -26,8 +26,7 @@
     }
     const base::time_point now = base::clock::now();
     request->hasFirstByte = true;
-    request->endpoint->limit.addSample(static_cast<double>((now - request->sent).count()), request->inputCost);
-    request->endpoint->isDown = false;
+    addFirstByteSample(*request, now);
     addSample(*request, request->inputCost, now);
 }
 
@@ -51,6 +50,14 @@
     }
 }
 
+void adaptive_director::addFirstByteSample(request_state &request, base::time_point now)
+{
+    const auto ms = static_cast<double>((now - request.sent).count());
+    request.endpoint->limit.addSample(ms, request.inputCost);
+    request.pool->limit.addSample(ms, request.inputCost);
+    request.endpoint->isDown = false;
+}
+
 void adaptive_director::addSample(request_state &request, double cost, base::time_point now)
 {
     if (pool_member *member = request.pool->memberOf(request.endpoint.get())) {
@@ -78,8 +85,7 @@
     const base::time_point now = base::clock::now();
     pool_state &pool = *request.pool;
     if (!request.hasFirstByte) {
-        request.endpoint->limit.addSample(static_cast<double>((now - request.sent).count()), request.inputCost);
-        request.endpoint->isDown = false;
+        addFirstByteSample(request, now);
         addSample(request, request.inputCost + static_cast<double>(request.generated), now);
     }
     const auto done = static_cast<double>(request.generated);
@@ -105,6 +111,7 @@
         break;
     case request_outcome::refused:
         endpoint.limit.noteRefused();
+        request.pool->limit.noteRefused();
         break;
     case request_outcome::connectionLost:
         endpoint.nextTry = now;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -204,9 +204,7 @@
     m_selector.survey(pool, m_nodes, now);
     if (!m_selector.hasRoom() || pool.inFlight >= pool.capacity) {
         if (pool.inFlight >= pool.capacity) {
-            for (const pool_member &member : pool.members) {
-                member.endpoint->limit.noteUsedUp();
-            }
+            pool.limit.noteUsedUp();
         }
         return false;
     }
--- a/packages/routing/src/chervilbend/routing/director_settings.hpp
+++ b/packages/routing/src/chervilbend/routing/director_settings.hpp
@@ -21,13 +21,20 @@
 
     /// Work is long when its predicted cost exceeds the pool's median by this factor; 2 to 100.
     double longFactor = 4;
-    /// Part of an endpoint's slots that long work may hold while short work is about; 0.1 to 1.
-    double longShare = 0.75;
+    /// Part of an endpoint's slots that long work may hold while short work is about; 0.1 to 1. Slots kept free let short work start at
+    /// once in a burst, and cost little: a batch that is half full does more than half of a full batch's work.
+    double longShare = 0.45;
+    /// The same when long work would otherwise wait longer than it runs; longShare to 1.
+    double longShareMost = 0.9;
 
-    /// Short work queued per pool, in time to work it off; 100 to 60000 ms.
-    base::milliseconds shortQueue{2000};
-    /// Long work queued per pool, in time to work it off; 100 to 600000 ms.
+    /// Work queued per pool under lasting overload, in time to work it off; 100 to 60000 ms.
+    base::milliseconds lastingQueue{2000};
+    /// Short work queued per pool otherwise; lastingQueue to 600000 ms.
+    base::milliseconds shortQueue{8000};
+    /// Long work queued per pool otherwise; lastingQueue to 600000 ms.
     base::milliseconds longQueue{30000};
+    /// Overload is lasting when the queue of short work stayed above half of lastingQueue for this long; 100 to 600000 ms.
+    base::milliseconds burst{5000};
     /// Requests that may always wait in a pool, whatever the prediction; 1 to 1000.
     std::size_t queueMinimum = 16;
     /// Requests that may wait in a pool at most; 1 to 1000000.
--- a/packages/routing/src/chervilbend/routing/internal/admission_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/admission_queue.cpp
@@ -37,10 +37,15 @@
     return {static_cast<base::work_class>(index / 2), index % 2 == 1};
 }
 
-void admission_queue::setBounds(double shortCost, double longCost)
+void admission_queue::setBounds(double costPerMs, base::time_point now)
 {
-    m_shortBound = shortCost;
-    m_longBound = longCost;
+    const double lasting = costPerMs * static_cast<double>(m_settings.lastingQueue.count());
+    if (costOf(false) < lasting / 2) {
+        m_lastCalm = now;
+    }
+    const bool isLasting = now - m_lastCalm > m_settings.burst;
+    m_shortBound = isLasting ? lasting : costPerMs * static_cast<double>(m_settings.shortQueue.count());
+    m_longBound = isLasting ? lasting : costPerMs * static_cast<double>(m_settings.longQueue.count());
 }
 
 fair_queue::place admission_queue::push(lane where, const base::account_id &account, const fair_queue::item &what)
@@ -89,6 +94,17 @@
     return m_lanes[indexOf(where)].front();
 }
 
+double admission_queue::longWaitOverCost(base::time_point now)
+{
+    double most = 0;
+    for (std::size_t index = 1; index < laneCount; index += 2) {
+        if (const fair_queue::item *head = m_lanes[index].front()) {
+            most = std::max(most, static_cast<double>((now - head->since).count()) / std::max(1.0, head->cost));
+        }
+    }
+    return most;
+}
+
 void admission_queue::pop(lane where)
 {
     const std::size_t sent = indexOf(where);
--- a/packages/routing/src/chervilbend/routing/internal/admission_queue.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/admission_queue.hpp
@@ -29,14 +29,19 @@
 
     /// Commands.
 
-    /// How much predicted cost may wait, of short and of long work.
-    void setBounds(double shortCost, double longCost);
+    /// Sets how much predicted cost may wait. @p costPerMs is what the pool works off in a millisecond.
+    ///
+    /// A burst is queued and a lasting overload is shed: a long queue that stands only delays all work by the same time, and takes long
+    /// to work off when the overload ends (compare Nichols and Jacobson, "Controlling Queue Delay", 2012).
+    void setBounds(double costPerMs, base::time_point now);
     fair_queue::place push(lane where, const base::account_id &account, const fair_queue::item &what);
     fair_queue::place pushFront(lane where, const base::account_id &account, const fair_queue::item &what);
     void remove(lane where, const fair_queue::place &place);
     /// Next lane to send from, for work of @p least class or a more urgent one. Lanes of long work count only with @p longAllowed.
     std::optional<lane> choose(base::time_point now, base::work_class least, bool longAllowed);
     const fair_queue::item *front(lane where);
+    /// Milliseconds per unit of its cost that the next long request of any class has waited; 0 without one.
+    double longWaitOverCost(base::time_point now);
     void pop(lane where);
 
     /// Queries.
@@ -66,6 +71,8 @@
     /// Cost that a lane may send before its turn, earned while its head has waited for the ageing time.
     std::array<double, laneCount> m_credit{};
     std::size_t m_size = 0;
+    /// When the queue of short work was last seen below half of what may wait under lasting overload.
+    base::time_point m_lastCalm;
     double m_shortBound = 0;
     double m_longBound = 0;
 };
--- a/packages/routing/src/chervilbend/routing/internal/concurrency_limit.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/concurrency_limit.cpp
@@ -11,6 +11,12 @@
 /// Samples that a window needs; with fewer it stays open.
 constexpr int samplesPerWindow = 4;
 constexpr double decreaseFactor = 0.9;
+/// Growth per window until the limit is found for the first time: with single steps, engines stayed partly idle for 10 s of a crest.
+constexpr double startFactor = 0.15;
+/// Growth per window near the limit at which latency last rose, as in CUBIC (RFC 9438): each step beyond the endpoint's slots makes
+/// requests wait inside the endpoint, where short work cannot overtake.
+constexpr double carefulStep = 0.1;
+constexpr double nearFactor = 0.95;
 /// Part by which the best latency follows the present one per window, so that it is forgotten within some minutes.
 constexpr double bestDrift = 0.0005;
 
@@ -55,12 +61,22 @@
     if (seen > m_settings.latencyTolerance * m_best) {
         decrease();
     } else if (m_usedUp) {
-        m_limit = std::min(m_settings.maximumLimit, m_limit + 1);
+        m_limit = std::min(m_settings.maximumLimit, m_limit + step());
     }
 }
 
+double concurrency_limit::step() const
+{
+    if (m_ceiling == 0) {
+        return std::max(1.0, m_limit * startFactor);
+    }
+    const bool nearCeiling = m_limit > m_ceiling * nearFactor && m_limit < m_ceiling / nearFactor;
+    return nearCeiling ? carefulStep : 1;
+}
+
 void concurrency_limit::decrease()
 {
+    m_ceiling = m_limit;
     m_limit = std::max(1.0, m_limit * decreaseFactor);
 }
 
--- a/packages/routing/src/chervilbend/routing/internal/concurrency_limit.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/concurrency_limit.hpp
@@ -43,10 +43,13 @@
 private:
     void judge(double msPerCost);
     void decrease();
+    double step() const;
 
     const director_settings &m_settings;
     double m_limit;
     double m_best = 0;
+    /// The limit at the last decrease; 0 before the first.
+    double m_ceiling = 0;
     double m_ms = 0;
     double m_cost = 0;
     int m_samples = 0;
--- a/packages/routing/src/chervilbend/routing/internal/cost_predictor.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/cost_predictor.cpp
@@ -22,7 +22,7 @@
 void cost_predictor::mean::add(double sample)
 {
     ++count;
-    value += (sample - value) * std::max(1.0 / static_cast<double>(count), 0.05);
+    value += (sample - value) * std::max(1.0 / static_cast<double>(count), 0.01);
 }
 
 int cost_predictor::bucketOf(base::token_count maxTokens)
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -49,13 +49,13 @@
     return now >= endpoint.nextTry || (!endpoint.isDown && !m_ledger.isUnjudged(endpoint.serial));
 }
 
-bool endpoint_selector::canTakeLong(const pool_member &member, int nodes, base::time_point now) const
+bool endpoint_selector::canTakeLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now)
 {
     const endpoint_state &endpoint = *member.endpoint;
     if (now - endpoint.shortSeen > shortMemory) {
         return true;
     }
-    return endpoint.longInFlight < std::max(1.0, m_settings.longShare * endpoint.share(nodes));
+    return endpoint.longInFlight < std::max(1.0, pool.longShare * endpoint.share(nodes));
 }
 
 void endpoint_selector::survey(pool_state &pool, int nodes, base::time_point now)
@@ -66,14 +66,14 @@
     for (pool_member &member : pool.members) {
         shortAbout = shortAbout || now - member.endpoint->shortSeen <= shortMemory;
         if (canTake(member, nodes, now)) {
-            m_open.push_back({&member, canTakeLong(member, nodes, now)});
+            m_open.push_back({&member, canTakeLong(pool, member, nodes, now)});
             m_longOpen = m_longOpen || m_open.back().takesLong;
         } else if (member.endpoint->inFlight >= member.endpoint->share(nodes)) {
             member.endpoint->limit.noteUsedUp();
         }
     }
     // The pool's bound matters when the shares are so small that each endpoint's bound is rounded up.
-    if (shortAbout && pool.longInFlight >= std::max(1.0, m_settings.longShare * pool.capacity)) {
+    if (shortAbout && pool.longInFlight >= std::max(1.0, pool.longShare * pool.capacity)) {
         m_longOpen = false;
     }
 }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -49,7 +49,7 @@
     };
 
     bool canTake(const pool_member &member, int nodes, base::time_point now) const;
-    bool canTakeLong(const pool_member &member, int nodes, base::time_point now) const;
+    static bool canTakeLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now);
     pool_member *draw(const request_state &request, bool avoidLast);
     pool_member *affine(const request_state &request) const;
     static double expectedWait(const pool_state &pool, const pool_member &member);
--- a/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 namespace chervilbend::routing
 {
 
@@ -9,12 +11,13 @@
 class latency_tracker
 {
 public:
-    /// Adds a span of a request: @p ms for @p cost units of work, cost above 0.
+    /// Adds a span of a request: @p ms for @p cost units of work, cost above 0. Each generated token is a sample of the endpoint's speed,
+    /// so that a node that sends little recognizes a slow endpoint within its first stream.
     void add(double ms, double cost)
     {
         m_ms = m_ms * decay + ms;
         m_cost = m_cost * decay + cost;
-        ++m_samples;
+        m_samples += cost < 1 ? 1 : static_cast<long>(std::min(cost, 1e6));
     }
 
     /// Forgets the samples, for an endpoint that is judged afresh. The ratio stays until the next sample.
@@ -31,7 +34,7 @@
         return m_cost > 0 ? m_ms / m_cost : m_last > 0 ? m_last : otherwise;
     }
 
-    int samples() const
+    long samples() const
     {
         return m_samples;
     }
@@ -43,7 +46,7 @@
     double m_ms = 0;
     double m_cost = 0;
     double m_last = 0;
-    int m_samples = 0;
+    long m_samples = 0;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -8,9 +8,19 @@
 namespace chervilbend::routing
 {
 
+namespace
+{
+
+/// Part of the way that the share of long work moves per window: about 5 s to move most of it.
+constexpr double shareStep = 0.05;
+
+} // namespace
+
 pool_state::pool_state(std::string called, const director_settings &settings)
     : name(std::move(called))
     , queue(settings)
+    , limit(settings)
+    , longShare(settings.longShare)
     , longThreshold(std::numeric_limits<double>::infinity())
 {
 }
@@ -38,13 +48,24 @@
         speed += rate;
         ++usable;
     }
-    capacity = std::max(1.0, shares);
+    limit.advance(now);
+    capacity = std::max(limit.limit(), shares);
     // While no endpoint is usable, the queue keeps its bounds: waiting is then all that can be done.
     if (usable > 0) {
         msPerCost = speed / usable;
-        queue.setBounds(costPerMs * static_cast<double>(settings.shortQueue.count()), costPerMs * static_cast<double>(settings.longQueue.count()));
+        queue.setBounds(costPerMs, now);
     }
     ageReports(now);
+    adaptLongShare(now, settings);
+}
+
+void pool_state::adaptLongShare(base::time_point now, const director_settings &settings)
+{
+    // A fixed share would waste slots where most work is long. A burst of short work is over before long work has waited for as long
+    // as it runs, so the share widens only when long work lacks slots for good.
+    const double waited = queue.longWaitOverCost(now) / msPerCost;
+    const double wanted = waited > 1 ? settings.longShareMost : settings.longShare;
+    longShare += (wanted - longShare) * shareStep;
 }
 
 void pool_state::ageReports(base::time_point now)
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/routing/internal/admission_queue.hpp>
+#include <chervilbend/routing/internal/concurrency_limit.hpp>
 #include <chervilbend/routing/internal/cost_predictor.hpp>
 #include <chervilbend/routing/internal/pool_member.hpp>
 #include <chervilbend/routing/internal/quantile_estimator.hpp>
@@ -31,12 +32,17 @@
     int tickets = 0;
     int inFlight = 0;
     int longInFlight = 0;
-    /// Sum of this node's shares over the members that take work.
+    /// This node's requests in the pool, as its own latency allows. Matters when many nodes share the endpoints: each endpoint's share
+    /// is then rounded up to one request, and a single endpoint gives a node too few samples to adapt.
+    concurrency_limit limit;
+    /// Requests that this node may have in flight in the pool.
     double capacity = 1;
     /// Mean over the members.
     double msPerCost = 30;
     /// Mean cost of a request.
     double meanCost = 32;
+    /// Part of the slots that long work may hold now.
+    double longShare = 0.5;
     /// Predicted cost from which work is long.
     double longThreshold = 0;
     base::time_point lastShed;
@@ -58,6 +64,7 @@
 
 private:
     void ageReports(base::time_point now);
+    void adaptLongShare(base::time_point now, const director_settings &settings);
 };
 
 } // namespace chervilbend::routing
