--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -21,6 +21,10 @@
 /// Time between two requests to an endpoint whose connection broke and that is not known to be down.
 constexpr base::milliseconds doubtInterval{100};
 
+/// Time between two rounds of suspects; most crashes show within it.
+constexpr base::milliseconds suspectRound{1000};
+/// Time that a suspect waits for its own endpoint in the order of suspects before it takes another.
+constexpr base::milliseconds suspectPatience{2000};
 /// Probe intervals after which also long and urgent work probes.
 constexpr int preciousDelay = 10;
 
@@ -47,6 +51,7 @@
     }
     request_state &request = m_requests.add();
     request.facts = facts;
+    request.submitted = base::clock::now();
     request.pool = found->second.get();
     ++request.pool->tickets;
     predict(request);
@@ -165,13 +170,20 @@
             refuse(request, base::error_kind::requestRefused, "the same request crashed " + std::to_string(m_settings.crashesToRefuse) + " endpoints");
             continue;
         }
-        if (now < m_suspicions.holdUntil(fingerprint)) {
+        const base::time_point held = m_suspicions.holdUntil(fingerprint, request.submitted);
+        if (now < held) {
+            continue;
+        }
+        // More suspects than endpoints run in rounds, so that each has an endpoint that it shares with no other suspect.
+        const std::size_t round = m_suspicions.rankOf(fingerprint) / std::max<std::size_t>(1, pool.members.size());
+        const base::time_point turn = held + static_cast<std::int64_t>(round) * suspectRound;
+        if (now < turn || pool.members.empty()) {
             continue;
         }
         m_selector.survey(pool, m_nodes, now);
-        pool_member *member = m_selector.pickForSuspect();
+        pool_member *member = m_selector.pickForSuspect(pool, request, now >= turn + suspectPatience);
         if (member == nullptr) {
-            return;
+            continue;
         }
         takeFromQueue(request);
         start(request, *member, now);
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -158,13 +158,24 @@
     return takeSecond ? second : first;
 }
 
-pool_member *endpoint_selector::pickForSuspect() const
+pool_member *endpoint_selector::pickForSuspect(const pool_state &pool, const request_state &request, bool mayDeviate)
 {
+    // The suspects' ranks go round the pool's endpoints in an order that is the same on all nodes. Were they all sent to the least
+    // loaded endpoints, those of several nodes would meet, and a harmless one would be present at a second crash.
+    m_order.clear();
+    for (const pool_member &member : pool.members) {
+        m_order.push_back(member.endpoint->idHash);
+    }
+    std::sort(m_order.begin(), m_order.end());
+    const std::uint64_t wanted = m_order[m_ledger.rankOf(request.facts.fingerprint) % m_order.size()];
     pool_member *best = nullptr;
     for (const candidate &open : m_open) {
         const endpoint_state &endpoint = *open.member->endpoint;
-        const bool isDoubtful = endpoint.isDown || m_ledger.isUnjudged(endpoint.serial);
-        if (endpoint.suspectsInFlight == 0 && !isDoubtful && (best == nullptr || endpoint.inFlight < best->endpoint->inFlight)) {
+        if (endpoint.suspectsInFlight > 0 || endpoint.isDown || m_ledger.isUnjudged(endpoint.serial) || (!mayDeviate && endpoint.idHash != wanted)) {
+            continue;
+        }
+        // The distance wraps around, so this is the wanted endpoint or the next one in the order.
+        if (best == nullptr || endpoint.idHash - wanted < best->endpoint->idHash - wanted) {
             best = open.member;
         }
     }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -28,8 +28,9 @@
     void survey(pool_state &pool, int nodes, base::time_point now);
     /// The member for the request, of those last surveyed; nullptr when none can take it. @p why says why this one.
     pool_member *pick(const pool_state &pool, const request_state &request, std::string &why);
-    /// The member for a request that may crash its endpoint: without another suspect, and with the fewest bystanders.
-    pool_member *pickForSuspect() const;
+    /// The member for a request that may crash its endpoint: one without another suspect, also of other nodes as far as is known.
+    /// Only its own endpoint in that order, unless it @p mayDeviate because that endpoint does not become free.
+    pool_member *pickForSuspect(const pool_state &pool, const request_state &request, bool mayDeviate);
 
     /// Queries, of the last survey.
 
@@ -59,6 +60,7 @@
     const suspicion_ledger &m_ledger;
     std::vector<candidate> m_open;
     std::vector<double> m_sums;
+    std::vector<std::uint64_t> m_order;
     bool m_longOpen = false;
 };
 
--- a/packages/routing/src/chervilbend/routing/internal/request_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_state.hpp
@@ -46,6 +46,7 @@
     fair_queue::place place;
     std::list<ticket>::iterator heldPlace;
 
+    base::time_point submitted;
     base::time_point queuedSince;
     /// After this time it can no longer meet its deadline.
     base::time_point latestStart;
--- a/packages/routing/src/chervilbend/routing/internal/suspicion_ledger.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/suspicion_ledger.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/routing/internal/suspicion_ledger.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace chervilbend::routing
 {
@@ -10,6 +11,8 @@
 
 /// Nodes see the end of one engine's connections within this time.
 constexpr base::milliseconds sameCrash{500};
+/// Suspects whose news differ by less run at about the same time.
+constexpr base::milliseconds sameWave{5000};
 
 } // namespace
 
@@ -31,6 +34,7 @@
         suspect.confirmed = suspect.learned;
     }
     ++suspect.unconfirmed;
+    suspect.cleared = false;
     suspect.lastNews = now;
 }
 
@@ -70,7 +74,7 @@
 void suspicion_ledger::dropIfEmpty(std::uint64_t fingerprint)
 {
     const entry &suspect = m_entries.at(fingerprint);
-    if (suspect.confirmed + suspect.unconfirmed + suspect.learned == 0) {
+    if (suspect.confirmed + suspect.unconfirmed + suspect.learned == 0 && !suspect.cleared) {
         m_entries.erase(fingerprint);
     }
 }
@@ -78,8 +82,10 @@
 void suspicion_ledger::clear(std::uint64_t fingerprint)
 {
     // What other nodes refuse stays refused: one lucky answer does not outweigh two crashes.
-    if (!isRefused(fingerprint)) {
-        m_entries.erase(fingerprint);
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end() && !isRefused(fingerprint)) {
+        found->second.cleared = true;
+        found->second.confirmed = found->second.unconfirmed = 0;
     }
 }
 
@@ -91,6 +97,7 @@
     entry &suspect = m_entries[fingerprint];
     if (crashes > suspect.learned) {
         suspect.learned = crashes;
+        suspect.cleared = false;
         suspect.lastNews = now;
     }
 }
@@ -119,10 +126,24 @@
     return std::max(suspect.confirmed + suspect.unconfirmed, suspect.learned) >= m_settings.crashesToRefuse;
 }
 
-base::time_point suspicion_ledger::holdUntil(std::uint64_t fingerprint) const
+base::time_point suspicion_ledger::holdUntil(std::uint64_t fingerprint, base::time_point submitted) const
+{
+    const auto found = m_entries.find(fingerprint);
+    return found == m_entries.end() ? base::time_point{} : std::max(submitted, found->second.lastNews) + m_settings.suspectHold;
+}
+
+std::size_t suspicion_ledger::rankOf(std::uint64_t fingerprint) const
+{
+    const auto found = m_entries.find(fingerprint);
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), found, [&](const auto &other) {
+        return std::chrono::abs(other.second.lastNews - found->second.lastNews) <= sameWave;
+    }));
+}
+
+bool suspicion_ledger::isSuspect(std::uint64_t fingerprint) const
 {
     const auto found = m_entries.find(fingerprint);
-    return found == m_entries.end() ? base::time_point{} : found->second.lastNews + m_settings.suspectHold;
+    return found != m_entries.end() && !found->second.cleared;
 }
 
 std::vector<std::pair<std::uint64_t, int>> suspicion_ledger::list() const
--- a/packages/routing/src/chervilbend/routing/internal/suspicion_ledger.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/suspicion_ledger.hpp
@@ -3,9 +3,9 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/routing/director_settings.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -37,13 +37,13 @@
 
     /// Queries.
 
-    bool isSuspect(std::uint64_t fingerprint) const
-    {
-        return m_entries.contains(fingerprint);
-    }
+    bool isSuspect(std::uint64_t fingerprint) const;
     bool isRefused(std::uint64_t fingerprint) const;
-    /// When a suspect may run again.
-    base::time_point holdUntil(std::uint64_t fingerprint) const;
+    /// When a suspect that was submitted at @p submitted may run: after the news of any crash before that has spread.
+    base::time_point holdUntil(std::uint64_t fingerprint, base::time_point submitted) const;
+    /// Its place among the suspects of about the same time. After the hold, all nodes know about the same suspects, so that each node
+    /// can keep its own apart from those of the others.
+    std::size_t rankOf(std::uint64_t fingerprint) const;
     /// Whether a loss at the endpoint waits to be confirmed.
     bool isUnjudged(std::uint64_t endpoint) const
     {
@@ -63,6 +63,8 @@
         int confirmed = 0;
         int unconfirmed = 0;
         int learned = 0;
+        /// It was answered since; kept because other nodes still count it in their ranks.
+        bool cleared = false;
         base::time_point lastNews;
     };
     struct loss_event {
