--- a/packages/net/src/chervilbend/net/connection.cpp
+++ b/packages/net/src/chervilbend/net/connection.cpp
@@ -13,6 +13,17 @@
 
 void connection::expireAfter(base::milliseconds duration)
 {
+    setDeadline(duration, true);
+}
+
+void connection::interruptAfter(base::milliseconds duration)
+{
+    setDeadline(duration, false);
+}
+
+void connection::setDeadline(base::milliseconds duration, bool closes)
+{
+    m_closesAtDeadline = closes;
     m_deadline = base::clock::now() + duration;
     if (!m_armedFor || *m_deadline < *m_armedFor) {
         arm(*m_deadline);
@@ -55,7 +66,13 @@
         return;
     }
     m_expired = true;
-    close();
+    m_deadline.reset();
+    if (m_closesAtDeadline) {
+        close();
+    } else {
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
 }
 
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/connection.hpp
+++ b/packages/net/src/chervilbend/net/connection.hpp
@@ -32,9 +32,11 @@
 
     /// Closes the socket when @p duration passes without another call; pending operations end with an error.
     void expireAfter(base::milliseconds duration);
+    /// Like expireAfter(), but only ends the pending operations, so that the other side can still be told why.
+    void interruptAfter(base::milliseconds duration);
     void neverExpire();
 
-    /// Whether the deadline closed the socket.
+    /// Whether the deadline passed.
     bool hasExpired() const
     {
         return m_expired;
@@ -43,6 +45,7 @@
     void close();
 
 private:
+    void setDeadline(base::milliseconds duration, bool closes);
     void arm(base::time_point when);
     void onTimer();
 
@@ -51,6 +54,7 @@
     timer m_timer;
     std::optional<base::time_point> m_deadline;
     std::optional<base::time_point> m_armedFor;
+    bool m_closesAtDeadline = true;
     bool m_expired = false;
 };
 
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -21,6 +21,11 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerAddress = 64;
+/// Shorter than the 5 s after which common servers close idle connections: a request that is written to a connection at the moment when
+/// the server closes it fails without anyone knowing whether it ran.
+constexpr base::milliseconds longestIdle{4'000};
+/// Bound for answers that send() keeps whole.
+constexpr std::size_t longestWholeAnswer = 64 * 1024 * 1024;
 
 /// Whether an idle connection was closed, or sent something unasked, since it was given back.
 bool isStale(connection &idle)
@@ -47,6 +52,10 @@
     if (!stream) {
         co_return std::nullopt;
     }
+    if (!stream->marksItsEnd()) {
+        m_timedOut = false;
+        co_return fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer does not say where it ends");
+    }
     http_response response;
     response.base() = stream->header();
     while (true) {
@@ -58,6 +67,10 @@
         if (piece->empty()) {
             break;
         }
+        if (response.body().size() + piece->size() > longestWholeAnswer) {
+            m_timedOut = false;
+            co_return fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer is too long");
+        }
         response.body().append(*piece);
     }
     response.erase(http::field::transfer_encoding);
@@ -75,20 +88,30 @@
     request.set(http::field::host, toString(where));
     request.prepare_payload();
     endpoint->expireAfter(options.answerTimeout);
+    const bool headOnly = request.method() == http::verb::head;
     const auto [error, size] = co_await http::async_write(endpoint->socket(), request, awaitTuple);
     if (error) {
         m_timedOut = endpoint->hasExpired();
-        fail(base::error_kind::endpointFailed, "write failed: " + error.message());
+        // A request of which no byte was taken certainly did not run.
+        fail(size == 0 ? base::error_kind::endpointRefused : base::error_kind::endpointFailed, "write failed: " + error.message());
         endpoint->close();
         co_return nullptr;
     }
     const auto giveBackTo = [idle = std::weak_ptr(m_idle), where](std::shared_ptr<connection> used) {
         const auto pool = idle.lock();
-        if (pool && (*pool)[where].size() < maxIdlePerAddress && used->buffer().size() == 0) {
-            (*pool)[where].push_back(std::move(used));
+        if (!pool || used->buffer().size() != 0) {
+            return;
+        }
+        std::vector<std::shared_ptr<connection>> &idleHere = (*pool)[where];
+        if (idleHere.size() >= maxIdlePerAddress) {
+            std::erase_if(idleHere, [](const auto &old) { return !old->socket().is_open(); });
+        }
+        if (idleHere.size() < maxIdlePerAddress) {
+            used->expireAfter(longestIdle);
+            idleHere.push_back(std::move(used));
         }
     };
-    const auto stream = std::make_shared<http_client_stream>(endpoint, options.answerTimeout, options.deadline, giveBackTo);
+    const auto stream = std::make_shared<http_client_stream>(endpoint, options.answerTimeout, options.deadline, headOnly, giveBackTo);
     const bool answered = co_await stream->readHeader();
     if (!answered) {
         m_timedOut = stream->hasTimedOut();
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/net/http_client_stream.hpp>
 
 #include <chervilbend/net/connection.hpp>
+#include <chervilbend/net/internal/message_framing.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,23 +18,24 @@
 namespace
 {
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+/// Twice what the server side takes, since services add fields of their own.
+constexpr std::uint32_t longestHeader = 32 * 1024;
 } // namespace
 
-http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint,
-                                       base::milliseconds readTimeout,
-                                       base::time_point deadline,
-                                       return_connection giveBack)
+http_client_stream::http_client_stream(
+    std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, base::time_point deadline, bool headOnly, return_connection giveBack)
     : m_connection(std::move(endpoint))
     , m_readTimeout(readTimeout)
     , m_deadline(deadline)
     , m_giveBack(std::move(giveBack))
+    , m_headOnly(headOnly)
 {
-    m_parser.body_limit(boost::none);
+    startParser();
 }
 
 http_client_stream::~http_client_stream()
 {
-    if (m_parser.is_done() && m_parser.get().keep_alive()) {
+    if (m_parser->is_done() && m_parser->get().keep_alive()) {
         m_connection->neverExpire();
         m_giveBack(std::move(m_connection));
     } else {
@@ -46,38 +48,71 @@
     return m_connection->hasExpired();
 }
 
+void http_client_stream::startParser()
+{
+    m_parser.emplace();
+    m_parser->header_limit(longestHeader);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_headOnly);
+}
+
 void http_client_stream::expireInTime()
 {
     m_connection->expireAfter(std::min(m_readTimeout, std::max(m_deadline - base::clock::now(), base::milliseconds(0))));
 }
 
+std::nullopt_t http_client_stream::failFor(const boost::system::error_code &error)
+{
+    if (m_connection->hasExpired()) {
+        return fail(base::error_kind::endpointFailed, "the endpoint did not answer in time");
+    }
+    if (error == http::error::end_of_stream) {
+        return fail(base::error_kind::endpointFailed, "the endpoint closed the connection without an answer");
+    }
+    if (error == http::error::partial_message) {
+        return fail(base::error_kind::endpointFailed, "the endpoint's answer broke off");
+    }
+    const bool malformed = error.category() == make_error_code(http::error::header_limit).category();
+    return fail(malformed ? base::error_kind::endpointInvalidAnswer : base::error_kind::endpointFailed,
+                (malformed ? "the endpoint's answer is malformed: " : "the endpoint's connection failed: ") + error.message());
+}
+
 asio::awaitable<bool> http_client_stream::readHeader()
 {
     expireInTime();
-    const auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, awaitTuple);
-    if (error) {
-        fail(base::error_kind::endpointFailed, m_connection->hasExpired() ? "no answer in time" : error.message());
-        co_return false;
+    while (true) {
+        const auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, awaitTuple);
+        if (error) {
+            failFor(error);
+            co_return false;
+        }
+        const http::response_header<> &answer = header();
+        if (hasAmbiguousLength(answer) || answer.result() == http::status::switching_protocols) {
+            m_connection->close();
+            fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer has no clear length");
+            co_return false;
+        }
+        if (answer.result_int() >= 200) {
+            co_return true;
+        }
+        // An interim answer (RFC 9110, section 15.2); the final one follows.
+        startParser();
     }
-    co_return true;
 }
 
 asio::awaitable<std::optional<std::string_view>> http_client_stream::read()
 {
-    if (m_parser.is_done()) {
-        co_return std::string_view();
-    }
-    m_parser.get().body().data = m_piece.data();
-    m_parser.get().body().size = m_piece.size();
-    expireInTime();
-    const auto [error, size] = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, awaitTuple);
-    if (error && error != http::error::need_buffer) {
-        co_return fail(base::error_kind::endpointFailed, m_connection->hasExpired() ? "the stream stalled" : error.message());
-    }
-    const std::size_t filled = m_piece.size() - m_parser.get().body().size;
-    if (filled == 0 && !m_parser.is_done()) {
-        // Only framing arrived; the piece is in the next read.
-        co_return co_await read();
+    std::size_t filled = 0;
+    while (filled == 0 && !m_parser->is_done()) {
+        m_parser->get().body().data = m_piece.data();
+        m_parser->get().body().size = m_piece.size();
+        expireInTime();
+        const auto [error, size] = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, awaitTuple);
+        if (error && error != http::error::need_buffer) {
+            co_return failFor(error);
+        }
+        // Nothing is filled when only framing arrived.
+        filled = m_piece.size() - m_parser->get().body().size;
     }
     co_return std::string_view(m_piece.data(), filled);
 }
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -26,7 +26,8 @@
 public:
     using return_connection = std::function<void(std::shared_ptr<connection>)>;
 
-    http_client_stream(std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, base::time_point deadline, return_connection giveBack);
+    http_client_stream(
+        std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, base::time_point deadline, bool headOnly, return_connection giveBack);
     ~http_client_stream();
     http_client_stream(const http_client_stream &) = delete;
     http_client_stream &operator=(const http_client_stream &) = delete;
@@ -36,7 +37,7 @@
 
     const http::response_header<> &header() const
     {
-        return m_parser.get().base();
+        return m_parser->get().base();
     }
 
     /// The next piece of the body, valid until the next call; an empty piece is the end. No value when the connection fails.
@@ -45,7 +46,7 @@
     /// Whether the answer marks its own end, by its length, its last chunk or its status. Otherwise its end and a break look alike.
     bool marksItsEnd() const
     {
-        return !m_parser.need_eof();
+        return !m_parser->need_eof();
     }
 
     /// Whether a read failed because time was up, rather than because the connection broke.
@@ -53,12 +54,15 @@
 
 private:
     void expireInTime();
+    void startParser();
+    std::nullopt_t failFor(const boost::system::error_code &error);
 
     std::shared_ptr<connection> m_connection;
     base::milliseconds m_readTimeout;
     base::time_point m_deadline;
     return_connection m_giveBack;
-    http::response_parser<http::buffer_body> m_parser;
+    bool m_headOnly;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_piece;
 };
 
--- a/packages/net/src/chervilbend/net/http_exchange.cpp
+++ b/packages/net/src/chervilbend/net/http_exchange.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <tuple>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -48,8 +49,16 @@
     response.version(11);
     response.keep_alive(m_keepAlive);
     response.prepare_payload();
+    http::response_serializer<http::string_body> serializer(response);
     m_connection->expireAfter(m_writeTimeout);
-    const auto [error, size] = co_await http::async_write(m_connection->socket(), response, awaitTuple);
+    boost::system::error_code error;
+    std::size_t size = 0;
+    if (m_request.method() == http::verb::head) {
+        std::tie(error, size) = co_await http::async_write_header(m_connection->socket(), serializer, awaitTuple);
+    } else {
+        std::tie(error, size) = co_await http::async_write(m_connection->socket(), serializer, awaitTuple);
+    }
+    m_connection->neverExpire();
     m_finished = !error;
     co_return m_finished;
 }
@@ -62,28 +71,48 @@
     m_started = true;
     header.version(11);
     header.keep_alive(m_keepAlive);
-    header.chunked(true);
+    if (m_request.version() < 11) {
+        // HTTP/1.0 has no chunks: the end of the connection ends the answer.
+        m_keepAlive = false;
+        header.keep_alive(false);
+    } else {
+        header.chunked(true);
+    }
     http::response_serializer<http::empty_body> serializer(header);
     m_connection->expireAfter(m_writeTimeout);
     const auto [error, size] = co_await http::async_write_header(m_connection->socket(), serializer, awaitTuple);
+    m_connection->neverExpire();
     co_return !error;
 }
 
 asio::awaitable<bool> http_exchange::writeChunk(std::string_view chunk)
 {
-    if (chunk.empty()) {
+    if (chunk.empty() || m_request.method() == http::verb::head) {
         // An empty chunk would end the stream.
         co_return true;
     }
     m_connection->expireAfter(m_writeTimeout);
-    const auto [error, size] = co_await asio::async_write(m_connection->socket(), http::make_chunk(asio::buffer(chunk)), awaitTuple);
+    boost::system::error_code error;
+    std::size_t size = 0;
+    if (m_request.version() < 11) {
+        std::tie(error, size) = co_await asio::async_write(m_connection->socket(), asio::buffer(chunk), awaitTuple);
+    } else {
+        std::tie(error, size) = co_await asio::async_write(m_connection->socket(), http::make_chunk(asio::buffer(chunk)), awaitTuple);
+    }
+    // The time until the next chunk is the source's, not the caller's.
+    m_connection->neverExpire();
     co_return !error;
 }
 
 asio::awaitable<bool> http_exchange::finishStream()
 {
+    if (m_request.version() < 11 || m_request.method() == http::verb::head) {
+        m_finished = true;
+        co_return true;
+    }
     m_connection->expireAfter(m_writeTimeout);
     const auto [error, size] = co_await asio::async_write(m_connection->socket(), http::make_chunk_last(), awaitTuple);
+    m_connection->neverExpire();
     m_finished = !error;
     co_return m_finished;
 }
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -1,11 +1,16 @@
 #include <chervilbend/net/http_server.hpp>
 
 #include <chervilbend/net/internal/http_session.hpp>
+#include <chervilbend/net/problem.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <sstream>
+#include <string>
 #include <vector>
 
 namespace asio = boost::asio;
@@ -13,11 +18,33 @@
 namespace chervilbend::net
 {
 
+namespace
+{
+
+constexpr base::milliseconds pauseAfterError{100};
+
+/// What a caller beyond the limit of connections is told; sent as far as the socket takes it at once.
+const std::string &fullAnswer()
+{
+    static const std::string text = [] {
+        http_response refusal = problemResponse({base::error_kind::overloaded, "the node has no connection left"});
+        refusal.keep_alive(false);
+        refusal.prepare_payload();
+        std::ostringstream stream;
+        stream << refusal;
+        return stream.str();
+    }();
+    return text;
+}
+
+} // namespace
+
 http_server::http_server(const asio::any_io_executor &executor, http_handler &handler, http_server_limits limits)
     : m_executor(executor)
     , m_handler(handler)
     , m_limits(limits)
     , m_acceptor(executor)
+    , m_pause(executor)
 {
 }
 
@@ -51,9 +78,10 @@
     m_draining = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
+    m_pause.cancel();
     const std::vector<http_session *> sessions(m_sessions.begin(), m_sessions.end());
     for (http_session *session : sessions) {
-        session->closeIfIdle();
+        session->drain();
     }
 }
 
@@ -77,10 +105,24 @@
         if (!self->m_acceptor.is_open()) {
             return;
         }
-        if (!error && self->m_sessions.size() < self->m_limits.connections) {
-            boost::system::error_code ignored;
+        if (error) {
+            // Without descriptors every accept fails at once, while the connection stays in the queue: the pause keeps the loop from spinning.
+            self->m_pause.expires_after(pauseAfterError);
+            self->m_pause.async_wait([self](boost::system::error_code) {
+                if (self->m_acceptor.is_open()) {
+                    self->startAccepting();
+                }
+            });
+            return;
+        }
+        boost::system::error_code ignored;
+        if (self->m_sessions.size() < self->m_limits.connections) {
             socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             std::make_shared<http_session>(self, std::move(socket))->start();
+        } else {
+            socket.non_blocking(true, ignored);
+            socket.write_some(asio::buffer(fullAnswer()), ignored);
+            socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
         }
         self->startAccepting();
     });
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/http_server_limits.hpp>
+#include <chervilbend/net/timer.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -52,6 +53,7 @@
     http_handler &m_handler;
     http_server_limits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    timer m_pause;
     std::set<http_session *> m_sessions;
     bool m_draining = false;
 };
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -1,25 +1,35 @@
 #include <chervilbend/net/internal/http_session.hpp>
 
-#include <chervilbend/base/error_answer.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/reason.hpp>
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/http_handler.hpp>
 #include <chervilbend/net/http_server.hpp>
+#include <chervilbend/net/internal/message_framing.hpp>
 #include <chervilbend/net/problem.hpp>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <optional>
+#include <string>
+#include <tuple>
 #include <utility>
 
 namespace asio = boost::asio;
-using namespace boost::asio::experimental::awaitable_operators;
 
 namespace chervilbend::net
 {
@@ -29,6 +39,13 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
+/// While bytes of a further request wait in the socket, the caller's leaving does not wake a reader and has to be asked for.
+constexpr base::milliseconds disconnectPoll{250};
+/// What is still read and thrown away after a refusal. Closing a socket that holds unread bytes resets the connection, and the reset can
+/// overtake the refusal.
+constexpr base::milliseconds longestLinger{2'000};
+constexpr std::size_t mostLingerBytes = 1024 * 1024;
+
 base::reason reasonForReadError(const boost::system::error_code &error, bool expired)
 {
     if (expired) {
@@ -50,11 +67,59 @@
         && error != http::error::partial_message;
 }
 
+/// What the parser lets through but a server must refuse (RFC 9112, sections 3.2 and 6.1; RFC 9110, section 10.1.1).
+std::optional<base::reason> reasonToRefuse(const http_request &request)
+{
+    if (hasAmbiguousLength(request)) {
+        return base::reason{base::error_kind::badRequest, "the length of the request is ambiguous"};
+    }
+    if (request.version() < 11 && request.count(http::field::transfer_encoding) > 0) {
+        return base::reason{base::error_kind::badRequest, "HTTP/1.0 has no transfer codings"};
+    }
+    if (request.version() != 10 && request.version() != 11) {
+        return base::reason{base::error_kind::badRequest, "the version of HTTP is neither 1.0 nor 1.1"};
+    }
+    const std::size_t hosts = request.count(http::field::host);
+    if (hosts > 1 || (hosts == 0 && request.version() == 11)) {
+        return base::reason{base::error_kind::badRequest, "the request needs exactly one Host field"};
+    }
+    const auto expectation = request[http::field::expect];
+    if (!expectation.empty() && !boost::beast::iequals(expectation, "100-continue")) {
+        return base::reason{base::error_kind::badRequest, "the expectation is not known"};
+    }
+    return std::nullopt;
+}
+
+enum class peer_state {
+    present,
+    hasSentMore,
+    gone,
+};
+
+peer_state stateOf(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
+        return peer_state::gone;
+    }
+    return size > 0 ? peer_state::hasSentMore : peer_state::present;
+}
+
+/// Sees a disconnect behind bytes that were not read yet.
+bool isConnected(asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_state == TCP_ESTABLISHED;
+}
+
 } // namespace
 
 http_session::http_session(std::shared_ptr<http_server> server, asio::ip::tcp::socket socket)
     : m_server(std::move(server))
     , m_connection(std::make_shared<connection>(std::move(socket)))
+    , m_poll(m_server->m_executor)
 {
     m_server->m_sessions.insert(this);
 }
@@ -67,12 +132,14 @@
 void http_session::start()
 {
     asio::co_spawn(
-        m_server->m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+        m_server->m_executor, [self = shared_from_this()] { return self->run(); }, asio::bind_cancellation_slot(m_cancel.slot(), asio::detached));
 }
 
-void http_session::closeIfIdle()
+void http_session::drain()
 {
-    if (!m_busy) {
+    if (m_exchange) {
+        m_exchange->closeAfterAnswer();
+    } else {
         close();
     }
 }
@@ -80,26 +147,34 @@
 void http_session::close()
 {
     m_connection->close();
+    if (m_exchange) {
+        m_cancel.emit(asio::cancellation_type::terminal);
+    }
 }
 
 asio::awaitable<void> http_session::run()
 {
     const auto self = shared_from_this();
-    while (m_connection->socket().is_open()) {
+    bool open = true;
+    while (open) {
         const std::shared_ptr<http_exchange> exchange = co_await readRequest();
         if (!exchange) {
             break;
         }
-        m_busy = true;
+        m_exchange = exchange;
         if (m_server->m_draining) {
             exchange->closeAfterAnswer();
         }
         co_await answer(exchange);
-        m_busy = false;
-        if (!exchange->isFinished() || !exchange->keepAlive() || m_server->m_draining) {
-            break;
+        m_exchange.reset();
+        ++m_request;
+        open = exchange->isFinished() && exchange->keepAlive() && !m_server->m_draining;
+        const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
+        if (!open && exchange->isFinished() && state.cancelled() == asio::cancellation_type::none) {
+            co_await closeGently();
         }
     }
+    m_poll.cancel();
     m_connection->close();
 }
 
@@ -117,53 +192,119 @@
             co_return nullptr;
         }
     }
-    m_connection->expireAfter(m_server->m_limits.readTimeout);
+    m_connection->interruptAfter(m_server->m_limits.readTimeout);
     auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
-    if (!error && parser.get()[http::field::expect] == "100-continue") {
-        http::response<http::empty_body> proceed(http::status::continue_, 11);
-        co_await http::async_write(m_connection->socket(), proceed, awaitTuple);
-    }
     if (!error) {
+        const std::optional<base::reason> refusal = reasonToRefuse(parser.get());
+        if (refusal) {
+            co_await refuse(*refusal);
+            co_return nullptr;
+        }
+        m_connection->interruptAfter(m_server->m_limits.readTimeout);
+        if (parser.get().count(http::field::expect) > 0 && parser.get().version() == 11 && !parser.is_done()) {
+            http::response<http::empty_body> proceed(http::status::continue_, 11);
+            std::tie(error, size) = co_await http::async_write(m_connection->socket(), proceed, awaitTuple);
+        }
+    }
+    if (!error && !parser.is_done()) {
         std::tie(error, size) = co_await http::async_read(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
     }
     if (!error) {
         m_connection->neverExpire();
         co_return std::make_shared<http_exchange>(m_connection, parser.release(), m_server->m_limits.writeTimeout);
     }
-    if (isProtocolError(error)) {
-        http_response refusal = problemResponse(reasonForReadError(error, m_connection->hasExpired()));
-        refusal.version(11);
-        refusal.keep_alive(false);
-        refusal.prepare_payload();
-        co_await http::async_write(m_connection->socket(), refusal, awaitTuple);
+    if (isProtocolError(error) || m_connection->hasExpired()) {
+        co_await refuse(reasonForReadError(error, m_connection->hasExpired()));
     }
     co_return nullptr;
 }
 
-asio::awaitable<void> http_session::answer(std::shared_ptr<http_exchange> exchange)
+asio::awaitable<void> http_session::refuse(base::reason why)
 {
-    try {
-        co_await (m_server->m_handler.handle(exchange) || waitForDisconnect());
-    } catch (const std::exception &) {
-        // A cancelled handler ends here; the connection is closed because the exchange is not finished.
+    static const log4cxx::LoggerPtr logger = base::partLogger("http");
+    LOG4CXX_INFO(logger, "refused a request: " << why.text);
+    http_response refusal = problemResponse(why);
+    refusal.keep_alive(false);
+    refusal.prepare_payload();
+    m_connection->expireAfter(m_server->m_limits.writeTimeout);
+    const auto [error, size] = co_await http::async_write(m_connection->socket(), refusal, awaitTuple);
+    if (!error) {
+        co_await closeGently();
+    }
+}
+
+asio::awaitable<void> http_session::closeGently()
+{
+    boost::system::error_code error;
+    m_connection->socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    m_connection->expireAfter(longestLinger);
+    std::array<char, 4096> ignored;
+    std::size_t total = 0;
+    while (!error && total < mostLingerBytes) {
+        std::size_t size = 0;
+        std::tie(error, size) = co_await m_connection->socket().async_read_some(asio::buffer(ignored), awaitTuple);
+        total += size;
     }
 }
 
-asio::awaitable<void> http_session::waitForDisconnect()
+asio::awaitable<void> http_session::answer(std::shared_ptr<http_exchange> exchange)
 {
-    const auto [waitError] = co_await m_connection->socket().async_wait(asio::ip::tcp::socket::wait_read, awaitTuple);
-    if (waitError) {
+    ++m_request;
+    watch(m_request);
+    std::string failure;
+    try {
+        co_await m_server->m_handler.handle(exchange);
         co_return;
+    } catch (const std::exception &error) {
+        failure = error.what();
     }
-    boost::system::error_code error;
-    const std::size_t waiting = m_connection->socket().available(error);
-    if (error || waiting == 0) {
+    const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
+    if (state.cancelled() != asio::cancellation_type::none) {
+        // The caller left; the connection is closed because the exchange is not finished.
         co_return;
     }
-    // A pipelined request waits in the socket: stop watching, and leave the end of this wait to the handler's completion.
-    timer never(co_await asio::this_coro::executor);
-    never.expires_at(base::time_point::max());
-    co_await never.async_wait(awaitTuple);
+    static const log4cxx::LoggerPtr logger = base::partLogger("http");
+    LOG4CXX_ERROR(logger, "a handler failed: " << failure);
+    const base::reason why{base::error_kind::internal, "the request's handler failed"};
+    co_await exchange->respond(problemResponse(why));
+}
+
+/// The wait stays in place when the request has been answered: it then ends with the first bytes of the next request, which saves cancelling
+/// it and the system call that a new wait costs.
+void http_session::watch(std::uint64_t request)
+{
+    m_connection->socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                      [self = shared_from_this(), request](boost::system::error_code /*error*/) { self->onReadable(request); });
+}
+
+void http_session::onReadable(std::uint64_t request)
+{
+    if (request != m_request || !m_exchange) {
+        return;
+    }
+    const peer_state state = m_connection->socket().is_open() ? stateOf(m_connection->socket()) : peer_state::gone;
+    if (state == peer_state::gone) {
+        m_cancel.emit(asio::cancellation_type::terminal);
+    } else if (state == peer_state::present) {
+        watch(request);
+    } else {
+        pollForDisconnect(request);
+    }
+}
+
+void http_session::pollForDisconnect(std::uint64_t request)
+{
+    m_poll.expires_after(disconnectPoll);
+    m_poll.async_wait([self = shared_from_this(), request](boost::system::error_code error) {
+        if (error || request != self->m_request || !self->m_exchange) {
+            return;
+        }
+        if (self->m_connection->socket().is_open() && isConnected(self->m_connection->socket())) {
+            self->pollForDisconnect(request);
+        } else {
+            self->m_cancel.emit(asio::cancellation_type::terminal);
+        }
+    });
 }
 
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -1,10 +1,19 @@
 #pragma once
 
+#include <chervilbend/net/timer.hpp>
+
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <memory>
 
+namespace chervilbend::base
+{
+struct reason;
+}
+
 namespace chervilbend::net
 {
 
@@ -21,24 +30,35 @@
 
     void start();
 
-    /// Closes the connection now if no request is open.
-    void closeIfIdle();
+    /// Closes the connection now if no request is open; otherwise after the open request's answer.
+    void drain();
     void close();
 
     bool isBusy() const
     {
-        return m_busy;
+        return m_exchange != nullptr;
     }
 
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<std::shared_ptr<http_exchange>> readRequest();
+    boost::asio::awaitable<void> refuse(base::reason why);
     boost::asio::awaitable<void> answer(std::shared_ptr<http_exchange> exchange);
-    boost::asio::awaitable<void> waitForDisconnect();
+    boost::asio::awaitable<void> closeGently();
+
+    void watch(std::uint64_t request);
+    void onReadable(std::uint64_t request);
+    void pollForDisconnect(std::uint64_t request);
 
     std::shared_ptr<http_server> m_server;
     std::shared_ptr<connection> m_connection;
-    bool m_busy = false;
+    /// The request that is being answered.
+    std::shared_ptr<http_exchange> m_exchange;
+    /// Cancels the task when the caller leaves.
+    boost::asio::cancellation_signal m_cancel;
+    timer m_poll;
+    /// Counts requests, so that a watch that was started for an earlier request has no effect.
+    std::uint64_t m_request = 0;
 };
 
 } // namespace chervilbend::net
--- /dev/null
+++ b/packages/net/tests/http_client_test.cpp
@@ -0,0 +1,235 @@
+#include "raw_peer.hpp"
+
+#include <chervilbend/net/http_client.hpp>
+#include <chervilbend/net/http_client_stream.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace chervilbend;
+using namespace chervilbend::net;
+using namespace chervilbend::net::test;
+namespace asio = boost::asio;
+
+namespace
+{
+
+const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+http_request get()
+{
+    return {http::verb::get, "/", 11};
+}
+
+/// Named, because g++ 12 destroys an aggregate that is written inside a co_await expression twice.
+address loopback(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+http_send_options within(int milliseconds)
+{
+    http_send_options options;
+    options.answerTimeout = base::milliseconds(milliseconds);
+    return options;
+}
+
+/// Sends one request to an endpoint that answers @p text and closes.
+struct answer_of {
+    explicit answer_of(const std::string &text, bool closes = true, http_request request = get())
+    {
+        asio::io_context context;
+        raw_server endpoint(context, [text, closes](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("\r\n\r\n");
+            co_await caller->send(text);
+            if (!closes) {
+                co_await caller->readToEnd();
+            }
+        });
+        http_client client;
+        const address where = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> { response = co_await client.send(where, request, within(100)); });
+        kind = client.lastReason().kind;
+        timedOut = client.hasTimedOut();
+    }
+
+    std::optional<http_response> response;
+    base::error_kind kind;
+    bool timedOut;
+};
+
+} // namespace
+
+/// Guards against answers that are taken although they are cut, malformed or another request's, and against a wrong word on whether a request was sent.
+class http_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_client_test);
+    CPPUNIT_TEST(takesOnlyWholeAnswers);
+    CPPUNIT_TEST(refusesMalformedAnswers);
+    CPPUNIT_TEST(skipsInterimAnswers);
+    CPPUNIT_TEST(tellsSentFromNotSent);
+    CPPUNIT_TEST(doesNotUseStaleConnections);
+    CPPUNIT_TEST(freshConnectionIsFresh);
+    CPPUNIT_TEST(abandonedStreamClosesItsConnection);
+    CPPUNIT_TEST(deadlineEndsDrippingStream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void takesOnlyWholeAnswers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), answer_of(ok).response.value().body());
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                             answer_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n").response.value().body());
+        for (const char *text : {"",
+                                 "HTTP/1.1 200",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok",
+                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"}) {
+            const answer_of cut(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !cut.response && cut.kind == base::error_kind::endpointFailed && !cut.timedOut);
+        }
+        const answer_of silent("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", false);
+        CPPUNIT_ASSERT(!silent.response && silent.timedOut);
+    }
+
+    void refusesMalformedAnswers()
+    {
+        for (const std::string &text : {std::string("SSH-2.0-OpenSSH\r\n\r\n"),
+                                        std::string("HTTP/1.1 2x0 OK\r\n\r\n"),
+                                        std::string("HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n\r\n"),
+                                        std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk"),
+                                        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok"),
+                                        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"),
+                                        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n"),
+                                        std::string("HTTP/1.1 200 OK\r\nX: ") + std::string(40'000, 'x') + "\r\n\r\n",
+                                        // The end of the connection marks the end of this answer, which a crash does, too.
+                                        std::string("HTTP/1.1 200 OK\r\n\r\nok")}) {
+            const answer_of malformed(text);
+            CPPUNIT_ASSERT_MESSAGE(text.substr(0, 80), !malformed.response && malformed.kind == base::error_kind::endpointInvalidAnswer);
+        }
+    }
+
+    void skipsInterimAnswers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                             answer_of("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok).response.value().body());
+        const answer_of head("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n", false, {http::verb::head, "/", 11});
+        CPPUNIT_ASSERT(head.response && head.response->body().empty());
+    }
+
+    void tellsSentFromNotSent()
+    {
+        asio::io_context context;
+        std::uint16_t closedPort = 0;
+        {
+            const raw_server gone(context, {});
+            closedPort = gone.port();
+        }
+        http_client client;
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            const address closed = loopback(closedPort);
+            const auto refused = co_await client.send(closed, get(), within(100));
+            CPPUNIT_ASSERT(!refused && client.lastReason().kind == base::error_kind::endpointRefused);
+            const address name = {"localhost", 80};
+            const auto noNumber = co_await client.send(name, get(), within(100));
+            CPPUNIT_ASSERT(!noNumber && client.lastReason().kind == base::error_kind::endpointRefused);
+        });
+    }
+
+    void doesNotUseStaleConnections()
+    {
+        // The endpoint answers once per connection; the first connections then close, the others send bytes nobody asked for.
+        for (const bool closes : {true, false}) {
+            asio::io_context context;
+            int closedOrSpoken = 0;
+            raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                co_await caller->readUntil("\r\n\r\n");
+                co_await caller->send(ok);
+                if (closes) {
+                    caller->close();
+                } else {
+                    co_await caller->send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nothers");
+                }
+                ++closedOrSpoken;
+                if (!closes) {
+                    co_await caller->readToEnd();
+                }
+            });
+            http_client client;
+            const address where = loopback(endpoint.port());
+            runUntilDone(context, [&]() -> asio::awaitable<void> {
+                for (int i = 0; i < 5; ++i) {
+                    const auto response = co_await client.send(where, get(), within(2'000));
+                    CPPUNIT_ASSERT(response && response->body() == "ok");
+                    co_await until([&] { return closedOrSpoken == i + 1; });
+                }
+            });
+            CPPUNIT_ASSERT_EQUAL(5, endpoint.connections);
+        }
+    }
+
+    void freshConnectionIsFresh()
+    {
+        asio::io_context context;
+        raw_server endpoint(context, [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            while (!caller->closed) {
+                co_await caller->readUntil("\r\n\r\n");
+                co_await caller->send(ok);
+            }
+        });
+        http_client client;
+        const address where = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            http_send_options options = within(2'000);
+            for (int i = 0; i < 6; ++i) {
+                options.freshConnection = i >= 3;
+                const auto response = co_await client.send(where, get(), options);
+                CPPUNIT_ASSERT(response.has_value());
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("one pooled and three fresh ones", 4, endpoint.connections);
+    }
+
+    void abandonedStreamClosesItsConnection()
+    {
+        asio::io_context context;
+        bool closed = false;
+        raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("\r\n\r\n");
+            co_await caller->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+            co_await caller->readToEnd();
+            closed = true;
+        });
+        http_client client;
+        const address where = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            auto stream = co_await client.open(where, get(), within(2'000));
+            const auto piece = co_await stream->read();
+            CPPUNIT_ASSERT(piece && *piece == "ok");
+            stream.reset();
+            co_await until([&] { return closed; });
+        });
+    }
+
+    void deadlineEndsDrippingStream()
+    {
+        asio::io_context context;
+        raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("\r\n\r\n");
+            bool open = co_await caller->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (open) {
+                open = co_await caller->send("1\r\nx\r\n");
+                co_await sleepFor(base::milliseconds(5));
+            }
+        });
+        http_client client;
+        const address where = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            http_send_options options = within(2'000);
+            options.deadline = base::clock::now() + base::milliseconds(100);
+            const auto response = co_await client.send(where, get(), options);
+            CPPUNIT_ASSERT(!response && client.hasTimedOut());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
--- /dev/null
+++ b/packages/net/tests/http_server_test.cpp
@@ -0,0 +1,394 @@
+#include "raw_peer.hpp"
+
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/net/http_handler.hpp>
+#include <chervilbend/net/http_server.hpp>
+
+#include <boost/asio/this_coro.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <ctime>
+#include <iostream>
+
+using namespace chervilbend;
+using namespace chervilbend::net;
+using namespace chervilbend::net::test;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Answers "/echo" with the body; "/hang" waits to be cancelled; "/flood" streams without end; "/throw" fails.
+class scripted_handler : public http_handler
+{
+public:
+    asio::awaitable<void> handle(std::shared_ptr<http_exchange> exchange) override
+    {
+        const std::string target(exchange->request().target());
+        targets.push_back(target);
+        if (target == "/throw") {
+            throw std::runtime_error("on purpose");
+        }
+        if (target == "/hang") {
+            // Counts in its destructor, which also runs when the coroutine is unwound.
+            const std::shared_ptr<void> guard(nullptr, [this](void *) { ++cancelled; });
+            co_await sleepFor(base::milliseconds(15'000));
+            co_return;
+        }
+        if (target == "/flood") {
+            const std::string piece(64 * 1024, 'x');
+            bool open = co_await exchange->startStream(http::response<http::empty_body>());
+            while (open) {
+                open = co_await exchange->writeChunk(piece);
+                flooded += open ? piece.size() : 0;
+            }
+            co_return;
+        }
+        if (target == "/slow") {
+            co_await sleepFor(base::milliseconds(120));
+        }
+        http_response response(http::status::ok, 11);
+        response.body() = exchange->request().body() + "!";
+        co_await exchange->respond(std::move(response));
+    }
+
+    std::vector<std::string> targets;
+    std::size_t flooded = 0;
+    int cancelled = 0;
+};
+
+struct world {
+    explicit world(http_server_limits limits = {})
+        : server(std::make_shared<http_server>(context.get_executor(), handler, limits))
+        , port(server->listen({"127.0.0.1", 0}).value())
+    {
+    }
+
+    ~world()
+    {
+        server->closeAll();
+        context.restart();
+        context.run_for(std::chrono::milliseconds(50));
+    }
+
+    /// Sends @p request and gives all that comes until the server closes.
+    std::string ask(const std::string &request)
+    {
+        std::string answer;
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(port);
+            co_await caller->send(request);
+            answer = co_await caller->readToEnd();
+        });
+        return answer;
+    }
+
+    asio::io_context context;
+    scripted_handler handler;
+    std::shared_ptr<http_server> server;
+    std::uint16_t port;
+};
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++found;
+    }
+    return found;
+}
+
+http_server_limits shortLimits()
+{
+    http_server_limits limits;
+    limits.headerBytes = 2'000;
+    limits.bodyBytes = 10'000;
+    limits.connections = 3;
+    limits.readTimeout = base::milliseconds(80);
+    limits.idleTimeout = base::milliseconds(80);
+    limits.writeTimeout = base::milliseconds(150);
+    return limits;
+}
+
+} // namespace
+
+/// Guards against callers that smuggle requests, hold memory or connections without bound, or leave work behind.
+class http_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(refusesEveryAmbiguousLength);
+    CPPUNIT_TEST(neverRunsWhatFollowsABadRequest);
+    CPPUNIT_TEST(saysWhichLimitWasPassed);
+    CPPUNIT_TEST(closesSlowAndIdleCallers);
+    CPPUNIT_TEST(answersPipelinedRequestsInOrder);
+    CPPUNIT_TEST(cancelsHandlerWhenCallerLeaves);
+    CPPUNIT_TEST(seesDisconnectBehindPipelinedRequest);
+    CPPUNIT_TEST(holdsBackForSlowReader);
+    CPPUNIT_TEST(keepsStreamOpenWhileSourceIsSilent);
+    CPPUNIT_TEST(sendsContinueOnlyForBodiesItTakes);
+    CPPUNIT_TEST(failedHandlerAnswers);
+    CPPUNIT_TEST(refusesConnectionsBeyondLimit);
+    CPPUNIT_TEST(drainFinishesOpenRequests);
+    CPPUNIT_TEST(anySplitOfARequestReadsAlike);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void refusesEveryAmbiguousLength()
+    {
+        for (const char *fields : {"Content-Length: 5\r\nTransfer-Encoding: chunked",
+                                   "Transfer-Encoding: chunked\r\nContent-Length: 5",
+                                   "Content-Length: 5\r\nContent-Length: 6",
+                                   "Content-Length: 5\r\nContent-Length: 5",
+                                   "Content-Length: 5, 5",
+                                   "Content-Length: +5",
+                                   "Content-Length: -1",
+                                   "Content-Length: 0x5",
+                                   "Content-Length: 99999999999999999999",
+                                   "Content-Length : 5",
+                                   "Content-Length: 5\r\n folded: 1",
+                                   "Transfer-Encoding: identity",
+                                   "Transfer-Encoding: xchunked",
+                                   "Transfer-Encoding: chunked, identity",
+                                   "Transfer-Encoding: gzip, chunked",
+                                   "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                                   "Transfer-Encoding : chunked",
+                                   "Transfer-Encoding: identity\r\nContent-Length: 5",
+                                   "Transfer-Encoding: \013chunked"}) {
+            world here;
+            const std::string answer =
+                here.ask("POST /echo HTTP/1.1\r\nHost: a\r\n" + std::string(fields) + "\r\n\r\n0\r\n\r\nGET /stolen HTTP/1.1\r\nHost: a\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(std::string(fields) + " was answered: " + answer, answer.starts_with("HTTP/1.1 400 "));
+            CPPUNIT_ASSERT_MESSAGE(fields, answer.find("\"run\":\"not run\"") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(fields, here.handler.targets.empty());
+        }
+    }
+
+    void neverRunsWhatFollowsABadRequest()
+    {
+        for (const char *text : {"POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+                                 "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+                                 "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nabcd\r\n0\r\n\r\n",
+                                 "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+                                 "GET /echo HTTP/1.1\r\n\r\n",
+                                 "GET /echo HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+                                 "GET /echo HTTP/2.0\r\nHost: a\r\n\r\n",
+                                 "GET /echo HTTP/1.1\nHost: a\n\n",
+                                 "POST /echo HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                                 "\x16\x03\x01\x02\x00 not http\r\n\r\n"}) {
+            world here;
+            const std::string answer = here.ask(text + std::string("GET /stolen HTTP/1.1\r\nHost: a\r\n\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(std::string(text) + " was answered: " + answer, answer.starts_with("HTTP/1.1 400 "));
+            CPPUNIT_ASSERT_MESSAGE(text, here.handler.targets.empty());
+        }
+    }
+
+    void saysWhichLimitWasPassed()
+    {
+        world here(shortLimits());
+        const std::string longHeader = here.ask("GET /echo HTTP/1.1\r\nHost: a\r\nX: " + std::string(3'000, 'x') + "\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(longHeader, longHeader.starts_with("HTTP/1.1 431 "));
+        // The refusal must arrive although most of the body was not read.
+        const std::string longBody = here.ask("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n" + std::string(200'000, 'x'));
+        CPPUNIT_ASSERT_MESSAGE(longBody, longBody.starts_with("HTTP/1.1 413 "));
+        const std::string longChunks = here.ask("POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n" + std::string(0x4000, 'x'));
+        CPPUNIT_ASSERT_MESSAGE(longChunks, longChunks.starts_with("HTTP/1.1 413 "));
+        CPPUNIT_ASSERT(here.handler.targets.empty());
+    }
+
+    void closesSlowAndIdleCallers()
+    {
+        world here(shortLimits());
+        CPPUNIT_ASSERT(here.ask("GET /echo HT").starts_with("HTTP/1.1 408 "));
+        CPPUNIT_ASSERT(here.ask("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab").starts_with("HTTP/1.1 408 "));
+        CPPUNIT_ASSERT_EQUAL(std::string(), here.ask(""));
+        CPPUNIT_ASSERT(here.handler.targets.empty());
+        // A byte now and then must not extend the time for the header.
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(here.port);
+            bool open = true;
+            int sent = 0;
+            for (; open && sent < 400; ++sent) {
+                open = co_await caller->send(sent == 0 ? "GET /" : "x");
+                co_await sleepFor(base::milliseconds(10));
+                open = open && here.server->openConnections() > 0 && !isRefused(*caller);
+            }
+            CPPUNIT_ASSERT_MESSAGE("a dripping header was never refused", sent < 400);
+        });
+    }
+
+    void answersPipelinedRequestsInOrder()
+    {
+        world here;
+        const std::string answer = here.ask("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none"
+                                            "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"
+                                            "POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nthree");
+        const std::size_t one = answer.find("one!");
+        const std::size_t two = answer.find("two!");
+        const std::size_t three = answer.find("three!");
+        CPPUNIT_ASSERT(one < two && two < three && three != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), count(answer, "HTTP/1.1 200 OK"));
+    }
+
+    void cancelsHandlerWhenCallerLeaves()
+    {
+        world here;
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            for (int i = 0; i < 20; ++i) {
+                const auto caller = co_await raw_peer::connect(here.port);
+                co_await caller->send("GET /hang HTTP/1.1\r\nHost: a\r\n\r\n");
+                co_await until([&] { return here.handler.targets.size() == static_cast<std::size_t>(i) + 1; });
+                // A caller that only shuts its sending side down has left, too: it cannot be told from one that closed.
+                if (i % 2 == 0) {
+                    caller->close();
+                } else {
+                    caller->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+                }
+                co_await until([&] { return here.handler.cancelled == i + 1; });
+            }
+            co_await until([&] { return here.server->openConnections() == 0; });
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), here.server->openRequests());
+    }
+
+    void seesDisconnectBehindPipelinedRequest()
+    {
+        world here;
+        const std::clock_t before = std::clock();
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(here.port);
+            co_await caller->send("GET /hang HTTP/1.1\r\nHost: a\r\n\r\n");
+            co_await until([&] { return here.handler.targets.size() == 1; });
+            co_await caller->send("GET /echo HTTP/1.1\r\nHost: a\r\n\r\n");
+            co_await sleepFor(base::milliseconds(600));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("a pipelined request is not a disconnect", 0, here.handler.cancelled);
+            caller->close();
+            co_await until([&] { return here.handler.cancelled == 1; });
+        });
+        const double seconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+        CPPUNIT_ASSERT_MESSAGE("waiting behind a pipelined request takes processor time", seconds < 0.4);
+    }
+
+    void holdsBackForSlowReader()
+    {
+        world here(shortLimits());
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(here.port);
+            co_await caller->send("GET /flood HTTP/1.1\r\nHost: a\r\n\r\n");
+            // The caller never reads: the source is held back, and the write limit ends the connection.
+            co_await until([&] { return here.handler.flooded > 0 && here.server->openConnections() == 0; });
+        });
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(here.handler.flooded), here.handler.flooded < 32 * 1024 * 1024);
+    }
+
+    void keepsStreamOpenWhileSourceIsSilent()
+    {
+        // The limit for a write must not run on between two chunks.
+        struct silent_source : http_handler {
+            asio::awaitable<void> handle(std::shared_ptr<http_exchange> exchange) override
+            {
+                co_await exchange->startStream(http::response<http::empty_body>());
+                co_await exchange->writeChunk("a");
+                co_await sleepFor(base::milliseconds(400));
+                co_await exchange->writeChunk("b");
+                co_await exchange->finishStream();
+            }
+        } handler;
+        world here(shortLimits());
+        const auto server = std::make_shared<http_server>(here.context.get_executor(), handler, shortLimits());
+        here.port = server->listen({"127.0.0.1", 0}).value();
+        const std::string answer = here.ask("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("1\r\nb\r\n0\r\n\r\n"));
+        server->closeAll();
+    }
+
+    void sendsContinueOnlyForBodiesItTakes()
+    {
+        world here(shortLimits());
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(here.port);
+            co_await caller->send("POST /echo HTTP/1.1\r\nHost: a\r\nExpect: 100-Continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n");
+            const std::string proceed = co_await caller->readUntil("\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(proceed, proceed.starts_with("HTTP/1.1 100 "));
+            co_await caller->send("ok");
+            const std::string answer = co_await caller->readToEnd();
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("ok!"));
+        });
+        const std::string refused = here.ask("POST /echo HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 99999\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(refused, refused.starts_with("HTTP/1.1 413 "));
+    }
+
+    void failedHandlerAnswers()
+    {
+        world here;
+        const std::string answer = here.ask("GET /throw HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 500 "));
+    }
+
+    void refusesConnectionsBeyondLimit()
+    {
+        world here(shortLimits());
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            std::vector<std::shared_ptr<raw_peer>> held;
+            held.reserve(3);
+            for (int i = 0; i < 3; ++i) {
+                held.push_back(co_await raw_peer::connect(here.port));
+            }
+            const auto beyond = co_await raw_peer::connect(here.port);
+            const std::string answer = co_await beyond->readToEnd();
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+        });
+    }
+
+    void drainFinishesOpenRequests()
+    {
+        world here;
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            const auto idle = co_await raw_peer::connect(here.port);
+            const auto busy = co_await raw_peer::connect(here.port);
+            co_await busy->send("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none");
+            co_await until([&] { return here.server->openRequests() == 1; });
+            here.server->drain();
+            const std::string nothing = co_await idle->readToEnd();
+            CPPUNIT_ASSERT_EQUAL(std::string(), nothing);
+            const std::string answer = co_await busy->readToEnd();
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("one!"));
+            CPPUNIT_ASSERT_MESSAGE("a drained connection must say that it closes", answer.find("Connection: close") != std::string::npos);
+        });
+    }
+
+    void anySplitOfARequestReadsAlike()
+    {
+        const bool held = rc::check("a request reads alike however its bytes are split", [] {
+            const std::string body = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+            const auto cuts = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 40));
+            world here;
+            const std::string text =
+                "POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            std::string answer;
+            runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+                const auto caller = co_await raw_peer::connect(here.port);
+                std::size_t at = 0;
+                for (std::size_t i = 0; at < text.size(); ++i) {
+                    const std::size_t size = i < cuts.size() ? static_cast<std::size_t>(cuts[i]) : text.size();
+                    co_await caller->send(text.substr(at, size));
+                    at += size;
+                }
+                answer = co_await caller->readToEnd();
+            });
+            RC_ASSERT(answer.ends_with("\r\n\r\n" + body + "!"));
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+private:
+    /// Whether an answer has arrived at the caller without reading it.
+    static bool isRefused(raw_peer &caller)
+    {
+        boost::system::error_code error;
+        return caller.socket.available(error) > 0 || error;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
--- a/packages/node/src/chervilbend/node/callers/caller_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -35,8 +35,9 @@
     return base::hash64(body, base::hash64(pool, base::hash64(route, base::hash64(account.value()))));
 }
 
-asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::reason why)
+asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::error_kind kind, std::string text)
 {
+    const base::reason why{kind, std::move(text)};
     LOG4CXX_INFO(httpLog(),
                  exchange->request().method_string() << ' ' << exchange->request().target() << " from " << exchange->remoteAddress()
                                                      << " refused: " << why.text);
@@ -68,7 +69,8 @@
     }
     LOG4CXX_ERROR(httpLog(), exchange->request().method_string() << ' ' << exchange->request().target() << " failed: " << failure);
     if (!exchange->isStarted()) {
-        co_await exchange->respond(problemAnswer({base::error_kind::internal, "internal error"}));
+        const base::reason why{base::error_kind::internal, "the request could not be handled"};
+        co_await exchange->respond(problemAnswer(why));
     }
 }
 
@@ -77,7 +79,7 @@
     const std::string_view target(exchange->request().target().data(), exchange->request().target().size());
     const std::string_view path = target.substr(0, target.find('?'));
     if (!isNormalizedPath(path)) {
-        co_await refuse(exchange, {base::error_kind::badRequest, "the path is not in its normal form"});
+        co_await refuse(exchange, base::error_kind::badRequest, "the path is not in its normal form");
         co_return;
     }
     if (path == "/v1/models") {
@@ -93,25 +95,25 @@
 {
     const net::http_request &request = exchange->request();
     if (request.method() != http::verb::post) {
-        co_await refuse(exchange, {base::error_kind::unknownRoute, "this path takes only POST"});
+        co_await refuse(exchange, base::error_kind::unknownRoute, "this path takes only POST");
         co_return;
     }
     inference_request_reader reader;
     const std::optional<inference_request> wanted = reader.read(request.body());
     if (!wanted) {
-        co_await refuse(exchange, reader.lastReason());
+        co_await refuse(exchange, reader.lastReason().kind, reader.lastReason().text);
         co_return;
     }
     const model_target *const target = m_catalog.findModel(wanted->model);
     if (!target) {
-        co_await refuse(exchange, {base::error_kind::unknownModel, "no service declares the model \"" + wanted->model + '"'});
+        co_await refuse(exchange, base::error_kind::unknownModel, "no service declares the model \"" + wanted->model + '"');
         co_return;
     }
     caller_terms_reader termsReader;
     const std::optional<caller_terms> terms =
         termsReader.read(request, {target->policy.highestUrgency, target->policy.defaultUrgency, target->policy.deadline});
     if (!terms) {
-        co_await refuse(exchange, termsReader.lastReason());
+        co_await refuse(exchange, termsReader.lastReason().kind, termsReader.lastReason().text);
         co_return;
     }
     forwarding_plan plan;
@@ -130,7 +132,7 @@
 asio::awaitable<void> caller_api::serveModelList(std::shared_ptr<net::http_exchange> exchange)
 {
     if (exchange->request().method() != http::verb::get) {
-        co_await refuse(exchange, {base::error_kind::unknownRoute, "this path takes only GET"});
+        co_await refuse(exchange, base::error_kind::unknownRoute, "this path takes only GET");
         co_return;
     }
     boost::json::array data;
@@ -149,14 +151,14 @@
     const std::string_view method(request.method_string().data(), request.method_string().size());
     const route_target *const found = m_catalog.findRoute(method, path);
     if (!found) {
-        co_await refuse(exchange, {base::error_kind::unknownRoute, "no declared route takes " + std::string(method) + ' ' + std::string(path)});
+        co_await refuse(exchange, base::error_kind::unknownRoute, "no declared route takes " + std::string(method) + ' ' + std::string(path));
         co_return;
     }
     const route_target target = *found;
     caller_terms_reader termsReader;
     const std::optional<caller_terms> terms = termsReader.read(request, {target.route.urgency, target.route.urgency, target.route.deadline});
     if (!terms) {
-        co_await refuse(exchange, termsReader.lastReason());
+        co_await refuse(exchange, termsReader.lastReason().kind, termsReader.lastReason().text);
         co_return;
     }
     forwarding_plan plan;
