Add metrics, health paths and the shutdown sequence

A node had no metrics, no readiness and no planned stop. metric_registry keeps counters, gauges and latency summaries of bounded size (P-square quantiles of the last minute, Boost.Accumulators) and shows them as Prometheus text; health_api answers /healthz, /readyz and /metrics; shutdown_sequence follows the SIGTERM row of the failure table.

--- /dev/null
+++ b/packages/base/src/chervilbend/base/gauge.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <utility>
+
+namespace chervilbend::base
+{
+
+/// A metric that rises and falls. It is set, or read from its source whenever it is shown.
+class gauge
+{
+public:
+    void set(double value)
+    {
+        m_value = value;
+    }
+
+    /// @p source must stay valid as long as the registry shows the gauge.
+    void readFrom(std::function<double()> source)
+    {
+        m_source = std::move(source);
+    }
+
+    double value() const
+    {
+        return m_source ? m_source() : m_value;
+    }
+
+private:
+    double m_value = 0;
+    std::function<double()> m_source;
+};
+
+} // namespace chervilbend::base
--- /dev/null
+++ b/packages/base/src/chervilbend/base/latency_summary.cpp
@@ -0,0 +1,95 @@
+#include <chervilbend/base/latency_summary.hpp>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace acc = boost::accumulators;
+
+namespace chervilbend::base
+{
+
+namespace
+{
+
+constexpr std::array quantileProbabilities{0.5, 0.9, 0.99, 0.999};
+constexpr milliseconds windowLength{60'000};
+/// The P-square estimator (Jain and Chlamtac, 1985) needs more samples than it has markers (11 for four quantiles) before its estimates mean
+/// anything; up to this number the exact samples are kept.
+constexpr std::size_t exactSamples = 64;
+
+using estimator = acc::accumulator_set<double, acc::stats<acc::tag::extended_p_square>>;
+
+} // namespace
+
+struct latency_summary::window {
+    time_point start = clock::now();
+    std::size_t count = 0;
+    std::array<double, exactSamples> first{};
+    estimator estimate{acc::tag::extended_p_square::probabilities = quantileProbabilities};
+
+    double quantile(std::size_t index) const
+    {
+        if (count == 0) {
+            return std::numeric_limits<double>::quiet_NaN();
+        }
+        if (count > exactSamples) {
+            return acc::extended_p_square(estimate)[static_cast<std::ptrdiff_t>(index)];
+        }
+        std::array<double, exactSamples> sorted = first;
+        const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count);
+        std::sort(sorted.begin(), end);
+        const auto rank = static_cast<std::size_t>(std::ceil(quantileProbabilities.at(index) * static_cast<double>(count)));
+        return sorted[std::max<std::size_t>(rank, 1) - 1];
+    }
+};
+
+latency_summary::latency_summary()
+    : m_running(std::make_unique<window>())
+{
+}
+
+latency_summary::~latency_summary() = default;
+
+void latency_summary::add(double latency)
+{
+    rotate();
+    ++m_count;
+    m_sum += latency;
+    m_running->estimate(latency);
+    if (m_running->count < exactSamples) {
+        m_running->first[m_running->count] = latency;
+    }
+    ++m_running->count;
+}
+
+std::span<const double> latency_summary::probabilities()
+{
+    return quantileProbabilities;
+}
+
+double latency_summary::quantile(std::size_t index) const
+{
+    rotate();
+    const window &shown = m_complete ? *m_complete : *m_running;
+    return shown.quantile(index);
+}
+
+void latency_summary::rotate() const
+{
+    const milliseconds age = clock::now() - m_running->start;
+    if (age >= 2 * windowLength) {
+        // The running window ended long ago and nothing came since.
+        m_complete.reset();
+        m_running = std::make_unique<window>();
+    } else if (age >= windowLength) {
+        m_complete = std::exchange(m_running, std::make_unique<window>());
+    }
+}
+
+} // namespace chervilbend::base
--- a/packages/node/src/chervilbend/node/callers/caller_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -3,6 +3,8 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 #include <chervilbend/node/callers/request_path.hpp>
 #include <chervilbend/node/callers/service_catalog.hpp>
@@ -35,26 +37,20 @@
     return base::hash64(body, base::hash64(pool, base::hash64(route, base::hash64(account.value()))));
 }
 
-asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::error_kind kind, std::string text)
-{
-    const base::reason why{kind, std::move(text)};
-    LOG4CXX_INFO(httpLog(),
-                 exchange->request().method_string() << ' ' << exchange->request().target() << " from " << exchange->remoteAddress()
-                                                     << " refused: " << why.text);
-    co_await exchange->respond(problemAnswer(why));
-}
-
 } // namespace
 
-caller_api::caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders)
+caller_api::caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders, open_requests &open, front_metrics &metrics)
     : m_catalog(catalog)
     , m_forwarder(requests)
     , m_orders(orders)
+    , m_open(open)
+    , m_metrics(metrics)
 {
 }
 
 asio::awaitable<void> caller_api::handle(std::shared_ptr<net::http_exchange> exchange)
 {
+    const open_requests::registration listed(m_open, exchange);
     std::string failure;
     try {
         co_await serve(exchange);
@@ -74,6 +70,16 @@
     }
 }
 
+asio::awaitable<void> caller_api::refuse(std::shared_ptr<net::http_exchange> exchange, base::error_kind kind, std::string text)
+{
+    const base::reason why{kind, std::move(text)};
+    LOG4CXX_INFO(httpLog(),
+                 exchange->request().method_string() << ' ' << exchange->request().target() << " from " << exchange->remoteAddress()
+                                                     << " refused: " << why.text);
+    m_metrics.onProblem(kind);
+    co_await exchange->respond(problemAnswer(why));
+}
+
 asio::awaitable<void> caller_api::serve(std::shared_ptr<net::http_exchange> exchange)
 {
     const std::string_view target(exchange->request().target().data(), exchange->request().target().size());
--- a/packages/node/src/chervilbend/node/callers/caller_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.hpp
@@ -7,11 +7,14 @@
 #include <chervilbend/node/callers/order_desk.hpp>
 
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace chervilbend::node
 {
 
+class front_metrics;
+class open_requests;
 class service_catalog;
 
 /// The callers' side of a node: the OpenAI-compatible API and the declared routes of plain services.
@@ -19,11 +22,12 @@
 {
 public:
     /// All collaborators must outlive the server that uses this handler.
-    caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders);
+    caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders, open_requests &open, front_metrics &metrics);
 
     boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
 
 private:
+    boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::error_kind kind, std::string text);
     boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange);
     boost::asio::awaitable<void> serveInference(std::shared_ptr<net::http_exchange> exchange, std::string_view path);
     boost::asio::awaitable<void> serveModelList(std::shared_ptr<net::http_exchange> exchange);
@@ -32,6 +36,8 @@
     service_catalog &m_catalog;
     forwarder &m_forwarder;
     order_desk &m_orders;
+    open_requests &m_open;
+    front_metrics &m_metrics;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/event_scanner.cpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.cpp
@@ -22,6 +22,22 @@
     return std::max(plainEnd, returnsEnd);
 }
 
+/// The value of "completion_tokens"; 0 when there is none. The last one is the engine's: text that a caller asked for comes before it, and has
+/// its quotation marks escaped.
+std::int64_t countIn(std::string_view json)
+{
+    constexpr std::string_view field = "\"completion_tokens\":";
+    const std::size_t found = json.rfind(field);
+    if (found == std::string_view::npos) {
+        return 0;
+    }
+    json.remove_prefix(found + field.size());
+    json.remove_prefix(std::min(json.find_first_not_of(' '), json.size()));
+    std::int64_t count = 0;
+    std::from_chars(json.data(), json.data() + json.size(), count);
+    return count;
+}
+
 } // namespace
 
 std::string_view event_scanner::feed(std::string_view piece)
@@ -60,23 +76,17 @@
 
 void event_scanner::scanData(std::string_view data)
 {
-    constexpr std::string_view countField = "\"completion_tokens\":";
     if (data == "[DONE]") {
         m_done = true;
         return;
     }
-    const std::size_t field = data.find(countField);
-    if (field == std::string_view::npos) {
-        ++m_tokens;
-        return;
-    }
-    data.remove_prefix(field + countField.size());
-    data.remove_prefix(std::min(data.find_first_not_of(' '), data.size()));
-    std::int64_t count = 0;
-    const auto [end, error] = std::from_chars(data.data(), data.data() + data.size(), count);
-    if (error == std::errc{}) {
-        m_tokens = std::max(m_tokens, count);
-    }
+    const std::int64_t counted = countIn(data);
+    m_tokens = counted > 0 ? std::max(m_tokens, counted) : m_tokens + 1;
+}
+
+base::token_count event_scanner::tokensOfWholeAnswer(std::string_view body)
+{
+    return base::token_count(countIn(body));
 }
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/event_scanner.hpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.hpp
@@ -19,6 +19,9 @@
     /// Takes the next piece and gives the bytes that may be passed on now; valid until the next call.
     std::string_view feed(std::string_view piece);
 
+    /// The count that an engine's whole JSON answer carries; 0 when it carries none.
+    static base::token_count tokensOfWholeAnswer(std::string_view body);
+
     /// Tokens so far: the engine's own count where an event carried it, otherwise one per data event.
     base::token_count tokens() const
     {
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -5,11 +5,12 @@
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
-#include <chervilbend/node/callers/admitted_request.hpp>
 #include <chervilbend/node/callers/caller_terms.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/node/callers/event_scanner.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
 #include <chervilbend/node/callers/message_headers.hpp>
+#include <chervilbend/node/callers/passage.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 
 #include <boost/asio/this_coro.hpp>
@@ -66,74 +67,80 @@
 
 } // namespace
 
-forwarder::forwarder(admission &gate, endpoint_directory &endpoints, net::http_client &client)
+forwarder::forwarder(admission &gate, endpoint_directory &endpoints, net::http_client &client, front_metrics &metrics)
     : m_admission(gate)
     , m_endpoints(endpoints)
     , m_client(client)
+    , m_metrics(metrics)
 {
 }
 
 asio::awaitable<void> forwarder::forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
 {
-    admitted_request work(m_admission);
-    std::optional<routing::dispatch> where = co_await work.submit(plan.facts);
+    const auto request = std::make_shared<passage>(m_admission, m_metrics, exchange, std::move(plan));
+    const routing::request_facts &facts = request->plan.facts;
+    std::optional<routing::dispatch> where = co_await request->work.submit(facts);
     bool mayHaveRun = false;
     base::reason why;
+    request_outcome outcome = request_outcome::refused;
     while (where) {
         LOG4CXX_INFO(routeLog(),
-                     plan.facts.pool << " to " << where->endpoint << ", class " << toString(plan.facts.urgency) << ", account " << plan.facts.account << ": "
-                                     << where->why);
-        attempt_result result = co_await attempt(exchange, plan, *where, work);
+                     facts.pool << " to " << where->endpoint << ", class " << toString(facts.urgency) << ", account " << facts.account << ": " << where->why);
+        attempt_result result = co_await attempt(request, *where);
         const bool cancelled = co_await isCancelled();
-        if (cancelled) {
-            work.finish(request_outcome::cancelled);
-            co_return;
-        }
-        if (result.settled) {
-            work.finish(result.outcome);
+        outcome = cancelled ? request_outcome::cancelled : result.outcome;
+        if (cancelled || result.settled) {
+            request->finish(outcome);
             co_return;
         }
         mayHaveRun = mayHaveRun || result.mayHaveRun;
         why = std::move(result.why);
-        if (result.outcome == request_outcome::timedOut || (result.mayHaveRun && !plan.facts.repeatable)) {
-            work.finish(result.outcome);
+        LOG4CXX_INFO(routeLog(), facts.pool << " failed at " << where->endpoint << ": " << why.text);
+        if (outcome == request_outcome::timedOut || (result.mayHaveRun && !facts.repeatable)) {
             break;
         }
-        LOG4CXX_INFO(routeLog(), plan.facts.pool << " failed at " << where->endpoint << ": " << why.text);
-        where = co_await work.retry(result.outcome);
-        if (!where) {
-            why.text += "; not tried again: " + work.lastReason().text;
+        where = co_await request->work.retry(outcome);
+        if (where) {
+            m_metrics.onRetry();
+        } else {
+            why.text += "; not tried again: " + request->work.lastReason().text;
         }
     }
     if (why.text.empty()) {
-        why = work.lastReason();
-        LOG4CXX_INFO(routeLog(),
-                     plan.facts.pool << " refused, class " << toString(plan.facts.urgency) << ", account " << plan.facts.account << ": " << why.text);
+        why = request->work.lastReason();
+        LOG4CXX_INFO(routeLog(), facts.pool << " refused, class " << toString(facts.urgency) << ", account " << facts.account << ": " << why.text);
     }
+    request->finish(outcome);
+    m_metrics.onProblem(why.kind);
     const base::run_state state = mayHaveRun ? base::run_state::unknown : base::answerFor(why.kind).state;
     co_await exchange->respond(problemAnswer(why, state));
 }
 
-asio::awaitable<forwarder::attempt_result>
-    forwarder::attempt(std::shared_ptr<net::http_exchange> exchange, const forwarding_plan &plan, routing::dispatch where, admitted_request &work)
+asio::awaitable<forwarder::attempt_result> forwarder::attempt(std::shared_ptr<passage> request, routing::dispatch where)
 {
     attempt_result result;
+    request->startAttempt();
     const std::optional<net::address> address = m_endpoints.find(where.endpoint);
     if (!address) {
         result.outcome = request_outcome::notSent;
         result.why = {base::error_kind::endpointRefused, "the address of " + where.endpoint.value() + " is not known"};
         co_return result;
     }
+    const forwarding_plan &plan = request->plan;
     net::http_send_options options;
     options.deadline = plan.facts.deadline;
     options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
     options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
-    net::http_request request = requestForEndpoint(exchange->request(), plan.idempotencyKey);
-    std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(*address, std::move(request), options);
+    net::http_request forwarded = requestForEndpoint(request->exchange->request(), plan.idempotencyKey);
+    const std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(*address, std::move(forwarded), options);
     if (!answer) {
         result.why = m_client.lastReason();
         result.mayHaveRun = result.why.kind != base::error_kind::endpointRefused;
-        result.outcome = !result.mayHaveRun ? request_outcome::notSent : m_client.hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
+        if (!result.mayHaveRun) {
+            result.outcome = request_outcome::notSent;
+        } else {
+            result.outcome = m_client.hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
+        }
         co_return result;
     }
     if (isOverloadAnswer(answer->header(), plan.inference)) {
@@ -141,116 +148,110 @@
         result.why = {base::error_kind::overloaded, where.endpoint.value() + " is overloaded"};
         co_return result;
     }
-    const bool events = isEventStream(answer->header());
-    if (!events) {
-        co_return co_await passWhole(exchange, answer, work, plan.inference);
+    if (!isEventStream(answer->header())) {
+        co_return co_await passWhole(request, answer);
     }
     const bool needsDone = plan.inference && answer->header().result() == http::status::ok;
-    co_return co_await passStream(exchange, answer, work, std::string(), needsDone);
+    co_return co_await passStream(request, answer, std::string(), needsDone);
 }
 
-asio::awaitable<forwarder::attempt_result>
-    forwarder::passWhole(std::shared_ptr<net::http_exchange> exchange, std::shared_ptr<net::http_client_stream> answer, admitted_request &work, bool inference)
+asio::awaitable<forwarder::attempt_result> forwarder::passWhole(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer)
 {
     attempt_result result;
     result.mayHaveRun = true;
+    result.settled = true;
     if (!answer->marksItsEnd()) {
-        result.outcome = request_outcome::answered;
-        result.why = {base::error_kind::endpointInvalidAnswer, "the answer does not say where it ends"};
-        co_await exchange->respond(problemAnswer(result.why, base::run_state::unknown));
-        result.settled = true;
+        result.why = {base::error_kind::endpointInvalidAnswer, "the endpoint's answer does not say where it ends"};
+        m_metrics.onProblem(result.why.kind);
+        co_await request->exchange->respond(problemAnswer(result.why));
         co_return result;
     }
     net::http_response whole(answer->header().result(), 11);
     copyAnswerFields(answer->header(), whole);
-    while (true) {
+    bool ended = false;
+    while (!ended) {
         const std::optional<std::string_view> piece = co_await answer->read();
         if (!piece) {
+            result.settled = false;
             result.outcome = answer->hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
             result.why = answer->lastReason();
             co_return result;
         }
-        if (whole.body().empty()) {
-            work.firstByte();
-        }
-        if (piece->empty()) {
-            break;
-        }
+        request->firstByte();
+        ended = piece->empty();
         whole.body().append(*piece);
         if (whole.body().size() > longestWholeAnswer) {
-            co_return co_await passStream(exchange, answer, work, std::move(whole.body()), false);
+            co_return co_await passStream(request, answer, std::move(whole.body()), false);
         }
     }
-    if (inference) {
-        event_scanner scanner;
-        scanner.feed("data: " + whole.body() + "\n\n");
-        work.progress(scanner.tokens());
+    if (request->plan.inference) {
+        request->progress(event_scanner::tokensOfWholeAnswer(whole.body()));
     }
     whole.set(runStateField, "ran");
-    const bool sent = co_await exchange->respond(std::move(whole));
+    const bool sent = co_await request->exchange->respond(std::move(whole));
     result.outcome = sent ? request_outcome::answered : request_outcome::cancelled;
-    result.settled = true;
     co_return result;
 }
 
-asio::awaitable<forwarder::attempt_result> forwarder::passStream(std::shared_ptr<net::http_exchange> exchange,
-                                                                 std::shared_ptr<net::http_client_stream> answer,
-                                                                 admitted_request &work,
-                                                                 std::string beginning,
-                                                                 bool needsDone)
+asio::awaitable<forwarder::attempt_result>
+    forwarder::passStream(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer, std::string beginning, bool needsDone)
 {
+    const std::shared_ptr<net::http_exchange> exchange = request->exchange;
+    const bool events = isEventStream(answer->header());
     attempt_result result;
     result.mayHaveRun = true;
-    const bool events = isEventStream(answer->header());
+    result.settled = true;
     event_scanner scanner;
-    bool sent = true;
     std::string_view ready = beginning;
-    while (true) {
+    bool ended = false;
+    bool whole = false;
+    while (!ended) {
+        bool sent = true;
         if (!ready.empty() && !exchange->isStarted()) {
             sent = co_await startStream(exchange, answer);
         }
-        if (sent && !ready.empty()) {
+        if (sent) {
             sent = co_await exchange->writeChunk(ready);
         }
         if (!sent) {
             result.outcome = request_outcome::cancelled;
-            result.settled = true;
             co_return result;
         }
         const std::optional<std::string_view> piece = co_await answer->read();
-        const bool ended = piece && piece->empty();
-        const bool whole = ended && (needsDone ? scanner.isDone() : answer->marksItsEnd() && !scanner.isInsideEvent());
-        if (!piece || (ended && !whole)) {
-            break;
-        }
+        ended = !piece || piece->empty();
         if (ended) {
-            if (!exchange->isStarted()) {
-                sent = co_await startStream(exchange, answer);
-            }
-            if (sent) {
-                sent = co_await exchange->finishStream();
-            }
-            result.outcome = sent ? request_outcome::answered : request_outcome::cancelled;
-            result.settled = true;
-            co_return result;
+            whole = piece && (needsDone ? scanner.isDone() : answer->marksItsEnd() && !scanner.isInsideEvent());
+            break;
         }
-        work.firstByte();
+        request->firstByte();
         ready = events ? scanner.feed(*piece) : *piece;
         if (needsDone) {
-            work.progress(scanner.tokens());
+            request->progress(scanner.tokens());
         }
     }
-    // The stream broke off, or ended without the mark of its end.
+    if (whole) {
+        bool sent = exchange->isStarted();
+        if (!sent) {
+            sent = co_await startStream(exchange, answer);
+        }
+        if (sent) {
+            sent = co_await exchange->finishStream();
+        }
+        result.outcome = sent ? request_outcome::answered : request_outcome::cancelled;
+        co_return result;
+    }
     result.outcome = answer->hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
     result.why = answer->lastReason();
     if (result.why.text.empty()) {
         result.why = {base::error_kind::endpointInvalidAnswer, "the stream ended before its end mark"};
     }
-    if (exchange->isStarted()) {
+    result.settled = exchange->isStarted();
+    if (result.settled) {
+        LOG4CXX_INFO(routeLog(), request->plan.facts.pool << " broke off in its stream: " << result.why.text);
+        m_metrics.onBrokenStream();
         if (events) {
             co_await exchange->writeChunk(problemEvent(result.why, base::run_state::unknown));
         }
-        result.settled = true;
     }
     co_return result;
 }
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -21,8 +21,9 @@
 {
 
 class admission;
-class admitted_request;
 class endpoint_directory;
+class front_metrics;
+class passage;
 
 /// Forwards requests that may be repeated to endpoints and passes the answers on.
 ///
@@ -31,7 +32,7 @@
 class forwarder
 {
 public:
-    forwarder(admission &gate, endpoint_directory &endpoints, net::http_client &client);
+    forwarder(admission &gate, endpoint_directory &endpoints, net::http_client &client, front_metrics &metrics);
 
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
@@ -45,19 +46,16 @@
         base::reason why;
     };
 
+    boost::asio::awaitable<attempt_result> attempt(std::shared_ptr<passage> request, routing::dispatch where);
+    boost::asio::awaitable<attempt_result> passWhole(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer);
+    /// @p beginning was read from the answer before.
     boost::asio::awaitable<attempt_result>
-        attempt(std::shared_ptr<net::http_exchange> exchange, const forwarding_plan &plan, routing::dispatch where, admitted_request &work);
-    boost::asio::awaitable<attempt_result>
-        passWhole(std::shared_ptr<net::http_exchange> exchange, std::shared_ptr<net::http_client_stream> answer, admitted_request &work, bool inference);
-    boost::asio::awaitable<attempt_result> passStream(std::shared_ptr<net::http_exchange> exchange,
-                                                      std::shared_ptr<net::http_client_stream> answer,
-                                                      admitted_request &work,
-                                                      std::string beginning,
-                                                      bool needsDone);
+        passStream(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer, std::string beginning, bool needsDone);
 
     admission &m_admission;
     endpoint_directory &m_endpoints;
     net::http_client &m_client;
+    front_metrics &m_metrics;
 };
 
 } // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/front_metrics.cpp
@@ -0,0 +1,93 @@
+#include <chervilbend/node/callers/front_metrics.hpp>
+
+#include <chervilbend/base/error_answer.hpp>
+#include <chervilbend/net/http_server.hpp>
+#include <chervilbend/node/callers/admission.hpp>
+#include <chervilbend/node/callers/caller_terms.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
+
+#include <string>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+constexpr std::array outcomeNames{"answered", "not_sent", "refused", "connection_lost", "timed_out", "cancelled"};
+
+std::string stateLabel(base::run_state state)
+{
+    return state == base::run_state::notRun ? "not_run" : std::string(base::toString(state));
+}
+
+} // namespace
+
+front_metrics::front_metrics(base::metric_registry &registry)
+    : m_registry(registry)
+    , m_retries(registry.counterFor("chervilbend_retries_total", "Attempts after the first one of a request"))
+    , m_brokenStreams(registry.counterFor("chervilbend_broken_streams_total", "Streams that broke off after their first byte reached the caller"))
+    , m_tokens(registry.counterFor("chervilbend_tokens_total", "Generated tokens passed on to callers"))
+{
+    for (std::size_t i = 0; i < m_classes.size(); ++i) {
+        const std::string name(toString(static_cast<base::work_class>(i)));
+        for (std::size_t outcome = 0; outcome < outcomeNames.size(); ++outcome) {
+            m_classes[i].outcomes[outcome] = &registry.counterFor(
+                "chervilbend_requests_total", "Finished requests by the outcome of their last attempt", {{"class", name}, {"outcome", outcomeNames[outcome]}});
+        }
+        m_classes[i].duration = &registry.summaryFor("chervilbend_request_duration_ms", "Time from a request's arrival to its end", {{"class", name}});
+        m_classes[i].firstByte =
+            &registry.summaryFor("chervilbend_first_byte_ms", "Time from a request's arrival to the first byte of its answer", {{"class", name}});
+    }
+}
+
+void front_metrics::watch(const open_requests &open, const admission &gate, const net::http_server &server)
+{
+    m_registry.gaugeFor("chervilbend_open_requests", "Requests and orders that are not finished").readFrom([&open] {
+        return static_cast<double>(open.size());
+    });
+    m_registry.gaugeFor("chervilbend_waiting_requests", "Requests that wait for their dispatch").readFrom([&gate] {
+        return static_cast<double>(gate.waiting());
+    });
+    m_registry.gaugeFor("chervilbend_open_connections", "Callers' connections").readFrom([&server] { return static_cast<double>(server.openConnections()); });
+}
+
+void front_metrics::onFinished(base::work_class urgency, routing::request_outcome outcome, base::milliseconds took)
+{
+    const per_class &own = m_classes[static_cast<std::size_t>(urgency)];
+    own.outcomes[static_cast<std::size_t>(outcome)]->add();
+    own.duration->add(static_cast<double>(took.count()));
+}
+
+void front_metrics::onFirstByte(base::work_class urgency, base::milliseconds took)
+{
+    m_classes[static_cast<std::size_t>(urgency)].firstByte->add(static_cast<double>(took.count()));
+}
+
+void front_metrics::onProblem(base::error_kind kind)
+{
+    m_registry.counterFor("chervilbend_problems_total", "Problem documents sent to callers", {{"kind", std::string(base::answerFor(kind).name)}}).add();
+}
+
+void front_metrics::onRetry()
+{
+    m_retries.add();
+}
+
+void front_metrics::onBrokenStream()
+{
+    m_brokenStreams.add();
+}
+
+void front_metrics::onTokens(std::int64_t count)
+{
+    m_tokens.add(count);
+}
+
+void front_metrics::onOrder(base::run_state state, bool replayed)
+{
+    m_registry.counterFor("chervilbend_orders_total", "Finished orders by run state", {{"state", stateLabel(state)}, {"replayed", replayed ? "yes" : "no"}})
+        .add();
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/front_metrics.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chervilbend/base/error_kind.hpp>
+#include <chervilbend/base/metric_registry.hpp>
+#include <chervilbend/base/work_class.hpp>
+#include <chervilbend/routing/request_outcome.hpp>
+
+#include <array>
+
+namespace chervilbend::net
+{
+class http_server;
+}
+
+namespace chervilbend::node
+{
+
+class admission;
+class open_requests;
+
+/// The metrics of the callers' side, resolved once so that a request pays no look-up. docs/metrics.md describes them.
+class front_metrics
+{
+public:
+    explicit front_metrics(base::metric_registry &registry);
+
+    /// Shows the present number of requests and connections. The arguments must outlive the registry's use.
+    void watch(const open_requests &open, const admission &gate, const net::http_server &server);
+
+    void onFinished(base::work_class urgency, routing::request_outcome outcome, base::milliseconds took);
+    void onFirstByte(base::work_class urgency, base::milliseconds took);
+    void onProblem(base::error_kind kind);
+    void onRetry();
+    void onBrokenStream();
+    void onTokens(std::int64_t count);
+    void onOrder(base::run_state state, bool replayed);
+
+private:
+    struct per_class {
+        std::array<base::counter *, 6> outcomes{};
+        base::latency_summary *duration = nullptr;
+        base::latency_summary *firstByte = nullptr;
+    };
+
+    base::metric_registry &m_registry;
+    std::array<per_class, base::workClassCount> m_classes;
+    base::counter &m_retries;
+    base::counter &m_brokenStreams;
+    base::counter &m_tokens;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/open_requests.cpp
@@ -0,0 +1,39 @@
+#include <chervilbend/node/callers/open_requests.hpp>
+
+#include <chervilbend/net/http_exchange.hpp>
+
+#include <iterator>
+#include <sstream>
+#include <utility>
+
+namespace chervilbend::node
+{
+
+open_requests::registration::registration(open_requests &all, std::shared_ptr<net::http_exchange> exchange)
+    : m_all(all)
+    , m_position(all.m_entries.insert(all.m_entries.end(), {std::move(exchange), base::clock::now()}))
+{
+}
+
+open_requests::registration::~registration()
+{
+    m_all.m_entries.erase(m_position);
+}
+
+std::vector<std::string> open_requests::describe() const
+{
+    std::vector<std::string> lines;
+    lines.reserve(m_entries.size());
+    for (const entry &open : m_entries) {
+        const net::http_request &request = open.exchange->request();
+        const auto account = request["X-Account"];
+        std::ostringstream line;
+        line << request.method_string() << ' ' << request.target() << " from " << open.exchange->remoteAddress() << ", account "
+             << (account.empty() ? "default" : account) << ", open for " << (base::clock::now() - open.since).count() << " ms"
+             << (open.exchange->isStarted() ? ", answer begun" : ", not answered");
+        lines.push_back(line.str());
+    }
+    return lines;
+}
+
+} // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/order_desk.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_desk.cpp
@@ -9,7 +9,9 @@
 #include <chervilbend/node/callers/admitted_request.hpp>
 #include <chervilbend/node/callers/caller_terms.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
 #include <chervilbend/node/callers/message_headers.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -120,11 +122,14 @@
     net::timer done;
 };
 
-order_desk::order_desk(control::order_gateway &gateway, admission &gate, endpoint_directory &endpoints, net::http_client &client)
+order_desk::order_desk(
+    control::order_gateway &gateway, admission &gate, endpoint_directory &endpoints, net::http_client &client, open_requests &open, front_metrics &metrics)
     : m_gateway(gateway)
     , m_admission(gate)
     , m_endpoints(endpoints)
     , m_client(client)
+    , m_open(open)
+    , m_metrics(metrics)
 {
 }
 
@@ -161,7 +166,7 @@
 
 asio::awaitable<void> order_desk::run(std::shared_ptr<order_task> task, std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
 {
-    ++m_open;
+    const open_requests::registration listed(m_open, exchange);
     const control::order_gateway::dispatch_order send = [this, exchange, plan] {
         return dispatch(exchange, plan);
     };
@@ -175,9 +180,9 @@
                  "order " << task->order.route << " key " << task->order.idempotencyKey << ", account " << task->order.account << ": "
                           << base::toString(answer.state) << (answer.replayed ? " (replayed)" : "")
                           << (answer.httpStatus == 0 ? ", " + answer.detail : std::string()));
+    m_metrics.onOrder(answer.state, answer.replayed);
     task->answer = std::move(answer);
     task->done.cancel();
-    --m_open;
 }
 
 asio::awaitable<control::order_answer> order_desk::dispatch(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
--- a/packages/node/src/chervilbend/node/callers/order_desk.hpp
+++ b/packages/node/src/chervilbend/node/callers/order_desk.hpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,22 +28,20 @@
 
 class admission;
 class endpoint_directory;
+class front_metrics;
+class open_requests;
 
 /// Takes non-idempotent orders to the order gateway, each in a task that outlives its caller's connection.
 class order_desk
 {
 public:
-    order_desk(control::order_gateway &gateway, admission &gate, endpoint_directory &endpoints, net::http_client &client);
+    /// @p open lists each order until its task has ended, so that a shutdown waits for it even when its caller has left.
+    order_desk(
+        control::order_gateway &gateway, admission &gate, endpoint_directory &endpoints, net::http_client &client, open_requests &open, front_metrics &metrics);
 
     /// Runs the order and answers the caller, if it is still there.
     boost::asio::awaitable<void> take(std::shared_ptr<net::http_exchange> exchange, route_target target, forwarding_plan plan);
 
-    /// Orders whose task has not ended; a shutdown waits for them.
-    std::size_t openOrders() const
-    {
-        return m_open;
-    }
-
 private:
     struct order_task;
 
@@ -55,7 +52,8 @@
     admission &m_admission;
     endpoint_directory &m_endpoints;
     net::http_client &m_client;
-    std::size_t m_open = 0;
+    open_requests &m_open;
+    front_metrics &m_metrics;
 };
 
 } // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/passage.cpp
@@ -0,0 +1,56 @@
+#include <chervilbend/node/callers/passage.hpp>
+
+#include <chervilbend/node/callers/front_metrics.hpp>
+
+#include <utility>
+
+namespace chervilbend::node
+{
+
+passage::passage(admission &gate, front_metrics &metrics, std::shared_ptr<net::http_exchange> caller, forwarding_plan how)
+    : exchange(std::move(caller))
+    , plan(std::move(how))
+    , work(gate)
+    , m_metrics(metrics)
+{
+}
+
+passage::~passage()
+{
+    finish(routing::request_outcome::cancelled);
+}
+
+void passage::startAttempt()
+{
+    m_hasFirstByte = false;
+    m_tokens = 0;
+}
+
+void passage::firstByte()
+{
+    if (!m_hasFirstByte) {
+        m_hasFirstByte = true;
+        work.firstByte();
+        m_metrics.onFirstByte(plan.facts.urgency, base::clock::now() - m_since);
+    }
+}
+
+void passage::progress(base::token_count generated)
+{
+    if (generated.count() > m_tokens) {
+        m_metrics.onTokens(generated.count() - m_tokens);
+        m_tokens = generated.count();
+        work.progress(generated);
+    }
+}
+
+void passage::finish(routing::request_outcome outcome)
+{
+    if (!m_finished) {
+        m_finished = true;
+        work.finish(outcome);
+        m_metrics.onFinished(plan.facts.urgency, outcome, base::clock::now() - m_since);
+    }
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/passage.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/node/callers/admitted_request.hpp>
+#include <chervilbend/node/callers/forwarding_plan.hpp>
+#include <chervilbend/routing/request_outcome.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace chervilbend::net
+{
+class http_exchange;
+}
+
+namespace chervilbend::node
+{
+
+class front_metrics;
+
+/// One request on its way through the forwarder: keeps the traffic director and the metrics informed, also when its coroutine is cancelled.
+class passage
+{
+public:
+    passage(admission &gate, front_metrics &metrics, std::shared_ptr<net::http_exchange> caller, forwarding_plan how);
+    ~passage();
+    passage(const passage &) = delete;
+    passage &operator=(const passage &) = delete;
+
+    void startAttempt();
+    /// Has an effect once per attempt.
+    void firstByte();
+    /// So many tokens of this attempt so far.
+    void progress(base::token_count generated);
+    /// Has an effect once.
+    void finish(routing::request_outcome outcome);
+
+    const std::shared_ptr<net::http_exchange> exchange;
+    const forwarding_plan plan;
+    admitted_request work;
+
+private:
+    front_metrics &m_metrics;
+    base::time_point m_since = base::clock::now();
+    std::int64_t m_tokens = 0;
+    bool m_hasFirstByte = false;
+    bool m_finished = false;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/health/readiness.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+namespace chervilbend::node
+{
+
+/// Whether the load balancer should send callers to this node. The node is ready when no condition is missing and no shutdown has begun.
+class readiness
+{
+public:
+    /// @p condition is a short name that the answer shows, for example "configuration".
+    void setMissing(const std::string &condition)
+    {
+        m_missing.insert(condition);
+    }
+
+    void setMet(const std::string &condition)
+    {
+        m_missing.erase(condition);
+    }
+
+    /// Cannot be taken back.
+    void startShutdown()
+    {
+        m_shuttingDown = true;
+    }
+
+    bool isShuttingDown() const
+    {
+        return m_shuttingDown;
+    }
+
+    bool isReady() const
+    {
+        return m_missing.empty() && !m_shuttingDown;
+    }
+
+    const std::set<std::string> &missing() const
+    {
+        return m_missing;
+    }
+
+private:
+    std::set<std::string> m_missing;
+    bool m_shuttingDown = false;
+};
+
+} // namespace chervilbend::node
--- a/packages/node/tests/test_front.hpp
+++ b/packages/node/tests/test_front.hpp
@@ -10,8 +10,12 @@
 #include <chervilbend/node/callers/caller_api.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/node/callers/forwarder.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/order_desk.hpp>
 #include <chervilbend/node/callers/service_catalog.hpp>
+#include <chervilbend/node/health/health_api.hpp>
+#include <chervilbend/node/health/readiness.hpp>
 
 #include <memory>
 #include <string>
@@ -35,7 +39,8 @@
         shop.service = base::service_id("shop");
         shop.routes.push_back({"/stock", "", true, "", base::work_class::normal, base::milliseconds(5'000)});
         shop.routes.push_back({"/orders", "POST", false, "order", base::work_class::urgent, base::milliseconds(5'000)});
-        server = std::make_shared<net::http_server>(context.get_executor(), api);
+        server = std::make_shared<net::http_server>(context.get_executor(), health);
+        metrics.watch(open, gate, *server);
         port = server->listen({"127.0.0.1", 0}).value();
     }
 
@@ -90,9 +95,14 @@
         return services;
     }};
     admission gate{context.get_executor(), director};
-    forwarder requests{gate, directory, client};
-    order_desk orders{gateway, gate, directory, client};
-    caller_api api{catalog, requests, orders};
+    base::metric_registry registry;
+    front_metrics metrics{registry};
+    open_requests open;
+    forwarder requests{gate, directory, client, metrics};
+    order_desk orders{gateway, gate, directory, client, open, metrics};
+    caller_api api{catalog, requests, orders, open, metrics};
+    readiness ready;
+    health_api health{ready, registry, api};
     std::shared_ptr<net::http_server> server;
     std::vector<std::unique_ptr<raw_server>> endpoints;
     std::uint16_t port = 0;
