--- a/packages/node/src/chervilbend/node/callers/caller_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -3,6 +3,8 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 #include <chervilbend/node/callers/request_path.hpp>
 #include <chervilbend/node/callers/service_catalog.hpp>
@@ -35,25 +37,20 @@
     return base::hash64(body, base::hash64(pool, base::hash64(route, base::hash64(account.value()))));
 }
 
-asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::reason why)
-{
-    LOG4CXX_INFO(httpLog(),
-                 exchange->request().method_string() << ' ' << exchange->request().target() << " from " << exchange->remoteAddress()
-                                                     << " refused: " << why.text);
-    co_await exchange->respond(problemAnswer(why));
-}
-
 } // namespace
 
-caller_api::caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders)
+caller_api::caller_api(service_catalog &catalog, forwarder &requests, order_desk &orders, open_requests &open, front_metrics &metrics)
     : m_catalog(catalog)
     , m_forwarder(requests)
     , m_orders(orders)
+    , m_open(open)
+    , m_metrics(metrics)
 {
 }
 
 asio::awaitable<void> caller_api::handle(std::shared_ptr<net::http_exchange> exchange)
 {
+    const open_requests::registration listed(m_open, exchange);
     std::string failure;
     try {
         co_await serve(exchange);
@@ -68,16 +65,27 @@
     }
     LOG4CXX_ERROR(httpLog(), exchange->request().method_string() << ' ' << exchange->request().target() << " failed: " << failure);
     if (!exchange->isStarted()) {
-        co_await exchange->respond(problemAnswer({base::error_kind::internal, "internal error"}));
+        const base::reason why{base::error_kind::internal, "the request could not be handled"};
+        co_await exchange->respond(problemAnswer(why));
     }
 }
 
+asio::awaitable<void> caller_api::refuse(std::shared_ptr<net::http_exchange> exchange, base::error_kind kind, std::string text)
+{
+    const base::reason why{kind, std::move(text)};
+    LOG4CXX_INFO(httpLog(),
+                 exchange->request().method_string() << ' ' << exchange->request().target() << " from " << exchange->remoteAddress()
+                                                     << " refused: " << why.text);
+    m_metrics.onProblem(kind);
+    co_await exchange->respond(problemAnswer(why));
+}
+
 asio::awaitable<void> caller_api::serve(std::shared_ptr<net::http_exchange> exchange)
 {
     const std::string_view target(exchange->request().target().data(), exchange->request().target().size());
     const std::string_view path = target.substr(0, target.find('?'));
     if (!isNormalizedPath(path)) {
-        co_await refuse(exchange, {base::error_kind::badRequest, "the path is not in its normal form"});
+        co_await refuse(exchange, base::error_kind::badRequest, "the path is not in its normal form");
         co_return;
     }
     if (path == "/v1/models") {
@@ -93,25 +101,25 @@
 {
     const net::http_request &request = exchange->request();
     if (request.method() != http::verb::post) {
-        co_await refuse(exchange, {base::error_kind::unknownRoute, "this path takes only POST"});
+        co_await refuse(exchange, base::error_kind::unknownRoute, "this path takes only POST");
         co_return;
     }
     inference_request_reader reader;
     const std::optional<inference_request> wanted = reader.read(request.body());
     if (!wanted) {
-        co_await refuse(exchange, reader.lastReason());
+        co_await refuse(exchange, reader.lastReason().kind, reader.lastReason().text);
         co_return;
     }
     const model_target *const target = m_catalog.findModel(wanted->model);
     if (!target) {
-        co_await refuse(exchange, {base::error_kind::unknownModel, "no service declares the model \"" + wanted->model + '"'});
+        co_await refuse(exchange, base::error_kind::unknownModel, "no service declares the model \"" + wanted->model + '"');
         co_return;
     }
     caller_terms_reader termsReader;
     const std::optional<caller_terms> terms =
         termsReader.read(request, {target->policy.highestUrgency, target->policy.defaultUrgency, target->policy.deadline});
     if (!terms) {
-        co_await refuse(exchange, termsReader.lastReason());
+        co_await refuse(exchange, termsReader.lastReason().kind, termsReader.lastReason().text);
         co_return;
     }
     forwarding_plan plan;
@@ -130,7 +138,7 @@
 asio::awaitable<void> caller_api::serveModelList(std::shared_ptr<net::http_exchange> exchange)
 {
     if (exchange->request().method() != http::verb::get) {
-        co_await refuse(exchange, {base::error_kind::unknownRoute, "this path takes only GET"});
+        co_await refuse(exchange, base::error_kind::unknownRoute, "this path takes only GET");
         co_return;
     }
     boost::json::array data;
@@ -149,14 +157,14 @@
     const std::string_view method(request.method_string().data(), request.method_string().size());
     const route_target *const found = m_catalog.findRoute(method, path);
     if (!found) {
-        co_await refuse(exchange, {base::error_kind::unknownRoute, "no declared route takes " + std::string(method) + ' ' + std::string(path)});
+        co_await refuse(exchange, base::error_kind::unknownRoute, "no declared route takes " + std::string(method) + ' ' + std::string(path));
         co_return;
     }
     const route_target target = *found;
     caller_terms_reader termsReader;
     const std::optional<caller_terms> terms = termsReader.read(request, {target.route.urgency, target.route.urgency, target.route.deadline});
     if (!terms) {
-        co_await refuse(exchange, termsReader.lastReason());
+        co_await refuse(exchange, termsReader.lastReason().kind, termsReader.lastReason().text);
         co_return;
     }
     forwarding_plan plan;
