Compose the node: control plane, callers' side, process

Cause: the parts stood alone. Change: control_plane joins streams, membership, leases, planner and drivers; caller_side joins admission, routing, forwarding and orders; node_process runs them with signals, readiness, key rotation and the operators' calls.

--- /dev/null
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -0,0 +1,265 @@
+#include <chervilbend/node/composition/control_plane.hpp>
+
+#include <chervilbend/base/hash.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/control/checkpoint_transfer.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/node/composition/platform_clients.hpp>
+#include <chervilbend/node/composition/state_method.hpp>
+#include <chervilbend/peers/rpc_server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+constexpr base::milliseconds memberInterval{1'000};
+/// Time that the log gets at a start before the state is asked of peers.
+constexpr base::milliseconds logPatienceAtStart{500};
+constexpr base::milliseconds stateTimeout{2'000};
+
+const log4cxx::LoggerPtr logger = base::partLogger("node");
+
+control::log_follower_options followerOptions(const std::string &stream, const node_identity &identity)
+{
+    control::log_follower_options options;
+    options.stream = stream;
+    options.seed = base::hash64(identity.id.value());
+    return options;
+}
+
+control::lease_times leaseTimes(const config::node_settings &settings)
+{
+    control::lease_times times;
+    times.heartbeatInterval = settings.heartbeatInterval;
+    times.term = settings.leaseTerm;
+    times.margin = settings.leaseMargin;
+    return times;
+}
+
+membership::member selfAsMember(const node_identity &identity)
+{
+    membership::member self;
+    self.id = identity.id;
+    self.life = identity.life;
+    self.address = identity.peerAddress;
+    self.zone = identity.zone;
+    return self;
+}
+
+std::string_view nameOf(membership::member_state state)
+{
+    switch (state) {
+    case membership::member_state::alive:
+        return "alive";
+    case membership::member_state::suspect:
+        return "suspect";
+    case membership::member_state::dead:
+        break;
+    }
+    return "dead";
+}
+
+} // namespace
+
+control_plane::control_plane(const asio::any_io_executor &executor,
+                             const config::node_settings &settings,
+                             node_identity identity,
+                             platform_clients &platform,
+                             std::shared_ptr<membership::message_signer> signer,
+                             const control::demand_source &demand)
+    : m_executor(executor)
+    , m_settings(settings)
+    , m_identity(std::move(identity))
+    , m_platform(platform)
+    , m_control(executor, *platform.control, followerOptions("control", m_identity), platform.checkpoints.get())
+    , m_orders(executor, *platform.orders, followerOptions("orders", m_identity), platform.checkpoints.get())
+    , m_hosts(*platform.hosts, settings.hostInterval)
+    , m_members(selfAsMember(m_identity), {}, base::hash64(m_identity.id.value(), static_cast<std::uint64_t>(m_identity.life.count())))
+    , m_demand(m_identity.id)
+    , m_peers(std::move(signer), std::make_shared<net::http_client>())
+    , m_prober(executor, m_members, m_peers)
+    , m_reporter(m_control.state(), m_members, m_demand, demand, m_peers)
+    , m_leases(m_identity.id, m_identity.life, m_control.state(), m_control, m_control, leaseTimes(settings))
+    , m_drivers(m_control.state(), m_leases, *platform.engines, m_control)
+    , m_planner(m_control.state(), m_leases, m_control, m_demand, *platform.store)
+{
+    m_leases.setOutstandingCheck([this] { return m_drivers.hasCommandsToLostEngines(); });
+    m_hosts.addListener(*this);
+    m_hosts.addListener(m_planner);
+}
+
+void control_plane::start()
+{
+    m_control.follower().start();
+    m_orders.follower().start();
+    spawn(m_hosts.run());
+    spawn(m_prober.run());
+    spawn(m_reporter.run());
+    spawn(m_leases.run([this] { return m_members.eligibleHolders(); }));
+    spawn(m_drivers.run());
+    spawn(m_planner.run());
+    spawn(followMembers());
+    spawn(keepCheckpoints());
+    spawn(fetchStateFromPeers());
+}
+
+void control_plane::serve(peers::rpc_server &server)
+{
+    for (const auto &method : m_prober.methods()) {
+        server.add(method);
+    }
+    server.add(m_reporter.method());
+    server.add(std::make_shared<state_method>(m_control.state(), m_orders.state()));
+}
+
+asio::awaitable<void> control_plane::handOver(base::milliseconds patience)
+{
+    m_members.announceLeaving();
+    m_leases.stop();
+    const base::time_point until = base::clock::now() + patience;
+    const auto holdsAny = [this] {
+        const auto &leases = m_control.state().leases();
+        return std::any_of(
+            leases.begin(), leases.end(), [this](const auto &lease) { return lease.second.holder == m_identity.id && lease.second.life == m_identity.life; });
+    };
+    while (holdsAny() && base::clock::now() < until) {
+        co_await m_control.follower().waitForChange(until);
+    }
+    if (holdsAny()) {
+        LOG4CXX_WARN(logger, "Leases are not handed over yet, the other nodes take them when their term is over.");
+    }
+}
+
+bool control_plane::submit(state::entry entry)
+{
+    if (!m_control.follower().isReachable()) {
+        fail(base::error_kind::logUnavailable, "the log service is unavailable");
+        return false;
+    }
+    m_control.append(std::move(entry));
+    return true;
+}
+
+void control_plane::hostsChanged(const std::vector<platform::host_entry> &hosts)
+{
+    std::vector<membership::member> listed;
+    for (const platform::host_entry &host : hosts) {
+        if (host.kind != platform::host_kind::node) {
+            continue;
+        }
+        membership::member node;
+        node.id = base::node_id(host.id);
+        node.address = net::toString(host.where);
+        node.zone = host.zone;
+        node.leaving = host.leaving;
+        listed.push_back(std::move(node));
+    }
+    m_members.setListed(listed);
+}
+
+base::node_id control_plane::self() const
+{
+    return m_identity.id;
+}
+
+log_contact control_plane::log() const
+{
+    log_contact contact;
+    contact.reachable = m_control.follower().isReachable();
+    const base::time_point atHead = m_control.follower().lastAtHead();
+    contact.age = atHead == base::time_point::min() ? base::milliseconds::max() : base::clock::now() - atHead;
+    contact.head = m_control.state().folded();
+    return contact;
+}
+
+std::vector<known_node> control_plane::nodes() const
+{
+    std::vector<known_node> nodes;
+    for (const membership::member &member : m_members.live()) {
+        nodes.push_back({member.id, member.address, member.zone, std::string(nameOf(member.state)), member.leaving});
+    }
+    return nodes;
+}
+
+bool control_plane::hasEnded(const base::node_id &node, base::incarnation life) const
+{
+    if (m_control.state().hasEnded(node, life)) {
+        return true;
+    }
+    const membership::member *member = m_members.find(node);
+    return member && (member->life > life || (member->life == life && member->state == membership::member_state::dead));
+}
+
+asio::awaitable<void> control_plane::followMembers()
+{
+    while (true) {
+        m_members.advance();
+        std::vector<base::node_id> live;
+        for (const membership::member &member : m_members.live()) {
+            live.push_back(member.id);
+        }
+        const auto planner = m_control.state().leases().find(state::plannerLease());
+        m_demand.setMembers(std::move(live), planner == m_control.state().leases().end() ? base::node_id() : planner->second.holder);
+        co_await net::sleepFor(memberInterval);
+    }
+}
+
+asio::awaitable<void> control_plane::keepCheckpoints()
+{
+    while (true) {
+        co_await net::sleepFor(m_settings.checkpointInterval);
+        if (!m_leases.holds(state::plannerLease())) {
+            continue;
+        }
+        const std::string id = m_identity.id.value() + '/' + std::to_string(m_identity.life.count()) + '/' + std::to_string(base::clock::wallNow().count());
+        const bool control = co_await control::writeCheckpoint(*m_platform.checkpoints, "control", m_control.state(), id + "/control");
+        const bool orders = co_await control::writeCheckpoint(*m_platform.checkpoints, "orders", m_orders.state(), id + "/orders");
+        LOG4CXX_INFO(logger,
+                     "Checkpoint at " << m_control.state().folded() << (control && orders ? " written." : " not written, the next one is due as usual."));
+    }
+}
+
+asio::awaitable<void> control_plane::fetchStateFromPeers()
+{
+    co_await net::sleepFor(logPatienceAtStart);
+    while (m_control.follower().lastAtHead() == base::time_point::min()) {
+        for (const membership::member &member : m_members.live()) {
+            const std::optional<net::address> peer = net::parseAddress(member.address);
+            if (member.id == m_identity.id || !peer) {
+                continue;
+            }
+            const bool hasControl = co_await fetchStream(*peer, "control", &m_control);
+            const bool hasOrders = co_await fetchStream(*peer, "orders", &m_orders);
+            if (hasControl && hasOrders) {
+                LOG4CXX_INFO(logger, "Took the state at " << m_control.state().folded() << " from node " << member.id << ", the log is unavailable.");
+                co_return;
+            }
+        }
+        co_await net::sleepFor(memberInterval);
+    }
+}
+
+asio::awaitable<bool> control_plane::fetchStream(net::address peer, std::string stream, control::log_stream *target)
+{
+    Json::Value parameters;
+    parameters["stream"] = stream;
+    const std::optional<Json::Value> answer = co_await m_peers.call(peer, state_method::methodName, parameters, stateTimeout);
+    co_return answer && answer->isString() && target->follower().restore(answer->asString());
+}
+
+void control_plane::spawn(asio::awaitable<void> task)
+{
+    asio::co_spawn(m_executor, std::move(task), asio::detached);
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <chervilbend/config/node_settings.hpp>
+#include <chervilbend/control/demand_reporter.hpp>
+#include <chervilbend/control/endpoint_drivers.hpp>
+#include <chervilbend/control/host_listener.hpp>
+#include <chervilbend/control/host_watcher.hpp>
+#include <chervilbend/control/lease_keeper.hpp>
+#include <chervilbend/control/log_stream.hpp>
+#include <chervilbend/control/planner_task.hpp>
+#include <chervilbend/control/prober.hpp>
+#include <chervilbend/membership/demand_tree.hpp>
+#include <chervilbend/membership/member_table.hpp>
+#include <chervilbend/node/composition/node_identity.hpp>
+#include <chervilbend/node/operators/entry_sink.hpp>
+#include <chervilbend/node/operators/node_facts.hpp>
+#include <chervilbend/peers/rpc_client.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace chervilbend::peers
+{
+class rpc_server;
+} // namespace chervilbend::peers
+
+namespace chervilbend::node
+{
+
+struct platform_clients;
+
+/// A node's share of control: the log's streams, membership, leases, planning and the driving of engines.
+class control_plane : public entry_sink, public node_facts, public control::host_listener
+{
+public:
+    /// All references must outlive the object, and the object the io_context's run.
+    control_plane(const boost::asio::any_io_executor &executor,
+                  const config::node_settings &settings,
+                  node_identity identity,
+                  platform_clients &platform,
+                  std::shared_ptr<membership::message_signer> signer,
+                  const control::demand_source &demand);
+
+    /// Commands.
+
+    /// Starts all tasks.
+    void start();
+    /// Adds the methods that other nodes call.
+    void serve(peers::rpc_server &server);
+    /// Hands all leases over and waits until the log has it, up to @p patience.
+    boost::asio::awaitable<void> handOver(base::milliseconds patience);
+
+    bool submit(state::entry entry) override;
+    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+
+    control::log_stream &controlStream()
+    {
+        return m_control;
+    }
+
+    control::log_stream &ordersStream()
+    {
+        return m_orders;
+    }
+
+    control::host_watcher &hosts()
+    {
+        return m_hosts;
+    }
+
+    control::prober &prober()
+    {
+        return m_prober;
+    }
+
+    const membership::member_table &members() const
+    {
+        return m_members;
+    }
+
+    /// Queries.
+
+    base::node_id self() const override;
+    log_contact log() const override;
+    std::vector<known_node> nodes() const override;
+    /// Whether a life of a node has ended, from the log or from membership.
+    bool hasEnded(const base::node_id &node, base::incarnation life) const;
+
+private:
+    boost::asio::awaitable<void> followMembers();
+    boost::asio::awaitable<void> keepCheckpoints();
+    boost::asio::awaitable<void> fetchStateFromPeers();
+    boost::asio::awaitable<bool> fetchStream(net::address peer, std::string stream, control::log_stream *target);
+    void spawn(boost::asio::awaitable<void> task);
+
+    boost::asio::any_io_executor m_executor;
+    config::node_settings m_settings;
+    node_identity m_identity;
+    platform_clients &m_platform;
+
+    control::log_stream m_control;
+    control::log_stream m_orders;
+    control::host_watcher m_hosts;
+    membership::member_table m_members;
+    membership::demand_tree m_demand;
+    peers::rpc_client m_peers;
+    control::prober m_prober;
+    control::demand_reporter m_reporter;
+    control::lease_keeper m_leases;
+    control::endpoint_drivers m_drivers;
+    control::planner_task m_planner;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/composition/node_process.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <chervilbend/base/metric_registry.hpp>
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/config/node_settings.hpp>
+#include <chervilbend/net/http_server.hpp>
+#include <chervilbend/node/composition/caller_side.hpp>
+#include <chervilbend/node/composition/control_plane.hpp>
+#include <chervilbend/node/composition/node_identity.hpp>
+#include <chervilbend/node/composition/platform_clients.hpp>
+#include <chervilbend/node/health/health_api.hpp>
+#include <chervilbend/node/health/readiness.hpp>
+#include <chervilbend/node/health/shutdown_sequence.hpp>
+#include <chervilbend/node/metered_director.hpp>
+#include <chervilbend/node/operators/publish_archive.hpp>
+#include <chervilbend/node/operators/state_operator_view.hpp>
+#include <chervilbend/peers/rpc_server.hpp>
+#include <chervilbend/routing/adaptive_director.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+
+namespace chervilbend::node
+{
+
+class settings_file;
+
+/// The node: puts all parts together and runs them on one thread until a planned stop has ended.
+class node_process : public base::reason_holder
+{
+public:
+    /// @p file is asked for changed keys while the node runs; it must outlive the object.
+    node_process(const config::node_settings &settings, settings_file &file);
+    ~node_process();
+
+    /// Listens and runs until stopped by SIGTERM or SIGINT. Gives the number of requests that were cut off; no value when an address
+    /// cannot be listened on.
+    std::optional<std::size_t> run();
+
+private:
+    bool listen();
+    void addOperatorMethods();
+    void waitForSignal();
+    void startShutdown();
+    boost::asio::awaitable<void> watchReadiness();
+    boost::asio::awaitable<void> watchKeys();
+
+    config::node_settings m_settings;
+    settings_file &m_file;
+    node_identity m_identity;
+    boost::asio::io_context m_context;
+    base::metric_registry m_registry;
+    std::shared_ptr<membership::message_signer> m_signer;
+    platform_clients m_platform;
+    routing::adaptive_director m_director;
+    metered_director m_metered;
+    control_plane m_control;
+    caller_side m_callers;
+    publish_archive m_archive;
+    state_operator_view m_view;
+    readiness m_readiness;
+    health_api m_health;
+    peers::rpc_server m_rpc;
+    std::shared_ptr<net::http_server> m_callerServer;
+    std::shared_ptr<net::http_server> m_peerServer;
+    shutdown_sequence m_shutdown;
+    boost::asio::signal_set m_signals;
+    int m_signalsSeen = 0;
+    std::size_t m_cutOff = 0;
+};
+
+} // namespace chervilbend::node
