Add in-process fakes of the platform's services

Nodes, owners and planners need the platform's services in tests, with their faults. This adds the log with answers lost after the append, late appends, outages and retention; engines that count but never check their memory, with lost, late and duplicated commands; the host list with a lag, the weight store and the order count. All of it runs in virtual time.

A poll of an io_context under a manual time source does not run due timers, because Asio waits for its timerfd; fakes::virtual_time makes them run, and the comment in net/timer.hpp that said otherwise is corrected.

--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/host_directory.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/fakes/lagged_history.hpp>
+#include <chervilbend/platform/host_entry.hpp>
+
+#include <string>
+#include <vector>
+
+namespace chervilbend::fakes
+{
+
+/// The list of hosts as it was a lag ago. Does no I/O; time comes from base::clock.
+class host_directory
+{
+public:
+    explicit host_directory(base::milliseconds lag = base::milliseconds(0));
+
+    /// Commands.
+
+    /// Adds a host or replaces the one with the same id.
+    void set(platform::host_entry host);
+    /// Removes the host; ids that are not listed have no effect.
+    void remove(const std::string &id);
+    /// Marks the host as leaving, or takes the mark back. False when the id is not listed.
+    bool setLeaving(const std::string &id, bool leaving);
+    void setLag(base::milliseconds lag);
+
+    /// Queries.
+
+    /// What readers see: the list as it was a lag ago, in the order in which the hosts were first added.
+    const std::vector<platform::host_entry> &seen();
+    /// The list without lag.
+    const std::vector<platform::host_entry> &actual() const;
+
+private:
+    base::milliseconds m_lag;
+    lagged_history<std::vector<platform::host_entry>> m_history;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/in_process_engine_control.cpp
@@ -0,0 +1,110 @@
+#include <chervilbend/fakes/in_process_engine_control.hpp>
+
+#include <chervilbend/net/sleep.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::fakes
+{
+
+in_process_engine_control::in_process_engine_control(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
+void in_process_engine_control::add(const net::address &where, std::shared_ptr<engine_model> engine)
+{
+    m_engines[where] = std::move(engine);
+}
+
+void in_process_engine_control::setFaults(const engine_faults &faults)
+{
+    m_faults = faults;
+}
+
+void in_process_engine_control::setFaults(const net::address &where, const engine_faults &faults)
+{
+    m_faultsOfOne[where] = faults;
+}
+
+platform::command_status in_process_engine_control::sendNow(const net::address &where, const platform::engine_command &command)
+{
+    const std::shared_ptr<engine_model> engine = reach(where);
+    if (!engine) {
+        return platform::command_status::notSent;
+    }
+    const engine_faults &faults = faultsAt(where);
+    if (m_random.chance(faults.lostCommands)) {
+        fail(base::error_kind::endpointFailed, "no answer to a command");
+        return platform::command_status::unknown;
+    }
+    const base::milliseconds lateBy(m_random.between(0, faults.lateBy.count()));
+    if (m_random.chance(faults.lateCommands)) {
+        engine->applyLater(command, faults.answerTimeout + lateBy);
+        fail(base::error_kind::endpointFailed, "no answer to a command");
+        return platform::command_status::unknown;
+    }
+    const platform::command_status status = engine->apply(command);
+    if (m_random.chance(faults.duplicates)) {
+        engine->applyLater(command, lateBy);
+    }
+    if (m_random.chance(faults.lostAnswers)) {
+        fail(base::error_kind::endpointFailed, "no answer to a command");
+        return platform::command_status::unknown;
+    }
+    if (status == platform::command_status::refused) {
+        fail(base::error_kind::endpointFailed, "the engine refused the command");
+    }
+    return status;
+}
+
+std::optional<platform::engine_report> in_process_engine_control::reportNow(const net::address &where)
+{
+    const std::shared_ptr<engine_model> engine = reach(where);
+    if (!engine) {
+        return std::nullopt;
+    }
+    return engine->report();
+}
+
+asio::awaitable<platform::command_status> in_process_engine_control::send(net::address engine, platform::engine_command command)
+{
+    if (faultsAt(engine).delay.count() > 0) {
+        co_await net::sleepFor(faultsAt(engine).delay);
+    }
+    const platform::command_status status = sendNow(engine, command);
+    const base::reason why = lastReason();
+    if (status == platform::command_status::unknown) {
+        co_await net::sleepFor(faultsAt(engine).answerTimeout);
+        fail(why);
+    }
+    co_return status;
+}
+
+asio::awaitable<std::optional<platform::engine_report>> in_process_engine_control::report(net::address engine)
+{
+    if (faultsAt(engine).delay.count() > 0) {
+        co_await net::sleepFor(faultsAt(engine).delay);
+    }
+    co_return reportNow(engine);
+}
+
+const engine_faults &in_process_engine_control::faultsAt(const net::address &where) const
+{
+    const auto found = m_faultsOfOne.find(where);
+    return found == m_faultsOfOne.end() ? m_faults : found->second;
+}
+
+std::shared_ptr<engine_model> in_process_engine_control::reach(const net::address &where)
+{
+    const auto found = m_engines.find(where);
+    if (found == m_engines.end() || !found->second->isRunning() || faultsAt(where).unreachable) {
+        fail(base::error_kind::endpointRefused, "cannot connect to " + net::toString(where));
+        return nullptr;
+    }
+    return found->second;
+}
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/in_process_host_list.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chervilbend/fakes/host_directory.hpp>
+#include <chervilbend/platform/host_list.hpp>
+
+#include <memory>
+
+namespace chervilbend::fakes
+{
+
+/// One node's access to a host directory of the same process.
+class in_process_host_list : public platform::host_list
+{
+public:
+    explicit in_process_host_list(std::shared_ptr<host_directory> directory);
+
+    void setReachable(bool reachable);
+
+    boost::asio::awaitable<std::optional<std::vector<platform::host_entry>>> fetch() override;
+
+private:
+    std::shared_ptr<host_directory> m_directory;
+    bool m_reachable = true;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/in_process_log_service.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chervilbend/fakes/log_store.hpp>
+#include <chervilbend/platform/log_service.hpp>
+
+#include <memory>
+
+namespace chervilbend::fakes
+{
+
+/// One node's access to a log store that several nodes of a simulation share.
+class in_process_log_service : public platform::log_service
+{
+public:
+    explicit in_process_log_service(std::shared_ptr<log_store> store);
+
+    /// Cuts this node off from the log, or connects it again. Reads that wait end at once.
+    void setReachable(bool reachable);
+
+    boost::asio::awaitable<platform::append_result> append(std::string payload) override;
+    boost::asio::awaitable<std::optional<platform::log_page>> read(base::log_offset after, base::milliseconds wait) override;
+
+private:
+    bool isAvailable() const;
+    boost::asio::awaitable<void> waitForChange(base::time_point until);
+
+    std::shared_ptr<log_store> m_store;
+    bool m_reachable = true;
+    /// Wakes the reads that wait; set apart from the store's listeners because reachability is this node's own.
+    std::map<std::uint64_t, std::function<void()>> m_waiting;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/in_process_weight_store.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chervilbend/fakes/weight_store_model.hpp>
+#include <chervilbend/platform/weight_store.hpp>
+
+#include <memory>
+
+namespace chervilbend::fakes
+{
+
+/// Access to a weight store model of the same process.
+class in_process_weight_store : public platform::weight_store
+{
+public:
+    explicit in_process_weight_store(std::shared_ptr<weight_store_model> model);
+
+    void setReachable(bool reachable);
+
+    boost::asio::awaitable<std::optional<platform::weight_store_status>> status() override;
+
+private:
+    std::shared_ptr<weight_store_model> m_model;
+    bool m_reachable = true;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/log_store.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/fakes/log_faults.hpp>
+#include <chervilbend/fakes/log_store_options.hpp>
+#include <chervilbend/fakes/seeded_random.hpp>
+#include <chervilbend/platform/log_service.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace chervilbend::fakes
+{
+
+/// The records of a log service, with its faults. Does no I/O; time comes from base::clock.
+class log_store
+{
+public:
+    explicit log_store(log_store_options options = {});
+
+    /// Commands.
+
+    /// Appends, or fails as the faults have it. The status is what the writer may know; the record may be appended whatever it says.
+    platform::append_result append(std::string payload);
+    void setFaults(const log_faults &faults);
+
+    /// Calls @p listener after each change until unsubscribe() with the returned number.
+    std::uint64_t subscribe(std::function<void()> listener);
+    void unsubscribe(std::uint64_t subscription);
+
+    /// Queries.
+
+    /// Records behind @p after, up to the page limits.
+    platform::log_page read(base::log_offset after);
+    const log_faults &faults() const;
+    base::log_offset head();
+    /// When a late append takes effect next; the clock's maximum for none.
+    base::time_point nextLateAppend() const;
+    /// Appends asked for so far.
+    std::uint64_t appendCount() const;
+
+private:
+    struct kept_record {
+        platform::log_record record;
+        base::time_point appended;
+    };
+
+    void settle();
+    base::log_offset store(std::string payload, base::time_point when);
+    void notify();
+
+    log_store_options m_options;
+    log_faults m_faults;
+    seeded_random m_random;
+    std::deque<kept_record> m_records;
+    std::multimap<base::time_point, std::string> m_late;
+    std::map<std::uint64_t, std::function<void()>> m_listeners;
+    std::uint64_t m_lastSubscription = 0;
+    std::uint64_t m_appendCount = 0;
+    std::int64_t m_head = 0;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/tests/engine_model_test.cpp
@@ -0,0 +1,129 @@
+#include <chervilbend/base/manual_time_source.hpp>
+#include <chervilbend/fakes/in_process_engine_control.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace chervilbend;
+using platform::command_status;
+using platform::engine_action;
+
+/// Guards against an engine fake that would hide an overcommitted memory or a command that an old owner sent.
+class engine_model_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(engine_model_test);
+    CPPUNIT_TEST(countsMemoryUntilTheUnloadEnds);
+    CPPUNIT_TEST(appliesLateCommandsAtTheirTime);
+    CPPUNIT_TEST(refusesOldTokensOnlyWhenItChecks);
+    CPPUNIT_TEST(reportsWithItsLag);
+    CPPUNIT_TEST(forgetsEverythingWhenItRestarts);
+    CPPUNIT_TEST(slowsLoadsBeyondTheStoresSlots);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // CppUnit constructs all fixtures before the first test, so the time source is installed here.
+    void setUp() override
+    {
+        m_time.emplace();
+        m_engine = std::make_shared<fakes::engine_model>(hundredBytes());
+    }
+
+    void tearDown() override
+    {
+        m_time.reset();
+    }
+
+    void countsMemoryUntilTheUnloadEnds()
+    {
+        send(*m_engine, engine_action::load, "a@1", 60, 1);
+        m_time->advance(base::milliseconds(2'000));
+        send(*m_engine, engine_action::unload, "a@1", 0, 1);
+        send(*m_engine, engine_action::load, "b@1", 60, 1);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(120), m_engine->highestUsed().count());
+        CPPUNIT_ASSERT(m_engine->wasOvercommitted());
+        m_time->advance(base::milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(60), m_engine->used().count());
+    }
+
+    void appliesLateCommandsAtTheirTime()
+    {
+        fakes::in_process_engine_control control(7);
+        const net::address where{"127.0.0.1", 1};
+        control.add(where, m_engine);
+        fakes::engine_faults faults;
+        faults.lateCommands = 1;
+        control.setFaults(where, faults);
+        const platform::engine_command load{engine_action::load, base::item_id("a@1"), base::byte_count(90), base::log_offset(1)};
+        CPPUNIT_ASSERT(control.sendNow(where, load) == command_status::unknown);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), m_engine->used().count());
+        send(*m_engine, engine_action::load, "b@1", 20, 1);
+        m_time->advance(base::milliseconds(6'000));
+        CPPUNIT_ASSERT(m_engine->wasOvercommitted());
+    }
+
+    void refusesOldTokensOnlyWhenItChecks()
+    {
+        fakes::engine_options careless;
+        careless.checksFencing = false;
+        fakes::engine_model ignoring(careless);
+        for (fakes::engine_model *engine : {m_engine.get(), &ignoring}) {
+            CPPUNIT_ASSERT(send(*engine, engine_action::fence, "", 0, 5) == command_status::accepted);
+        }
+        CPPUNIT_ASSERT(send(*m_engine, engine_action::load, "a@1", 10, 4) == command_status::refused);
+        CPPUNIT_ASSERT(send(ignoring, engine_action::load, "a@1", 10, 4) == command_status::accepted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), m_engine->report().fencingToken.count());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), ignoring.report().fencingToken.count());
+    }
+
+    void reportsWithItsLag()
+    {
+        m_engine->setReportLag(base::milliseconds(500));
+        send(*m_engine, engine_action::load, "a@1", 10, 1);
+        m_time->advance(base::milliseconds(499));
+        CPPUNIT_ASSERT(m_engine->report().items.empty());
+        m_time->advance(base::milliseconds(1));
+        CPPUNIT_ASSERT(!m_engine->report().items.at(0).loaded);
+        // The load ends after 2 s; the report shows it half a second later, wherever the reads fall.
+        m_time->advance(base::milliseconds(2'000));
+        CPPUNIT_ASSERT(m_engine->report().items.at(0).loaded);
+    }
+
+    void forgetsEverythingWhenItRestarts()
+    {
+        send(*m_engine, engine_action::load, "a@1", 10, 9);
+        m_engine->restart();
+        const platform::engine_report report = m_engine->report();
+        CPPUNIT_ASSERT(report.items.empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), report.fencingToken.count());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), report.life.count());
+    }
+
+    void slowsLoadsBeyondTheStoresSlots()
+    {
+        platform::weight_store_status figures;
+        figures.loadsPerSecond = 1'000;
+        fakes::weight_store_model store(figures);
+        for (int load = 0; load < 4; ++load) {
+            CPPUNIT_ASSERT(store.beginModelLoad() <= base::milliseconds(4 + load));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4 + 8), std::int64_t(store.beginModelLoad().count() + 3));
+        CPPUNIT_ASSERT_EQUAL(5, store.status().inTransit);
+    }
+
+private:
+    static command_status send(fakes::engine_model &engine, engine_action action, const std::string &item, std::int64_t bytes, std::int64_t token)
+    {
+        return engine.apply({action, base::item_id(item), base::byte_count(bytes), base::log_offset(token)});
+    }
+
+    static fakes::engine_options hundredBytes()
+    {
+        fakes::engine_options options;
+        options.memory = base::byte_count(100);
+        return options;
+    }
+
+    std::optional<base::manual_time_source> m_time;
+    std::shared_ptr<fakes::engine_model> m_engine;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(engine_model_test);
--- a/packages/net/src/chervilbend/net/timer.hpp
+++ b/packages/net/src/chervilbend/net/timer.hpp
@@ -7,7 +7,7 @@
 namespace chervilbend::net
 {
 
-/// A timer on the project's clock. Under a manual time source, a poll of the io_context runs the timers that have come due.
+/// A timer on the project's clock. Under a manual time source, fakes::virtual_time runs the timers that have come due.
 using timer = boost::asio::basic_waitable_timer<base::clock>;
 
 } // namespace chervilbend::net
