Measure that non-idempotent orders run at most once

Cause: the order gateway had no test, and its rules hold only if no interleaving of faults breaks them. Change: tests for each case of the failure table, tests of follower and appender, and the measurement `once`: 2,400 orders over 5 in-process nodes in virtual time under kills, pauses, lost answers, log outages and retries, with a checker of the history that has tests of its own.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,9 +1,9 @@
-# chervilbend_package(NAME [DEPENDS targets...] [BINARY name])
+# chervilbend_package(NAME [DEPENDS targets...] [TEST_DEPENDS targets...] [BINARY name])
 #
 # Builds packages/NAME/src into a library, src/main.cpp (if any) into the binary, and tests/*.cpp into one CppUnit
 # program registered with CTest. Sources are found by globbing, so that adding a file needs no edit here.
 function(chervilbend_package name)
-    cmake_parse_arguments(PARSE_ARGV 1 arg "" "BINARY" "DEPENDS")
+    cmake_parse_arguments(PARSE_ARGV 1 arg "" "BINARY" "DEPENDS;TEST_DEPENDS")
     set(library chervilbend_${name})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
     list(FILTER sources EXCLUDE REGEX "/src/main\\.cpp$")
@@ -25,7 +25,7 @@
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
     if(tests)
         add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
-        target_link_libraries(test_${name} PRIVATE ${library} external::cppunit external::rapidcheck)
+        target_link_libraries(test_${name} PRIVATE ${library} ${arg_TEST_DEPENDS} external::cppunit external::rapidcheck)
         target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR}/cmake)
         target_compile_definitions(test_${name} PRIVATE TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
         # -Wshadow and -Wnon-virtual-dtor fire inside macros of the test libraries.
--- a/packages/control/src/chervilbend/control/internal/log_order_gateway_implementation.cpp
+++ b/packages/control/src/chervilbend/control/internal/log_order_gateway_implementation.cpp
@@ -149,6 +149,9 @@
 asio::awaitable<order_answer> log_order_gateway::implementation::run(order_request order, dispatch_order dispatch)
 {
     const auto self = shared_from_this();
+    if (order.callerHasLeft && order.callerHasLeft()) {
+        co_return without(run_state::unknown, error_kind::outcomeUnknown, "the caller left before the order started");
+    }
     if (isKeyOutdated(order)) {
         co_return without(run_state::unknown, error_kind::idempotencyKeyExpired, "the time in the key is too far from the present");
     }
--- a/packages/control/src/chervilbend/control/log_follower.cpp
+++ b/packages/control/src/chervilbend/control/log_follower.cpp
@@ -134,7 +134,9 @@
 {
     const base::time_point sent = base::clock::now();
     const base::log_offset asked = m_state.folded();
-    const std::optional<platform::log_page> page = co_await m_log.read(asked, m_options.longestWait);
+    // The first read, and the first one after an outage, shall tell at once whether the log answers.
+    const base::milliseconds wait = m_reachable ? m_options.longestWait : base::milliseconds(0);
+    const std::optional<platform::log_page> page = co_await m_log.read(asked, wait);
     if (!page) {
         co_return false;
     }
--- /dev/null
+++ b/packages/control/tests/log_follower_test.cpp
@@ -0,0 +1,206 @@
+#include <chervilbend/control/checkpoint_transfer.hpp>
+#include <chervilbend/control/log_appender.hpp>
+#include <chervilbend/control/log_follower.hpp>
+#include <chervilbend/fakes/in_process_log_service.hpp>
+#include <chervilbend/fakes/virtual_time.hpp>
+#include <chervilbend/state/record_codec.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+using namespace chervilbend;
+using namespace chervilbend::control;
+using base::milliseconds;
+
+namespace
+{
+
+/// A node's part of the control stream.
+struct followed_log {
+    boost::asio::io_context context;
+    fakes::virtual_time time{context};
+    std::shared_ptr<fakes::log_store> store;
+    std::shared_ptr<fakes::log_store> checkpointStore = std::make_shared<fakes::log_store>();
+    fakes::in_process_log_service log;
+    fakes::in_process_log_service checkpoints{checkpointStore};
+    state::replicated_state state;
+    log_follower follower;
+    log_appender appender;
+
+    explicit followed_log(std::shared_ptr<fakes::log_store> records = std::make_shared<fakes::log_store>())
+        : store(std::move(records))
+        , log(store)
+        , follower(context.get_executor(), log, state, {}, &checkpoints)
+        , appender(context.get_executor(), log)
+    {
+    }
+
+    static state::entry heartbeat(int node)
+    {
+        return state::heartbeat_entry{base::node_id("node" + std::to_string(node)), base::incarnation(1), {}, false, base::clock::wallNow()};
+    }
+
+    std::shared_ptr<std::optional<platform::append_result>> append(int node)
+    {
+        auto result = std::make_shared<std::optional<platform::append_result>>();
+        boost::asio::co_spawn(context, appendTo(appender, {heartbeat(node)}, result), boost::asio::detached);
+        return result;
+    }
+
+    static boost::asio::awaitable<void>
+        appendTo(log_appender &to, std::vector<state::entry> entries, std::shared_ptr<std::optional<platform::append_result>> result)
+    {
+        *result = co_await to.append(std::move(entries));
+    }
+
+    static boost::asio::awaitable<void> write(followed_log *self, bool *written)
+    {
+        *written = co_await writeCheckpoint(self->checkpoints, "control", self->state, "c1");
+    }
+
+    void setOutage(bool outage)
+    {
+        fakes::log_faults faults;
+        faults.outage = outage;
+        store->setFaults(faults);
+    }
+};
+
+} // namespace
+
+/// Guards against a follower that stops at an outage, hammers a log that is down, or folds past records that it never read; and against
+/// an appender that repeats or reorders.
+class log_follower_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(log_follower_test);
+    CPPUNIT_TEST(entriesThatWaitAreBatched);
+    CPPUNIT_TEST(lostAnswerIsReportedAsUnknownAndNotRepeated);
+    CPPUNIT_TEST(fullQueueIsRefused);
+    CPPUNIT_TEST(followerSurvivesAnOutage);
+    CPPUNIT_TEST(checkpointBridgesAGap);
+    CPPUNIT_TEST(gapWithoutCheckpointIsNotFolded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void entriesThatWaitAreBatched()
+    {
+        followed_log node;
+        fakes::log_faults slow;
+        slow.delay = milliseconds(100);
+        node.store->setFaults(slow);
+        node.follower.start();
+        for (int i = 0; i < 50; ++i) {
+            node.append(i);
+        }
+        node.time.advance(milliseconds(1'000));
+        // The first entry starts an append, and all others wait for its answer.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), node.store->appendCount());
+        for (int i = 50; i < 60; ++i) {
+            node.append(i);
+            node.time.advance(milliseconds(10));
+        }
+        node.time.advance(milliseconds(1'000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), node.store->appendCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(60), node.state.heartbeats().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), node.appender.waiting());
+    }
+
+    void lostAnswerIsReportedAsUnknownAndNotRepeated()
+    {
+        followed_log node;
+        fakes::log_faults faults;
+        faults.lostAnswers = 1;
+        node.store->setFaults(faults);
+        node.follower.start();
+        const auto result = node.append(1);
+        node.time.advance(milliseconds(5'000));
+        CPPUNIT_ASSERT(*result && (*result)->status == platform::append_status::unknown);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), node.store->appendCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), node.state.heartbeats().size());
+    }
+
+    void fullQueueIsRefused()
+    {
+        followed_log node;
+        fakes::log_faults slow;
+        slow.delay = milliseconds(60'000);
+        node.store->setFaults(slow);
+        for (int i = 0; i < 1'000; ++i) {
+            node.append(i);
+        }
+        const auto result = node.append(1'000);
+        node.time.advance(milliseconds(100));
+        CPPUNIT_ASSERT(*result && (*result)->status == platform::append_status::refused);
+    }
+
+    void followerSurvivesAnOutage()
+    {
+        followed_log node;
+        node.follower.start();
+        node.append(1);
+        node.time.advance(milliseconds(100));
+        CPPUNIT_ASSERT(node.follower.isReachable());
+        node.setOutage(true);
+        node.time.advance(milliseconds(60'000));
+        CPPUNIT_ASSERT(!node.follower.isReachable());
+        node.setOutage(false);
+        const base::time_point back = base::clock::now();
+        node.append(2);
+        node.time.advance(milliseconds(5'100));
+        CPPUNIT_ASSERT(node.follower.isReachable());
+        CPPUNIT_ASSERT(node.follower.lastAtHead() >= back);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), node.state.heartbeats().size());
+    }
+
+    void checkpointBridgesAGap()
+    {
+        fakes::log_store_options options;
+        options.maxRecords = 10;
+        followed_log node(std::make_shared<fakes::log_store>(options));
+        node.follower.start();
+        for (int i = 0; i < 30; ++i) {
+            node.append(i);
+            node.time.advance(milliseconds(10));
+        }
+        bool written = false;
+        boost::asio::co_spawn(node.context, followed_log::write(&node, &written), boost::asio::detached);
+        node.time.advance(milliseconds(10));
+        CPPUNIT_ASSERT(written);
+        node.append(30);
+        node.time.advance(milliseconds(10));
+        state::replicated_state late;
+        log_follower lateFollower(node.context.get_executor(), node.log, late, {}, &node.checkpoints);
+        lateFollower.start();
+        node.time.advance(milliseconds(100));
+        CPPUNIT_ASSERT(lateFollower.isReachable());
+        CPPUNIT_ASSERT_EQUAL(node.state.dump(), late.dump());
+    }
+
+    void gapWithoutCheckpointIsNotFolded()
+    {
+        fakes::log_store_options options;
+        options.maxRecords = 10;
+        followed_log node(std::make_shared<fakes::log_store>(options));
+        for (int i = 0; i < 30; ++i) {
+            node.store->append(state::encodeRecord(std::vector<state::entry>{followed_log::heartbeat(i)}));
+        }
+        node.follower.start();
+        node.time.advance(milliseconds(1'000));
+        CPPUNIT_ASSERT(!node.follower.isReachable());
+        CPPUNIT_ASSERT_EQUAL(base::log_offset(0), node.state.folded());
+        // A peer's state closes the gap.
+        state::replicated_state peer;
+        peer.fold(base::log_offset(25), "[]");
+        CPPUNIT_ASSERT(node.follower.restore(peer.dump()));
+        node.time.advance(milliseconds(6'000));
+        CPPUNIT_ASSERT(node.follower.isReachable());
+        CPPUNIT_ASSERT_EQUAL(base::log_offset(30), node.state.folded());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(log_follower_test);
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/simulation/order_history.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chervilbend/base/error_kind.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chervilbend::measure
+{
+
+/// What callers and the order service saw, in the order in which it happened.
+class order_history
+{
+public:
+    enum class event_kind {
+        /// A caller sent an attempt.
+        started,
+        /// The caller got the answer to an attempt.
+        answered,
+        /// The order service ran the order on behalf of an attempt.
+        ran,
+    };
+
+    struct event {
+        event_kind kind;
+        std::string key;
+        /// Number of the attempt among those of the key.
+        int attempt = 0;
+        /// Of an answer.
+        base::run_state state = base::run_state::unknown;
+    };
+
+    void addStarted(const std::string &key, int attempt);
+    void addAnswered(const std::string &key, int attempt, base::run_state state);
+    void addRan(const std::string &key, int attempt);
+
+    const std::vector<event> &events() const;
+
+private:
+    std::vector<event> m_events;
+};
+
+} // namespace chervilbend::measure
