Lift quarantines of nodes that have ended; checkpoint every minute

Cause: nothing appended the record that ends a quarantine, and a restart had to read up to a quarter of an hour of records. Change: end_observer appends it once a later life answers or the node is unlisted and silent for the set time; the checkpoint interval is one minute; the follower hands records to the archive of publishes.

--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -217,7 +217,7 @@
         numberSetting("leaseHolders", "nodes", 1, 1'000, "Nodes that may hold leases", &s::leaseHolders),
         durationSetting(
             "quarantine", 10s, 24h, "Until a vanished owner's commands are no longer expected at engines that do not check fencing", &s::quarantine),
-        durationSetting("checkpointInterval", 10s, 24h, "Between two checkpoints; a quarter of the log's retention", &s::checkpointInterval),
+        durationSetting("checkpointInterval", 10s, 24h, "Between two checkpoints; at most a quarter of the log's retention", &s::checkpointInterval),
         durationSetting("keyLifetime", 1min, 24h, "How long an idempotency key is remembered", &s::keyLifetime),
         bytesSetting("answerLimit", base::byte_count(0), base::byte_count(64 * 1024), "Longest answer to an order that is kept for repeats", &s::answerLimit),
         durationSetting("probeInterval", 200ms, 30s, "Between two probes of other nodes", &s::probeInterval),
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -29,7 +29,7 @@
     base::milliseconds heartbeatInterval{2'000};
     std::int64_t leaseHolders = 32;
     base::milliseconds quarantine{600'000};
-    base::milliseconds checkpointInterval{900'000};
+    base::milliseconds checkpointInterval{60'000};
     base::milliseconds keyLifetime{7'200'000};
     base::byte_count answerLimit{8 * 1024};
 
--- a/packages/control/src/chervilbend/control/log_follower.cpp
+++ b/packages/control/src/chervilbend/control/log_follower.cpp
@@ -149,6 +149,9 @@
     }
     for (const platform::log_record &record : page->records) {
         m_state.fold(record.offset, record.payload);
+        if (m_options.onRecord) {
+            m_options.onRecord(record.payload);
+        }
     }
     if (m_state.folded() >= page->head) {
         m_lastAtHead = sent;
--- a/packages/control/src/chervilbend/control/log_follower_options.hpp
+++ b/packages/control/src/chervilbend/control/log_follower_options.hpp
@@ -3,7 +3,9 @@
 #include <chervilbend/base/clock.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <string_view>
 
 namespace chervilbend::control
 {
@@ -21,6 +23,8 @@
     base::milliseconds longestPause{5'000};
     /// Spreads the retries of different nodes.
     std::uint64_t seed = 0;
+    /// Called with the payload of each record after it was folded. Empty for none.
+    std::function<void(std::string_view payload)> onRecord;
 };
 
 } // namespace chervilbend::control
--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -29,9 +29,10 @@
 
 const log4cxx::LoggerPtr logger = base::partLogger("node");
 
-control::log_follower_options followerOptions(const std::string &stream, const node_identity &identity)
+control::log_follower_options followerOptions(const std::string &stream, const node_identity &identity, std::function<void(std::string_view)> onRecord = {})
 {
     control::log_follower_options options;
+    options.onRecord = std::move(onRecord);
     options.stream = stream;
     options.seed = base::hash64(identity.id.value());
     return options;
@@ -81,7 +82,10 @@
     , m_settings(settings)
     , m_identity(std::move(identity))
     , m_platform(platform)
-    , m_control(executor, *platform.control, followerOptions("control", m_identity), platform.checkpoints.get())
+    , m_control(executor,
+                *platform.control,
+                followerOptions("control", m_identity, [this](std::string_view payload) { m_archive.observe(payload); }),
+                platform.checkpoints.get())
     , m_orders(executor, *platform.orders, followerOptions("orders", m_identity), platform.checkpoints.get())
     , m_hosts(*platform.hosts, settings.hostInterval)
     , m_members(selfAsMember(m_identity), {}, base::hash64(m_identity.id.value(), static_cast<std::uint64_t>(m_identity.life.count())))
@@ -92,10 +96,12 @@
     , m_leases(m_identity.id, m_identity.life, m_control.state(), m_control, m_control, leaseTimes(settings))
     , m_drivers(m_control.state(), m_leases, *platform.engines, m_control)
     , m_planner(m_control.state(), m_leases, m_control, m_demand, *platform.store)
+    , m_ends(m_control.state(), m_members, m_leases, m_control, settings.quarantine)
 {
     m_leases.setOutstandingCheck([this] { return m_drivers.hasCommandsToLostEngines(); });
     m_hosts.addListener(*this);
     m_hosts.addListener(m_planner);
+    m_hosts.addListener(m_ends);
 }
 
 void control_plane::start()
@@ -108,6 +114,7 @@
     spawn(m_leases.run([this] { return m_members.eligibleHolders(); }));
     spawn(m_drivers.run());
     spawn(m_planner.run());
+    spawn(m_ends.run());
     spawn(followMembers());
     spawn(keepCheckpoints());
     spawn(fetchStateFromPeers());
--- a/packages/node/src/chervilbend/node/composition/control_plane.hpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/config/node_settings.hpp>
 #include <chervilbend/control/demand_reporter.hpp>
+#include <chervilbend/control/end_observer.hpp>
 #include <chervilbend/control/endpoint_drivers.hpp>
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/control/host_watcher.hpp>
@@ -14,6 +15,7 @@
 #include <chervilbend/node/composition/node_identity.hpp>
 #include <chervilbend/node/operators/entry_sink.hpp>
 #include <chervilbend/node/operators/node_facts.hpp>
+#include <chervilbend/node/operators/publish_archive.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -83,6 +85,11 @@
 
     /// Queries.
 
+    const publish_archive &publishes() const
+    {
+        return m_archive;
+    }
+
     base::node_id self() const override;
     log_contact log() const override;
     std::vector<known_node> nodes() const override;
@@ -101,6 +108,7 @@
     node_identity m_identity;
     platform_clients &m_platform;
 
+    publish_archive m_archive;
     control::log_stream m_control;
     control::log_stream m_orders;
     control::host_watcher m_hosts;
@@ -112,6 +120,7 @@
     control::lease_keeper m_leases;
     control::endpoint_drivers m_drivers;
     control::planner_task m_planner;
+    control::end_observer m_ends;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -88,7 +88,7 @@
     , m_metered(m_director, routing::director_settings().initialLimit)
     , m_control(m_context.get_executor(), settings, m_identity, m_platform, m_signer, m_metered)
     , m_callers(m_context.get_executor(), settings, m_identity, m_metered, m_control, m_platform, m_registry)
-    , m_view(m_control.controlStream().state(), m_archive, m_control)
+    , m_view(m_control.controlStream().state(), m_control.publishes(), m_control)
     , m_health(m_readiness, m_registry, m_callers.handler())
     , m_rpc(m_signer)
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_health, limitsOf(settings)))
--- a/packages/node/src/chervilbend/node/composition/node_process.hpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.hpp
@@ -12,7 +12,6 @@
 #include <chervilbend/node/health/readiness.hpp>
 #include <chervilbend/node/health/shutdown_sequence.hpp>
 #include <chervilbend/node/metered_director.hpp>
-#include <chervilbend/node/operators/publish_archive.hpp>
 #include <chervilbend/node/operators/state_operator_view.hpp>
 #include <chervilbend/peers/rpc_server.hpp>
 #include <chervilbend/routing/adaptive_director.hpp>
@@ -58,7 +57,6 @@
     metered_director m_metered;
     control_plane m_control;
     caller_side m_callers;
-    publish_archive m_archive;
     state_operator_view m_view;
     readiness m_readiness;
     health_api m_health;
