--- a/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -64,7 +64,8 @@
     // A fixed share would waste slots where most work is long. A burst of short work is over before long work has waited for as long
     // as it runs, so the share widens only when long work lacks slots for good.
     const double waited = queue.longWaitOverCost(now) / msPerCost;
-    const double wanted = waited > 1 ? settings.longShareMost : settings.longShare;
+    const double lacking = std::clamp(waited - 1, 0.0, 1.0);
+    const double wanted = settings.longShare + (settings.longShareMost - settings.longShare) * lacking;
     longShare += (wanted - longShare) * shareStep;
 }
 
--- a/packages/routing/src/chervilbend/routing/internal/suspicion_ledger.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/suspicion_ledger.cpp
@@ -135,9 +135,8 @@
 std::size_t suspicion_ledger::rankOf(std::uint64_t fingerprint) const
 {
     const auto found = m_entries.find(fingerprint);
-    return static_cast<std::size_t>(std::count_if(m_entries.begin(), found, [&](const auto &other) {
-        return std::chrono::abs(other.second.lastNews - found->second.lastNews) <= sameWave;
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        m_entries.begin(), found, [&](const auto &other) { return std::chrono::abs(other.second.lastNews - found->second.lastNews) <= sameWave; }));
 }
 
 bool suspicion_ledger::isSuspect(std::uint64_t fingerprint) const
