Recognize slow endpoints from the first stream

Ejected endpoints were probed once before the spacing applied, and a node that sends little averaged its first slow stream with healthy ones of a minute ago.

--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -61,7 +61,7 @@
 void adaptive_director::addSample(request_state &request, double cost, base::time_point now)
 {
     if (pool_member *member = request.pool->memberOf(request.endpoint.get())) {
-        member->latency.add(static_cast<double>((now - request.lastSample).count()), std::max(cost, 1e-3));
+        member->latency.add(static_cast<double>((now - request.lastSample).count()), std::max(cost, 1e-3), now);
     }
     request.lastSample = now;
 }
--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -122,7 +122,7 @@
         endpoint->leastMedian = std::numeric_limits<double>::infinity();
     }
     for (pool_state *pool : m_poolOrder) {
-        m_slow.judge(pool->members, m_nodes, now);
+        m_slow.judge(pool->members, pool->requests, m_nodes, now);
         pool->refresh(m_nodes, now, m_settings);
         if (pool->medianCost.count() >= trustedCount) {
             for (const pool_member &member : pool->members) {
--- a/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <chervilbend/base/clock.hpp>
+
 #include <algorithm>
+#include <cmath>
 
 namespace chervilbend::routing
 {
@@ -13,8 +16,10 @@
 public:
     /// Adds a span of a request: @p ms for @p cost units of work, cost above 0. Each generated token is a sample of the endpoint's speed,
     /// so that a node that sends little recognizes a slow endpoint within its first stream.
-    void add(double ms, double cost)
+    void add(double ms, double cost, base::time_point now)
     {
+        const double decay = sampleDecay * std::exp(-static_cast<double>((now - m_lastTime).count()) / timeConstantMs);
+        m_lastTime = now;
         m_ms = m_ms * decay + ms;
         m_cost = m_cost * decay + cost;
         m_samples += cost < 1 ? 1 : static_cast<long>(std::min(cost, 1e6));
@@ -41,12 +46,16 @@
 
 private:
     /// The last 20 or so samples count: enough to smooth, and a change shows within one or two streams.
-    static constexpr double decay = 0.95;
+    static constexpr double sampleDecay = 0.95;
+    /// Without decay in time, a node that sends little mixes its first slow stream with healthy ones of a minute ago, and sends a second
+    /// request to the slow endpoint before it sees the difference.
+    static constexpr double timeConstantMs = 3000;
 
     double m_ms = 0;
     double m_cost = 0;
     double m_last = 0;
     long m_samples = 0;
+    base::time_point m_lastTime;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/slow_detector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/slow_detector.cpp
@@ -20,7 +20,7 @@
 {
 }
 
-void slow_detector::judge(std::vector<pool_member> &members, int nodes, base::time_point now)
+void slow_detector::judge(std::vector<pool_member> &members, long requests, int nodes, base::time_point now)
 {
     m_rates.clear();
     for (const pool_member &member : members) {
@@ -38,7 +38,7 @@
             rate(member);
         }
     }
-    eject(members, nodes, now);
+    eject(members, requests, nodes, now);
 }
 
 void slow_detector::rate(pool_member &member)
@@ -55,7 +55,7 @@
     }
 }
 
-void slow_detector::eject(std::vector<pool_member> &members, int nodes, base::time_point now)
+void slow_detector::eject(std::vector<pool_member> &members, long requests, int nodes, base::time_point now)
 {
     auto ejected = std::count_if(members.begin(), members.end(), [](const pool_member &member) { return member.ejected; });
     while (ejected < static_cast<std::ptrdiff_t>(members.size() / 3)) {
@@ -71,7 +71,7 @@
         }
         slowest->ejected = true;
         slowest->latency.restart();
-        slowest->nextProbe = now + m_settings.probeInterval * nodes;
+        noteProbe(*slowest, requests, nodes, now);
         ++ejected;
     }
 }
--- a/packages/routing/src/chervilbend/routing/internal/slow_detector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/slow_detector.hpp
@@ -16,17 +16,17 @@
 public:
     explicit slow_detector(const director_settings &settings);
 
-    /// Judges all members anew.
-    void judge(std::vector<pool_member> &members, int nodes, base::time_point now);
+    /// Judges all members anew. @p requests counts the pool's requests.
+    void judge(std::vector<pool_member> &members, long requests, int nodes, base::time_point now);
 
-    /// The ejected member that is due for a probe; nullptr when there is none. @p requests counts the pool's requests.
+    /// The ejected member that is due for a probe; nullptr when there is none.
     pool_member *dueProbe(std::vector<pool_member> &members, long requests, base::time_point now) const;
     /// A probe was sent.
     void noteProbe(pool_member &member, long requests, int nodes, base::time_point now) const;
 
 private:
     void rate(pool_member &member);
-    void eject(std::vector<pool_member> &members, int nodes, base::time_point now);
+    void eject(std::vector<pool_member> &members, long requests, int nodes, base::time_point now);
 
     const director_settings &m_settings;
     std::vector<double> m_rates;
