--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -147,6 +148,12 @@
 void http_session::close()
 {
     m_connection->close();
+    // From within the event loop only: outside of it, Asio defers the signal, and the task may have ended by then.
+    asio::post(m_server->m_executor, [self = shared_from_this()] { self->cancelTask(); });
+}
+
+void http_session::cancelTask()
+{
     if (m_exchange) {
         m_cancel.emit(asio::cancellation_type::terminal);
     }
@@ -284,7 +291,7 @@
     }
     const peer_state state = m_connection->socket().is_open() ? stateOf(m_connection->socket()) : peer_state::gone;
     if (state == peer_state::gone) {
-        m_cancel.emit(asio::cancellation_type::terminal);
+        cancelTask();
     } else if (state == peer_state::present) {
         watch(request);
     } else {
@@ -302,7 +309,7 @@
         if (self->m_connection->socket().is_open() && isConnected(self->m_connection->socket())) {
             self->pollForDisconnect(request);
         } else {
-            self->m_cancel.emit(asio::cancellation_type::terminal);
+            self->cancelTask();
         }
     });
 }
