--- /dev/null
+++ b/packages/node/tests/caller_input_test.cpp
@@ -0,0 +1,169 @@
+#include "answers.hpp"
+
+#include <chervilbend/node/callers/event_scanner.hpp>
+#include <chervilbend/node/callers/inference_request.hpp>
+#include <chervilbend/node/callers/request_path.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace chervilbend;
+using namespace chervilbend::node;
+using namespace chervilbend::node::test;
+
+/// Guards against requests that reach another pool, account, class or route than the declarations say.
+class caller_input_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(caller_input_test);
+    CPPUNIT_TEST(findsModelsAndAdapters);
+    CPPUNIT_TEST(findsLongestRoute);
+    CPPUNIT_TEST(refusesWhatItCannotRoute);
+    CPPUNIT_TEST(refusesPathsWithTwoReadings);
+    CPPUNIT_TEST(boundsDeadlineAndClass);
+    CPPUNIT_TEST(tellsPromptsApart);
+    CPPUNIT_TEST(forwardsFieldsButNotTheConnections);
+    CPPUNIT_TEST(scannerReadsAnySplitAlike);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void findsModelsAndAdapters()
+    {
+        test_front front;
+        CPPUNIT_ASSERT_EQUAL(std::string("tall@3"), front.catalog.findModel("tall")->pool);
+        CPPUNIT_ASSERT_EQUAL(std::string("tall@3/legal@2"), front.catalog.findModel("legal")->pool);
+        CPPUNIT_ASSERT_EQUAL(std::string("tall@3/legal@2"), front.catalog.findModel("tall/legal")->pool);
+        CPPUNIT_ASSERT(!front.catalog.findModel("tall@3"));
+        state::service_view &chat = front.services[base::service_id("chat")];
+        chat.declaration.models.front().version = "4";
+        chat.version = base::log_offset(9);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a new version is in force at once", std::string("tall@4"), front.catalog.findModel("tall")->pool);
+        front.services.erase(base::service_id("chat"));
+        CPPUNIT_ASSERT(!front.catalog.findModel("tall"));
+        const std::string list = front.ask("GET /v1/models HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(list, contains(list, "\"data\":[]"));
+    }
+
+    void findsLongestRoute()
+    {
+        test_front front;
+        config::service_declaration &shop = front.services[base::service_id("shop")].declaration;
+        shop.routes.push_back({"/", "", true, "", base::work_class::batch, base::milliseconds(1)});
+        shop.routes.push_back({"/orders/", "GET", true, "", base::work_class::normal, base::milliseconds(2)});
+        const auto deadlineOf = [&](const char *method, const char *path) {
+            return front.catalog.findRoute(method, path)->route.deadline.count();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5'000), deadlineOf("POST", "/orders"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5'000), deadlineOf("POST", "/orders/7/items"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), deadlineOf("GET", "/orders/7"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), deadlineOf("PUT", "/orders/7"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), deadlineOf("POST", "/ordersheet"));
+    }
+
+    void refusesWhatItCannotRoute()
+    {
+        test_front front;
+        const auto kindOf = [&](const std::string &request) {
+            const std::string answer = front.ask(request);
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "application/problem+json") && contains(answer, "X-Run-State: not run"));
+            const std::size_t start = answer.find("urn:chervilbend:error:") + 22;
+            return answer.substr(start, answer.find('"', start) - start);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown-model"), kindOf(test_front::post("/v1/completions", "{\"model\":\"none\"}")));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad-request"), kindOf(test_front::post("/v1/completions", "{\"model\":7}")));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad-request"), kindOf(test_front::post("/v1/completions", std::string(100'000, '['))));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown-route"), kindOf(test_front::post("/v2/none", "{}")));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown-route"), kindOf("GET /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string("no-endpoint"), kindOf(test_front::post("/v1/completions", "{\"model\":\"tall\"}")));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad-request"), kindOf(test_front::post("/stock", "{}", "X-Priority: high\r\n")));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad-request"), kindOf(test_front::post("/stock", "{}", "X-Deadline-Ms: 1s\r\n")));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad-request"), kindOf(test_front::post("/stock/../orders", "{}")));
+    }
+
+    void refusesPathsWithTwoReadings()
+    {
+        for (const char *path : {"", "a", "//a", "/a//b", "/./a", "/a/..", "/a%2Fb", "/a/%2e%2E/b", "/a\\b", "/a%5Cb", "/a%00", "/a%2", "http://a/b"}) {
+            CPPUNIT_ASSERT_MESSAGE(path, !isNormalizedPath(path));
+        }
+        for (const char *path : {"/", "/a", "/a/", "/a/b.c/..d", "/a%20b"}) {
+            CPPUNIT_ASSERT_MESSAGE(path, isNormalizedPath(path));
+        }
+    }
+
+    void boundsDeadlineAndClass()
+    {
+        test_front front;
+        front.addEndpoint("service/shop", answerAndClose(whole("{}")));
+        const auto factsFor = [&](const std::string &fields) {
+            front.ask(test_front::post("/stock", "{}", fields));
+            return front.director.submitted.back();
+        };
+        const base::time_point before = base::clock::now();
+        const routing::request_facts asked = factsFor("X-Deadline-Ms: 900000\r\nX-Priority: urgent\r\n");
+        CPPUNIT_ASSERT(asked.deadline <= base::clock::now() + base::milliseconds(5'000) && asked.deadline >= before + base::milliseconds(5'000));
+        CPPUNIT_ASSERT(asked.urgency == base::work_class::normal);
+        CPPUNIT_ASSERT_EQUAL(std::string("default"), asked.account.value());
+        const routing::request_facts less = factsFor("X-Deadline-Ms: 1000\r\nX-Priority: batch\r\nX-Account: b\r\n");
+        CPPUNIT_ASSERT(less.deadline <= base::clock::now() + base::milliseconds(1'000));
+        CPPUNIT_ASSERT(less.urgency == base::work_class::batch);
+        CPPUNIT_ASSERT_MESSAGE("the account is part of the fingerprint", asked.fingerprint != less.fingerprint);
+        CPPUNIT_ASSERT(asked.fingerprint == factsFor("").fingerprint);
+    }
+
+    void tellsPromptsApart()
+    {
+        const std::string system(2'000, 's');
+        const auto read = [](const std::string &prompt, const std::string &more = {}) {
+            inference_request_reader reader;
+            return reader
+                .read("{\"model\":\"m\"," + more + "\"messages\":[{\"role\":\"system\",\"content\":[{\"type\":\"text\",\"text\":\"" + prompt + "\"}]}]}")
+                .value();
+        };
+        CPPUNIT_ASSERT(read(system + "a").prefix == read(system + "b").prefix);
+        CPPUNIT_ASSERT(read(system).prefix != read("t" + system).prefix);
+        CPPUNIT_ASSERT(read("short").prefix == 0);
+        CPPUNIT_ASSERT(read(system).promptTokens.count() > 490 && read(system).promptTokens.count() < 520);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), read("a", "\"max_tokens\":5,").maxTokens.count());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4'096), read("a", "\"max_tokens\":-5,").maxTokens.count());
+    }
+
+    void forwardsFieldsButNotTheConnections()
+    {
+        test_front front;
+        std::string seen;
+        front.addEndpoint("service/shop", [&](std::shared_ptr<raw_peer> caller) -> boost::asio::awaitable<void> {
+            seen = co_await caller->readUntil("{}");
+            co_await caller->send("HTTP/1.1 200 OK\r\nSet-Cookie: a\r\nSet-Cookie: b\r\nKeep-Alive: 9\r\nContent-Length: 0\r\n\r\n");
+        });
+        const std::string answer = front.ask("POST /stock?q=1 HTTP/1.1\r\nHost: node\r\nAuthorization: t\r\nX-Secret: s\r\nKeep-Alive: 5\r\nTE: trailers\r\n"
+                                             "Connection: close, X-Secret\r\nContent-Length: 2\r\n\r\n{}");
+        CPPUNIT_ASSERT_MESSAGE(seen, contains(seen, "POST /stock?q=1 HTTP/1.1") && contains(seen, "Authorization: t"));
+        CPPUNIT_ASSERT_MESSAGE(seen, !contains(seen, "X-Secret") && !contains(seen, "Keep-Alive") && !contains(seen, "TE:") && !contains(seen, "Host: node"));
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "Set-Cookie: a") && contains(answer, "Set-Cookie: b") && !contains(answer, "Keep-Alive"));
+    }
+
+    void scannerReadsAnySplitAlike()
+    {
+        const bool held = rc::check("events are counted alike and pass unchanged however they are split", [] {
+            const std::string end = *rc::gen::element<std::string>("\n\n", "\r\n\r\n");
+            const auto texts = *rc::gen::container<std::vector<std::string>>(rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
+            std::string all;
+            for (const std::string &text : texts) {
+                all += "data: {" + text + "}" + end;
+            }
+            all += "data: [DONE]" + end;
+            event_scanner scanner;
+            std::string passed;
+            for (std::size_t at = 0; at < all.size();) {
+                const std::size_t size = *rc::gen::inRange<std::size_t>(1, 30);
+                passed += scanner.feed(std::string_view(all).substr(at, size));
+                at += size;
+            }
+            RC_ASSERT(passed == all);
+            RC_ASSERT(scanner.isDone() && !scanner.isInsideEvent());
+            RC_ASSERT(scanner.tokens().count() == static_cast<std::int64_t>(texts.size()));
+        });
+        CPPUNIT_ASSERT(held);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_input_test);
