Move hardly used models to make room for wanted ones

A model whose only copy was hardly used could block an endpoint with idle accelerators: dropping it is forbidden, and the planner did nothing else.

--- a/packages/placement/src/chervilbend/placement/internal/cluster_model.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/cluster_model.hpp
@@ -78,6 +78,11 @@
 
     /// Queries.
 
+    bool isModel(std::size_t item) const
+    {
+        return items[item].base == item;
+    }
+
     const item_copy *copyAt(std::size_t item, std::size_t endpoint) const;
     int countedCopies(std::size_t item) const;
     int loadedCopies(std::size_t item) const;
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -31,6 +31,7 @@
     , m_settings(planner.m_settings)
     , m_budget(planner.m_budget)
     , m_cluster(input, stuck)
+    , m_finder(planner, m_cluster)
     , m_stuck(stuck)
     , m_token(input.plannerToken)
 {
@@ -55,7 +56,7 @@
 {
     std::vector<std::size_t> models;
     for (std::size_t i = 0; i < m_cluster.items.size(); ++i) {
-        if (isModel(i)) {
+        if (m_cluster.isModel(i)) {
             models.push_back(i);
         }
     }
@@ -72,16 +73,21 @@
             continue;
         }
         std::int64_t bytes = m_cluster.bundleBytes(model);
-        std::optional<candidate> place = placeToRestore(model, bytes, eviction::downToOne);
+        std::optional<candidate_place> place = m_finder.placeToRestore(model, bytes, eviction::downToOne);
         if (!place) {
             // Without its adapters it is still reachable.
             bytes = m_cluster.items[model].bytes;
-            place = placeToRestore(model, bytes, eviction::downToOne);
+            place = m_finder.placeToRestore(model, bytes, eviction::downToOne);
         }
         if (place) {
             carryOut(model, *place, bytes, "no copy is left");
-        } else {
-            m_lacksRoom = true;
+            continue;
+        }
+        m_lacksRoom = true;
+        if (!m_planner.m_keptRoom.contains(m_cluster.items[model].id)) {
+            if (const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes)) {
+                relocate(model, *relocation);
+            }
         }
     }
 }
@@ -128,7 +134,7 @@
             continue;
         }
         const std::int64_t bytes = m_cluster.bundleBytes(model);
-        const std::optional<candidate> place = placeToRestore(model, bytes, eviction::downToDeclared);
+        const std::optional<candidate_place> place = m_finder.placeToRestore(model, bytes, eviction::downToDeclared);
         const bool addsZone = place && m_cluster.copiesInZone(model, m_cluster.endpoints[place->endpoint].zone) == 0;
         if (place && (counted < record.copies || addsZone)) {
             carryOut(model, *place, bytes, std::to_string(counted) + " of " + std::to_string(record.copies) + " copies in different zones");
@@ -136,92 +142,7 @@
     }
 }
 
-std::optional<planning_pass::candidate> planning_pass::placeAt(std::size_t model, std::size_t endpoint, std::int64_t bytes, eviction bound) const
-{
-    const endpoint_record &target = m_cluster.endpoints[endpoint];
-    if (!target.usable || m_cluster.copyAt(model, endpoint)) {
-        return std::nullopt;
-    }
-    candidate place;
-    place.endpoint = endpoint;
-    if (target.free >= bytes) {
-        return place;
-    }
-    if (target.free + target.dropping >= bytes) {
-        place.waits = true;
-        return place;
-    }
-    if (target.memory < bytes || !findVictims(place, bytes, bound, model)) {
-        return std::nullopt;
-    }
-    return place;
-}
-
-bool planning_pass::findVictims(candidate &place, std::int64_t bytes, eviction bound, std::size_t forModel) const
-{
-    const endpoint_record &target = m_cluster.endpoints[place.endpoint];
-    std::vector<std::pair<double, std::size_t>> options;
-    for (const std::size_t item : target.items) {
-        const item_record &record = m_cluster.items[item];
-        const item_copy *copy = m_cluster.copyAt(item, place.endpoint);
-        const int floor = bound == eviction::downToOne ? 1 : record.copies;
-        if (!isModel(item) || item == forModel || !copy->counts || m_cluster.countedCopies(item) <= floor || !m_cluster.mayDrop(item, place.endpoint)) {
-            continue;
-        }
-        const double level = m_cluster.levelWithout(record, place.endpoint);
-        const double overload = std::max(0.0, level - m_settings.keepBelow) * (m_cluster.countedCopies(item) - 1);
-        const double cold = copy->share * static_cast<double>(m_settings.coldCache.count()) / static_cast<double>(m_settings.payback.count());
-        const bool breaksZones = bound == eviction::downToDeclared && !keepsZones(item, place.endpoint);
-        if (!breaksZones) {
-            options.emplace_back(overload + cold, item);
-        }
-    }
-    std::sort(options.begin(), options.end());
-    std::int64_t room = target.free + target.dropping;
-    for (const auto &[loss, item] : options) {
-        if (room >= bytes) {
-            break;
-        }
-        place.victims.push_back(item);
-        place.loss += loss;
-        room += m_cluster.items[item].bytes;
-        for (const std::size_t adapter : m_cluster.items[item].adapters) {
-            const item_copy *copy = m_cluster.copyAt(adapter, place.endpoint);
-            room += copy && copy->state != state::residency::dropping ? m_cluster.items[adapter].bytes : 0;
-        }
-    }
-    return room >= bytes;
-}
-
-std::optional<planning_pass::candidate> planning_pass::placeToRestore(std::size_t model, std::int64_t bytes, eviction bound) const
-{
-    // Other zones first, then room that was made for it, then no need to wait or to evict, then the least load.
-    constexpr double perCopyInZone = 1'000;
-    constexpr double keptRoomBonus = 500;
-    constexpr double avoidedPenalty = 2'000;
-    constexpr double waitPenalty = 50;
-    constexpr double evictionPenalty = 100;
-    const item_record &record = m_cluster.items[model];
-    const auto kept = m_planner.m_keptRoom.find(record.id);
-    std::optional<candidate> best;
-    for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
-        std::optional<candidate> place = placeAt(model, endpoint, bytes, bound);
-        if (!place) {
-            continue;
-        }
-        const endpoint_record &target = m_cluster.endpoints[endpoint];
-        place->value = -target.load - perCopyInZone * m_cluster.copiesInZone(model, target.zone) - (place->waits ? waitPenalty : 0)
-            - (place->victims.empty() ? 0 : evictionPenalty + place->loss);
-        place->value += kept != m_planner.m_keptRoom.end() && kept->second.endpoint == target.id ? keptRoomBonus : 0;
-        place->value -= m_planner.m_avoidUntil.contains({target.id, record.id}) ? avoidedPenalty : 0;
-        if (!best || place->value > best->value) {
-            best = std::move(place);
-        }
-    }
-    return best;
-}
-
-bool planning_pass::carryOut(std::size_t model, const candidate &place, std::int64_t bytes, const std::string &why)
+bool planning_pass::carryOut(std::size_t model, const candidate_place &place, std::int64_t bytes, const std::string &why)
 {
     if (!place.victims.empty()) {
         // Nothing is dropped for a load that could not start anyway.
@@ -253,7 +174,7 @@
     const item_record &record = m_cluster.items[item];
     m_changes.push_back({state::assign_entry{m_cluster.endpoints[endpoint].id, record.id, base::byte_count(record.bytes), m_token}, std::move(why)});
     m_cluster.assign(item, endpoint);
-    if (isModel(item)) {
+    if (m_cluster.isModel(item)) {
         m_cluster.splitDemand(m_cluster.items[item]);
     }
 }
@@ -268,7 +189,7 @@
     }
     m_changes.push_back({state::drop_entry{m_cluster.endpoints[endpoint].id, m_cluster.items[item].id, m_token}, why});
     m_cluster.drop(item, endpoint);
-    if (isModel(item)) {
+    if (m_cluster.isModel(item)) {
         m_cluster.splitDemand(m_cluster.items[item]);
     }
 }
@@ -307,14 +228,14 @@
     const std::int64_t bytes = m_cluster.items[adapter].bytes;
     for (const eviction bound : {eviction::downToDeclared, eviction::downToOne}) {
         for (const item_copy &copy : m_cluster.items[model].where) {
-            candidate place;
+            candidate_place place;
             place.endpoint = copy.endpoint;
             const endpoint_record &target = m_cluster.endpoints[copy.endpoint];
             if (!copy.counts || m_cluster.copyAt(adapter, copy.endpoint)) {
                 continue;
             }
             const bool comesFree = target.free + target.dropping >= bytes;
-            if (comesFree || findVictims(place, bytes, bound, model)) {
+            if (comesFree || m_finder.findVictims(place, bytes, bound, model)) {
                 for (const std::size_t victim : place.victims) {
                     drop(victim, place.endpoint, "makes room for " + m_cluster.items[adapter].id.value());
                 }
@@ -331,7 +252,7 @@
     std::vector<std::pair<double, std::size_t>> hot;
     for (std::size_t model = 0; model < m_cluster.items.size(); ++model) {
         const item_record &record = m_cluster.items[model];
-        if (isModel(model) && record.demand > 0 && record.level > m_settings.upUtilisation && m_cluster.countedCopies(model) > 0) {
+        if (m_cluster.isModel(model) && record.demand > 0 && record.level > m_settings.upUtilisation && m_cluster.countedCopies(model) > 0) {
             hot.emplace_back(-record.level * record.importance, model);
         }
     }
@@ -357,15 +278,15 @@
     const double loadSeconds = 2.0;
     const double cost = loadSeconds * 1'000 / static_cast<double>(m_settings.payback.count());
     const auto kept = m_planner.m_keptRoom.find(record.id);
-    std::optional<candidate> best;
+    std::optional<candidate_place> best;
     for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
         const endpoint_record &target = m_cluster.endpoints[endpoint];
         const double levelAfter = (copies * record.level + target.load) / (copies + 1);
         const double gain = std::min(levelAfter - target.load, copies * (record.level - m_settings.upUtilisation) + cost);
-        if (gain <= cost || m_planner.m_avoidUntil.contains({target.id, record.id})) {
+        if (gain <= cost || m_planner.m_avoidUntil.contains({target.id, record.id}) || m_finder.isKeptForOther(model, endpoint)) {
             continue;
         }
-        std::optional<candidate> place = placeAt(model, endpoint, bytes, eviction::downToDeclared);
+        std::optional<candidate_place> place = m_finder.placeAt(model, endpoint, bytes, eviction::downToDeclared);
         if (!place) {
             continue;
         }
@@ -375,6 +296,17 @@
             best = std::move(place);
         }
     }
+    if (!best && kept == m_planner.m_keptRoom.end()) {
+        const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes);
+        const double level = relocation ? (copies * record.level + m_cluster.endpoints[relocation->endpoint].load) / (copies + 1) : 0;
+        const double gain = relocation ? level - m_cluster.endpoints[relocation->endpoint].load : 0;
+        // A relocation is a load and a drop more.
+        if (relocation && gain > relocation->loss + cost * static_cast<double>(1 + 2 * relocation->relocations.size() + relocation->victims.size())) {
+            m_budget.takeMove();
+            relocate(model, *relocation);
+        }
+        return false;
+    }
     if (!best) {
         return false;
     }
@@ -386,24 +318,32 @@
     return assigned;
 }
 
-bool planning_pass::isIdle(std::size_t model) const
+void planning_pass::relocate(std::size_t model, const candidate_place &place)
 {
-    const auto since = m_planner.m_idleSince.find(m_cluster.items[model].id);
-    return since != m_planner.m_idleSince.end() && base::clock::now() - since->second >= m_settings.downAfter;
+    const std::string purpose = "moves to make room for " + m_cluster.items[model].id.value() + " at " + m_cluster.endpoints[place.endpoint].id.value();
+    for (const auto &[item, destination] : place.relocations) {
+        if (!m_budget.allowsLoad()) {
+            return;
+        }
+        m_budget.takeLoad();
+        assign(item, destination, purpose);
+        assignAdapters(item, destination);
+    }
+    m_planner.m_keptRoom[m_cluster.items[model].id] = {m_cluster.endpoints[place.endpoint].id, base::clock::now() + m_settings.roomPatience};
+    m_cluster.promise(place.endpoint, m_cluster.endpoints[place.endpoint].free);
 }
 
-bool planning_pass::keepsZones(std::size_t model, std::size_t endpoint) const
+bool planning_pass::isIdle(std::size_t model) const
 {
-    const int wanted = std::min(m_cluster.items[model].copies, m_cluster.usableZones);
-    const bool lastInZone = m_cluster.copiesInZone(model, m_cluster.endpoints[endpoint].zone) == 1;
-    return m_cluster.zonesOf(model) - (lastInZone ? 1 : 0) >= wanted;
+    const auto since = m_planner.m_idleSince.find(m_cluster.items[model].id);
+    return since != m_planner.m_idleSince.end() && base::clock::now() - since->second >= m_settings.downAfter;
 }
 
 void planning_pass::dropIdle()
 {
     for (std::size_t model = 0; model < m_cluster.items.size(); ++model) {
         const item_record &record = m_cluster.items[model];
-        const int copies = isModel(model) ? m_cluster.countedCopies(model) : 0;
+        const int copies = m_cluster.isModel(model) ? m_cluster.countedCopies(model) : 0;
         const bool idleNow = copies > record.copies && record.demand / copies < m_settings.downUtilisation;
         if (!idleNow) {
             m_planner.m_idleSince.erase(record.id);
@@ -418,7 +358,7 @@
             const endpoint_record &target = m_cluster.endpoints[copy.endpoint];
             // Where there is room for any model, an idle copy costs nothing and may be wanted again.
             const bool roomIsShort = target.free + target.dropping < m_cluster.largestBundle;
-            const bool droppable = copy.counts && roomIsShort && m_cluster.mayDrop(model, copy.endpoint) && keepsZones(model, copy.endpoint)
+            const bool droppable = copy.counts && roomIsShort && m_cluster.mayDrop(model, copy.endpoint) && m_finder.keepsZones(model, copy.endpoint)
                 && m_cluster.levelWithout(record, copy.endpoint) < m_settings.keepBelow;
             if (droppable && (!choice || target.load > m_cluster.endpoints[choice->endpoint].load)) {
                 choice = &copy;
@@ -434,7 +374,7 @@
 void planning_pass::dropOrphans()
 {
     for (std::size_t adapter = 0; adapter < m_cluster.items.size(); ++adapter) {
-        if (isModel(adapter)) {
+        if (m_cluster.isModel(adapter)) {
             continue;
         }
         for (std::size_t i = 0; i < m_cluster.items[adapter].where.size(); ++i) {
--- a/packages/placement/src/chervilbend/placement/placement_planner.hpp
+++ b/packages/placement/src/chervilbend/placement/placement_planner.hpp
@@ -30,6 +30,7 @@
 
 private:
     friend class planning_pass;
+    friend class place_finder;
 
     using place = std::pair<base::endpoint_id, base::item_id>;
 
--- a/packages/placement/tests/small_cluster.hpp
+++ b/packages/placement/tests/small_cluster.hpp
@@ -129,7 +129,8 @@
             CPPUNIT_ASSERT_MESSAGE("overcommitted", view.reserved <= view.memory);
             CPPUNIT_ASSERT_MESSAGE(
                 "assigned twice",
-                view.items.emplace(assign->item, chervilbend::state::residency_view{residency::assigned, assign->bytes, chervilbend::base::log_offset(elapsed)})
+                view.items
+                    .emplace(assign->item, chervilbend::state::residency_view{residency::assigned, assign->bytes, chervilbend::base::log_offset(elapsed), {}})
                     .second);
             ++loads;
             int inTransit = 0;
