--- a/packages/control/src/chervilbend/control/log_follower_options.hpp
+++ b/packages/control/src/chervilbend/control/log_follower_options.hpp
@@ -24,7 +24,7 @@
     /// Spreads the retries of different nodes.
     std::uint64_t seed = 0;
     /// Called with the payload of each record after it was folded. Empty for none.
-    std::function<void(std::string_view payload)> onRecord;
+    std::function<void(std::string_view payload)> onRecord = {};
 };
 
 } // namespace chervilbend::control
--- a/packages/node/src/chervilbend/node/composition/platform_clients.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_clients.hpp
@@ -4,6 +4,11 @@
 
 #include <memory>
 
+namespace chervilbend::net
+{
+class http_client;
+} // namespace chervilbend::net
+
 namespace chervilbend::platform
 {
 class engine_control;
@@ -21,6 +26,9 @@
     ~platform_clients();
     platform_clients(platform_clients &&) noexcept;
 
+    /// The transport of the others, which it therefore outlives.
+    std::unique_ptr<net::http_client> http;
+
     /// The streams of the log.
     std::unique_ptr<platform::log_service> control;
     std::unique_ptr<platform::log_service> orders;
