Add the wire adapters of the platform's services

The node needs the log, the host list, engines and the weight store over the network. The adapters speak the HTTP forms of docs/wire.md, bounded in time and size; an append or command counts as refused or not sent only when that is certain, and an unreadable line of the host list does not hide the others.

--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/engine_command_json.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chervilbend/platform/engine_command.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <optional>
+
+namespace chervilbend::platform
+{
+
+/// The wire form of a command to an engine; docs/wire.md describes it.
+boost::json::object toJson(const engine_command &command);
+
+/// Reads the wire form. No value when a field is missing or malformed.
+std::optional<engine_command> engineCommandFromJson(const boost::json::object &json);
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/engine_report_json.cpp
@@ -0,0 +1,80 @@
+#include <chervilbend/platform/http/engine_report_json.hpp>
+
+#include <chervilbend/platform/http/internal/json_fields.hpp>
+
+#include <boost/json/array.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace json = boost::json;
+
+namespace chervilbend::platform
+{
+
+namespace
+{
+constexpr std::int64_t highest = std::numeric_limits<std::int64_t>::max();
+/// Beyond a day a lag is a mistake, and sums with it could overflow.
+constexpr std::int64_t longestLagMs = 86'400'000;
+
+std::optional<resident_item> residentItemFromJson(const json::value &element)
+{
+    const json::object *const object = element.if_object();
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto item = text(*object, "item");
+    const auto bytes = wholeNumber(*object, "bytes", 0, highest);
+    const auto loaded = flag(*object, "loaded", false);
+    if (!item || item->empty() || !bytes || !loaded) {
+        return std::nullopt;
+    }
+    return resident_item{base::item_id(*item), base::byte_count(*bytes), *loaded};
+}
+
+} // namespace
+
+json::object toJson(const engine_report &report)
+{
+    json::array items;
+    for (const resident_item &item : report.items) {
+        items.push_back(json::object{{"item", item.item.value()}, {"bytes", item.bytes.count()}, {"loaded", item.loaded}});
+    }
+    return {{"life", report.life.count()},
+            {"fencingToken", report.fencingToken.count()},
+            {"running", report.running},
+            {"queued", report.queued},
+            {"lagMs", report.lag.count()},
+            {"items", std::move(items)}};
+}
+
+std::optional<engine_report> engineReportFromJson(const json::object &json)
+{
+    const auto life = wholeNumber(json, "life", 0, highest);
+    const auto token = wholeNumber(json, "fencingToken", 0, highest);
+    const auto running = wholeNumber(json, "running", 0, highest);
+    const auto queued = wholeNumber(json, "queued", 0, highest);
+    const auto lag = wholeNumber(json, "lagMs", 0, longestLagMs);
+    const json::array *const items = list(json, "items");
+    if (!life || !token || !running || !queued || !lag || !items) {
+        return std::nullopt;
+    }
+    engine_report report;
+    report.life = base::incarnation(*life);
+    report.fencingToken = base::log_offset(*token);
+    report.running = *running;
+    report.queued = *queued;
+    report.lag = base::milliseconds(*lag);
+    for (const json::value &element : *items) {
+        std::optional<resident_item> item = residentItemFromJson(element);
+        if (!item) {
+            return std::nullopt;
+        }
+        report.items.push_back(std::move(*item));
+    }
+    return report;
+}
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/engine_report_json.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chervilbend/platform/engine_report.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <optional>
+
+namespace chervilbend::platform
+{
+
+/// The wire form of an engine's report; docs/wire.md describes it.
+boost::json::object toJson(const engine_report &report);
+
+/// Reads the wire form. No value when a field is missing or malformed.
+std::optional<engine_report> engineReportFromJson(const boost::json::object &json);
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/host_entry_json.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chervilbend/platform/host_entry.hpp>
+
+#include <boost/json/object.hpp>
+
+#include <optional>
+
+namespace chervilbend::platform
+{
+
+/// The wire form of a line of the host list; docs/wire.md describes it.
+boost::json::object toJson(const host_entry &host);
+
+/// Reads the wire form. No value when a field is missing or malformed.
+std::optional<host_entry> hostEntryFromJson(const boost::json::object &json);
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/http_engine_control.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chervilbend/platform/engine_control.hpp>
+#include <chervilbend/platform/http/internal/json_client.hpp>
+
+namespace chervilbend::platform
+{
+
+/// Commands to engines and their reports over HTTP. docs/wire.md describes the wire form.
+class http_engine_control : public engine_control
+{
+public:
+    /// @p client must outlive this object.
+    explicit http_engine_control(net::http_client &client, http_adapter_options options = {});
+
+    boost::asio::awaitable<command_status> send(net::address engine, engine_command command) override;
+    boost::asio::awaitable<std::optional<engine_report>> report(net::address engine) override;
+
+private:
+    json_client m_client;
+};
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/internal/json_client.cpp
@@ -0,0 +1,90 @@
+#include <chervilbend/platform/http/internal/json_client.hpp>
+
+#include <chervilbend/net/http_client.hpp>
+#include <chervilbend/net/http_client_stream.hpp>
+
+#include <boost/json/parse.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace chervilbend::platform
+{
+
+namespace
+{
+/// The wire forms are at most five levels deep.
+constexpr std::size_t maxDepth = 16;
+} // namespace
+
+json_client::json_client(net::http_client &client, http_adapter_options options)
+    : m_client(client)
+    , m_options(options)
+{
+}
+
+asio::awaitable<std::optional<json_answer>> json_client::get(net::address where, std::string target, base::milliseconds wait)
+{
+    net::http_request request(http::verb::get, target, 11);
+    co_return co_await exchange(std::move(where), std::move(request), wait, false);
+}
+
+asio::awaitable<std::optional<json_answer>> json_client::post(net::address where, std::string target, std::string body)
+{
+    net::http_request request(http::verb::post, target, 11);
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    co_return co_await exchange(std::move(where), std::move(request), base::milliseconds(0), true);
+}
+
+asio::awaitable<std::optional<json_answer>> json_client::exchange(net::address where, net::http_request request, base::milliseconds wait, bool fresh)
+{
+    net::http_send_options options;
+    options.connectTimeout = m_options.connectTimeout;
+    options.answerTimeout = m_options.answerTimeout + wait;
+    options.deadline = base::clock::now() + options.answerTimeout;
+    options.freshConnection = fresh;
+    const std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(std::move(where), std::move(request), options);
+    if (!answer) {
+        co_return fail(m_client.lastReason());
+    }
+    std::string body;
+    while (true) {
+        const std::optional<std::string_view> piece = co_await answer->read();
+        if (!piece) {
+            co_return fail(answer->lastReason());
+        }
+        if (piece->empty()) {
+            break;
+        }
+        if (body.size() + piece->size() > m_options.maxAnswerBytes) {
+            co_return fail(base::error_kind::endpointInvalidAnswer, "the answer is longer than " + std::to_string(m_options.maxAnswerBytes) + " bytes");
+        }
+        body.append(*piece);
+    }
+    if (!answer->marksItsEnd()) {
+        co_return fail(base::error_kind::endpointInvalidAnswer, "the answer does not say where it ends");
+    }
+    co_return parse(static_cast<int>(answer->header().result_int()), body);
+}
+
+std::optional<json_answer> json_client::parse(int status, const std::string &body)
+{
+    json::parse_options options;
+    options.max_depth = maxDepth;
+    json::error_code error;
+    json::value parsed = json::parse(body, error, {}, options);
+    if (!error && parsed.is_object()) {
+        return json_answer{status, std::move(parsed.get_object())};
+    }
+    if (status != static_cast<int>(http::status::ok)) {
+        return json_answer{status, {}};
+    }
+    return fail(base::error_kind::endpointInvalidAnswer, error ? "the answer is not JSON: " + error.message() : "the answer is not a JSON object");
+}
+
+} // namespace chervilbend::platform
--- /dev/null
+++ b/packages/platform/src/chervilbend/platform/http/log_page_json.cpp
@@ -0,0 +1,58 @@
+#include <chervilbend/platform/http/log_page_json.hpp>
+
+#include <chervilbend/platform/http/internal/json_fields.hpp>
+
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace json = boost::json;
+
+namespace chervilbend::platform
+{
+
+namespace
+{
+constexpr std::int64_t maxOffset = std::numeric_limits<std::int64_t>::max();
+/// Longest payload of one record in bytes; the whole answer is bounded, too.
+constexpr std::size_t maxPayloadBytes = 16 * 1024 * 1024;
+} // namespace
+
+json::object toJson(const log_page &page)
+{
+    json::array records;
+    for (const log_record &record : page.records) {
+        records.push_back(json::object{{"offset", record.offset.count()}, {"payload", record.payload}});
+    }
+    return {{"firstRetained", page.firstRetained.count()}, {"head", page.head.count()}, {"records", std::move(records)}};
+}
+
+std::optional<log_page> logPageFromJson(const json::object &json, base::log_offset after)
+{
+    const auto firstRetained = wholeNumber(json, "firstRetained", 0, maxOffset);
+    const auto head = wholeNumber(json, "head", 0, maxOffset);
+    const json::array *const records = list(json, "records");
+    if (!firstRetained || !head || !records) {
+        return std::nullopt;
+    }
+    log_page page;
+    page.firstRetained = base::log_offset(*firstRetained);
+    page.head = base::log_offset(*head);
+    std::int64_t last = std::max(after.count(), *firstRetained - 1);
+    for (const json::value &element : *records) {
+        const json::object *const record = element.if_object();
+        const auto offset = record ? wholeNumber(*record, "offset", last + 1, *head) : std::nullopt;
+        std::optional<std::string> payload = record ? text(*record, "payload", maxPayloadBytes) : std::nullopt;
+        if (!offset || !payload) {
+            return std::nullopt;
+        }
+        last = *offset;
+        page.records.push_back({base::log_offset(*offset), std::move(*payload)});
+    }
+    return page;
+}
+
+} // namespace chervilbend::platform
