--- /dev/null
+++ b/packages/routing/tests/adaptive_director_test.cpp
@@ -0,0 +1,291 @@
+#include "director_driver.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace chervilbend;
+using namespace chervilbend::routing;
+using base::work_class;
+
+/// Guards the order in which requests are sent, shed and retried.
+class adaptive_director_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(adaptive_director_test);
+    CPPUNIT_TEST(doesNotHerdOnOneStaleReport);
+    CPPUNIT_TEST(keepsShortWorkFromWaitingBehindLongWork);
+    CPPUNIT_TEST(countsAStreamAsLongOnceItIsLong);
+    CPPUNIT_TEST(sendsUrgentWorkFirstButDoesNotStarveBatchWork);
+    CPPUNIT_TEST(sharesSlotsBetweenAccounts);
+    CPPUNIT_TEST(shedsTheLowestValueFirst);
+    CPPUNIT_TEST(refusesWhatCannotMeetItsDeadline);
+    CPPUNIT_TEST(letsTooLateWorkThroughOnceASecondToCorrectThePrediction);
+    CPPUNIT_TEST(stopsARetryStorm);
+    CPPUNIT_TEST(doesNotRetryWhatMayHaveRun);
+    CPPUNIT_TEST(sendsNothingToLeavingOrFullEndpoints);
+    CPPUNIT_TEST(prefersTheCachedPrefixOnlyWithinBounds);
+    CPPUNIT_TEST(decidesTheSameForTheSameSeed);
+    CPPUNIT_TEST(forgetsEndedRequestsAndRemovedPools);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Many nodes that see the same old report must not all send to the endpoint that looked idle then.
+    void doesNotHerdOnOneStaleReport()
+    {
+        int herd = 0;
+        for (std::uint64_t seed = 0; seed < 100; ++seed) {
+            director_driver driver(10, {}, seed);
+            for (int index = 0; index < 10; ++index) {
+                driver.report(director_driver::name(index), index == 0 ? 0 : 8, 1, 1500);
+            }
+            herd += driver.send(director_driver::request()).endpoint.value() == "e0" ? 1 : 0;
+        }
+        // Two draws of ten meet e0 with a probability of 0.19; always taking the least loaded would give 100.
+        CPPUNIT_ASSERT(herd > 5 && herd < 40);
+    }
+
+    void keepsShortWorkFromWaitingBehindLongWork()
+    {
+        director_driver driver(1, fixedLimit(8));
+        learnLengths(driver);
+        for (int index = 0; index < 20; ++index) {
+            driver.send(director_driver::request("a", work_class::normal, 1000));
+        }
+        // 8 slots, of which long work gets 0.45; the rest stays free for short work.
+        for (int index = 0; index < 4; ++index) {
+            CPPUNIT_ASSERT(!driver.send(director_driver::request()).endpoint.empty());
+        }
+    }
+
+    void countsAStreamAsLongOnceItIsLong()
+    {
+        director_driver driver(1, fixedLimit(8));
+        learnLengths(driver);
+        for (int index = 0; index < 4; ++index) {
+            const dispatch disguised = driver.send(director_driver::request("a", work_class::normal, 60));
+            driver.director.firstByte(disguised.request);
+            driver.clock.advance(base::milliseconds(1000));
+            driver.director.progress(disguised.request, base::token_count(59));
+        }
+        CPPUNIT_ASSERT(driver.send(director_driver::request("a", work_class::normal, 1000)).endpoint.empty());
+        CPPUNIT_ASSERT(!driver.send(director_driver::request()).endpoint.empty());
+    }
+
+    void sendsUrgentWorkFirstButDoesNotStarveBatchWork()
+    {
+        director_driver driver(1, fixedLimit(1));
+        dispatch running = driver.send(director_driver::request());
+        std::set<ticket> batch;
+        for (int index = 0; index < 5; ++index) {
+            batch.insert(driver.submit(director_driver::request("b", work_class::batch)));
+        }
+        int batchSent = 0;
+        int urgentSentFirst = 0;
+        for (int index = 0; index < 100; ++index) {
+            // Urgent work alone would use every slot for ever.
+            driver.submit(director_driver::request("a", work_class::urgent));
+            driver.answer(running.request);
+            running = driver.director.takeDispatches().at(0);
+            const bool isBatch = batch.contains(running.request);
+            batchSent += isBatch ? 1 : 0;
+            urgentSentFirst += batchSent == 0 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(urgentSentFirst >= 5);
+        CPPUNIT_ASSERT(batchSent >= 3 && batchSent <= 10);
+    }
+
+    void sharesSlotsBetweenAccounts()
+    {
+        director_driver driver(1, fixedLimit(1));
+        dispatch running = driver.send(director_driver::request());
+        std::map<ticket, std::string> owners;
+        for (int index = 0; index < 200; ++index) {
+            owners[driver.submit(director_driver::request("flood"))] = "flood";
+        }
+        for (int index = 0; index < 5; ++index) {
+            owners[driver.submit(director_driver::request("small"))] = "small";
+        }
+        int small = 0;
+        for (int index = 0; index < 12; ++index) {
+            driver.answer(running.request);
+            running = driver.director.takeDispatches().at(0);
+            small += owners[running.request] == "small" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(5, small);
+    }
+
+    void shedsTheLowestValueFirst()
+    {
+        director_settings settings = fixedLimit(1);
+        settings.queueMaximum = 20;
+        director_driver driver(1, settings);
+        driver.send(director_driver::request());
+        std::map<ticket, std::string> waiting;
+        for (int index = 0; index < 10; ++index) {
+            waiting[driver.submit(director_driver::request("a", work_class::batch))] = "batch";
+            waiting[driver.submit(director_driver::request("flood"))] = "flood";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), waiting.size());
+        // A full queue: batch work gives way, down to the part that it keeps; then the largest account of the own class.
+        for (int index = 0; index < 30; ++index) {
+            driver.submit(director_driver::request("other", work_class::normal));
+        }
+        std::map<std::string, int> shed;
+        for (const refusal &given : driver.director.takeRefusals()) {
+            CPPUNIT_ASSERT(given.why.kind == base::error_kind::overloaded);
+            ++shed[waiting[given.request]];
+        }
+        CPPUNIT_ASSERT(shed["batch"] >= 5 && shed["flood"] <= 5);
+        // Who has most of the lowest class waiting is refused at once.
+        CPPUNIT_ASSERT_EQUAL(ticket(0), driver.submit(director_driver::request("a", work_class::batch)));
+        CPPUNIT_ASSERT(driver.why.kind == base::error_kind::overloaded);
+        CPPUNIT_ASSERT(driver.why.text.find("retry after") != std::string::npos);
+    }
+
+    void refusesWhatCannotMeetItsDeadline()
+    {
+        director_driver driver(1, fixedLimit(1));
+        driver.send(director_driver::request());
+        request_facts facts = director_driver::request();
+        facts.deadline = base::clock::now() + base::milliseconds(2000);
+        const ticket late = driver.submit(facts);
+        CPPUNIT_ASSERT(driver.director.nextWakeup() <= facts.deadline);
+        driver.wait(2500);
+        const std::vector<refusal> refused = driver.director.takeRefusals();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), refused.size());
+        CPPUNIT_ASSERT(refused[0].request == late && refused[0].why.kind == base::error_kind::deadlineUnmeetable);
+    }
+
+    /// A prediction that is too high must not refuse a whole class for ever: without answers it would never be corrected.
+    void letsTooLateWorkThroughOnceASecondToCorrectThePrediction()
+    {
+        director_driver driver(3);
+        int sent = 0;
+        for (int index = 0; index < 300; ++index) {
+            request_facts facts = director_driver::request("a", work_class::normal, 4000);
+            facts.deadline = base::clock::now() + base::milliseconds(3000);
+            const dispatch tried = driver.send(facts);
+            if (tried.request != 0) {
+                ++sent;
+                driver.answer(tried.request, 20);
+            }
+            driver.clock.advance(base::milliseconds(100));
+        }
+        CPPUNIT_ASSERT(sent > 200);
+    }
+
+    void stopsARetryStorm()
+    {
+        director_driver driver(3);
+        int retries = 0;
+        constexpr int requests = 1000;
+        for (int index = 0; index < requests; ++index) {
+            dispatch sent = driver.send(director_driver::request());
+            while (!sent.endpoint.empty() && driver.director.retry(sent.request, request_outcome::timedOut, driver.why)) {
+                ++retries;
+                const std::vector<dispatch> again = driver.director.takeDispatches();
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), again.size());
+                CPPUNIT_ASSERT(again[0].endpoint != sent.endpoint);
+                sent = again[0];
+            }
+            driver.wait(250);
+        }
+        CPPUNIT_ASSERT(retries >= requests / 20 && retries <= requests / 10 + 20);
+
+        // Against an overloaded pool there is none at all, whatever the budget.
+        director_driver full(1, fixedLimit(1));
+        const dispatch failing = full.send(director_driver::request());
+        while (full.submit(director_driver::request()) != 0) { }
+        CPPUNIT_ASSERT(!full.director.retry(failing.request, request_outcome::refused, full.why));
+        CPPUNIT_ASSERT(full.why.kind == base::error_kind::overloaded);
+    }
+
+    void doesNotRetryWhatMayHaveRun()
+    {
+        director_driver driver(2);
+        request_facts order = director_driver::request();
+        order.repeatable = false;
+        const dispatch lost = driver.send(order);
+        CPPUNIT_ASSERT(!driver.director.retry(lost.request, request_outcome::connectionLost, driver.why));
+        ++order.fingerprint;
+        const dispatch unsent = driver.send(order);
+        CPPUNIT_ASSERT(driver.director.retry(unsent.request, request_outcome::notSent, driver.why));
+    }
+
+    void sendsNothingToLeavingOrFullEndpoints()
+    {
+        director_driver driver(2, fixedLimit(3));
+        driver.director.setEndpoint({base::endpoint_id("e0"), base::zone_id(), {"m"}, true, 0});
+        for (int index = 0; index < 3; ++index) {
+            CPPUNIT_ASSERT_EQUAL(std::string("e1"), driver.send(director_driver::request()).endpoint.value());
+        }
+        CPPUNIT_ASSERT(driver.send(director_driver::request()).endpoint.empty());
+        driver.director.removeEndpoint(base::endpoint_id("e1"));
+        CPPUNIT_ASSERT_EQUAL(ticket(0), driver.submit(director_driver::request()));
+        CPPUNIT_ASSERT(driver.why.kind == base::error_kind::noEndpoint);
+    }
+
+    void prefersTheCachedPrefixOnlyWithinBounds()
+    {
+        director_driver driver(4);
+        std::map<std::string, int> chosen;
+        for (int index = 0; index < 20; ++index) {
+            request_facts facts = director_driver::request();
+            facts.prefix = 42;
+            facts.promptTokens = base::token_count(100'000);
+            ++chosen[driver.send(facts).endpoint.value()];
+        }
+        const int most = std::max_element(chosen.begin(), chosen.end(), [](const auto &a, const auto &b) { return a.second < b.second; })->second;
+        // A mean of 5 each: affinity shows, and stops at twice the mean load.
+        CPPUNIT_ASSERT(most >= 7 && most <= 11);
+    }
+
+    void decidesTheSameForTheSameSeed()
+    {
+        const auto decisions = [](std::uint64_t seed) {
+            director_driver driver(8, {}, seed);
+            std::string all;
+            for (int index = 0; index < 50; ++index) {
+                all += driver.send(director_driver::request()).endpoint.value();
+            }
+            return all;
+        };
+        CPPUNIT_ASSERT_EQUAL(decisions(1), decisions(1));
+        CPPUNIT_ASSERT(decisions(1) != decisions(2));
+    }
+
+    void forgetsEndedRequestsAndRemovedPools()
+    {
+        director_driver driver(1);
+        const dispatch sent = driver.send(director_driver::request());
+        driver.director.removeEndpoint(base::endpoint_id("e0"));
+        driver.answer(sent.request);
+        driver.director.finish(sent.request, request_outcome::answered);
+        CPPUNIT_ASSERT(!driver.director.retry(sent.request, request_outcome::notSent, driver.why));
+        driver.addEndpoint("e0");
+        CPPUNIT_ASSERT(!driver.send(director_driver::request()).endpoint.empty());
+    }
+
+private:
+    static director_settings fixedLimit(double limit)
+    {
+        director_settings settings;
+        settings.initialLimit = settings.maximumLimit = limit;
+        return settings;
+    }
+
+    /// Teaches that requests that ask for few tokens are short and those that ask for many are long.
+    static void learnLengths(director_driver &driver)
+    {
+        for (int index = 0; index < 50; ++index) {
+            const bool isLong = index % 10 == 0;
+            const dispatch sent = driver.send(director_driver::request("a", work_class::normal, isLong ? 1000 : 10));
+            driver.answer(sent.request, isLong ? 1000 : 10);
+        }
+        driver.wait(500);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(adaptive_director_test);
--- /dev/null
+++ b/packages/routing/tests/slow_endpoint_test.cpp
@@ -0,0 +1,107 @@
+#include "director_driver.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+
+using namespace chervilbend;
+using namespace chervilbend::routing;
+
+/// Guards against work that goes on to slow endpoints, and against an ejection that takes too much of a pool.
+class slow_endpoint_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(slow_endpoint_test);
+    CPPUNIT_TEST(ejectsASlowEndpointAndTakesItBack);
+    CPPUNIT_TEST(ejectsAThirdOfThePoolAtMost);
+    CPPUNIT_TEST(sendsLessToASomewhatSlowEndpoint);
+    CPPUNIT_TEST(spacesProbesOverAllNodes);
+    CPPUNIT_TEST(triesADownEndpointOnceASecond);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void ejectsASlowEndpointAndTakesItBack()
+    {
+        director_driver driver(6, quickProbes());
+        run(driver, 200, {"e0"}, 5);
+        std::map<std::string, int> counts = run(driver, 200, {"e0"}, 5);
+        CPPUNIT_ASSERT(counts["e0"] > 0 && counts["e0"] < 200 / 12);
+        run(driver, 400, {}, 1);
+        counts = run(driver, 200, {}, 1);
+        CPPUNIT_ASSERT(counts["e0"] > 200 / 12);
+    }
+
+    void ejectsAThirdOfThePoolAtMost()
+    {
+        // Few probes tell an ejected endpoint from one that only has the least weight.
+        director_driver driver(9);
+        const std::set<std::string> slow{"e0", "e1", "e2", "e3"};
+        run(driver, 400, slow, 8);
+        std::map<std::string, int> counts = run(driver, 400, slow, 8);
+        int ejected = 0;
+        for (const std::string &each : slow) {
+            ejected += counts[each] <= 4 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, ejected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(9), counts.size());
+    }
+
+    void sendsLessToASomewhatSlowEndpoint()
+    {
+        director_driver driver(4);
+        run(driver, 200, {"e0"}, 2.5);
+        std::map<std::string, int> counts = run(driver, 400, {"e0"}, 2.5);
+        CPPUNIT_ASSERT(counts["e0"] > 400 / 50 && counts["e0"] < 400 / 6);
+    }
+
+    /// With many nodes, one probe a second from each would be a load of its own.
+    void spacesProbesOverAllNodes()
+    {
+        director_driver driver(6, quickProbes());
+        driver.director.setNodeCount(64);
+        run(driver, 200, {"e0"}, 5);
+        std::map<std::string, int> counts = run(driver, 300, {"e0"}, 5);
+        // 300 requests take about 66 s.
+        CPPUNIT_ASSERT(counts["e0"] <= 2);
+    }
+
+    void triesADownEndpointOnceASecond()
+    {
+        director_driver driver(2);
+        int refused = 0;
+        for (int index = 0; index < 100; ++index) {
+            const dispatch sent = driver.send(director_driver::request());
+            if (sent.endpoint.value() == "e0") {
+                ++refused;
+                driver.director.finish(sent.request, request_outcome::notSent);
+                driver.clock.advance(base::milliseconds(100));
+            } else {
+                driver.answer(sent.request, 4);
+            }
+        }
+        // 100 requests at 100 ms are 10 s.
+        CPPUNIT_ASSERT(refused >= 5 && refused <= 12);
+    }
+
+private:
+    static director_settings quickProbes()
+    {
+        director_settings settings;
+        settings.probeSpacing = 20;
+        return settings;
+    }
+
+    /// Sends requests one after the other; those in @p slow take @p factor times as long. Counts requests per endpoint.
+    static std::map<std::string, int> run(director_driver &driver, int requests, const std::set<std::string> &slow, double factor)
+    {
+        std::map<std::string, int> counts;
+        for (int index = 0; index < requests; ++index) {
+            const dispatch sent = driver.send(director_driver::request());
+            ++counts[sent.endpoint.value()];
+            driver.answer(sent.request, 10, static_cast<int>(20 * (slow.contains(sent.endpoint.value()) ? factor : 1)));
+        }
+        return counts;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(slow_endpoint_test);
