--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -1,8 +1,8 @@
 #include <chervilbend/measure/measurements.hpp>
 
 #include <chervilbend/measure/crest_measurement.hpp>
-#include <chervilbend/measure/once_measurement.hpp>
 #include <chervilbend/measure/decision_cost_measurement.hpp>
+#include <chervilbend/measure/once_measurement.hpp>
 #include <chervilbend/measure/poison_measurement.hpp>
 #include <chervilbend/measure/short_behind_long_measurement.hpp>
 #include <chervilbend/measure/slowed_measurement.hpp>
