Add the binary chervilbend-fakes

Trials by hand and the demo need the platform's services, engines and plain services as processes. The binary serves the in-process fakes over the wire forms of docs/wire.md, with faults set by POST /control; the engine also serves streamed and whole completions from a batch with priorities, a prefix cache and cancellation.

--- a/packages/fakes/src/chervilbend/fakes/engine_model.cpp
+++ b/packages/fakes/src/chervilbend/fakes/engine_model.cpp
@@ -33,6 +33,15 @@
     m_late.emplace(base::clock::now() + delay, command);
 }
 
+void engine_model::setLoadTime(const base::item_id &item, base::milliseconds duration)
+{
+    settle();
+    const auto held = m_items.find(item);
+    if (held != m_items.end() && held->second.now == stage::loading) {
+        held->second.ends = base::clock::now() + duration;
+    }
+}
+
 void engine_model::setLoad(std::int64_t running, std::int64_t queued)
 {
     settle();
@@ -74,6 +83,18 @@
     m_options.reportLag = lag;
 }
 
+std::vector<base::item_id> engine_model::loadedItems()
+{
+    settle();
+    std::vector<base::item_id> loaded;
+    for (const auto &[item, held] : m_items) {
+        if (held.now == stage::loaded) {
+            loaded.push_back(item);
+        }
+    }
+    return loaded;
+}
+
 platform::engine_report engine_model::report()
 {
     settle();
--- a/packages/fakes/src/chervilbend/fakes/engine_model.hpp
+++ b/packages/fakes/src/chervilbend/fakes/engine_model.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace chervilbend::fakes
 {
@@ -30,6 +31,8 @@
     platform::command_status apply(const platform::engine_command &command);
     /// Applies @p command when @p delay has passed.
     void applyLater(const platform::engine_command &command, base::milliseconds delay);
+    /// Lets the load of @p item that is in transit end after @p duration, counted from now. No effect when none is.
+    void setLoadTime(const base::item_id &item, base::milliseconds duration);
     /// Requests in work and waiting, for the report.
     void setLoad(std::int64_t running, std::int64_t queued);
     /// Ends the process: nothing is resident, tokens are forgotten, and until start() the engine is not reachable.
@@ -45,6 +48,7 @@
     platform::engine_report report();
     bool isRunning() const;
     bool isLoaded(const base::item_id &item);
+    std::vector<base::item_id> loadedItems();
     const engine_options &options() const;
     base::byte_count used();
     /// Most memory ever in use.
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/servers/completion_request.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <chervilbend/base/work_class.hpp>
+#include <chervilbend/net/http_types.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chervilbend::fakes
+{
+
+/// What a fake engine reads from a request of the OpenAI-compatible API.
+struct completion_request {
+    bool chat = false;
+    std::string model;
+    /// The texts of all messages or prompts.
+    std::string prompt;
+    bool stream = false;
+    bool includeUsage = false;
+    std::int64_t maxTokens = 64;
+    base::work_class urgency = base::work_class::normal;
+
+    /// Four bytes of prompt count as a token.
+    std::int64_t promptTokens() const
+    {
+        return (static_cast<std::int64_t>(prompt.size()) + 3) / 4;
+    }
+};
+
+/// No value when the body is not a JSON object with a text "model".
+std::optional<completion_request> completionRequestFrom(const net::http_request &request);
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/servers/host_server.cpp
@@ -0,0 +1,92 @@
+#include <chervilbend/fakes/servers/host_server.hpp>
+
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/platform/http/host_entry_json.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace chervilbend::fakes
+{
+
+host_server::host_server(base::milliseconds lag)
+    : m_lag(lag)
+    , m_directory(lag)
+{
+    m_panel.addFlag("outage", m_outage);
+    m_panel.addTime("lagMs", m_lag);
+    m_panel.addTime("delayMs", m_delay);
+    m_panel.onChange([this] { m_directory.setLag(m_lag); });
+}
+
+bool host_server::load(const std::string &document)
+{
+    json::error_code error;
+    const json::value parsed = json::parse(document, error);
+    const json::object *const object = error ? nullptr : parsed.if_object();
+    const json::value *const hosts = object ? object->if_contains("hosts") : nullptr;
+    if (!hosts || !hosts->is_array()) {
+        return false;
+    }
+    for (const json::value &element : hosts->get_array()) {
+        const std::optional<platform::host_entry> host = element.is_object() ? platform::hostEntryFromJson(element.get_object()) : std::nullopt;
+        if (!host) {
+            return false;
+        }
+        m_directory.set(*host);
+    }
+    return true;
+}
+
+asio::awaitable<void> host_server::serve(std::shared_ptr<net::http_exchange> exchange, request_target target)
+{
+    if (target.segments().empty() || target.segments()[0] != "hosts" || target.segments().size() > 2) {
+        co_await refuse(exchange, http::status::not_found, "only /hosts and /hosts/ID are served");
+        co_return;
+    }
+    if (target.segments().size() == 2) {
+        co_await change(exchange, target.segments()[1]);
+        co_return;
+    }
+    if (m_delay.count() > 0) {
+        co_await net::sleepFor(m_delay);
+    }
+    if (m_outage) {
+        co_await refuse(exchange, http::status::service_unavailable, "the host list is down");
+        co_return;
+    }
+    json::array hosts;
+    for (const platform::host_entry &host : m_directory.seen()) {
+        hosts.push_back(platform::toJson(host));
+    }
+    json::object body{{"hosts", std::move(hosts)}};
+    co_await respond(exchange, http::status::ok, std::move(body));
+}
+
+asio::awaitable<void> host_server::change(std::shared_ptr<net::http_exchange> exchange, std::string id)
+{
+    if (exchange->request().method() == http::verb::delete_) {
+        m_directory.remove(id);
+    } else if (exchange->request().method() == http::verb::put) {
+        const std::optional<json::object> body = bodyOf(exchange->request());
+        const std::optional<platform::host_entry> host = body ? platform::hostEntryFromJson(*body) : std::nullopt;
+        if (!host || host->id != id) {
+            co_await refuse(exchange, http::status::bad_request, "the body is not a valid entry for " + id);
+            co_return;
+        }
+        m_directory.set(*host);
+    } else {
+        co_await refuse(exchange, http::status::method_not_allowed, "only PUT and DELETE are served");
+        co_return;
+    }
+    co_await respond(exchange, http::status::ok, {});
+}
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
@@ -0,0 +1,97 @@
+#include <chervilbend/fakes/servers/log_server.hpp>
+
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/platform/http/log_page_json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace chervilbend::fakes
+{
+
+namespace
+{
+constexpr std::int64_t longestWaitMs = 30'000;
+constexpr std::size_t maxStreams = 64;
+} // namespace
+
+log_server::log_server(log_store_options options)
+    : m_options(options)
+{
+    // The connection breaks at once, so that writers see a lost answer without a wait of this side's own.
+    m_faults.answerTimeout = base::milliseconds(0);
+    m_panel.addFlag("outage", m_faults.outage);
+    m_panel.addTime("delayMs", m_faults.delay);
+    m_panel.addShare("lostAnswers", m_faults.lostAnswers);
+    m_panel.addShare("lostAppends", m_faults.lostAppends);
+    m_panel.addShare("lateAppends", m_faults.lateAppends);
+    m_panel.addTime("lateByMs", m_faults.lateBy);
+    m_panel.onChange([this] {
+        for (const auto &[name, each] : m_streams) {
+            each.store->setFaults(m_faults);
+        }
+    });
+}
+
+asio::awaitable<void> log_server::serve(std::shared_ptr<net::http_exchange> exchange, request_target target)
+{
+    const std::vector<std::string> &segments = target.segments();
+    if (segments.size() != 3 || segments[0] != "streams" || segments[2] != "records") {
+        co_await refuse(exchange, http::status::not_found, "only /streams/STREAM/records is served");
+        co_return;
+    }
+    if (m_streams.size() >= maxStreams && m_streams.count(segments[1]) == 0) {
+        co_await refuse(exchange, http::status::not_found, "there are too many streams");
+        co_return;
+    }
+    if (exchange->request().method() == http::verb::post) {
+        co_await append(exchange, segments[1]);
+    } else if (exchange->request().method() == http::verb::get) {
+        co_await read(exchange, segments[1], target);
+    } else {
+        co_await refuse(exchange, http::status::method_not_allowed, "only GET and POST are served");
+    }
+}
+
+log_server::stream &log_server::streamOf(const std::string &name)
+{
+    const auto found = m_streams.find(name);
+    if (found != m_streams.end()) {
+        return found->second;
+    }
+    stream fresh;
+    fresh.store = std::make_shared<log_store>(m_options);
+    fresh.store->setFaults(m_faults);
+    fresh.service = std::make_unique<in_process_log_service>(fresh.store);
+    return m_streams.emplace(name, std::move(fresh)).first->second;
+}
+
+asio::awaitable<void> log_server::append(std::shared_ptr<net::http_exchange> exchange, std::string name)
+{
+    in_process_log_service &service = *streamOf(name).service;
+    const platform::append_result result = co_await service.append(exchange->request().body());
+    if (result.status == platform::append_status::refused) {
+        co_await refuse(exchange, http::status::service_unavailable, service.lastReason().text);
+    } else if (result.status == platform::append_status::accepted) {
+        boost::json::object body{{"offset", result.offset.count()}};
+        co_await respond(exchange, http::status::ok, std::move(body));
+    }
+}
+
+asio::awaitable<void> log_server::read(std::shared_ptr<net::http_exchange> exchange, std::string name, request_target target)
+{
+    in_process_log_service &service = *streamOf(name).service;
+    const base::log_offset after(std::max<std::int64_t>(0, target.number("after", 0)));
+    const base::milliseconds wait(std::clamp<std::int64_t>(target.number("waitMs", 0), 0, longestWaitMs));
+    const std::optional<platform::log_page> page = co_await service.read(after, wait);
+    if (page) {
+        co_await respond(exchange, http::status::ok, platform::toJson(*page));
+    } else {
+        co_await refuse(exchange, http::status::service_unavailable, service.lastReason().text);
+    }
+}
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/servers/request_target.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chervilbend::fakes
+{
+
+/// A request's target in parts.
+class request_target
+{
+public:
+    explicit request_target(std::string_view target);
+
+    /// The path without the query.
+    const std::string &path() const
+    {
+        return m_path;
+    }
+
+    /// The path's segments, without empty ones.
+    const std::vector<std::string> &segments() const
+    {
+        return m_segments;
+    }
+
+    /// The value of a whole number in the query; @p fallback when it is absent or not one.
+    std::int64_t number(std::string_view name, std::int64_t fallback) const;
+
+private:
+    std::string m_path;
+    std::string m_query;
+    std::vector<std::string> m_segments;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/servers/store_server.cpp
@@ -0,0 +1,49 @@
+#include <chervilbend/fakes/servers/store_server.hpp>
+
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/platform/http/weight_store_status_json.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace chervilbend::fakes
+{
+
+store_server::store_server(platform::weight_store_status figures, std::uint64_t seed)
+    : m_model(figures, seed)
+{
+    m_panel.addFlag("outage", m_outage);
+    m_panel.addFactor("slowness", m_slowness);
+    m_panel.onChange([this] { m_model.setSlowness(m_slowness); });
+}
+
+asio::awaitable<void> store_server::serve(std::shared_ptr<net::http_exchange> exchange, request_target target)
+{
+    if (m_outage) {
+        co_await refuse(exchange, http::status::service_unavailable, "the weight store is down");
+    } else if (target.path() == "/status") {
+        co_await respond(exchange, http::status::ok, platform::toJson(m_model.status()));
+    } else if (target.path() == "/loads" && exchange->request().method() == http::verb::post) {
+        co_await beginLoad(exchange);
+    } else {
+        co_await refuse(exchange, http::status::not_found, "only GET /status and POST /loads are served");
+    }
+}
+
+asio::awaitable<void> store_server::beginLoad(std::shared_ptr<net::http_exchange> exchange)
+{
+    const std::optional<json::object> body = bodyOf(exchange->request());
+    const json::value *const kind = body ? body->if_contains("kind") : nullptr;
+    if (!kind || (*kind != "model" && *kind != "adapter")) {
+        co_await refuse(exchange, http::status::bad_request, "\"kind\" is neither \"model\" nor \"adapter\"");
+        co_return;
+    }
+    const base::milliseconds duration = *kind == "model" ? m_model.beginModelLoad() : m_model.beginAdapterLoad();
+    json::object answer{{"durationMs", duration.count()}};
+    co_await respond(exchange, http::status::ok, std::move(answer));
+}
+
+} // namespace chervilbend::fakes
