--- a/packages/control/src/chervilbend/control/planner_task.cpp
+++ b/packages/control/src/chervilbend/control/planner_task.cpp
@@ -24,6 +24,9 @@
 /// An engine that the host list does not show is given up after this time. A host that is replaced under its id is back sooner.
 constexpr base::milliseconds missingPatience{10'000};
 
+/// A node that the host list has not shown for this time has ended (design page, "Memory and placement").
+constexpr base::milliseconds endedPatience{600'000};
+
 std::string describe(const state::entry &entry)
 {
     if (const auto *assign = std::get_if<state::assign_entry>(&entry)) {
@@ -49,9 +52,12 @@
 {
     m_knowsHosts = true;
     m_engines.clear();
+    m_nodes.clear();
     for (const platform::host_entry &host : hosts) {
         if (host.kind == platform::host_kind::modelEngine) {
             m_engines.emplace(base::endpoint_id(host.id), host);
+        } else if (host.kind == platform::host_kind::node) {
+            m_nodes.insert(base::node_id(host.id));
         }
     }
 }
@@ -75,6 +81,7 @@
         co_return;
     }
     std::vector<state::entry> entries = endpointChanges();
+    addEndedNodes(entries);
     if (entries.empty()) {
         addPlan(entries, store);
     }
@@ -112,6 +119,26 @@
     return entries;
 }
 
+void planner_task::addEndedNodes(std::vector<state::entry> &entries)
+{
+    const base::time_point now = base::clock::now();
+    std::map<base::node_id, base::incarnation> former;
+    for (const auto &[endpoint, items] : m_state.quarantined()) {
+        for (const auto &[item, resident] : items) {
+            for (const state::quarantine_view &owner : resident.quarantine) {
+                former[owner.node] = std::max(former[owner.node], owner.life);
+            }
+        }
+    }
+    for (const auto &[node, life] : former) {
+        if (!m_nodes.contains(node) && now - m_nodeMissingSince.try_emplace(node, now).first->second >= endedPatience) {
+            LOG4CXX_INFO(logger, "Counts life " << life << " of node " << node << " as ended: the host list no longer shows it.");
+            entries.emplace_back(state::ended_entry{node, life});
+        }
+    }
+    std::erase_if(m_nodeMissingSince, [&](const auto &entry) { return m_nodes.contains(entry.first) || !former.contains(entry.first); });
+}
+
 void planner_task::addPlan(std::vector<state::entry> &entries, const std::optional<platform::weight_store_status> &store)
 {
     placement::planner_input input{m_state.services(), m_state.endpoints(), {}, m_demand.sum(), {}, m_leases.token(state::plannerLease())};
--- a/packages/control/src/chervilbend/control/planner_task.hpp
+++ b/packages/control/src/chervilbend/control/planner_task.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace chervilbend::control
@@ -41,6 +42,8 @@
 private:
     /// Entries for engines that the host list shows anew, changed or no longer.
     std::vector<state::entry> endpointChanges();
+    /// Entries for former owners of engines that do not check fencing tokens, when the host list has long not shown them.
+    void addEndedNodes(std::vector<state::entry> &entries);
     void addPlan(std::vector<state::entry> &entries, const std::optional<platform::weight_store_status> &store);
 
     const state::replicated_state &m_state;
@@ -51,6 +54,8 @@
     placement::placement_planner m_planner;
     bool m_knowsHosts = false;
     std::map<base::endpoint_id, platform::host_entry> m_engines;
+    std::set<base::node_id> m_nodes;
+    std::map<base::node_id, base::time_point> m_nodeMissingSince;
     /// Since when the host list has not shown an endpoint of the fold.
     std::map<base::endpoint_id, base::time_point> m_missingSince;
 };
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -84,11 +84,18 @@
             continue;
         }
         m_lacksRoom = true;
-        if (!m_planner.m_keptRoom.contains(m_cluster.items[model].id)) {
-            if (const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes)) {
-                relocate(model, *relocation);
-            }
-        }
+        makeRoomByRelocation(model, bytes);
+    }
+}
+
+void planning_pass::makeRoomByRelocation(std::size_t model, std::int64_t bytes)
+{
+    // One attempt at a time: the copies that were moved for it have to be loaded first.
+    if (m_planner.m_keptRoom.contains(m_cluster.items[model].id)) {
+        return;
+    }
+    if (const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes)) {
+        relocate(model, *relocation);
     }
 }
 
@@ -138,6 +145,8 @@
         const bool addsZone = place && m_cluster.copiesInZone(model, m_cluster.endpoints[place->endpoint].zone) == 0;
         if (place && (counted < record.copies || addsZone)) {
             carryOut(model, *place, bytes, std::to_string(counted) + " of " + std::to_string(record.copies) + " copies in different zones");
+        } else if (!place && counted < record.copies) {
+            makeRoomByRelocation(model, bytes);
         }
     }
 }
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
@@ -33,6 +33,7 @@
     /// Models by falling importance.
     std::vector<std::size_t> modelsByImportance() const;
     void relocate(std::size_t model, const candidate_place &place);
+    void makeRoomByRelocation(std::size_t model, std::int64_t bytes);
     bool isIdle(std::size_t model) const;
     /// Carries a candidate out as far as possible now. True when the model was assigned.
     bool carryOut(std::size_t model, const candidate_place &place, std::int64_t bytes, const std::string &why);
