--- /dev/null
+++ b/packages/control/tests/prober_test.cpp
@@ -0,0 +1,259 @@
+#include <chervilbend/base/manual_time_source.hpp>
+#include <chervilbend/control/demand_codec.hpp>
+#include <chervilbend/control/demand_reporter.hpp>
+#include <chervilbend/control/gossip_codec.hpp>
+#include <chervilbend/control/prober.hpp>
+#include <chervilbend/fakes/virtual_time.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/state/record_codec.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+
+using namespace chervilbend;
+
+namespace
+{
+
+struct network_node;
+
+/// Calls methods of nodes in this process, and counts messages and their bytes by receiver and sender.
+class fake_network
+{
+public:
+    std::map<net::address, network_node *> nodes;
+    std::function<bool(const net::address &, const net::address &)> connected = [](const auto &, const auto &) {
+        return true;
+    };
+    std::map<net::address, std::int64_t> messages;
+    std::map<net::address, std::int64_t> bytes;
+
+    void count(const net::address &from, const net::address &to, const Json::Value &message)
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        // HTTP and JSON-RPC frames and the signature take about 400 bytes.
+        const auto size = static_cast<std::int64_t>(Json::writeString(builder, message).size()) + 400;
+        for (const net::address &end : {from, to}) {
+            ++messages[end];
+            bytes[end] += size;
+        }
+    }
+};
+
+class fake_caller : public peers::rpc_caller
+{
+public:
+    fake_caller(fake_network &network, net::address self)
+        : m_network(network)
+        , m_self(std::move(self))
+    {
+    }
+
+    boost::asio::awaitable<std::optional<Json::Value>> call(net::address peer, std::string method, Json::Value parameters, base::milliseconds timeout) override;
+
+private:
+    fake_network &m_network;
+    net::address m_self;
+};
+
+class fixed_demand : public control::demand_source
+{
+public:
+    membership::demand_by_item demand() const override
+    {
+        return {{base::item_id("m0@1"), 0.5}};
+    }
+};
+
+membership::member memberAt(int index)
+{
+    membership::member known;
+    known.id = base::node_id(std::string("node-").append(std::to_string(index)));
+    known.life = base::incarnation(1'764'800'000'000 + index);
+    known.address = std::string("127.0.0.1:").append(std::to_string(1'000 + index));
+    known.zone = base::zone_id(std::string("zone-").append(std::to_string(index % 5)));
+    return known;
+}
+
+struct network_node {
+    network_node(boost::asio::io_context &context, fake_network &network, int index)
+        : where(*net::parseAddress(memberAt(index).address))
+        , caller(network, where)
+        , members(memberAt(index), {}, static_cast<std::uint64_t>(index))
+        , tree(memberAt(index).id)
+        , prober(context.get_executor(), members, caller)
+        , reporter(state, members, tree, demand, caller)
+    {
+        for (const auto &method : prober.methods()) {
+            methods[method->name()] = method;
+        }
+        methods[reporter.method()->name()] = reporter.method();
+        network.nodes[where] = this;
+    }
+
+    net::address where;
+    fake_caller caller;
+    membership::member_table members;
+    state::replicated_state state;
+    membership::demand_tree tree;
+    fixed_demand demand;
+    control::prober prober;
+    control::demand_reporter reporter;
+    std::map<std::string, std::shared_ptr<peers::rpc_method>> methods;
+};
+
+boost::asio::awaitable<std::optional<Json::Value>> fake_caller::call(net::address peer, std::string method, Json::Value parameters, base::milliseconds timeout)
+{
+    m_network.count(m_self, peer, parameters);
+    const auto node = m_network.nodes.find(peer);
+    if (node == m_network.nodes.end() || !m_network.connected(m_self, peer)) {
+        co_await net::sleepFor(timeout);
+        co_return fail(base::error_kind::peerUnavailable, "timed out");
+    }
+    co_await net::sleepFor(base::milliseconds(10));
+    std::optional<Json::Value> answer = node->second->methods.at(method)->call(parameters);
+    m_network.count(peer, m_self, answer ? *answer : Json::Value());
+    co_return answer;
+}
+
+/// Nodes with their tasks in virtual time.
+struct network_fixture {
+    explicit network_fixture(int size, int models = 0)
+        : context(std::make_unique<boost::asio::io_context>())
+        , time(*context)
+    {
+        std::vector<state::entry> entries{
+            state::lease_entry{state::plannerLease(), base::log_offset(0), state::lease_action::take, memberAt(0).id, base::incarnation(1)}};
+        state::publish_entry publish;
+        publish.publishId.assign(1, 'p');
+        publish.declaration.service = base::service_id("s");
+        for (int i = 0; i < models; ++i) {
+            publish.declaration.models.push_back({std::string("m").append(std::to_string(i)), "1", {}, {}, 1, 50, {}});
+        }
+        entries.emplace_back(publish);
+        std::vector<membership::member> listed;
+        for (int i = 0; i < size; ++i) {
+            listed.push_back(memberAt(i));
+            nodes.push_back(std::make_unique<network_node>(*context, network, i));
+        }
+        for (const auto &node : nodes) {
+            node->state.fold(base::log_offset(1), state::encodeRecord(entries));
+            node->members.setListed(listed);
+            boost::asio::co_spawn(*context, node->prober.run(), boost::asio::detached);
+            boost::asio::co_spawn(*context, node->reporter.run(), boost::asio::detached);
+        }
+    }
+
+    ~network_fixture()
+    {
+        context.reset();
+    }
+
+    std::unique_ptr<boost::asio::io_context> context;
+    fakes::virtual_time time;
+    fake_network network;
+    std::vector<std::unique_ptr<network_node>> nodes;
+};
+
+} // namespace
+
+/// Guards against costs that grow with the number of nodes, wrong verdicts on members, and messages that lose their content.
+class prober_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(prober_test);
+    CPPUNIT_TEST(costPerNodeDoesNotGrow);
+    CPPUNIT_TEST(probesAroundABrokenLink);
+    CPPUNIT_TEST(spreadsSuspicionsInItsZoneAtOnce);
+    CPPUNIT_TEST(codecsKeepContentAndRefuseDamage);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void costPerNodeDoesNotGrow()
+    {
+        constexpr int seconds = 30;
+        for (const int size : {9, 64, 370}) {
+            network_fixture net(size, 230);
+            net.time.advance(base::milliseconds(12'000), base::milliseconds(20));
+            net.network.messages.clear();
+            net.network.bytes.clear();
+            net.time.advance(base::milliseconds(1'000 * seconds), base::milliseconds(20));
+            std::int64_t mostMessages = 0;
+            std::int64_t mostBytes = 0;
+            for (const auto &node : net.nodes) {
+                mostMessages = std::max(mostMessages, net.network.messages[node->where]);
+                mostBytes = std::max(mostBytes, net.network.bytes[node->where]);
+            }
+            const std::string label = std::to_string(size) + " nodes: " + std::to_string(mostMessages) + " messages, " + std::to_string(mostBytes) + " bytes";
+            // A probe sent and one received, on the unluckiest node up to 4, and 8 children and a parent every 2 s; each with its answer.
+            CPPUNIT_ASSERT_MESSAGE(label, mostMessages <= seconds * 2 * (1 + 4) + seconds / 2 * 2 * 9);
+            // The design page's bound on the control plane: 10 KB/s in each direction; here both are counted.
+            CPPUNIT_ASSERT_MESSAGE(label, mostBytes <= std::int64_t(20'000) * seconds);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5 * size, net.nodes[0]->tree.sum().at(base::item_id("m0@1")), 1e-3 * size);
+        }
+    }
+
+    void probesAroundABrokenLink()
+    {
+        network_fixture net(9);
+        net.network.connected = [&](const auto &from, const auto &to) {
+            return from.port + to.port != 2'001;
+        };
+        net.time.advance(base::milliseconds(60'000));
+        for (const auto &node : net.nodes) {
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), node->members.stateChanges());
+        }
+        net.network.connected = [&](const auto &from, const auto &to) {
+            return from.port != 1'000 && to.port != 1'000;
+        };
+        net.time.advance(base::milliseconds(40'000));
+        for (std::size_t i = 1; i < net.nodes.size(); ++i) {
+            CPPUNIT_ASSERT(net.nodes[i]->members.find(memberAt(0).id)->state == membership::member_state::dead);
+        }
+    }
+
+    void spreadsSuspicionsInItsZoneAtOnce()
+    {
+        network_fixture net(20);
+        net.time.advance(base::milliseconds(2'000));
+        net.nodes[0]->prober.spread({99, 1});
+        net.time.advance(base::milliseconds(50));
+        for (const int sameZone : {5, 10, 15}) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), net.nodes[static_cast<std::size_t>(sameZone)]->members.suspicions().size());
+        }
+    }
+
+    void codecsKeepContentAndRefuseDamage()
+    {
+        membership::gossip message;
+        message.sender = memberAt(3);
+        message.updates = {memberAt(1), memberAt(2)};
+        message.updates[1].state = membership::member_state::dead;
+        message.updates[1].leaving = true;
+        message.suspicions = {{0xFFFFFFFFFFFFFFFFU, 2}};
+        const auto copy = control::decodeGossip(control::encodeGossip(message));
+        CPPUNIT_ASSERT(copy && copy->sender == message.sender && copy->updates == message.updates && copy->suspicions == message.suspicions);
+        Json::Value damaged = control::encodeGossip(message);
+        damaged["members"][0][5] = 7;
+        CPPUNIT_ASSERT(!control::decodeGossip(damaged));
+        CPPUNIT_ASSERT(!control::decodeGossip(Json::Value("text")));
+
+        const std::vector<base::item_id> models{base::item_id("a@1"), base::item_id("b@1")};
+        const Json::Value demand = control::encodeDemand({{models[1], 2.5}}, models);
+        CPPUNIT_ASSERT(control::decodeDemand(demand, models) == (membership::demand_by_item{{models[1], 2.5}}));
+        CPPUNIT_ASSERT_MESSAGE("other declarations", !control::decodeDemand(demand, {models[0]}));
+        Json::Value broken = demand;
+        broken["demand"] = std::string(16, 'f');
+        CPPUNIT_ASSERT_MESSAGE("not a number", !control::decodeDemand(broken, models));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(prober_test);
