Halve the size of demand reports

The busiest node of the tree has a parent and eight children, so the size of a report decides its traffic. Reports now carry 8 bits of precision in 4 digits per model in place of 8 digits.

--- a/packages/control/src/chervilbend/control/demand_codec.cpp
+++ b/packages/control/src/chervilbend/control/demand_codec.cpp
@@ -15,7 +15,9 @@
 namespace
 {
 
-constexpr std::size_t digitsPerValue = 8;
+/// The upper half of a single-precision number: 8 bits of precision are enough for load, and half the bytes.
+constexpr std::size_t digitsPerValue = 4;
+constexpr unsigned droppedBits = 16;
 
 std::string fingerprint(const std::vector<base::item_id> &models)
 {
@@ -47,7 +49,9 @@
     digits.reserve(digitsPerValue * models.size());
     for (const base::item_id &model : models) {
         const auto entry = demand.find(model);
-        auto bits = std::bit_cast<std::uint32_t>(entry == demand.end() ? 0.0F : static_cast<float>(entry->second));
+        const auto whole = std::bit_cast<std::uint32_t>(entry == demand.end() ? 0.0F : static_cast<float>(entry->second));
+        // Rounded to the nearest, so that sums up the tree do not drift to one side.
+        std::uint32_t bits = (whole + (1U << (droppedBits - 1))) >> droppedBits;
         for (std::size_t digit = 0; digit < digitsPerValue; ++digit, bits >>= 4U) {
             digits += "0123456789abcdef"[bits & 15U];
         }
@@ -73,7 +77,7 @@
                           digits.rbegin() + static_cast<std::ptrdiff_t>(digits.size() - digitsPerValue * model));
         std::uint32_t bits = 0;
         const auto parsed = std::from_chars(value.data(), value.data() + value.size(), bits, 16);
-        const float number = std::bit_cast<float>(bits);
+        const float number = std::bit_cast<float>(bits << droppedBits);
         if (parsed.ptr != value.data() + value.size() || !std::isfinite(number) || number < 0) {
             return std::nullopt;
         }
