--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -72,6 +72,10 @@
         if (m_cluster.countedCopies(model) > 0) {
             continue;
         }
+        // What is less important waits as well; a search over all endpoints for each would only cost time.
+        if (!m_budget.allowsLoad()) {
+            return;
+        }
         std::int64_t bytes = m_cluster.bundleBytes(model);
         std::optional<candidate_place> place = m_finder.placeToRestore(model, bytes, eviction::downToOne);
         if (!place) {
@@ -135,6 +139,9 @@
         if (counted == 0) {
             continue;
         }
+        if (!m_budget.allowsLoad()) {
+            return;
+        }
         const int zonesWanted = std::min(record.copies, m_cluster.usableZones);
         const bool inTooFewZones = m_cluster.zonesOf(model) < zonesWanted;
         if (counted >= record.copies && !inTooFewZones) {
