--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -72,6 +72,10 @@
         if (m_cluster.countedCopies(model) > 0) {
             continue;
         }
+        // What is less important waits as well; a search over all endpoints for each would only cost time.
+        if (!m_budget.allowsLoad()) {
+            return;
+        }
         std::int64_t bytes = m_cluster.bundleBytes(model);
         std::optional<candidate_place> place = m_finder.placeToRestore(model, bytes, eviction::downToOne);
         if (!place) {
@@ -84,11 +88,18 @@
             continue;
         }
         m_lacksRoom = true;
-        if (!m_planner.m_keptRoom.contains(m_cluster.items[model].id)) {
-            if (const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes)) {
-                relocate(model, *relocation);
-            }
-        }
+        makeRoomByRelocation(model, bytes);
+    }
+}
+
+void planning_pass::makeRoomByRelocation(std::size_t model, std::int64_t bytes)
+{
+    // One attempt at a time: the copies that were moved for it have to be loaded first.
+    if (m_planner.m_keptRoom.contains(m_cluster.items[model].id)) {
+        return;
+    }
+    if (const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes)) {
+        relocate(model, *relocation);
     }
 }
 
@@ -128,6 +139,9 @@
         if (counted == 0) {
             continue;
         }
+        if (!m_budget.allowsLoad()) {
+            return;
+        }
         const int zonesWanted = std::min(record.copies, m_cluster.usableZones);
         const bool inTooFewZones = m_cluster.zonesOf(model) < zonesWanted;
         if (counted >= record.copies && !inTooFewZones) {
@@ -138,6 +152,8 @@
         const bool addsZone = place && m_cluster.copiesInZone(model, m_cluster.endpoints[place->endpoint].zone) == 0;
         if (place && (counted < record.copies || addsZone)) {
             carryOut(model, *place, bytes, std::to_string(counted) + " of " + std::to_string(record.copies) + " copies in different zones");
+        } else if (!place && counted < record.copies) {
+            makeRoomByRelocation(model, bytes);
         }
     }
 }
