Keep the schedules that overcommitted an engine as tests

Cause: four seeds of the measurement `memory` found a restarted engine that took a former owner's late load.

--- a/packages/measure/tests/protocol_simulation_test.cpp
+++ b/packages/measure/tests/protocol_simulation_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(protocol_simulation_test);
     CPPUNIT_TEST(ordersRunAtMostOnce);
     CPPUNIT_TEST(memoryIsNeverOvercommitted);
+    CPPUNIT_TEST(restartedEngineIsNotOvercommittedByALateLoad);
     CPPUNIT_TEST(schedulesRepeat);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,15 @@
         CPPUNIT_ASSERT(total.released > 300 && total.quarantines > 300);
     }
 
+    /// These schedules overcommitted an engine that checks fencing tokens: it forgot them at a restart and took a former owner's late load.
+    void restartedEngineIsNotOvercommittedByALateLoad()
+    {
+        for (const std::uint64_t seed : {10340, 11068, 20310, 21261}) {
+            const memory_result result = memory_simulation(seed).run(base::milliseconds(150'000));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::int64_t(0), result.overcommitted);
+        }
+    }
+
     /// A seed that does not repeat its schedule cannot be used to look into a failure.
     void schedulesRepeat()
     {
