Call work long only where it stands out from the mean

With lengths that nothing tells apart, every prediction is the mean, and noise in the learned median made all work long for seconds, which left half of the slots unused.

--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -16,6 +16,9 @@
 constexpr base::milliseconds expiryInterval{1000};
 /// Costs from which a pool's median is trusted.
 constexpr long trustedCount = 20;
+/// Long work also costs more than the mean by this factor. Where nothing tells short and long requests apart, all are predicted at the
+/// mean, and noise in the median must not make all of them long.
+constexpr double distinctFactor = 1.5;
 
 } // namespace
 
@@ -119,14 +122,15 @@
 {
     for (const auto &[id, endpoint] : m_endpoints) {
         endpoint->limit.advance(now);
-        endpoint->leastMedian = std::numeric_limits<double>::infinity();
+        endpoint->longThreshold = std::numeric_limits<double>::infinity();
     }
     for (pool_state *pool : m_poolOrder) {
         m_slow.judge(pool->members, pool->requests, m_nodes, now);
         pool->refresh(m_nodes, now, m_settings);
         if (pool->medianCost.count() >= trustedCount) {
+            const double threshold = std::max(m_settings.longFactor * pool->medianCost.value(), distinctFactor * pool->meanCost);
             for (const pool_member &member : pool->members) {
-                member.endpoint->leastMedian = std::min(member.endpoint->leastMedian, pool->medianCost.value());
+                member.endpoint->longThreshold = std::min(member.endpoint->longThreshold, threshold);
             }
         }
     }
@@ -134,9 +138,9 @@
         // Pools that share an endpoint share its slots, so long is long for the shortest work among them.
         double least = std::numeric_limits<double>::infinity();
         for (const pool_member &member : pool->members) {
-            least = std::min(least, member.endpoint->leastMedian);
+            least = std::min(least, member.endpoint->longThreshold);
         }
-        pool->longThreshold = m_settings.longFactor * least;
+        pool->longThreshold = least;
         markDirty(*pool);
     }
 }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -32,8 +32,8 @@
     double outstanding = 0;
     /// Last time short work was sent to it; long work is held back only while there is short work.
     base::time_point shortSeen;
-    /// Least median cost of the pools that it serves; 0 when not known.
-    double leastMedian = 0;
+    /// Cost from which work is long for the shortest work among the pools that it serves.
+    double longThreshold = 0;
 
     /// Other nodes' requests by the last report.
     double others = 0;
