Send costly work to endpoints seen at work lately

With 64 nodes every node has to find a slow endpoint by itself, and long requests that met it then set the 99th percentile.

--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -19,6 +19,10 @@
 constexpr base::milliseconds shortMemory{60'000};
 /// Weight of an endpoint on which a suspect runs: few requests should be there if it crashes.
 constexpr double besideSuspect = 0.1;
+/// Weight, for work that costs more than the mean, of an endpoint that this node has not seen at work lately. If it has become slow,
+/// short work shows it at less cost: with 64 nodes, long work on endpoints not yet known to be slow set the 99th percentile.
+constexpr double unseenLately = 0.2;
+constexpr base::milliseconds freshness{10'000};
 /// Part of the prefill time that a cached prefix is taken to save.
 constexpr double prefixSaving = 0.8;
 
@@ -62,6 +66,8 @@
 {
     m_open.clear();
     m_longOpen = false;
+    m_staleBefore = now - freshness;
+    m_costly = pool.meanCost;
     bool shortAbout = false;
     for (pool_member &member : pool.members) {
         shortAbout = shortAbout || now - member.endpoint->shortSeen <= shortMemory;
@@ -78,6 +84,18 @@
     }
 }
 
+double endpoint_selector::weightOf(const pool_member &member, const request_state &request) const
+{
+    double weight = member.weight;
+    if (member.endpoint->suspectsInFlight > 0) {
+        weight *= besideSuspect;
+    }
+    if (request.cost > m_costly && member.latency.lastSample() < m_staleBefore) {
+        weight *= unseenLately;
+    }
+    return weight;
+}
+
 pool_member *endpoint_selector::draw(const request_state &request, bool avoidLast)
 {
     m_sums.clear();
@@ -85,7 +103,7 @@
     for (const candidate &open : m_open) {
         const bool fits = (open.takesLong || !request.lane.isLong) && !(avoidLast && open.member->endpoint == request.endpoint);
         if (fits) {
-            sum += open.member->weight * (open.member->endpoint->suspectsInFlight > 0 ? besideSuspect : 1);
+            sum += weightOf(*open.member, request);
         }
         m_sums.push_back(sum);
     }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -51,6 +51,7 @@
 
     bool canTake(const pool_member &member, int nodes, base::time_point now) const;
     static bool canTakeLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now);
+    double weightOf(const pool_member &member, const request_state &request) const;
     pool_member *draw(const request_state &request, bool avoidLast);
     pool_member *affine(const request_state &request) const;
     static double expectedWait(const pool_state &pool, const pool_member &member);
@@ -62,6 +63,9 @@
     std::vector<double> m_sums;
     std::vector<std::uint64_t> m_order;
     bool m_longOpen = false;
+    base::time_point m_staleBefore;
+    /// Cost from which work is worth more care.
+    double m_costly = 0;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
@@ -39,6 +39,12 @@
         return m_cost > 0 ? m_ms / m_cost : m_last > 0 ? m_last : otherwise;
     }
 
+    /// When the last sample was taken; epoch when there is none.
+    base::time_point lastSample() const
+    {
+        return m_lastTime;
+    }
+
     long samples() const
     {
         return m_samples;
