--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/proxy/blocking_caller.cpp
@@ -0,0 +1,97 @@
+#include <chervilbend/measure/proxy/blocking_caller.hpp>
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace chervilbend::measure
+{
+
+blocking_caller::blocking_caller(std::uint16_t port)
+    : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(port);
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int on = 1;
+    ::setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    // A lost answer must show as a failure rather than hang the measurement.
+    const timeval limit{20, 0};
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    if (::connect(m_socket, reinterpret_cast<const sockaddr *>(&where), sizeof where) != 0) {
+        ::close(m_socket);
+        m_socket = -1;
+    }
+}
+
+blocking_caller::~blocking_caller()
+{
+    ::close(m_socket);
+}
+
+bool blocking_caller::ask(const std::string &nonce)
+{
+    std::string body("{\"model\":\"m\",\"max_tokens\":1,\"messages\":[{\"role\":\"user\",\"content\":\"");
+    body.append(nonce).append("\"}]}");
+    if (!sendRequest(body)) {
+        return false;
+    }
+    std::size_t head = std::string::npos;
+    while ((head = m_received.find("\r\n\r\n")) == std::string::npos) {
+        if (!readMore()) {
+            return false;
+        }
+    }
+    const std::size_t field = m_received.find("Content-Length: ");
+    if (field > head || !m_received.starts_with("HTTP/1.1 200 ")) {
+        return false;
+    }
+    const std::size_t length = std::strtoul(m_received.c_str() + field + 16, nullptr, 10);
+    while (m_received.size() < head + 4 + length) {
+        if (!readMore()) {
+            return false;
+        }
+    }
+    const bool same = m_received.compare(head + 4, std::string::npos, body) == 0;
+    m_received.clear();
+    return same;
+}
+
+bool blocking_caller::openStream()
+{
+    if (!sendRequest("{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}")) {
+        return false;
+    }
+    while (m_received.find("data: ") == std::string::npos) {
+        if (!readMore()) {
+            return false;
+        }
+    }
+    // Given back, because callers are not what the memory figure is about.
+    std::string().swap(m_received);
+    return true;
+}
+
+bool blocking_caller::sendRequest(const std::string &body)
+{
+    std::string request("POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\nContent-Length: ");
+    request.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size());
+}
+
+bool blocking_caller::readMore()
+{
+    char piece[4096];
+    const ssize_t size = ::recv(m_socket, piece, sizeof piece, 0);
+    if (size <= 0) {
+        return false;
+    }
+    m_received.append(piece, static_cast<std::size_t>(size));
+    return true;
+}
+
+} // namespace chervilbend::measure
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/proxy/front_thread.cpp
@@ -0,0 +1,110 @@
+#include <chervilbend/measure/proxy/front_thread.hpp>
+
+#include <chervilbend/control/order_gateway.hpp>
+#include <chervilbend/measure/proxy/turn_director.hpp>
+#include <chervilbend/net/http_client.hpp>
+#include <chervilbend/net/http_server.hpp>
+#include <chervilbend/node/callers/admission.hpp>
+#include <chervilbend/node/callers/caller_api.hpp>
+#include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
+#include <chervilbend/node/callers/service_catalog.hpp>
+#include <chervilbend/node/health/health_api.hpp>
+#include <chervilbend/node/health/readiness.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <ctime>
+#include <pthread.h>
+#include <thread>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::measure
+{
+
+namespace
+{
+
+class no_orders : public control::order_gateway
+{
+public:
+    asio::awaitable<control::order_answer> run(control::order_request /*order*/, dispatch_order /*dispatch*/) override
+    {
+        co_return control::order_answer();
+    }
+};
+
+} // namespace
+
+struct front_thread::implementation {
+    explicit implementation(std::uint16_t endpointPort)
+    {
+        config::service_declaration &chat = services[base::service_id("chat")].declaration;
+        chat.service = base::service_id("chat");
+        chat.models.push_back({"m", "1", base::byte_count(1), base::byte_count(1), 1, 50, {}});
+        const base::endpoint_id endpoint("e1");
+        directory.set(endpoint, {"127.0.0.1", endpointPort});
+        director.setEndpoint({endpoint, base::zone_id("a"), {"m@1"}, false, 0});
+        net::http_server_limits limits;
+        limits.idleTimeout = base::milliseconds(600'000);
+        server = std::make_shared<net::http_server>(context.get_executor(), health, limits);
+        port = server->listen({"127.0.0.1", 0}).value_or(0);
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~implementation()
+    {
+        context.stop();
+        thread.join();
+        server->closeAll();
+        context.restart();
+        context.poll();
+    }
+
+    asio::io_context context{1};
+    std::map<base::service_id, state::service_view> services;
+    turn_director director;
+    no_orders gateway;
+    net::http_client client;
+    node::endpoint_directory directory;
+    node::service_catalog catalog{[this]() -> const node::service_catalog::service_map & {
+        return services;
+    }};
+    base::metric_registry registry;
+    node::front_metrics metrics{registry};
+    node::open_requests open;
+    node::admission gate{context.get_executor(), director};
+    node::forwarder requests{gate, directory, client, metrics};
+    node::order_desk orders{gateway, gate, directory, client, open, metrics};
+    node::caller_api api{catalog, requests, orders, open, metrics};
+    node::readiness ready;
+    node::health_api health{ready, registry, api};
+    std::shared_ptr<net::http_server> server;
+    std::uint16_t port = 0;
+    std::thread thread;
+};
+
+front_thread::front_thread(std::uint16_t endpointPort)
+    : m_implementation(std::make_unique<implementation>(endpointPort))
+{
+}
+
+front_thread::~front_thread() = default;
+
+std::uint16_t front_thread::port() const
+{
+    return m_implementation->port;
+}
+
+double front_thread::processorSeconds() const
+{
+    clockid_t clock = 0;
+    timespec time{};
+    pthread_getcpuclockid(m_implementation->thread.native_handle(), &clock);
+    clock_gettime(clock, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+} // namespace chervilbend::measure
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/proxy/proxy_measurement.cpp
@@ -0,0 +1,163 @@
+#include <chervilbend/measure/proxy/proxy_measurement.hpp>
+
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/measure/proxy/blocking_caller.hpp>
+#include <chervilbend/measure/proxy/echo_endpoint.hpp>
+#include <chervilbend/measure/proxy/front_thread.hpp>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <limits>
+#include <memory>
+#include <sys/resource.h>
+#include <thread>
+#include <unistd.h>
+
+namespace chervilbend::measure
+{
+
+namespace
+{
+
+using wall_clock = std::chrono::steady_clock;
+
+constexpr double none = std::numeric_limits<double>::quiet_NaN();
+constexpr int latencyRounds = 60;
+constexpr int requestsPerRound = 50;
+constexpr int loadCallers = 16;
+constexpr int requestsPerLoadCaller = 4'000;
+constexpr int openStreams = 1'000;
+
+/// Log lines are formatted and written as in the real process, but to nowhere.
+void logToNowhere()
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [%c] %m%n"));
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(std::make_shared<log4cxx::FileAppender>(layout, LOG4CXX_STR("/dev/null"), true));
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
+}
+
+std::string nonceFor(std::uint64_t seed, int caller, int request)
+{
+    std::string nonce(std::to_string(seed));
+    return nonce.append("-").append(std::to_string(caller)).append("-").append(std::to_string(request));
+}
+
+double residentMegabytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    double size = 0;
+    double resident = 0;
+    statm >> size >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+double quantileOf(std::vector<double> &values, double probability)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(probability * static_cast<double>(values.size() - 1))];
+}
+
+/// Times @p count requests in milliseconds; counts the wrong answers.
+void time(blocking_caller &caller, std::uint64_t seed, int round, int count, std::vector<double> &times, int &wrong)
+{
+    for (int i = 0; i < count; ++i) {
+        const std::string nonce = nonceFor(seed, round, i);
+        const auto start = wall_clock::now();
+        wrong += caller.ask(nonce) ? 0 : 1;
+        times.push_back(std::chrono::duration<double, std::milli>(wall_clock::now() - start).count());
+    }
+}
+
+/// Direct and proxied calls alternate in short rounds, so that the machine's noise falls on both.
+void measureLatency(std::uint16_t direct, std::uint16_t proxied, std::uint64_t seed, int &wrong, std::vector<figure> &figures)
+{
+    blocking_caller directCaller(direct);
+    blocking_caller proxiedCaller(proxied);
+    std::vector<double> directTimes;
+    std::vector<double> proxiedTimes;
+    for (int round = 0; round < latencyRounds; ++round) {
+        time(directCaller, seed, round, requestsPerRound, directTimes, wrong);
+        time(proxiedCaller, seed, round, requestsPerRound, proxiedTimes, wrong);
+    }
+    const double added = quantileOf(proxiedTimes, 0.5) - quantileOf(directTimes, 0.5);
+    figures.push_back({"proxy: added latency p50", added, quantileOf(directTimes, 0.5), "ms (direct)", seed, "<= 0.2 ms", added <= 0.2});
+    const double addedTail = quantileOf(proxiedTimes, 0.99) - quantileOf(directTimes, 0.99);
+    figures.push_back({"proxy: added latency p99", addedTail, quantileOf(directTimes, 0.99), "ms (direct)", seed, "none", true});
+}
+
+void measureLoad(const front_thread &front, std::uint64_t seed, std::atomic<int> &wrong, std::vector<figure> &figures)
+{
+    const double processorBefore = front.processorSeconds();
+    const auto start = wall_clock::now();
+    std::vector<std::thread> callers;
+    callers.reserve(loadCallers);
+    for (int who = 0; who < loadCallers; ++who) {
+        callers.emplace_back([&, who] {
+            blocking_caller caller(front.port());
+            for (int i = 0; i < requestsPerLoadCaller; ++i) {
+                wrong += caller.ask(nonceFor(seed, who, i)) ? 0 : 1;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    const double requests = loadCallers * requestsPerLoadCaller;
+    const double wall = std::chrono::duration<double>(wall_clock::now() - start).count();
+    const double perCore = requests / (front.processorSeconds() - processorBefore);
+    figures.push_back({"proxy: small requests per core", perCore, none, "1/s of cpu", seed, ">= 15000", perCore >= 15'000});
+    figures.push_back({"proxy: small requests, one thread", requests / wall, none, "1/s of wall", seed, "none", true});
+}
+
+/// Opens streams and gives the growth of the process's resident memory in MB.
+double openAll(std::uint16_t port, std::vector<std::unique_ptr<blocking_caller>> &callers, int &wrong)
+{
+    const double before = residentMegabytes();
+    for (int i = 0; i < openStreams; ++i) {
+        callers.push_back(std::make_unique<blocking_caller>(port));
+        wrong += callers.back()->openStream() ? 0 : 1;
+    }
+    return residentMegabytes() - before;
+}
+
+/// Direct streams stay open while the proxied ones are opened: the difference is the proxy's share.
+void measureMemory(std::uint16_t direct, std::uint16_t proxied, std::uint64_t seed, int &wrong, std::vector<figure> &figures)
+{
+    rlimit files{};
+    ::getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = files.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &files);
+    std::vector<std::unique_ptr<blocking_caller>> callers;
+    callers.reserve(2 * openStreams);
+    const double directGrowth = openAll(direct, callers, wrong);
+    const double proxiedGrowth = openAll(proxied, callers, wrong);
+    figures.push_back({"proxy: memory per 1000 open streams", proxiedGrowth - directGrowth, directGrowth, "MB (direct)", seed, "none", true});
+}
+
+} // namespace
+
+std::vector<figure> proxy_measurement::run(std::uint64_t seed)
+{
+    logToNowhere();
+    std::vector<figure> figures;
+    const echo_endpoint endpoint;
+    const front_thread front(endpoint.port());
+    int wrong = 0;
+    std::atomic<int> wrongUnderLoad = 0;
+    measureMemory(endpoint.port(), front.port(), seed, wrong, figures);
+    measureLatency(endpoint.port(), front.port(), seed, wrong, figures);
+    measureLoad(front, seed, wrongUnderLoad, figures);
+    const double bad = wrong + wrongUnderLoad;
+    figures.push_back({"proxy: answers lost or mixed up", bad, none, "answers", seed, "0", bad == 0});
+    return figures;
+}
+
+} // namespace chervilbend::measure
