--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/measure/memory_measurement.hpp>
 #include <chervilbend/measure/once_measurement.hpp>
 #include <chervilbend/measure/poison_measurement.hpp>
+#include <chervilbend/measure/proxy/proxy_measurement.hpp>
 #include <chervilbend/measure/short_behind_long_measurement.hpp>
 #include <chervilbend/measure/slowed_measurement.hpp>
 
@@ -21,6 +22,7 @@
     all.push_back(std::make_unique<once_measurement>());
     all.push_back(std::make_unique<decision_cost_measurement>());
     all.push_back(std::make_unique<memory_measurement>());
+    all.push_back(std::make_unique<proxy_measurement>());
     return all;
 }
 
--- a/packages/node/tests/caller_api_test.cpp
+++ b/packages/node/tests/caller_api_test.cpp
@@ -130,8 +130,12 @@
     {
         for (const bool byteSent : {false, true}) {
             test_front front;
-            raw_server &broken = front.addEndpoint("tall@3", answerAndClose(byteSent ? streamHead + event("one") : streamHead));
-            raw_server &sound = front.addEndpoint("tall@3", answerAndClose(streamHead + event("two") + doneEvent + lastChunk));
+            std::string cut = streamHead;
+            cut.append(byteSent ? event("one") : "");
+            std::string complete = streamHead;
+            complete.append(event("two")).append(doneEvent).append(lastChunk);
+            raw_server &broken = front.addEndpoint("tall@3", answerAndClose(cut));
+            raw_server &sound = front.addEndpoint("tall@3", answerAndClose(complete));
             front.director.retries = 1;
             const std::string answer = front.ask(test_front::post("/v1/chat/completions", chatBody));
             CPPUNIT_ASSERT_EQUAL(1, broken.connections);
--- a/packages/node/tests/order_desk_test.cpp
+++ b/packages/node/tests/order_desk_test.cpp
@@ -41,8 +41,8 @@
         test_front front;
         const std::string answer = front.ask(test_front::post("/orders", "{\"order\":\"\"}"));
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 400 ") && contains(answer, "missing-idempotency-key"));
-        const std::string long_ = front.ask(test_front::post("/orders", "{}", "Idempotency-Key: " + std::string(256, 'k') + "\r\n"));
-        CPPUNIT_ASSERT_MESSAGE(long_, long_.starts_with("HTTP/1.1 400 "));
+        const std::string tooLong = front.ask(test_front::post("/orders", "{}", "Idempotency-Key: " + std::string(256, 'k') + "\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(tooLong, tooLong.starts_with("HTTP/1.1 400 "));
         CPPUNIT_ASSERT(front.gateway.orders.empty());
     }
 
