--- a/packages/ctl/src/chervilbend/ctl/internal/json_rpc_call.cpp
+++ b/packages/ctl/src/chervilbend/ctl/internal/json_rpc_call.cpp
@@ -49,7 +49,7 @@
     } catch (const jsonrpc::JsonRpcException &error) {
         if (!connector.hasFailed()) {
             answer.error = error.GetMessage();
-            const Json::Value data = error.GetData();
+            const Json::Value &data = error.GetData();
             if (data.isObject() && data["kind"].isString()) {
                 answer.kind = data["kind"].asString();
             }
--- a/packages/ctl/src/chervilbend/ctl/publisher.cpp
+++ b/packages/ctl/src/chervilbend/ctl/publisher.cpp
@@ -207,7 +207,7 @@
     }
     std::size_t next = 0;
     do {
-        const auto status = m_caller.call(nodes[next % nodes.size()], "publishStatus", publishIdParameter(publishId), nodeTimeout);
+        auto status = m_caller.call(nodes[next % nodes.size()], "publishStatus", publishIdParameter(publishId), nodeTimeout);
         if (status && textOf(*status, "state") != "unknown") {
             return status;
         }
--- /dev/null
+++ b/packages/node/src/chervilbend/node/reports/day_report.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilbend::node
+{
+
+/// Whether a day went well.
+enum class day_verdict {
+    well,
+    notWell,
+    /// Too many counts are missing to say.
+    notKnown,
+};
+
+/// Attainment of one service and class.
+struct attainment_row {
+    std::string service;
+    std::string urgency;
+    /// Requests by how they ended.
+    std::int64_t met = 0;
+    std::int64_t late = 0;
+    std::int64_t refused = 0;
+    std::int64_t failed = 0;
+    std::int64_t cancelled = 0;
+    /// Share of requests that were answered within their deadline, 0 to 1, and the least share that counts as well.
+    double attainment = 1;
+    double goal = 0;
+    /// Bounds of the attainment when each missing minute of a node had as many of these requests as the busiest reported one of any node.
+    double lower = 1;
+    double upper = 1;
+
+    std::int64_t total() const
+    {
+        return met + late + refused + failed;
+    }
+};
+
+/// Minutes of a node whose counts are missing.
+struct missing_minutes {
+    std::string node;
+    /// Minutes of the day, 0 to 1,439, both included.
+    int first = 0;
+    int last = 0;
+};
+
+/// Something that did not work.
+struct failure_row {
+    std::string what;
+    base::milliseconds duration{0};
+    /// First and last minute of the day in which it was seen.
+    int first = 0;
+    int last = 0;
+};
+
+/// Orders of one service by what is known of them.
+struct order_row {
+    std::int64_t ran = 0;
+    std::int64_t notRun = 0;
+    std::int64_t unknown = 0;
+};
+
+/// One daily page.
+struct day_report {
+    /// Number of 10-minute steps of a day, for the chart.
+    static constexpr std::size_t steps = 144;
+
+    /// Wall-clock start of the day (UTC).
+    base::milliseconds day{0};
+    /// End of the part of the day that the page tells of, in minutes of the day, 0 to 1,440.
+    int endMinute = 1'440;
+    day_verdict verdict = day_verdict::notKnown;
+    /// The first line of the page: the verdict and why.
+    std::string firstLine;
+    int nodes = 0;
+    std::vector<attainment_row> attainment;
+    /// Requests by service and kind of error, "SERVICE/KIND".
+    std::map<std::string, std::int64_t> refusals;
+    std::map<std::string, order_row> orders;
+    std::int64_t loads = 0;
+    std::int64_t unloads = 0;
+    std::int64_t loadedBytes = 0;
+    base::milliseconds loadTime{0};
+    /// Publishes by service and result, "SERVICE/accepted" or "SERVICE/rejected".
+    std::map<std::string, std::int64_t> publishes;
+    std::vector<failure_row> failures;
+    std::vector<missing_minutes> missing;
+    /// Requests within their deadline and all requests, by step.
+    std::array<std::int64_t, steps> metBySteps{};
+    std::array<std::int64_t, steps> totalBySteps{};
+    /// Whether counts of a node are missing in the step.
+    std::array<bool, steps> isStepIncomplete{};
+};
+
+/// "YYYY-MM-DD".
+std::string dateText(base::milliseconds day);
+
+/// "HH:MM" of a minute of the day.
+std::string minuteText(int minute);
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/reports/day_text.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chervilbend::node
+{
+
+struct day_report;
+
+/// A part of the daily page: a heading and a table, or a single sentence when there is nothing to list.
+struct day_section {
+    std::string heading;
+    std::string sentence;
+    std::vector<std::string> columns;
+    std::vector<std::vector<std::string>> rows;
+};
+
+/// The parts of the page after its first line and chart, for both renderings.
+std::vector<day_section> daySections(const day_report &report);
+
+/// The page as text, for chervilctl.
+std::string renderDayText(const day_report &report);
+
+/// "99.12%", rounded down, so that a missed goal never looks reached.
+std::string percentText(double share);
+
+/// "1 order", "12,345 orders".
+std::string countText(std::int64_t count, std::string_view one, std::string_view many);
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/reports/recent_days.cpp
@@ -0,0 +1,27 @@
+#include <chervilbend/node/reports/recent_days.hpp>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+constexpr std::int64_t dayMilliseconds = 86'400'000;
+constexpr std::size_t daysKept = 3;
+} // namespace
+
+void recent_days::add(const state::day_entry &entry)
+{
+    const std::int64_t day = entry.minute.count() / dayMilliseconds;
+    m_ledgers.try_emplace(day, entry.minute).first->second.add(entry);
+    if (m_ledgers.size() > daysKept) {
+        m_ledgers.erase(m_ledgers.begin());
+    }
+}
+
+const day_ledger *recent_days::find(base::milliseconds time) const
+{
+    const auto found = m_ledgers.find(time.count() / dayMilliseconds);
+    return found == m_ledgers.end() ? nullptr : &found->second;
+}
+
+} // namespace chervilbend::node
