--- a/packages/ctl/src/chervilbend/ctl/commands/query_commands.cpp
+++ b/packages/ctl/src/chervilbend/ctl/commands/query_commands.cpp
@@ -194,7 +194,8 @@
     exit_code code = exit_code::done;
     const auto day = ask("day", parameters, node, caller, output, code);
     if (day) {
-        output.line(textOf(*day, "text"));
+        const std::string text = textOf(*day, "text");
+        output.line(text.substr(0, text.find_last_not_of('\n') + 1));
     }
     return code;
 }
--- a/packages/node/src/chervilbend/node/operators/queries/day_method.cpp
+++ b/packages/node/src/chervilbend/node/operators/queries/day_method.cpp
@@ -3,31 +3,12 @@
 #include <chervilbend/node/operators/operator_json.hpp>
 #include <chervilbend/node/reports/day_text.hpp>
 
-#include <chrono>
-#include <cstdio>
-
 namespace chervilbend::node::queries
 {
 
 namespace
 {
 
-std::optional<base::milliseconds> parseDate(const std::string &text)
-{
-    int year = 0;
-    unsigned month = 0;
-    unsigned day = 0;
-    int length = 0;
-    if (std::sscanf(text.c_str(), "%4d-%2u-%2u%n", &year, &month, &day, &length) != 3 || length != static_cast<int>(text.size())) { // NOLINT(cert-err34-c)
-        return std::nullopt;
-    }
-    const std::chrono::year_month_day date{std::chrono::year(year), std::chrono::month(month), std::chrono::day(day)};
-    if (!date.ok() || year < 1970) {
-        return std::nullopt;
-    }
-    return base::milliseconds(std::chrono::sys_days(date).time_since_epoch());
-}
-
 const char *nameOf(day_verdict verdict)
 {
     switch (verdict) {
@@ -74,9 +55,7 @@
     if (!day) {
         return fail(base::error_kind::badRequest, "\"" + text + "\" is not a date as YYYY-MM-DD");
     }
-    const day_ledger *ledger = m_days.find(*day);
-    // A day without any entry still has a page, which says that nothing is known.
-    const day_report report = ledger ? ledger->report(now) : day_ledger(*day).report(now);
+    const day_report report = m_days.report(*day, now);
     Json::Value result(Json::objectValue);
     result["date"] = dateText(report.day);
     result["verdict"] = nameOf(report.verdict);
--- a/packages/node/src/chervilbend/node/reports/day_report.hpp
+++ b/packages/node/src/chervilbend/node/reports/day_report.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,9 @@
     std::array<bool, steps> isStepIncomplete{};
 };
 
+/// The start of the day "YYYY-MM-DD" (UTC), from 1970 on; no value when the text is not a date.
+std::optional<base::milliseconds> parseDate(const std::string &text);
+
 /// "YYYY-MM-DD".
 std::string dateText(base::milliseconds day);
 
--- /dev/null
+++ b/packages/node/src/chervilbend/node/reports/day_tally.cpp
@@ -0,0 +1,64 @@
+#include <chervilbend/node/reports/day_tally.hpp>
+
+#include <chervilbend/node/reports/day_counters.hpp>
+
+#include <utility>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+constexpr base::milliseconds minuteLength{60'000};
+/// Longest pause that is filled with empty minutes. After a longer one, for which the node may have been asleep or the clock wrong, the
+/// minutes between are left out and count as not known.
+constexpr base::milliseconds longestPause{600'000};
+
+base::milliseconds currentMinute()
+{
+    return base::clock::wallNow() / minuteLength * minuteLength;
+}
+
+} // namespace
+
+day_tally::day_tally(base::node_id node, base::incarnation life)
+    : m_current{std::move(node), life, currentMinute(), {{std::string(startedCounter), 1}}}
+{
+}
+
+void day_tally::add(std::string_view name, std::int64_t amount)
+{
+    m_current.counts[std::string(name)] += amount;
+}
+
+std::vector<state::day_entry> day_tally::takeFinished()
+{
+    const base::milliseconds now = currentMinute();
+    if (now - m_current.minute > longestPause) {
+        finishMinute();
+        m_current.minute = now;
+    }
+    // A clock that was set back keeps the current minute until it is reached again.
+    while (m_current.minute < now) {
+        finishMinute();
+    }
+    return std::exchange(m_finished, {});
+}
+
+std::vector<state::day_entry> day_tally::takeLast()
+{
+    std::vector<state::day_entry> entries = takeFinished();
+    add(stoppedCounter);
+    entries.push_back(m_current);
+    return entries;
+}
+
+void day_tally::finishMinute()
+{
+    m_finished.push_back(m_current);
+    m_current.minute += minuteLength;
+    m_current.counts.clear();
+}
+
+} // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/reports/day_text.cpp
+++ b/packages/node/src/chervilbend/node/reports/day_text.cpp
@@ -181,6 +181,22 @@
     return config::concat({number(count), " ", count == 1 ? one : many});
 }
 
+std::optional<base::milliseconds> parseDate(const std::string &text)
+{
+    int year = 0;
+    unsigned month = 0;
+    unsigned day = 0;
+    int length = 0;
+    if (std::sscanf(text.c_str(), "%4d-%2u-%2u%n", &year, &month, &day, &length) != 3 || length != static_cast<int>(text.size())) { // NOLINT(cert-err34-c)
+        return std::nullopt;
+    }
+    const std::chrono::year_month_day date{std::chrono::year(year), std::chrono::month(month), std::chrono::day(day)};
+    if (!date.ok() || year < 1970) {
+        return std::nullopt;
+    }
+    return base::milliseconds(std::chrono::sys_days(date).time_since_epoch());
+}
+
 std::string dateText(base::milliseconds day)
 {
     const std::chrono::sys_days days{std::chrono::floor<std::chrono::days>(day)};
--- a/packages/node/src/chervilbend/node/reports/recent_days.cpp
+++ b/packages/node/src/chervilbend/node/reports/recent_days.cpp
@@ -18,10 +18,10 @@
     }
 }
 
-const day_ledger *recent_days::find(base::milliseconds time) const
+day_report recent_days::report(base::milliseconds time, base::milliseconds now) const
 {
     const auto found = m_ledgers.find(time.count() / dayMilliseconds);
-    return found == m_ledgers.end() ? nullptr : &found->second;
+    return found == m_ledgers.end() ? day_ledger(time).report(now) : found->second.report(now);
 }
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/reports/recent_days.hpp
+++ b/packages/node/src/chervilbend/node/reports/recent_days.hpp
@@ -15,8 +15,9 @@
     /// Takes one entry of the day stream. Keeps the ledgers of the newest 3 days.
     void add(const state::day_entry &entry);
 
-    /// The ledger of the day that holds @p time (wall clock); nullptr when no entry of it was read.
-    const day_ledger *find(base::milliseconds time) const;
+    /// The report of the day that holds @p time, as it is known at @p now (both wall clock). A day without any entry has one, too: it says
+    /// that nothing is known.
+    day_report report(base::milliseconds time, base::milliseconds now) const;
 
 private:
     /// By days since 1970-01-01 UTC.
--- a/packages/node/tests/day_report_test.cpp
+++ b/packages/node/tests/day_report_test.cpp
@@ -2,6 +2,7 @@
 #include <chervilbend/node/operators/queries/day_method.hpp>
 #include <chervilbend/node/reports/day_counters.hpp>
 #include <chervilbend/node/reports/day_page.hpp>
+#include <chervilbend/node/reports/day_tally.hpp>
 #include <chervilbend/node/reports/day_text.hpp>
 #include <chervilbend/node/reports/recent_days.hpp>
 
@@ -123,6 +124,7 @@
     CPPUNIT_TEST(runningDayExpectsNothingOfItsEnd);
     CPPUNIT_TEST(percentIsNeverRoundedUp);
     CPPUNIT_TEST(damagedCountsAreIgnored);
+    CPPUNIT_TEST(tallyLeavesNoGaps);
     CPPUNIT_TEST(callGivesThePage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -228,6 +230,28 @@
         CPPUNIT_ASSERT(!renderDayPage(report).empty());
     }
 
+    /// A node without work must not look like one whose counts are missing.
+    void tallyLeavesNoGaps()
+    {
+        base::manual_time_source time;
+        time.advance(milliseconds(90'000));
+        day_tally tally(base::node_id("n1"), base::incarnation(1));
+        CPPUNIT_ASSERT(tally.takeFinished().empty());
+        tally.add(workCounter("tutor", work_class::urgent, work_end::met), 3);
+        recent_days days;
+        const auto deliver = [&](const std::vector<state::day_entry> &entries) {
+            std::ranges::for_each(entries, [&](const state::day_entry &entry) { days.add(entry); });
+            return entries.size();
+        };
+        time.advance(milliseconds(45'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, deliver(tally.takeFinished()));
+        time.advance(milliseconds(300'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, deliver(tally.takeFinished()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, deliver(tally.takeLast()));
+        const day_report report = days.report(day, evening);
+        CPPUNIT_ASSERT(report.missing.empty() && report.attainment.at(0).met == 3 && report.verdict == day_verdict::well);
+    }
+
     void callGivesThePage()
     {
         const base::manual_time_source time;
