--- a/packages/node/tests/caller_input_test.cpp
+++ b/packages/node/tests/caller_input_test.cpp
@@ -148,7 +148,7 @@
             const auto texts = *rc::gen::container<std::vector<std::string>>(rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
             std::string all;
             for (const std::string &text : texts) {
-                all += "data: {" + text + "}" + end;
+                all.append("data: {").append(text).append("}").append(end);
             }
             all += "data: [DONE]" + end;
             event_scanner scanner;
