Ask whether the caller has left before an order starts

Cause: the gateway can leave out an order that lay in the buffers of a paused node only when it knows that the caller has closed the connection. Change: http_exchange looks for the end of the connection without reading, and the order desk passes this on.

--- a/packages/net/src/chervilbend/net/http_exchange.cpp
+++ b/packages/net/src/chervilbend/net/http_exchange.cpp
@@ -40,6 +40,17 @@
     return error ? "gone" : toString({remote.address().to_string(), remote.port()});
 }
 
+bool http_exchange::callerHasLeft() const
+{
+    boost::system::error_code error;
+    asio::ip::tcp::socket &socket = m_connection->socket();
+    // Only for this call: asynchronous operations do not depend on the mode.
+    socket.non_blocking(true, error);
+    char next = 0;
+    socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block && error != asio::error::try_again;
+}
+
 asio::awaitable<bool> http_exchange::respond(http_response response)
 {
     if (m_started) {
--- a/packages/net/src/chervilbend/net/http_exchange.hpp
+++ b/packages/net/src/chervilbend/net/http_exchange.hpp
@@ -28,6 +28,9 @@
     /// The caller's IP number and port, for log lines.
     std::string remoteAddress() const;
 
+    /// Whether the caller has closed its side of the connection, as far as this host knows. Reads nothing; over TLS it may still say no.
+    bool callerHasLeft() const;
+
     /// Sends a whole answer. False when the caller is gone or an answer was already started.
     boost::asio::awaitable<bool> respond(http_response response);
 
--- a/packages/node/src/chervilbend/node/callers/order_desk.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_desk.cpp
@@ -151,6 +151,9 @@
     order.body = std::string(request.method_string()) + ' ' + std::string(path) + '\n' + request.body();
     order.firstAttempt = request["Idempotency-Attempt"] == "1";
     order.deadline = plan.facts.deadline;
+    order.callerHasLeft = [exchange] {
+        return exchange->callerHasLeft();
+    };
     plan.idempotencyKey = *key;
 
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
--- a/packages/node/tests/order_desk_test.cpp
+++ b/packages/node/tests/order_desk_test.cpp
@@ -54,6 +54,7 @@
         const std::string answer = front.ask(test_front::post("/orders/burn?now=1", "{\"order\":\"k-1\"}", "X-Account: north\r\nIdempotency-Attempt: 1\r\n"));
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 ") && contains(answer, "X-Run-State: ran") && contains(answer, "{\"burnt\":true}"));
         const control::order_request &order = front.gateway.orders.at(0);
+        CPPUNIT_ASSERT(order.callerHasLeft);
         CPPUNIT_ASSERT_EQUAL(std::string("k-1"), order.idempotencyKey);
         CPPUNIT_ASSERT_EQUAL(std::string("north"), order.account.value());
         CPPUNIT_ASSERT_EQUAL(std::string("shop/orders/burn"), order.route);
