--- a/packages/control/src/chervilbend/control/report_poller.cpp
+++ b/packages/control/src/chervilbend/control/report_poller.cpp
@@ -15,10 +15,9 @@
 namespace chervilbend::control
 {
 
-report_poller::report_poller(const asio::any_io_executor &executor, platform::engine_control &engines, report_listener &listener, base::milliseconds interval)
+report_poller::report_poller(const asio::any_io_executor &executor, platform::engine_control &engines, base::milliseconds interval)
     : m_executor(executor)
     , m_engines(engines)
-    , m_listener(listener)
     , m_interval(interval)
 {
 }
@@ -30,6 +29,11 @@
     }
 }
 
+void report_poller::addListener(report_listener &listener)
+{
+    m_listeners.push_back(&listener);
+}
+
 void report_poller::setFilter(filter wanted)
 {
     m_filter = std::move(wanted);
@@ -68,9 +72,15 @@
         }
         if (report) {
             missed = 0;
-            m_listener.reportArrived(endpoint, *report);
         } else {
-            m_listener.reportMissed(endpoint, ++missed);
+            ++missed;
+        }
+        for (report_listener *listener : m_listeners) {
+            if (report) {
+                listener->reportArrived(endpoint, *report);
+            } else {
+                listener->reportMissed(endpoint, missed);
+            }
         }
         co_await net::sleepFor(m_interval);
     }
--- a/packages/control/src/chervilbend/control/report_poller.hpp
+++ b/packages/control/src/chervilbend/control/report_poller.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace chervilbend::platform
 {
@@ -29,9 +30,11 @@
     using filter = std::function<bool(const platform::host_entry &)>;
 
     /// All references must outlive the tasks. An empty filter lets all engines through.
-    report_poller(const boost::asio::any_io_executor &executor, platform::engine_control &engines, report_listener &listener, base::milliseconds interval);
+    report_poller(const boost::asio::any_io_executor &executor, platform::engine_control &engines, base::milliseconds interval);
     ~report_poller() override;
 
+    /// A listener must outlive the tasks.
+    void addListener(report_listener &listener);
     void setFilter(filter wanted);
     void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
 
@@ -45,7 +48,7 @@
 
     boost::asio::any_io_executor m_executor;
     platform::engine_control &m_engines;
-    report_listener &m_listener;
+    std::vector<report_listener *> m_listeners;
     base::milliseconds m_interval;
     filter m_filter;
     std::map<base::endpoint_id, std::shared_ptr<target>> m_targets;
--- a/packages/node/src/chervilbend/node/composition/caller_side.cpp
+++ b/packages/node/src/chervilbend/node/composition/caller_side.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/control/host_watcher.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/composition/control_plane.hpp>
+#include <chervilbend/node/composition/day_side.hpp>
 #include <chervilbend/node/composition/platform_clients.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,21 +46,26 @@
                          metered_director &director,
                          control_plane &control,
                          platform_clients &platform,
-                         base::metric_registry &metrics)
+                         base::metric_registry &metrics,
+                         day_side &day)
     : m_director(director)
     , m_control(control)
     , m_executor(executor)
     , m_metrics(metrics)
     , m_admission(executor, director)
     , m_gateway(executor, gatewayOptions(settings, identity, control), control.ordersStream().appender(), control.ordersStream().follower())
+    , m_countingGateway(m_gateway, day.recorder())
     , m_catalog([&control]() -> const service_catalog::service_map & { return control.controlStream().state().services(); })
     , m_forwarder(m_admission, m_directory, m_client, m_metrics)
-    , m_orders(m_gateway, m_admission, m_directory, m_client, m_open, m_metrics)
+    , m_orders(m_countingGateway, m_admission, m_directory, m_client, m_open, m_metrics)
     , m_api(m_catalog, m_forwarder, m_orders, m_open, m_metrics)
     , m_feed(director, m_directory, control.controlStream().state(), identity.zone, crossZoneRoundTripMs)
-    , m_reports(executor, *platform.engines, m_feed, settings.reportInterval)
+    , m_reports(executor, *platform.engines, settings.reportInterval)
 {
     m_feed.onChange([this] { m_admission.pump(); });
+    m_director.setListener(&day.recorder());
+    m_reports.addListener(m_feed);
+    m_reports.addListener(day);
     control.hosts().addListener(m_feed);
     control.hosts().addListener(m_reports);
 }
--- a/packages/node/src/chervilbend/node/composition/caller_side.hpp
+++ b/packages/node/src/chervilbend/node/composition/caller_side.hpp
@@ -15,6 +15,7 @@
 #include <chervilbend/node/callers/service_catalog.hpp>
 #include <chervilbend/node/composition/node_identity.hpp>
 #include <chervilbend/node/metered_director.hpp>
+#include <chervilbend/node/reports/counting_order_gateway.hpp>
 #include <chervilbend/node/routing_feed.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -26,6 +27,7 @@
 {
 
 class control_plane;
+class day_side;
 struct platform_clients;
 
 /// All that serves callers: admission, routing, forwarding and orders.
@@ -39,7 +41,8 @@
                 metered_director &director,
                 control_plane &control,
                 platform_clients &platform,
-                base::metric_registry &metrics);
+                base::metric_registry &metrics,
+                day_side &day);
 
     /// Commands.
 
@@ -79,6 +82,7 @@
     endpoint_directory m_directory;
     admission m_admission;
     control::log_order_gateway m_gateway;
+    counting_order_gateway m_countingGateway;
     service_catalog m_catalog;
     forwarder m_forwarder;
     order_desk m_orders;
--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace asio = boost::asio;
 
@@ -147,12 +148,21 @@
     }
 }
 
+void control_plane::onPublish(std::function<void(const std::string &publishId)> taken)
+{
+    m_publishTaken = std::move(taken);
+}
+
 bool control_plane::submit(state::entry entry)
 {
     if (!m_control.follower().isReachable()) {
         fail(base::error_kind::logUnavailable, "the log service is unavailable");
         return false;
     }
+    const auto *publish = std::get_if<state::publish_entry>(&entry);
+    if (publish && m_publishTaken) {
+        m_publishTaken(publish->publishId);
+    }
     m_control.append(std::move(entry));
     return true;
 }
--- a/packages/node/src/chervilbend/node/composition/control_plane.hpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -21,7 +21,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace chervilbend::peers
@@ -55,6 +57,8 @@
     /// Hands all leases over and waits until the log has it, up to @p patience.
     boost::asio::awaitable<void> handOver(base::milliseconds patience);
 
+    /// Called with the id of each publish that this node takes. Empty for none.
+    void onPublish(std::function<void(const std::string &publishId)> taken);
     bool submit(state::entry entry) override;
     void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
 
@@ -108,6 +112,7 @@
     node_identity m_identity;
     platform_clients &m_platform;
 
+    std::function<void(const std::string &)> m_publishTaken;
     publish_archive m_archive;
     control::log_stream m_control;
     control::log_stream m_orders;
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -87,9 +87,11 @@
     , m_director(seedOf(settings, m_identity), directorSettings(settings))
     , m_metered(m_director, routing::director_settings().initialLimit)
     , m_control(m_context.get_executor(), settings, m_identity, m_platform, m_signer, m_metered)
-    , m_callers(m_context.get_executor(), settings, m_identity, m_metered, m_control, m_platform, m_registry)
+    , m_day(m_context.get_executor(), m_identity, m_control, *m_platform.day)
+    , m_callers(m_context.get_executor(), settings, m_identity, m_metered, m_control, m_platform, m_registry, m_day)
     , m_view(m_control.controlStream().state(), m_control.publishes(), m_control)
-    , m_health(m_readiness, m_registry, m_callers.handler())
+    , m_dayPage(m_day.days(), m_callers.handler())
+    , m_health(m_readiness, m_registry, m_dayPage)
     , m_rpc(m_signer)
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_health, limitsOf(settings)))
     , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_rpc))
@@ -98,10 +100,12 @@
                  *m_callerServer,
                  m_callers.open(),
                  {settings.balancerWait, settings.shutdownBound, handOverPatience},
-                 [this] { return m_control.handOver(handOverPatience); })
+                 [this] { return handOver(); })
     , m_signals(m_context, SIGTERM, SIGINT)
 {
     m_control.serve(m_rpc);
+    m_control.onPublish([this](const std::string &publishId) { m_day.recorder().publishTaken(publishId); });
+    m_day.serve(m_rpc);
     addOperatorMethods();
     m_callers.metrics().watch(m_callers.open(), m_callers.gate(), *m_callerServer);
     m_readiness.setMissing("configuration");
@@ -120,6 +124,7 @@
                          << '.');
     m_control.start();
     m_callers.start();
+    m_day.start();
     asio::co_spawn(m_context, watchReadiness(), asio::detached);
     asio::co_spawn(m_context, watchKeys(), asio::detached);
     waitForSignal();
@@ -181,6 +186,12 @@
     });
 }
 
+asio::awaitable<void> node_process::handOver()
+{
+    co_await m_control.handOver(handOverPatience / 2);
+    co_await m_day.stop(handOverPatience / 2);
+}
+
 asio::awaitable<void> node_process::watchReadiness()
 {
     while (!m_readiness.isReady()) {
--- a/packages/node/src/chervilbend/node/composition/node_process.hpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.hpp
@@ -6,6 +6,7 @@
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/node/composition/caller_side.hpp>
 #include <chervilbend/node/composition/control_plane.hpp>
+#include <chervilbend/node/composition/day_side.hpp>
 #include <chervilbend/node/composition/node_identity.hpp>
 #include <chervilbend/node/composition/platform_clients.hpp>
 #include <chervilbend/node/health/health_api.hpp>
@@ -13,6 +14,7 @@
 #include <chervilbend/node/health/shutdown_sequence.hpp>
 #include <chervilbend/node/metered_director.hpp>
 #include <chervilbend/node/operators/state_operator_view.hpp>
+#include <chervilbend/node/reports/day_page_api.hpp>
 #include <chervilbend/peers/rpc_server.hpp>
 #include <chervilbend/routing/adaptive_director.hpp>
 
@@ -45,6 +47,7 @@
     void startShutdown();
     boost::asio::awaitable<void> watchReadiness();
     boost::asio::awaitable<void> watchKeys();
+    boost::asio::awaitable<void> handOver();
 
     config::node_settings m_settings;
     settings_file &m_file;
@@ -56,9 +59,11 @@
     routing::adaptive_director m_director;
     metered_director m_metered;
     control_plane m_control;
+    day_side m_day;
     caller_side m_callers;
     state_operator_view m_view;
     readiness m_readiness;
+    day_page_api m_dayPage;
     health_api m_health;
     peers::rpc_server m_rpc;
     std::shared_ptr<net::http_server> m_callerServer;
--- a/packages/node/src/chervilbend/node/metered_director.cpp
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -20,6 +20,22 @@
     }
 }
 
+work_end endOf(routing::request_outcome outcome, base::time_point deadline)
+{
+    switch (outcome) {
+    case routing::request_outcome::answered:
+        return base::clock::now() <= deadline ? work_end::met : work_end::late;
+    case routing::request_outcome::cancelled:
+        return work_end::cancelled;
+    case routing::request_outcome::notSent:
+    case routing::request_outcome::refused:
+    case routing::request_outcome::connectionLost:
+    case routing::request_outcome::timedOut:
+        break;
+    }
+    return work_end::failed;
+}
+
 } // namespace
 
 metered_director::metered_director(routing::traffic_director &inner, double slotsPerEndpoint)
@@ -56,7 +72,9 @@
     meter.arrivals.push_back(now);
     const std::optional<routing::ticket> request = m_inner.submit(facts, why);
     if (request) {
-        m_open[*request].pool = facts.pool;
+        m_open[*request].facts = facts;
+    } else {
+        end(facts, work_end::refused, why.kind);
     }
     return request;
 }
@@ -68,6 +86,12 @@
     if (open != m_open.end()) {
         open->second.sentAt.reset();
         if (!queued) {
+            const bool mayHaveRun = outcome == routing::request_outcome::connectionLost || outcome == routing::request_outcome::timedOut;
+            if (mayHaveRun) {
+                end(open->second.facts, work_end::failed);
+            } else {
+                end(open->second.facts, work_end::refused, why.kind);
+            }
             m_open.erase(open);
         }
     }
@@ -91,7 +115,11 @@
 {
     std::vector<routing::refusal> refusals = m_inner.takeRefusals();
     for (const routing::refusal &refusal : refusals) {
-        m_open.erase(refusal.request);
+        const auto open = m_open.find(refusal.request);
+        if (open != m_open.end()) {
+            end(open->second.facts, work_end::refused, refusal.why.kind);
+            m_open.erase(open);
+        }
     }
     return refusals;
 }
@@ -112,9 +140,10 @@
     if (open != m_open.end()) {
         if (outcome == routing::request_outcome::answered && open->second.sentAt) {
             const double ms = static_cast<double>((base::clock::now() - *open->second.sentAt).count());
-            double &mean = m_pools[open->second.pool].serviceMs;
+            double &mean = m_pools[open->second.facts.pool].serviceMs;
             mean += newestShare * (ms - mean);
         }
+        end(open->second.facts, endOf(outcome, open->second.facts.deadline));
         m_open.erase(open);
     }
     m_inner.finish(request, outcome);
@@ -135,6 +164,18 @@
     return m_inner.nextWakeup();
 }
 
+void metered_director::setListener(work_listener *listener)
+{
+    m_listener = listener;
+}
+
+void metered_director::end(const routing::request_facts &facts, work_end end, std::optional<base::error_kind> refusal) const
+{
+    if (m_listener) {
+        m_listener->workEnded(facts, end, refusal);
+    }
+}
+
 membership::demand_by_item metered_director::demand() const
 {
     const base::time_point now = base::clock::now();
--- a/packages/node/src/chervilbend/node/metered_director.hpp
+++ b/packages/node/src/chervilbend/node/metered_director.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/control/demand_source.hpp>
+#include <chervilbend/node/work_listener.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 
 #include <deque>
@@ -14,14 +15,14 @@
 namespace chervilbend::node
 {
 
-/// Passes all calls on to another director and measures the demand for each model on the way.
+/// Passes all calls on to another director and measures the demand for each model and the end of each request on the way.
 ///
 /// Demand is the number of endpoints that the offered requests would keep busy: by Little's law, arrivals per second times the mean
 /// service time gives the requests in service, and an endpoint serves @c slotsPerEndpoint of them at once.
 class metered_director : public routing::traffic_director, public control::demand_source
 {
 public:
-    /// @p inner must outlive the object. @p slotsPerEndpoint is at least 1.
+    /// @p inner must outlive the object, and a listener too. @p slotsPerEndpoint is at least 1.
     metered_director(routing::traffic_director &inner, double slotsPerEndpoint);
 
     void setEndpoint(const routing::endpoint_facts &facts) override;
@@ -39,11 +40,14 @@
     std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
     base::time_point nextWakeup() const override;
 
+    /// Told how each request ended; nullptr for none.
+    void setListener(work_listener *listener);
+
     membership::demand_by_item demand() const override;
 
 private:
     struct open_request {
-        std::string pool;
+        routing::request_facts facts;
         std::optional<base::time_point> sentAt;
     };
 
@@ -57,7 +61,10 @@
     /// Assumed for a model that has not answered yet, so that a model without a copy still has demand.
     static constexpr double initialServiceMs = 1'000;
 
+    void end(const routing::request_facts &facts, work_end end, std::optional<base::error_kind> refusal = std::nullopt) const;
+
     routing::traffic_director &m_inner;
+    work_listener *m_listener = nullptr;
     double m_slotsPerEndpoint;
     std::unordered_map<routing::ticket, open_request> m_open;
     mutable std::map<std::string, pool_meter> m_pools;
--- /dev/null
+++ b/packages/node/src/chervilbend/node/reports/day_recorder.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/node/reports/day_tally.hpp>
+#include <chervilbend/node/work_listener.hpp>
+#include <chervilbend/state/replicated_state.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilbend::node
+{
+
+/// Counts for the daily page what this node sees: requests, orders, publishes, moves and failures.
+class day_recorder : public work_listener
+{
+public:
+    /// @p state is that of the control stream and must outlive the recorder.
+    day_recorder(const base::node_id &self, base::incarnation life, const state::replicated_state &state);
+
+    /// Commands.
+
+    void workEnded(const routing::request_facts &facts, work_end end, std::optional<base::error_kind> refusal) override;
+    /// @p route is "SERVICE/PATH", as in control::order_request.
+    void orderEnded(const std::string &route, base::run_state state);
+    /// This node has taken a publish; it is counted when the fold has decided on it.
+    void publishTaken(const std::string &publishId);
+    /// Something did not work for @p duration.
+    void failed(const std::string &what, base::milliseconds duration);
+    void nodeLost(const base::node_id &node);
+    /// Compares the state with that of the last call, @p sinceLast ago. Call about once per second.
+    void observeState(base::milliseconds sinceLast);
+
+    std::vector<state::day_entry> takeFinished();
+    std::vector<state::day_entry> takeLast();
+
+private:
+    struct move {
+        base::time_point since;
+        state::residency state = state::residency::assigned;
+        base::byte_count bytes;
+        bool own = false;
+    };
+
+    using placed_item = std::pair<base::endpoint_id, base::item_id>;
+
+    std::string serviceOf(const std::string &pool);
+    void observePublishes();
+    void observeMoves();
+    void observeReachability(base::milliseconds sinceLast);
+    bool owns(const base::endpoint_id &endpoint) const;
+
+    base::node_id m_self;
+    const state::replicated_state &m_state;
+    day_tally m_tally;
+    std::set<std::string> m_openPublishes;
+    std::map<placed_item, move> m_moves;
+    /// The service that declares each item, rebuilt when a service's version has changed.
+    std::map<std::string, std::string> m_serviceByItem;
+    std::vector<base::log_offset> m_versions;
+};
+
+} // namespace chervilbend::node
