--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -20,8 +20,8 @@
     all.push_back(std::make_unique<slowed_measurement>());
     all.push_back(std::make_unique<poison_measurement>());
     all.push_back(std::make_unique<once_measurement>());
-    all.push_back(std::make_unique<decision_cost_measurement>());
     all.push_back(std::make_unique<memory_measurement>());
+    all.push_back(std::make_unique<decision_cost_measurement>());
     all.push_back(std::make_unique<proxy_measurement>());
     return all;
 }
