Give suspects more time and a private second choice

Traces showed two ways in which a harmless suspect met the poisoned one: news had not reached all nodes after 2 s, and the poisoned request, whose own endpoint was the crashed one, moved to the next in the order, another suspect's.

--- a/packages/routing/src/chervilbend/routing/director_settings.hpp
+++ b/packages/routing/src/chervilbend/routing/director_settings.hpp
@@ -61,7 +61,7 @@
     /// Crashes after which a request is refused; 1 to 10.
     int crashesToRefuse = 2;
     /// Time that a suspect waits before it runs again, so that news of its crash reaches the other nodes; 0 to 60000 ms.
-    base::milliseconds suspectHold{2000};
+    base::milliseconds suspectHold{3000};
     /// How long a suspicion is kept; 1 min to 24 h.
     base::milliseconds suspicionLife{3'600'000};
     /// Time after which a broken connection that nothing confirms as a crash is forgotten; 1000 to 600000 ms.
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -187,14 +187,20 @@
     std::sort(m_order.begin(), m_order.end());
     const std::uint64_t wanted = m_order[m_ledger.rankOf(request.facts.fingerprint) % m_order.size()];
     pool_member *best = nullptr;
+    std::uint64_t bestScore = 0;
     for (const candidate &open : m_open) {
         const endpoint_state &endpoint = *open.member->endpoint;
-        if (endpoint.suspectsInFlight > 0 || endpoint.isDown || m_ledger.isUnjudged(endpoint.serial) || (!mayDeviate && endpoint.idHash != wanted)) {
+        if (endpoint.suspectsInFlight > 0 || endpoint.isDown || m_ledger.isUnjudged(endpoint.serial)) {
             continue;
         }
-        // The distance wraps around, so this is the wanted endpoint or the next one in the order.
-        if (best == nullptr || endpoint.idHash - wanted < best->endpoint->idHash - wanted) {
+        if (endpoint.idHash == wanted) {
+            return open.member;
+        }
+        // Its own endpoint is often the one that crashed. The next in the order would be the own endpoint of another suspect.
+        const std::uint64_t score = mix(endpoint.idHash ^ request.facts.fingerprint);
+        if (mayDeviate && score >= bestScore) {
             best = open.member;
+            bestScore = score;
         }
     }
     return best;
