Destroy the test nodes before the context that they use

The sanitizer build found that operator_nodes destroyed its io_context before the servers on it, a use after free in the test harness only. The nodes are now destroyed first.

--- a/packages/ctl/tests/operator_nodes.hpp
+++ b/packages/ctl/tests/operator_nodes.hpp
@@ -138,6 +138,8 @@
         }
         m_context.restart();
         m_context.poll();
+        // Their servers use the context, which is destroyed before them.
+        nodes.clear();
     }
 
     std::vector<std::unique_ptr<operator_node>> nodes;
