--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
@@ -98,7 +98,7 @@
         co_return;
     }
     const auto ended = std::make_shared<bool>(false);
-    asio::co_spawn(m_timer.get_executor(), m_handOver, [ended](std::exception_ptr failure) {
+    asio::co_spawn(m_timer.get_executor(), m_handOver, [ended](const std::exception_ptr &failure) {
         *ended = true;
         if (failure) {
             LOG4CXX_ERROR(nodeLog(), "handing over the leases failed; they expire by themselves");
