--- a/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
@@ -95,6 +95,8 @@
         co_await takeCommand(exchange);
     } else if (path == "/engine/report") {
         co_await sendReport(exchange);
+    } else if (path == "/engine/counts") {
+        co_await sendCounts(exchange);
     } else if (path == "/engine/cache-events") {
         co_await sendCacheEvents(exchange, target.number("after", 0));
     } else if (isPost && (path == "/v1/chat/completions" || path == "/v1/completions")) {
@@ -148,6 +150,15 @@
     }
 }
 
+asio::awaitable<void> engine_server::sendCounts(std::shared_ptr<net::http_exchange> exchange)
+{
+    json::object body{{"memoryBytes", m_options.engine.memory.count()},
+                      {"usedBytes", m_model->used().count()},
+                      {"highestBytes", m_model->highestUsed().count()},
+                      {"requests", m_requests}};
+    co_await respond(exchange, http::status::ok, std::move(body));
+}
+
 asio::awaitable<void> engine_server::sendCacheEvents(std::shared_ptr<net::http_exchange> exchange, std::int64_t after)
 {
     json::array events;
@@ -162,6 +173,7 @@
 
 asio::awaitable<void> engine_server::complete(std::shared_ptr<net::http_exchange> exchange)
 {
+    ++m_requests;
     const std::optional<completion_request> wanted = completionRequestFrom(exchange->request());
     if (!wanted) {
         co_await refuse(exchange, http::status::bad_request, "the body is not a valid completion request");
--- a/packages/fakes/src/chervilbend/fakes/servers/engine_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/engine_server.hpp
@@ -34,6 +34,7 @@
     boost::asio::awaitable<void> takeCommand(std::shared_ptr<net::http_exchange> exchange);
     boost::asio::awaitable<void> askStore(base::item_id item);
     boost::asio::awaitable<void> sendReport(std::shared_ptr<net::http_exchange> exchange);
+    boost::asio::awaitable<void> sendCounts(std::shared_ptr<net::http_exchange> exchange);
     boost::asio::awaitable<void> sendCacheEvents(std::shared_ptr<net::http_exchange> exchange, std::int64_t after);
     boost::asio::awaitable<void> complete(std::shared_ptr<net::http_exchange> exchange);
     boost::asio::awaitable<void> generate(std::shared_ptr<net::http_exchange> exchange, std::shared_ptr<const completion_request> request);
@@ -58,6 +59,8 @@
     bool m_refuse = false;
     bool m_crash = false;
     std::int64_t m_completions = 0;
+    /// Requests that reached this engine, refused ones included.
+    std::int64_t m_requests = 0;
 };
 
 } // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/load/src/chervilbend/load/checks/planned_stop_check.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chervilbend/load/checks/invariant_check.hpp>
+
+namespace chervilbend::load
+{
+
+/// Invariant 7: no request that was open at a node between its SIGTERM and its end broke off.
+class planned_stop_check : public invariant_check
+{
+public:
+    std::string name() const override;
+    verdict check(const run_history &history) const override;
+};
+
+} // namespace chervilbend::load
--- /dev/null
+++ b/packages/load/src/chervilbend/load/history_writer.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <fstream>
+#include <string>
+
+namespace chervilbend::load
+{
+
+/// Writes lines to a file, each at once, so that a run that is cut off keeps what it has seen.
+class history_writer
+{
+public:
+    explicit history_writer(const std::string &path)
+        : m_file(path, std::ios::app)
+    {
+    }
+
+    bool isOpen() const
+    {
+        return m_file.is_open();
+    }
+
+    void write(const std::string &line)
+    {
+        m_file << line << '\n' << std::flush;
+    }
+
+private:
+    std::ofstream m_file;
+};
+
+} // namespace chervilbend::load
--- /dev/null
+++ b/packages/load/src/chervilbend/load/system_watch.cpp
@@ -0,0 +1,146 @@
+#include <chervilbend/load/system_watch.hpp>
+
+#include <chervilbend/load/history_json.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <thread>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace chervilbend::load
+{
+
+namespace
+{
+
+constexpr base::milliseconds interval{200};
+/// One paused node must not hold up the others for long.
+constexpr base::milliseconds timeout{300};
+
+std::int64_t numberAt(const json::value &value, const char *pointer)
+{
+    json::error_code error;
+    const json::value *const found = value.find_pointer(pointer, error);
+    return found && found->is_int64() ? found->get_int64() : 0;
+}
+
+json::value parsed(const std::string &text)
+{
+    json::error_code error;
+    json::value value = json::parse(text, error);
+    return error ? json::value() : value;
+}
+
+asio::awaitable<void> fetch(net::address where, std::string path, std::string &body)
+{
+    net::http_client client;
+    net::http_send_options options;
+    options.connectTimeout = timeout;
+    options.answerTimeout = timeout;
+    options.freshConnection = true;
+    net::http_request request(http::verb::get, path, 11);
+    const std::optional<net::http_response> answer = co_await client.send(where, std::move(request), options);
+    if (answer && answer->result() == http::status::ok) {
+        body = answer->body();
+    }
+}
+
+} // namespace
+
+system_watch::system_watch(watch_options options, ctl::node_caller &caller, history_writer &history)
+    : m_options(std::move(options))
+    , m_caller(caller)
+    , m_history(history)
+{
+}
+
+void system_watch::run(const volatile bool &stopped)
+{
+    while (!stopped) {
+        readEngines();
+        readServices();
+        readNodes();
+        std::this_thread::sleep_for(interval);
+    }
+}
+
+std::string system_watch::get(const net::address &where, const std::string &path)
+{
+    std::string body;
+    asio::io_context context;
+    asio::co_spawn(context, fetch(where, path, body), asio::detached);
+    context.run();
+    return body;
+}
+
+void system_watch::readEngines()
+{
+    for (const auto &[id, where] : m_options.engines) {
+        const std::string body = get(where, "/engine/counts");
+        if (!body.empty()) {
+            const json::value counts = parsed(body);
+            const std::int64_t now = base::clock::wallNow().count();
+            m_history.write(toLine(memory_sample{id, now, numberAt(counts, "/highestBytes"), numberAt(counts, "/memoryBytes")}));
+            m_history.write(toLine(work_sample{id, now, numberAt(counts, "/requests")}));
+        }
+    }
+}
+
+void system_watch::readServices()
+{
+    for (const auto &[id, where] : m_options.services) {
+        const std::string body = get(where, "/runs");
+        if (!body.empty()) {
+            m_history.write(toLine(work_sample{id, base::clock::wallNow().count(), numberAt(parsed(body), "/total")}));
+        }
+    }
+}
+
+void system_watch::readNodes()
+{
+    for (const watch_options::node &node : m_options.nodes) {
+        version_sample sample;
+        sample.node = toString(node.peers);
+        sample.askedMs = base::clock::wallNow().count();
+        // A node that is not ready serves nobody, so what it holds is not in force there.
+        if (get(node.callers, "/readyz").empty()) {
+            continue;
+        }
+        const auto status = m_caller.call(node.peers, "status", Json::Value(Json::objectValue), timeout);
+        if (!status || !(*status)["services"].isArray()) {
+            continue;
+        }
+        for (const Json::Value &service : (*status)["services"]) {
+            sample.services[service["service"].asString()] = service["version"].asInt64();
+        }
+        sample.atMs = base::clock::wallNow().count();
+        m_history.write(toLine(sample));
+    }
+}
+
+void system_watch::writeRuns()
+{
+    for (const auto &[id, where] : m_options.services) {
+        const json::value answer = parsed(get(where, "/runs"));
+        json::error_code error;
+        const json::value *const runs = answer.find_pointer("/runs", error);
+        if (!runs || !runs->is_object()) {
+            continue;
+        }
+        std::map<std::string, std::int64_t> counts;
+        for (const auto &[key, count] : runs->get_object()) {
+            counts[std::string(key)] = count.is_int64() ? count.get_int64() : 0;
+        }
+        m_history.write(toRunsLine(counts));
+    }
+}
+
+} // namespace chervilbend::load
