Bound the timer behind a change signal

Cause: the undefined-behaviour sanitizer found that Asio's microseconds until the clock's maximum overflow, in tasks that wait for an append without a deadline; by Asio's source the timer would then be looked at without a pause.

--- a/packages/control/src/chervilbend/control/change_signal.cpp
+++ b/packages/control/src/chervilbend/control/change_signal.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -11,6 +12,15 @@
 namespace chervilbend::control
 {
 
+namespace
+{
+
+/// Asio counts the time until a timer expires in microseconds, which overflow for the clock's maximum: it would look at the timer again
+/// and again without a pause.
+constexpr base::milliseconds longestTimer{3'600'000};
+
+} // namespace
+
 void change_signal::notify()
 {
     for (const std::weak_ptr<net::timer> &waiting : std::exchange(m_waiting, {})) {
@@ -23,7 +33,7 @@
 asio::awaitable<bool> change_signal::wait(base::time_point until)
 {
     const auto timer = std::make_shared<net::timer>(co_await asio::this_coro::executor);
-    timer->expires_at(until);
+    timer->expires_at(std::min(until, base::clock::now() + longestTimer));
     m_waiting.push_back(timer);
     const auto [error] = co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
     if (!error) {
--- a/packages/control/src/chervilbend/control/change_signal.hpp
+++ b/packages/control/src/chervilbend/control/change_signal.hpp
@@ -18,7 +18,7 @@
     /// Wakes all tasks that wait now.
     void notify();
 
-    /// Waits for the next notify(), until @p until at most. False when the time is over.
+    /// Waits for the next notify(), until @p until and for an hour at most. False when the time is over.
     boost::asio::awaitable<bool> wait(base::time_point until);
 
 private:
