Learn the speed of answers that are not streamed

The first byte of an answer that comes as a whole arrives with its last; its time was taken as that of the prompt alone, so predicted times rose a hundredfold and requests with a deadline were refused.

--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -68,8 +68,8 @@
     void start(request_state &request, pool_member &member, base::time_point now);
 
     /// adaptive_director_outcome.cpp: from dispatch to the end.
-    static void addFirstByteSample(request_state &request, base::time_point now);
-    void addSample(request_state &request, double cost, base::time_point now);
+    void closeFirstByte(request_state &request, double cost);
+    void addSample(request_state &request, double cost, long samples, base::time_point now);
     void setOutstanding(request_state &request, double cost);
     void setCountsAsLong(request_state &request, bool isLong);
     void endAttempt(request_state &request, request_outcome outcome, base::time_point now);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -25,9 +25,9 @@
         return;
     }
     const base::time_point now = base::clock::now();
-    request->hasFirstByte = true;
-    addFirstByteSample(*request, now);
-    addSample(*request, request->inputCost, now);
+    request->hasFirstByte = request->isFirstByteOpen = true;
+    request->firstByteAt = now;
+    request->endpoint->isDown = false;
 }
 
 void adaptive_director::progress(ticket id, base::token_count generated)
@@ -39,9 +39,15 @@
     const base::time_point now = base::clock::now();
     const auto fresh = static_cast<double>(generated.count() - request->generated);
     request->generated = generated.count();
-    // Several chunks in one millisecond are one sample: the clock cannot tell how long each of them took.
-    if (now > request->lastSample) {
-        addSample(*request, fresh, now);
+    if (request->isFirstByteOpen && now == request->firstByteAt) {
+        // Tokens that come with the first byte took the time until then: an answer that is not streamed comes as a whole.
+        closeFirstByte(*request, request->inputCost + fresh);
+    } else {
+        closeFirstByte(*request, request->inputCost);
+        // Several chunks in one millisecond are one sample: the clock cannot tell how long each of them took.
+        if (now > request->lastSample) {
+            addSample(*request, fresh, static_cast<long>(fresh), now);
+        }
     }
     const auto done = static_cast<double>(request->generated);
     setOutstanding(*request, cost_predictor::remainingTokens(request->predictedTokens, done, request->facts.maxTokens));
@@ -50,18 +56,22 @@
     }
 }
 
-void adaptive_director::addFirstByteSample(request_state &request, base::time_point now)
+void adaptive_director::closeFirstByte(request_state &request, double cost)
 {
-    const auto ms = static_cast<double>((now - request.sent).count());
-    request.endpoint->limit.addSample(ms, request.inputCost);
-    request.pool->limit.addSample(ms, request.inputCost);
-    request.endpoint->isDown = false;
+    if (!request.isFirstByteOpen) {
+        return;
+    }
+    request.isFirstByteOpen = false;
+    const auto ms = static_cast<double>((request.firstByteAt - request.sent).count());
+    request.endpoint->limit.addSample(ms, cost);
+    request.pool->limit.addSample(ms, cost);
+    addSample(request, cost, 1, request.firstByteAt);
 }
 
-void adaptive_director::addSample(request_state &request, double cost, base::time_point now)
+void adaptive_director::addSample(request_state &request, double cost, long samples, base::time_point now)
 {
     if (pool_member *member = request.pool->memberOf(request.endpoint.get())) {
-        member->latency.add(static_cast<double>((now - request.lastSample).count()), std::max(cost, 1e-3), now);
+        member->latency.add(static_cast<double>((now - request.lastSample).count()), std::max(cost, 1e-3), samples, now);
     }
     request.lastSample = now;
 }
@@ -85,8 +95,10 @@
     const base::time_point now = base::clock::now();
     pool_state &pool = *request.pool;
     if (!request.hasFirstByte) {
-        addFirstByteSample(request, now);
-        addSample(request, request.inputCost + static_cast<double>(request.generated), now);
+        request.hasFirstByte = request.isFirstByteOpen = true;
+        request.firstByteAt = now;
+        request.endpoint->isDown = false;
+        closeFirstByte(request, request.inputCost + static_cast<double>(request.generated));
     }
     const auto done = static_cast<double>(request.generated);
     pool.predictor.learn(request.facts.urgency, request.facts.maxTokens, done);
@@ -99,6 +111,7 @@
 void adaptive_director::endAttempt(request_state &request, request_outcome outcome, base::time_point now)
 {
     endpoint_state &endpoint = *request.endpoint;
+    closeFirstByte(request, request.inputCost);
     switch (outcome) {
     case request_outcome::answered:
         noteAnswer(request);
@@ -119,7 +132,7 @@
         break;
     case request_outcome::timedOut:
         // An endpoint that never answers gives no other sample of its slowness.
-        addSample(request, request.inputCost, now);
+        addSample(request, request.inputCost, 1, now);
         break;
     case request_outcome::cancelled:
         break;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -246,7 +246,7 @@
     request.endpoint = member.endpoint;
     request.sent = request.lastSample = now;
     request.generated = 0;
-    request.hasFirstByte = false;
+    request.hasFirstByte = request.isFirstByteOpen = false;
     ++endpoint.inFlight;
     ++request.pool->inFlight;
     if (request.isSuspect) {
--- a/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/latency_tracker.hpp
@@ -2,7 +2,6 @@
 
 #include <chervilbend/base/clock.hpp>
 
-#include <algorithm>
 #include <cmath>
 
 namespace chervilbend::routing
@@ -14,15 +13,15 @@
 class latency_tracker
 {
 public:
-    /// Adds a span of a request: @p ms for @p cost units of work, cost above 0. Each generated token is a sample of the endpoint's speed,
-    /// so that a node that sends little recognizes a slow endpoint within its first stream.
-    void add(double ms, double cost, base::time_point now)
+    /// Adds a span of a request: @p ms for @p cost units of work, cost above 0. @p samples says how many measurements it stands for: each
+    /// token of a stream is one, so that a node that sends little recognizes a slow endpoint within its first stream.
+    void add(double ms, double cost, long samples, base::time_point now)
     {
         const double decay = sampleDecay * std::exp(-static_cast<double>((now - m_lastTime).count()) / timeConstantMs);
         m_lastTime = now;
         m_ms = m_ms * decay + ms;
         m_cost = m_cost * decay + cost;
-        m_samples += cost < 1 ? 1 : static_cast<long>(std::min(cost, 1e6));
+        m_samples += samples;
     }
 
     /// Forgets the samples, for an endpoint that is judged afresh. The ratio stays until the next sample.
--- a/packages/routing/src/chervilbend/routing/internal/request_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_state.hpp
@@ -53,7 +53,10 @@
     base::time_point sent;
     base::time_point lastSample;
     std::int64_t generated = 0;
+    base::time_point firstByteAt;
     bool hasFirstByte = false;
+    /// The first byte's sample has not been taken yet: only what follows tells whether the answer is streamed.
+    bool isFirstByteOpen = false;
     bool isSuspect = false;
     /// Counts in the long work of its endpoint and pool.
     bool countsAsLong = false;
--- a/packages/routing/tests/slow_endpoint_test.cpp
+++ b/packages/routing/tests/slow_endpoint_test.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(slow_endpoint_test);
     CPPUNIT_TEST(ejectsASlowEndpointAndTakesItBack);
+    CPPUNIT_TEST(learnsTheSpeedOfAnswersThatAreNotStreamed);
     CPPUNIT_TEST(ejectsAThirdOfThePoolAtMost);
     CPPUNIT_TEST(sendsLessToASomewhatSlowEndpoint);
     CPPUNIT_TEST(spacesProbesOverAllNodes);
@@ -31,6 +32,30 @@
         CPPUNIT_ASSERT(counts["e0"] > 200 / 12);
     }
 
+    /// The first byte of such an answer comes with the last. Taken as the time of the prompt alone, it made every request seem a
+    /// hundred times as slow, and those with a deadline were refused.
+    void learnsTheSpeedOfAnswersThatAreNotStreamed()
+    {
+        director_driver driver(3);
+        for (int round = 0; round < 30; ++round) {
+            // Several at a time, since one too late request a second is let through.
+            std::vector<ticket> open;
+            for (int index = 0; index < 4; ++index) {
+                request_facts facts = director_driver::request("a", base::work_class::normal, 100);
+                facts.deadline = base::clock::now() + base::milliseconds(5000);
+                const dispatch sent = driver.send(facts);
+                CPPUNIT_ASSERT(!sent.endpoint.empty());
+                open.push_back(sent.request);
+            }
+            driver.clock.advance(base::milliseconds(2000));
+            for (const ticket request : open) {
+                driver.director.firstByte(request);
+                driver.director.progress(request, base::token_count(100));
+                driver.director.finish(request, request_outcome::answered);
+            }
+        }
+    }
+
     void ejectsAThirdOfThePoolAtMost()
     {
         // Few probes tell an ejected endpoint from one that only has the least weight.
