Keep endpoints from seeing more urgency than declared

Engines order their work by X-Priority, which was passed on as the caller sent it; the account, class and remaining time are now set from the bounded terms.

--- a/packages/node/src/chervilbend/node/callers/admitted_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.cpp
@@ -14,6 +14,7 @@
 
 admitted_request::admitted_request(admission &gate)
     : m_admission(gate)
+    , m_alive(gate.m_self)
 {
 }
 
@@ -63,7 +64,7 @@
 void admitted_request::finish(routing::request_outcome outcome)
 {
     const routing::ticket ticket = std::exchange(m_ticket, 0);
-    if (ticket != 0) {
+    if (ticket != 0 && isConnected()) {
         m_admission.m_waiting.erase(ticket);
         m_admission.m_director.finish(ticket, outcome);
         m_admission.pump();
--- a/packages/node/src/chervilbend/node/callers/admitted_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <memory>
 #include <optional>
 
 namespace chervilbend::node
@@ -36,6 +37,12 @@
     /// Ends the request; has an effect only once.
     void finish(routing::request_outcome outcome);
 
+    /// False when the event loop destroys a coroutine after the admission, at the end of the process.
+    bool isConnected() const
+    {
+        return !m_alive.expired();
+    }
+
 private:
     friend class admission;
 
@@ -44,6 +51,7 @@
     boost::asio::awaitable<std::optional<routing::dispatch>> decision();
 
     admission &m_admission;
+    std::weak_ptr<admission *> m_alive;
     /// 0 when no ticket is open.
     routing::ticket m_ticket = 0;
     std::optional<routing::dispatch> m_sent;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -131,7 +131,7 @@
     options.deadline = plan.facts.deadline;
     options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
     options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
-    net::http_request forwarded = requestForEndpoint(request->exchange->request(), plan.idempotencyKey);
+    net::http_request forwarded = requestForEndpoint(request->exchange->request(), plan);
     const std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(*address, std::move(forwarded), options);
     if (!answer) {
         result.why = m_client.lastReason();
--- a/packages/node/src/chervilbend/node/callers/message_headers.cpp
+++ b/packages/node/src/chervilbend/node/callers/message_headers.cpp
@@ -1,7 +1,13 @@
 #include <chervilbend/node/callers/message_headers.hpp>
 
+#include <chervilbend/node/callers/caller_terms.hpp>
+#include <chervilbend/node/callers/forwarding_plan.hpp>
+
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
+#include <string>
+
 namespace http = boost::beast::http;
 
 namespace chervilbend::node
@@ -50,15 +56,20 @@
 
 } // namespace
 
-net::http_request requestForEndpoint(const net::http_request &request, const std::string &idempotencyKey)
+net::http_request requestForEndpoint(const net::http_request &request, const forwarding_plan &plan)
 {
     net::http_request forwarded(request.method(), request.target(), 11);
     if (request.method() == http::verb::unknown) {
         forwarded.method_string(request.method_string());
     }
     copyFields(request, forwarded);
-    if (!idempotencyKey.empty()) {
-        forwarded.set("Idempotency-Key", idempotencyKey);
+    const std::string_view urgency = toString(plan.facts.urgency);
+    const base::milliseconds remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    forwarded.set("X-Account", plan.facts.account.value());
+    forwarded.set("X-Priority", boost::beast::string_view(urgency.data(), urgency.size()));
+    forwarded.set("X-Deadline-Ms", std::to_string(remaining.count()));
+    if (!plan.idempotencyKey.empty()) {
+        forwarded.set("Idempotency-Key", plan.idempotencyKey);
     }
     forwarded.body() = request.body();
     return forwarded;
--- a/packages/node/src/chervilbend/node/callers/message_headers.hpp
+++ b/packages/node/src/chervilbend/node/callers/message_headers.hpp
@@ -2,13 +2,14 @@
 
 #include <chervilbend/net/http_types.hpp>
 
-#include <string>
-
 namespace chervilbend::node
 {
 
-/// The request as it goes to the endpoint: without the fields that concern only the caller's connection.
-net::http_request requestForEndpoint(const net::http_request &request, const std::string &idempotencyKey);
+struct forwarding_plan;
+
+/// The request as it goes to the endpoint: without the fields that concern only the caller's connection, and with the account, the class
+/// and the remaining time that the declaration allows instead of those that the caller asked for.
+net::http_request requestForEndpoint(const net::http_request &request, const forwarding_plan &plan);
 
 /// Copies the endpoint's fields to the caller's answer, without those that concern only the endpoint's connection.
 void copyAnswerFields(const net::http::fields &from, net::http::fields &to);
--- a/packages/node/src/chervilbend/node/callers/open_requests.cpp
+++ b/packages/node/src/chervilbend/node/callers/open_requests.cpp
@@ -10,21 +10,21 @@
 {
 
 open_requests::registration::registration(open_requests &all, std::shared_ptr<net::http_exchange> exchange)
-    : m_all(all)
-    , m_position(all.m_entries.insert(all.m_entries.end(), {std::move(exchange), base::clock::now()}))
+    : m_all(all.m_entries)
+    , m_position(m_all->insert(m_all->end(), {std::move(exchange), base::clock::now()}))
 {
 }
 
 open_requests::registration::~registration()
 {
-    m_all.m_entries.erase(m_position);
+    m_all->erase(m_position);
 }
 
 std::vector<std::string> open_requests::describe() const
 {
     std::vector<std::string> lines;
-    lines.reserve(m_entries.size());
-    for (const entry &open : m_entries) {
+    lines.reserve(m_entries->size());
+    for (const entry &open : *m_entries) {
         const net::http_request &request = open.exchange->request();
         const auto account = request["X-Account"];
         std::ostringstream line;
--- a/packages/node/src/chervilbend/node/callers/open_requests.hpp
+++ b/packages/node/src/chervilbend/node/callers/open_requests.hpp
@@ -40,20 +40,21 @@
         }
 
     private:
-        open_requests &m_all;
+        std::shared_ptr<std::list<entry>> m_all;
         std::list<entry>::iterator m_position;
     };
 
     std::size_t size() const
     {
-        return m_entries.size();
+        return m_entries->size();
     }
 
     /// One line for each: method, path, caller, account and age.
     std::vector<std::string> describe() const;
 
 private:
-    std::list<entry> m_entries;
+    /// Shared with the registrations: the event loop may destroy the last tasks after this object.
+    std::shared_ptr<std::list<entry>> m_entries = std::make_shared<std::list<entry>>();
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/order_desk.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_desk.cpp
@@ -202,7 +202,8 @@
             options.deadline = plan.facts.deadline;
             options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
             options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
-            response = co_await m_client.send(*address, requestForEndpoint(exchange->request(), plan.idempotencyKey), options);
+            net::http_request forwarded = requestForEndpoint(exchange->request(), plan);
+            response = co_await m_client.send(*address, std::move(forwarded), options);
             why = m_client.lastReason();
         } else {
             why = {base::error_kind::endpointRefused, "the address of " + where->endpoint.value() + " is not known"};
--- a/packages/node/src/chervilbend/node/callers/passage.cpp
+++ b/packages/node/src/chervilbend/node/callers/passage.cpp
@@ -46,7 +46,7 @@
 
 void passage::finish(routing::request_outcome outcome)
 {
-    if (!m_finished) {
+    if (!m_finished && work.isConnected()) {
         m_finished = true;
         work.finish(outcome);
         m_metrics.onFinished(plan.facts.urgency, outcome, base::clock::now() - m_since);
--- a/packages/node/tests/test_front.hpp
+++ b/packages/node/tests/test_front.hpp
@@ -46,6 +46,9 @@
 
     ~test_front()
     {
+        if (abandoned) {
+            return;
+        }
         server->closeAll();
         context.restart();
         context.run_for(std::chrono::milliseconds(200));
@@ -106,6 +109,8 @@
     std::shared_ptr<net::http_server> server;
     std::vector<std::unique_ptr<raw_server>> endpoints;
     std::uint16_t port = 0;
+    /// Leaves open tasks to the destructor of the event loop, as at the end of a process.
+    bool abandoned = false;
 };
 
 } // namespace chervilbend::node::test
