Reset cut HTTP/1.0 streams and compare memory alike in every run

An answer without chunks ends with its connection, so a stream that broke off looked whole to an HTTP/1.0 caller; such connections are now reset, and a test covers both versions.

--- a/packages/measure/src/chervilbend/measure/proxy/proxy_measurement.cpp
+++ b/packages/measure/src/chervilbend/measure/proxy/proxy_measurement.cpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <fstream>
 #include <limits>
+#include <malloc.h>
 #include <memory>
 #include <sys/resource.h>
 #include <thread>
@@ -151,6 +152,8 @@
     callers.reserve(2 * openStreams);
     // What the first requests make resident once, such as pages of code, is no cost of a stream.
     warmUp(proxied, seed, wrong);
+    // Memory that an earlier run freed would be used again unseen.
+    ::malloc_trim(0);
     const double directGrowth = openAll(direct, callers, wrong);
     const double proxiedGrowth = openAll(proxied, callers, wrong);
     figures.push_back({"proxy: memory per 1000 open streams", proxiedGrowth - directGrowth, directGrowth, "MB (direct)", seed, "none", true});
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -175,6 +175,7 @@
         co_await answer(exchange);
         m_exchange.reset();
         ++m_request;
+        resetIfBroken(*exchange);
         open = exchange->isFinished() && exchange->keepAlive() && !m_server->m_draining;
         const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
         if (!open && exchange->isFinished() && state.cancelled() == asio::cancellation_type::none) {
@@ -185,6 +186,15 @@
     m_connection->close();
 }
 
+/// An answer without chunks ends with its connection: an orderly close would make a broken one look whole.
+void http_session::resetIfBroken(const http_exchange &exchange)
+{
+    if (exchange.isStarted() && !exchange.isFinished() && exchange.request().version() < 11) {
+        boost::system::error_code ignored;
+        m_connection->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 asio::awaitable<std::shared_ptr<http_exchange>> http_session::readRequest()
 {
     http::request_parser<http::string_body> parser;
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -46,6 +46,7 @@
     boost::asio::awaitable<void> answer(std::shared_ptr<http_exchange> exchange);
     boost::asio::awaitable<void> closeGently();
 
+    void resetIfBroken(const http_exchange &exchange);
     void cancelTask();
     void watch(std::uint64_t request);
     void onReadable(std::uint64_t request);
--- a/packages/net/tests/http_server_test.cpp
+++ b/packages/net/tests/http_server_test.cpp
@@ -37,6 +37,11 @@
             co_await sleepFor(base::milliseconds(15'000));
             co_return;
         }
+        if (target == "/cut") {
+            co_await exchange->startStream(http::response<http::empty_body>());
+            co_await exchange->writeChunk("part");
+            co_return;
+        }
         if (target == "/flood") {
             const std::string piece(64 * 1024, 'x');
             bool open = co_await exchange->startStream(http::response<http::empty_body>());
@@ -130,6 +135,7 @@
     CPPUNIT_TEST(keepsStreamOpenWhileSourceIsSilent);
     CPPUNIT_TEST(sendsContinueOnlyForBodiesItTakes);
     CPPUNIT_TEST(failedHandlerAnswers);
+    CPPUNIT_TEST(cutStreamNeverLooksWhole);
     CPPUNIT_TEST(refusesConnectionsBeyondLimit);
     CPPUNIT_TEST(drainFinishesOpenRequests);
     CPPUNIT_TEST(anySplitOfARequestReadsAlike);
@@ -327,6 +333,20 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 500 "));
     }
 
+    void cutStreamNeverLooksWhole()
+    {
+        world here;
+        const std::string cut = here.ask("GET /cut HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(cut, cut.ends_with("4\r\npart\r\n"));
+        // HTTP/1.0 has no last chunk: only a reset tells a cut answer from a whole one.
+        runUntilDone(here.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(here.port);
+            co_await caller->send("GET /cut HTTP/1.0\r\n\r\n");
+            co_await caller->readToEnd();
+            CPPUNIT_ASSERT_EQUAL(boost::system::error_code(asio::error::connection_reset), caller->closeError);
+        });
+    }
+
     void refusesConnectionsBeyondLimit()
     {
         world here(shortLimits());
--- a/packages/net/tests/raw_peer.hpp
+++ b/packages/net/tests/raw_peer.hpp
@@ -90,6 +90,7 @@
             received.append(piece, size);
             found = received.find(mark, searched);
             closed = static_cast<bool>(error);
+            closeError = error;
         }
         const std::string taken = received.substr(0, found == std::string::npos ? found : found + mark.size());
         received.erase(0, taken.size());
@@ -111,6 +112,8 @@
     boost::asio::ip::tcp::socket socket;
     std::string received;
     bool closed = false;
+    /// How the other side closed: end of file or reset.
+    boost::system::error_code closeError;
 };
 
 /// Accepts connections on a loopback port and runs a script on each.
--- a/packages/node/src/chervilbend/node/callers/caller_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.hpp
@@ -18,6 +18,11 @@
 class service_catalog;
 
 /// The callers' side of a node: the OpenAI-compatible API and the declared routes of plain services.
+///
+/// Put together in this order, each from references to earlier ones: front_metrics(registry), open_requests, net::http_client,
+/// endpoint_directory (filled together with traffic_director::setEndpoint), admission(executor, director), service_catalog,
+/// forwarder, order_desk(order gateway), caller_api, health_api around it as the server's handler, then front_metrics::watch().
+/// After commands that are given to the director directly, admission::pump() is called.
 class caller_api : public net::http_handler
 {
 public:
