--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/attainment/placement_policy.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chervilbend/placement/planner_input.hpp>
+#include <chervilbend/state/entries.hpp>
+
+#include <vector>
+
+namespace chervilbend::measure
+{
+
+/// Decides on placement in a simulation.
+class placement_policy
+{
+public:
+    virtual ~placement_policy() = default;
+
+    /// Called once per second.
+    virtual std::vector<state::entry> plan(const placement::planner_input &input) = 0;
+};
+
+} // namespace chervilbend::measure
--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -1,10 +1,13 @@
 #include <chervilbend/measure/measurements.hpp>
 
+#include <chervilbend/measure/attainment/attainment_measurement.hpp>
+#include <chervilbend/measure/attainment/planner_pass_measurement.hpp>
 #include <chervilbend/measure/crest_measurement.hpp>
 #include <chervilbend/measure/once_measurement.hpp>
 #include <chervilbend/measure/poison_measurement.hpp>
 #include <chervilbend/measure/short_behind_long_measurement.hpp>
 #include <chervilbend/measure/slowed_measurement.hpp>
+#include <chervilbend/measure/takeover/takeover_measurement.hpp>
 
 namespace chervilbend::measure
 {
@@ -17,6 +20,9 @@
     all.push_back(std::make_unique<slowed_measurement>());
     all.push_back(std::make_unique<poison_measurement>());
     all.push_back(std::make_unique<once_measurement>());
+    all.push_back(std::make_unique<attainment_measurement>());
+    all.push_back(std::make_unique<planner_pass_measurement>());
+    all.push_back(std::make_unique<takeover_measurement>());
     return all;
 }
 
--- /dev/null
+++ b/packages/measure/src/chervilbend/measure/takeover/takeover_measurement.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chervilbend/measure/measurement.hpp>
+
+namespace chervilbend::measure
+{
+
+/// How long leases are without a holder after a kill and after a planned stop, with 9 nodes and 12 engines in virtual time.
+class takeover_measurement : public measurement
+{
+public:
+    std::string name() const override
+    {
+        return "takeover";
+    }
+
+    std::vector<figure> run(std::uint64_t seed) override;
+};
+
+} // namespace chervilbend::measure
