--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -3,8 +3,11 @@
 #include <chervilbend/measure/attainment/attainment_measurement.hpp>
 #include <chervilbend/measure/attainment/planner_pass_measurement.hpp>
 #include <chervilbend/measure/crest_measurement.hpp>
+#include <chervilbend/measure/decision_cost_measurement.hpp>
+#include <chervilbend/measure/memory_measurement.hpp>
 #include <chervilbend/measure/once_measurement.hpp>
 #include <chervilbend/measure/poison_measurement.hpp>
+#include <chervilbend/measure/proxy/proxy_measurement.hpp>
 #include <chervilbend/measure/short_behind_long_measurement.hpp>
 #include <chervilbend/measure/slowed_measurement.hpp>
 #include <chervilbend/measure/takeover/takeover_measurement.hpp>
@@ -23,6 +26,9 @@
     all.push_back(std::make_unique<attainment_measurement>());
     all.push_back(std::make_unique<planner_pass_measurement>());
     all.push_back(std::make_unique<takeover_measurement>());
+    all.push_back(std::make_unique<memory_measurement>());
+    all.push_back(std::make_unique<decision_cost_measurement>());
+    all.push_back(std::make_unique<proxy_measurement>());
     return all;
 }
 
--- a/packages/node/src/chervilbend/node/composition/control_plane.hpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/config/node_settings.hpp>
 #include <chervilbend/control/demand_reporter.hpp>
+#include <chervilbend/control/end_observer.hpp>
 #include <chervilbend/control/endpoint_drivers.hpp>
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/control/host_watcher.hpp>
@@ -14,12 +15,15 @@
 #include <chervilbend/node/composition/node_identity.hpp>
 #include <chervilbend/node/operators/entry_sink.hpp>
 #include <chervilbend/node/operators/node_facts.hpp>
+#include <chervilbend/node/operators/publish_archive.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace chervilbend::peers
@@ -53,6 +57,8 @@
     /// Hands all leases over and waits until the log has it, up to @p patience.
     boost::asio::awaitable<void> handOver(base::milliseconds patience);
 
+    /// Called with the id of each publish that this node takes. Empty for none.
+    void onPublish(std::function<void(const std::string &publishId)> taken);
     bool submit(state::entry entry) override;
     void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
 
@@ -83,6 +89,11 @@
 
     /// Queries.
 
+    const publish_archive &publishes() const
+    {
+        return m_archive;
+    }
+
     base::node_id self() const override;
     log_contact log() const override;
     std::vector<known_node> nodes() const override;
@@ -101,6 +112,8 @@
     node_identity m_identity;
     platform_clients &m_platform;
 
+    std::function<void(const std::string &)> m_publishTaken;
+    publish_archive m_archive;
     control::log_stream m_control;
     control::log_stream m_orders;
     control::host_watcher m_hosts;
@@ -112,6 +125,7 @@
     control::lease_keeper m_leases;
     control::endpoint_drivers m_drivers;
     control::planner_task m_planner;
+    control::end_observer m_ends;
 };
 
 } // namespace chervilbend::node
