--- a/packages/control/src/chervilbend/control/lease_keeper.cpp
+++ b/packages/control/src/chervilbend/control/lease_keeper.cpp
@@ -17,8 +17,8 @@
 
 const auto logger = base::partLogger("lease");
 
-/// Takeover is late by up to two intervals: one until a heartbeat is noticed, one until its expiry is.
-constexpr base::milliseconds tickInterval{100};
+/// Often enough that reading back and expiry are noticed well within the margin.
+constexpr base::milliseconds tickInterval{250};
 
 } // namespace
 
