Announce a planned stop before the leases are handed over

The stopping node now tells all nodes that may hold leases and waits for their answers, at most half a second, before it hands over.

--- a/packages/control/src/chervilbend/control/prober.cpp
+++ b/packages/control/src/chervilbend/control/prober.cpp
@@ -1,10 +1,14 @@
 #include <chervilbend/control/prober.hpp>
 
 #include <chervilbend/control/gossip_codec.hpp>
+#include <chervilbend/membership/rendezvous.hpp>
 #include <chervilbend/net/sleep.hpp>
+#include <chervilbend/net/timer.hpp>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <optional>
 #include <utility>
@@ -213,4 +217,40 @@
     }
 }
 
+/// Answers that have not arrived, and the timer that is cancelled when the last one has.
+struct prober::open_answers {
+    explicit open_answers(const boost::asio::any_io_executor &executor)
+        : done(executor)
+    {
+    }
+
+    int count = 0;
+    net::timer done;
+};
+
+boost::asio::awaitable<void> prober::announceLeaving()
+{
+    m_members.announceLeaving();
+    const auto open = std::make_shared<open_answers>(m_executor);
+    open->done.expires_after(answerTimeout);
+    for (const base::node_id &id : membership::holderCandidates(m_members.eligibleHolders())) {
+        const membership::member *member = m_members.find(id);
+        if (member && id != m_members.self().id) {
+            ++open->count;
+            start(tellAndCount(member->address, encodeGossip(m_members.takeGossip(id)), open));
+        }
+    }
+    if (open->count > 0) {
+        co_await open->done.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+}
+
+boost::asio::awaitable<void> prober::tellAndCount(std::string address, Json::Value message, std::shared_ptr<open_answers> open)
+{
+    co_await tell("probe", std::move(address), std::move(message));
+    if (--open->count == 0) {
+        open->done.cancel();
+    }
+}
+
 } // namespace chervilbend::control
--- a/packages/control/src/chervilbend/control/prober.hpp
+++ b/packages/control/src/chervilbend/control/prober.hpp
@@ -37,6 +37,10 @@
     /// Keeps a suspicion and sends it at once to all members in this node's zone; the others get it with probes.
     void spread(membership::crash_suspicion suspicion);
 
+    /// Tells the nodes that may hold leases that this one is about to stop. Probes would tell them too late: a holder that does not
+    /// know hands leases back to this node. Waits for their answers, at most half a second.
+    boost::asio::awaitable<void> announceLeaving();
+
     /// Queries.
 
     /// The methods to serve to other nodes.
@@ -50,6 +54,8 @@
     boost::asio::awaitable<bool> probe(membership::member target);
     boost::asio::awaitable<void> probeFor(membership::member target, net::address asker);
     boost::asio::awaitable<void> tell(std::string method, std::string address, Json::Value message);
+    struct open_answers;
+    boost::asio::awaitable<void> tellAndCount(std::string address, Json::Value message, std::shared_ptr<open_answers> open);
     void start(boost::asio::awaitable<void> task);
 
     boost::asio::any_io_executor m_executor;
--- a/packages/control/tests/prober_test.cpp
+++ b/packages/control/tests/prober_test.cpp
@@ -173,6 +173,7 @@
     CPPUNIT_TEST(costPerNodeDoesNotGrow);
     CPPUNIT_TEST(probesAroundABrokenLink);
     CPPUNIT_TEST(spreadsSuspicionsInItsZoneAtOnce);
+    CPPUNIT_TEST(announcesItsStopToAllThatMayHoldLeases);
     CPPUNIT_TEST(codecsKeepContentAndRefuseDamage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +232,30 @@
         }
     }
 
+    /// A node that stopped right after its announcement was handed leases by holders that no probe had told yet.
+    void announcesItsStopToAllThatMayHoldLeases()
+    {
+        network_fixture net(9);
+        net.time.advance(base::milliseconds(12'000));
+        const auto mayHold = [&net](std::size_t node) {
+            const std::vector<base::node_id> holders = net.nodes[node]->members.eligibleHolders();
+            return std::find(holders.begin(), holders.end(), memberAt(0).id) != holders.end();
+        };
+        CPPUNIT_ASSERT(mayHold(1));
+        bool announced = false;
+        // One of the others does not answer; the announcement must end nevertheless.
+        net.network.connected = [](const auto &, const auto &to) {
+            return to.port != 1'008;
+        };
+        boost::asio::co_spawn(*net.context, net.nodes[0]->prober.announceLeaving(), [&announced](const std::exception_ptr &) { announced = true; });
+        net.time.advance(base::milliseconds(30));
+        for (std::size_t i = 1; i < 8; ++i) {
+            CPPUNIT_ASSERT(!mayHold(i));
+        }
+        net.time.advance(base::milliseconds(500));
+        CPPUNIT_ASSERT(announced);
+    }
+
     void codecsKeepContentAndRefuseDamage()
     {
         membership::gossip message;
--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -132,7 +132,7 @@
 
 asio::awaitable<void> control_plane::handOver(base::milliseconds patience)
 {
-    m_members.announceLeaving();
+    co_await m_prober.announceLeaving();
     m_leases.stop();
     const base::time_point until = base::clock::now() + patience;
     const auto holdsAny = [this] {
--- a/packages/node/src/chervilbend/node/composition/day_side.cpp
+++ b/packages/node/src/chervilbend/node/composition/day_side.cpp
@@ -59,6 +59,7 @@
 void day_side::start()
 {
     m_stream.follower().start();
+    m_observedAt = base::clock::now();
     asio::co_spawn(m_executor, record(), asio::detached);
 }
 
@@ -67,6 +68,14 @@
     server.add(std::make_shared<queries::day_method>(m_days));
 }
 
+void day_side::observe()
+{
+    const base::time_point now = base::clock::now();
+    m_recorder.observeState(now - m_observedAt);
+    observeFailures(now - m_observedAt);
+    m_observedAt = now;
+}
+
 asio::awaitable<void> day_side::stop(base::milliseconds patience)
 {
     for (state::day_entry &minute : m_recorder.takeLast()) {
@@ -93,13 +102,9 @@
 
 asio::awaitable<void> day_side::record()
 {
-    base::time_point last = base::clock::now();
     while (true) {
         co_await net::sleepFor(interval);
-        const base::time_point now = base::clock::now();
-        m_recorder.observeState(now - last);
-        observeFailures(now - last);
-        last = now;
+        observe();
         for (state::day_entry &minute : m_recorder.takeFinished()) {
             m_unsent.emplace_back(std::move(minute));
         }
--- a/packages/node/src/chervilbend/node/composition/day_side.hpp
+++ b/packages/node/src/chervilbend/node/composition/day_side.hpp
@@ -39,6 +39,8 @@
 
     void start();
     void serve(peers::rpc_server &server);
+    /// Counts what has happened since the last call. Also called once per second.
+    void observe();
     /// Appends the counts of the last minute with the mark of a planned stop, and waits for it up to @p patience.
     boost::asio::awaitable<void> stop(base::milliseconds patience);
 
@@ -69,6 +71,7 @@
     std::vector<state::entry> m_unsent;
     std::set<base::endpoint_id> m_silentEndpoints;
     std::set<base::node_id> m_lostNodes;
+    base::time_point m_observedAt;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -188,6 +188,8 @@
 
 asio::awaitable<void> node_process::handOver()
 {
+    // Moves count at the endpoint's owner, which this node is until it hands its leases over.
+    m_day.observe();
     co_await m_control.handOver(handOverPatience / 2);
     co_await m_day.stop(handOverPatience / 2);
 }
--- a/packages/node/src/chervilbend/node/reports/day_recorder.cpp
+++ b/packages/node/src/chervilbend/node/reports/day_recorder.cpp
@@ -115,7 +115,8 @@
             move current{now, residency.state, residency.bytes, own};
             if (known != m_moves.end()) {
                 const bool arrived = known->second.state == state::residency::assigned && residency.state == state::residency::loaded;
-                if (arrived && own) {
+                // The owner at the last observation counts, as for unloads: a new owner that saw the item assigned before would count it again.
+                if (arrived && known->second.own) {
                     m_tally.add(loadsCounter);
                     m_tally.add(loadedBytesCounter, residency.bytes.count());
                     m_tally.add(loadTimeCounter, (now - known->second.since).count());
