--- a/packages/load/src/chervilbend/load/load_options.hpp
+++ b/packages/load/src/chervilbend/load/load_options.hpp
@@ -14,6 +14,8 @@
 struct load_options {
     std::vector<net::address> nodes;
     std::vector<std::string> models;
+    /// An adapter that each of the models has; empty for none.
+    std::string adapter;
     /// Path of the non-idempotent route; empty for no orders.
     std::string orderPath;
     base::milliseconds duration{10'000};
--- a/packages/load/src/chervilbend/load/load_run.cpp
+++ b/packages/load/src/chervilbend/load/load_run.cpp
@@ -30,6 +30,10 @@
 constexpr double twinShare = 0.15;
 constexpr double endsAfterNotRunShare = 0.5;
 constexpr double repeatShare = 0.1;
+/// Answers "unknown" after which a caller gives the order up: more attempts hardly ever change it.
+constexpr int mostUnknownAnswers = 4;
+/// Share of chats that ask for an adapter of the model.
+constexpr double adapterShare = 0.3;
 
 struct kind_figures {
     std::int64_t tokens;
@@ -113,7 +117,10 @@
     for (int count = 0; !isOver(); ++count) {
         const auto models = static_cast<std::int64_t>(m_options.models.size());
         const std::int64_t index = kind == "urgent" ? caller : m_random.between(0, models - 1);
-        const std::string model = m_options.models[static_cast<std::size_t>(index)];
+        std::string model = m_options.models[static_cast<std::size_t>(index)];
+        if (kind == "chat" && !m_options.adapter.empty() && m_random.chance(adapterShare)) {
+            model += '/' + m_options.adapter;
+        }
         const std::string request = kind + '-' + std::to_string(caller) + '-' + std::to_string(count);
         co_await completeOne(kind, request, model);
         co_await net::sleepFor(base::milliseconds(m_random.between(shortestPause.count(), longestPause.count())));
@@ -163,13 +170,15 @@
     if (hasTwin) {
         asio::co_spawn(m_context, sendOrderTwin(key, m_balancer.pick(node)), asio::detached);
     }
+    int unknownAnswers = 0;
     for (int number = 1;; ++number) {
         const attempt entry = co_await sendOrder(key, key, number, *node, isMarked && number == 1);
         const bool endsHere = entry.run == "not run" && m_random.chance(endsAfterNotRunShare);
         if (entry.whole && m_random.chance(repeatShare)) {
             co_await sendOrder(key, key + "-repeat", 1, m_balancer.pick(node), false);
         }
-        if (entry.whole || endsHere || base::clock::now() >= giveUp) {
+        unknownAnswers += entry.run == "unknown" ? 1 : 0;
+        if (entry.whole || endsHere || unknownAnswers == mostUnknownAnswers || base::clock::now() >= giveUp) {
             co_return;
         }
         co_await net::sleepFor(retryPause);
--- a/packages/load/src/main.cpp
+++ b/packages/load/src/main.cpp
@@ -24,6 +24,7 @@
 DEFINE_string(engines, "", "watch: ID=IP:PORT,...");
 DEFINE_string(services, "", "watch: ID=IP:PORT,...: instances of the order service");
 DEFINE_string(models, "", "NAME,...: models that callers ask for");
+DEFINE_string(adapter, "", "Adapter that each model has; empty for none");
 DEFINE_string(orders, "", "Path of the route for orders; empty for none");
 DEFINE_int64(seconds, 10, "Duration of the load");
 DEFINE_int64(patience_ms, 20'000, "How long a caller goes on with one request");
@@ -93,6 +94,7 @@
         return wrongFlags("--nodes is not IP:PORT,...");
     }
     options.models = split(FLAGS_models);
+    options.adapter = FLAGS_adapter;
     options.orderPath = FLAGS_orders;
     options.duration = base::milliseconds(FLAGS_seconds * 1'000);
     options.patience = base::milliseconds(FLAGS_patience_ms);
--- a/packages/load/tests/invariant_check_test.cpp
+++ b/packages/load/tests/invariant_check_test.cpp
@@ -110,6 +110,7 @@
                 entry.whole = entry.whole && (entry.sentMs < 20'000 || entry.sentMs > 32'000);
             }
         });
+        expectBreach(1, [](run_history &history) { history.attempts[7].status = 404; });
         // Not answered up to the end.
         expectBreach(1, [](run_history &history) {
             for (attempt &entry : history.attempts) {
