Refuse callers truthfully while the configuration is not read

Until the conditions of readiness are met it answers 503 with Retry-After, and an order that may have had an earlier attempt gets "unknown", also for a route that this node does not know.

--- a/packages/node/src/chervilbend/node/callers/caller_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -80,6 +80,21 @@
     co_await exchange->respond(problemAnswer(why));
 }
 
+/// The route may be declared at other nodes, or may have been until now, so that an order may have run in an earlier attempt.
+asio::awaitable<void> caller_api::refuseUnknownRoute(std::shared_ptr<net::http_exchange> exchange, std::string text)
+{
+    const net::http_request &request = exchange->request();
+    const bool mayHaveRun = !request["Idempotency-Key"].empty() && request["Idempotency-Attempt"] != "1";
+    if (!mayHaveRun) {
+        co_await refuse(exchange, base::error_kind::unknownRoute, std::move(text));
+        co_return;
+    }
+    const base::reason why{base::error_kind::unknownRoute, std::move(text)};
+    LOG4CXX_INFO(httpLog(), request.method_string() << ' ' << request.target() << " from " << exchange->remoteAddress() << " refused: " << why.text);
+    m_metrics.onProblem(why.kind);
+    co_await exchange->respond(problemAnswer(why, base::run_state::unknown));
+}
+
 asio::awaitable<void> caller_api::serve(std::shared_ptr<net::http_exchange> exchange)
 {
     const std::string_view target(exchange->request().target().data(), exchange->request().target().size());
@@ -157,7 +172,7 @@
     const std::string_view method(request.method_string().data(), request.method_string().size());
     const route_target *const found = m_catalog.findRoute(method, path);
     if (!found) {
-        co_await refuse(exchange, base::error_kind::unknownRoute, "no declared route takes " + std::string(method) + ' ' + std::string(path));
+        co_await refuseUnknownRoute(exchange, "no declared route takes " + std::string(method) + ' ' + std::string(path));
         co_return;
     }
     const route_target target = *found;
--- a/packages/node/src/chervilbend/node/callers/caller_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.hpp
@@ -28,6 +28,7 @@
 
 private:
     boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, base::error_kind kind, std::string text);
+    boost::asio::awaitable<void> refuseUnknownRoute(std::shared_ptr<net::http_exchange> exchange, std::string text);
     boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange);
     boost::asio::awaitable<void> serveInference(std::shared_ptr<net::http_exchange> exchange, std::string_view path);
     boost::asio::awaitable<void> serveModelList(std::shared_ptr<net::http_exchange> exchange);
--- a/packages/node/src/chervilbend/node/health/health_api.cpp
+++ b/packages/node/src/chervilbend/node/health/health_api.cpp
@@ -25,6 +25,15 @@
     return response;
 }
 
+std::string missingText(const readiness &ready)
+{
+    std::string missing;
+    for (const std::string &condition : ready.missing()) {
+        missing.append(missing.empty() ? "not ready yet: " : ", ").append(condition);
+    }
+    return missing;
+}
+
 net::http_response readinessAnswer(const readiness &ready)
 {
     if (ready.isReady()) {
@@ -33,11 +42,17 @@
     if (ready.isShuttingDown()) {
         return problemAnswer({base::error_kind::shuttingDown, "the node takes no new callers"});
     }
-    std::string missing;
-    for (const std::string &condition : ready.missing()) {
-        missing.append(missing.empty() ? "not ready yet: " : ", ").append(condition);
-    }
-    return problemAnswer({base::error_kind::noEndpoint, missing});
+    return problemAnswer({base::error_kind::noEndpoint, missingText(ready)});
+}
+
+/// Before the configuration is read, no route or model can be said not to exist, and an order may have run through another node.
+net::http_response notStartedAnswer(const readiness &ready, const net::http_request &request)
+{
+    const auto target = request.target();
+    const bool isCompletion = std::string_view(target.data(), target.size()).starts_with("/v1/");
+    const bool isFirst = request["Idempotency-Attempt"] == "1";
+    const base::reason why{base::error_kind::noEndpoint, missingText(ready)};
+    return problemAnswer(why, isCompletion || isFirst ? base::run_state::notRun : base::run_state::unknown);
 }
 
 } // namespace
@@ -54,16 +69,15 @@
     const http::verb method = exchange->request().method();
     const auto target = exchange->request().target();
     net::http_response response;
-    if (method != http::verb::get && method != http::verb::head) {
-        co_await m_next.handle(exchange);
-        co_return;
-    }
-    if (target == "/healthz") {
+    const bool isRead = method == http::verb::get || method == http::verb::head;
+    if (isRead && target == "/healthz") {
         response = text("ok\n");
-    } else if (target == "/readyz") {
+    } else if (isRead && target == "/readyz") {
         response = readinessAnswer(m_readiness);
-    } else if (target == "/metrics") {
+    } else if (isRead && target == "/metrics") {
         response = text(m_metrics.text(), "text/plain; version=0.0.4; charset=utf-8");
+    } else if (!m_readiness.missing().empty()) {
+        response = notStartedAnswer(m_readiness, exchange->request());
     } else {
         co_await m_next.handle(exchange);
         co_return;
--- a/packages/node/tests/caller_input_test.cpp
+++ b/packages/node/tests/caller_input_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(findsModelsAndAdapters);
     CPPUNIT_TEST(findsLongestRoute);
     CPPUNIT_TEST(refusesWhatItCannotRoute);
+    CPPUNIT_TEST(claimsNothingThatItCannotKnow);
     CPPUNIT_TEST(refusesPathsWithTwoReadings);
     CPPUNIT_TEST(boundsDeadlineAndClass);
     CPPUNIT_TEST(tellsPromptsApart);
@@ -79,6 +80,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("bad-request"), kindOf(test_front::post("/stock/../orders", "{}")));
     }
 
+    /// A node that had not read the configuration answered 404 "not run" for an order that had run through another node.
+    void claimsNothingThatItCannotKnow()
+    {
+        test_front front;
+        const std::string order = test_front::post("/burn", "{}", "Idempotency-Key: k\r\n");
+        const std::string firstOrder = test_front::post("/burn", "{}", "Idempotency-Key: k\r\nIdempotency-Attempt: 1\r\n");
+        const auto expect = [&front](const std::string &request, const char *status, const char *run) {
+            const std::string answer = front.ask(request);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with(status) && contains(answer, std::string("X-Run-State: ") + run + "\r\n"));
+        };
+        expect(order, "HTTP/1.1 404 ", "unknown");
+        expect(firstOrder, "HTTP/1.1 404 ", "not run");
+        front.ready.setMissing("configuration");
+        expect(order, "HTTP/1.1 503 ", "unknown");
+        expect(firstOrder, "HTTP/1.1 503 ", "not run");
+        expect(test_front::post("/v1/completions", "{\"model\":\"none\"}"), "HTTP/1.1 503 ", "not run");
+    }
+
     void refusesPathsWithTwoReadings()
     {
         for (const char *path : {"", "a", "//a", "/a//b", "/./a", "/a/..", "/a%2Fb", "/a/%2e%2E/b", "/a\\b", "/a%5Cb", "/a%00", "/a%2", "http://a/b"}) {
