Keep an adapter's old version until the new one is loaded

The planner compared the names of adapters without the adapter's part, so that the old version was dropped as soon as a new one was declared, and the adapter answered 503 until the new one was loaded. Names are now compared as a whole without versions, and the old adapter waits for a loaded copy of the new one.

Run: test_placement with the new test replacesAnAdapterAfterTheNewOneIsLoaded.

--- a/packages/config/src/chervilbend/config/model_declaration.cpp
+++ b/packages/config/src/chervilbend/config/model_declaration.cpp
@@ -18,4 +18,17 @@
     return base::item_id(item.value().substr(0, item.value().find('/')));
 }
 
+std::string nameOf(const base::item_id &item)
+{
+    std::string name;
+    bool inVersion = false;
+    for (const char c : item.value()) {
+        inVersion = c == '@' || (inVersion && c != '/');
+        if (!inVersion) {
+            name += c;
+        }
+    }
+    return name;
+}
+
 } // namespace chervilbend::config
--- a/packages/config/src/chervilbend/config/model_declaration.hpp
+++ b/packages/config/src/chervilbend/config/model_declaration.hpp
@@ -35,4 +35,7 @@
 /// The item of the base model of an adapter's item; the item itself when it is a model.
 base::item_id baseItemOf(const base::item_id &item);
 
+/// An item without its versions, "NAME" or "NAME/ADAPTER": what callers name.
+std::string nameOf(const base::item_id &item);
+
 } // namespace chervilbend::config
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string_view>
 #include <utility>
 
 namespace chervilbend::placement
@@ -18,12 +17,6 @@
     return std::to_string(std::lround(share * 100)) + "%";
 }
 
-/// The part of an item's id before its version.
-std::string_view nameOf(const base::item_id &item)
-{
-    return std::string_view(item.value()).substr(0, item.value().find('@'));
-}
-
 } // namespace
 
 planning_pass::planning_pass(placement_planner &planner, const planner_input &input, const std::set<placement_planner::place> &stuck)
@@ -106,12 +99,13 @@
 void planning_pass::dropUndeclared()
 {
     for (const undeclared_item &extra : m_cluster.undeclared) {
-        // An earlier version of a model stays until the new one is loaded, unless its memory is needed.
-        const auto isNewerVersion = [&extra](const item_record &item) {
-            return nameOf(item.id) == nameOf(extra.item);
+        // An earlier version of a model or adapter stays until the new one is loaded, unless its memory is needed.
+        const std::string name = config::nameOf(extra.item);
+        const auto isNewerVersion = [&name](const item_record &item) {
+            return config::nameOf(item.id) == name;
         };
         const auto newer = std::find_if(m_cluster.items.begin(), m_cluster.items.end(), isNewerVersion);
-        const bool waits = newer != m_cluster.items.end() && m_cluster.loadedCopies(newer->base) == 0 && !m_lacksRoom;
+        const bool waits = newer != m_cluster.items.end() && m_cluster.loadedCopies(static_cast<std::size_t>(newer - m_cluster.items.begin())) == 0 && !m_lacksRoom;
         if (!waits) {
             m_changes.push_back({state::drop_entry{extra.endpoint, extra.item, m_token}, "no service declares it"});
         }
--- a/packages/placement/tests/placement_planner_test.cpp
+++ b/packages/placement/tests/placement_planner_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(followsDemandWithHysteresis);
     CPPUNIT_TEST(makesRoomWhenMemoryIsFull);
     CPPUNIT_TEST(replacesAVersionAfterTheNewOneIsLoaded);
+    CPPUNIT_TEST(replacesAnAdapterAfterTheNewOneIsLoaded);
     CPPUNIT_TEST(goesAroundAnEndpointThatNeverLoads);
     CPPUNIT_TEST(movesAwayFromALeavingEndpoint);
     CPPUNIT_TEST(keepsItsInvariantsUnderRandomChanges);
@@ -160,6 +161,29 @@
         CPPUNIT_ASSERT_MESSAGE("without room for both, the old one goes first", cluster.endpoints.begin()->second.items.contains(base::item_id("m0@3")));
     }
 
+    /// An adapter's old version was dropped as soon as a new one was declared, because the name was compared without the adapter's part.
+    void replacesAnAdapterAfterTheNewOneIsLoaded()
+    {
+        small_cluster cluster;
+        cluster.addEndpoint(0, 0, 100);
+        cluster.declare("m0", 30, 1, 50, 1);
+        cluster.runSeconds(10);
+        cluster.services.begin()->second.declaration.models.front().adapters.front().version = "2";
+        const auto &items = cluster.endpoints.begin()->second.items;
+        const auto isLoaded = [&items](const char *item) {
+            const auto found = items.find(base::item_id(item));
+            return found != items.end() && found->second.state == state::residency::loaded;
+        };
+        CPPUNIT_ASSERT(isLoaded("m0@1/a0@1"));
+        while (!isLoaded("m0@1/a0@2")) {
+            cluster.runSeconds(1);
+            CPPUNIT_ASSERT(isLoaded("m0@1/a0@1") || isLoaded("m0@1/a0@2"));
+            CPPUNIT_ASSERT(cluster.elapsed < 60);
+        }
+        cluster.runSeconds(5);
+        CPPUNIT_ASSERT(!items.contains(base::item_id("m0@1/a0@1")));
+    }
+
     void goesAroundAnEndpointThatNeverLoads()
     {
         small_cluster cluster;
