Serve the old version of an item until the new one is loaded

Endpoints that hold another version of a declared item now serve its pool while no endpoint serves the declared version; a load whose end the fold shows counts before the next report.

--- a/packages/node/src/chervilbend/node/routing_feed.cpp
+++ b/packages/node/src/chervilbend/node/routing_feed.cpp
@@ -1,9 +1,11 @@
 #include <chervilbend/node/routing_feed.hpp>
 
+#include <chervilbend/config/model_declaration.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilbend::node
@@ -15,14 +17,14 @@
 /// Polls that an engine may miss before its last report no longer says what it serves.
 constexpr int missesUntilUnknown = 5;
 
-bool isDropping(const state::replicated_state &state, const base::endpoint_id &endpoint, const base::item_id &item)
+std::optional<state::residency> residencyOf(const state::replicated_state &state, const base::endpoint_id &endpoint, const base::item_id &item)
 {
     const auto view = state.endpoints().find(endpoint);
     if (view == state.endpoints().end()) {
-        return false;
+        return std::nullopt;
     }
     const auto residency = view->second.items.find(item);
-    return residency != view->second.items.end() && residency->second.state == state::residency::dropping;
+    return residency == view->second.items.end() ? std::nullopt : std::optional(residency->second.state);
 }
 
 } // namespace
@@ -61,9 +63,8 @@
         }
     }
     m_endpoints = std::move(kept);
-    for (const auto &[endpoint, known] : m_endpoints) {
-        update(endpoint);
-    }
+    refreshUnserved();
+    updateAll();
     notify();
 }
 
@@ -74,7 +75,11 @@
         return;
     }
     known->second.report = report;
-    update(endpoint);
+    if (refreshUnserved()) {
+        updateAll();
+    } else {
+        update(endpoint);
+    }
     m_director.setReport(endpoint, {report.running, report.queued, report.lag, report.life.count()});
     notify();
 }
@@ -86,14 +91,14 @@
         return;
     }
     known->second.report.reset();
-    update(endpoint);
+    refreshUnserved();
+    updateAll();
 }
 
 void routing_feed::stateChanged()
 {
-    for (const auto &[endpoint, known] : m_endpoints) {
-        update(endpoint);
-    }
+    refreshUnserved();
+    updateAll();
     notify();
 }
 
@@ -102,6 +107,73 @@
     m_changed = std::move(changed);
 }
 
+void routing_feed::updateAll()
+{
+    for (const auto &[endpoint, known] : m_endpoints) {
+        update(endpoint);
+    }
+}
+
+void routing_feed::refreshDeclared()
+{
+    const auto &services = m_state.services();
+    const auto sameVersion = [](const auto &known, const auto &current) {
+        return known.first == current.first && known.second == current.second.version;
+    };
+    if (std::equal(m_versions.begin(), m_versions.end(), services.begin(), services.end(), sameVersion)) {
+        return;
+    }
+    m_versions.clear();
+    m_served.clear();
+    for (const auto &[id, service] : services) {
+        m_versions.emplace_back(id, service.version);
+        for (const config::model_declaration &model : service.declaration.models) {
+            m_served.emplace(itemOf(model), false);
+            for (const config::adapter_declaration &adapter : model.adapters) {
+                m_served.emplace(itemOf(model, adapter), false);
+            }
+        }
+    }
+}
+
+bool routing_feed::refreshUnserved()
+{
+    refreshDeclared();
+    for (auto &[item, isServed] : m_served) {
+        isServed = false;
+    }
+    for (const auto &[endpoint, known] : m_endpoints) {
+        if (!known.report || known.host.leaving) {
+            continue;
+        }
+        for (const platform::resident_item &resident : known.report->items) {
+            const auto found = m_served.find(resident.item);
+            if (found != m_served.end() && !found->second) {
+                found->second = serves(known, resident);
+            }
+        }
+    }
+    std::map<std::string, base::item_id> unserved;
+    for (const auto &[item, isServed] : m_served) {
+        if (!isServed) {
+            unserved.emplace(config::nameOf(item), item);
+        }
+    }
+    const bool changed = unserved != m_unserved;
+    m_unserved = std::move(unserved);
+    return changed;
+}
+
+bool routing_feed::serves(const known_endpoint &known, const platform::resident_item &resident) const
+{
+    const std::optional<state::residency> residency = residencyOf(m_state, base::endpoint_id(known.host.id), resident.item);
+    if (residency == state::residency::dropping) {
+        return false;
+    }
+    // The owner may have seen the end of the load before this node's next report.
+    return resident.loaded || residency == state::residency::loaded;
+}
+
 void routing_feed::update(const base::endpoint_id &endpoint)
 {
     const known_endpoint &known = m_endpoints.at(endpoint);
@@ -114,8 +186,14 @@
         facts.pools.insert("service/" + known.host.service.value());
     } else if (known.report) {
         for (const platform::resident_item &resident : known.report->items) {
-            if (resident.loaded && !isDropping(m_state, endpoint, resident.item)) {
-                facts.pools.insert(resident.item.value());
+            if (!serves(known, resident)) {
+                continue;
+            }
+            facts.pools.insert(resident.item.value());
+            // Names are only compared during a change, because that costs more than the rest.
+            const auto unserved = m_unserved.empty() ? m_unserved.end() : m_unserved.find(config::nameOf(resident.item));
+            if (unserved != m_unserved.end()) {
+                facts.pools.insert(unserved->second.value());
             }
         }
     }
--- a/packages/node/src/chervilbend/node/routing_feed.hpp
+++ b/packages/node/src/chervilbend/node/routing_feed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/ids.hpp>
+#include <chervilbend/base/units.hpp>
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/control/report_listener.hpp>
 #include <chervilbend/platform/engine_report.hpp>
@@ -9,6 +10,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace chervilbend::routing
 {
@@ -28,7 +33,8 @@
 /// Tells the traffic director which endpoints there are, what each of them serves, and how loaded they are, and keeps their addresses.
 ///
 /// An engine serves the items that it reports as loaded, except those that the replicated state shows as dropping: these get no new
-/// work before the unload is sent.
+/// work before the unload is sent. While the declared version of an item is loaded nowhere, endpoints with another version of it serve
+/// its pool, so that a change of version leaves no time without an answer.
 class routing_feed : public control::host_listener, public control::report_listener
 {
 public:
@@ -55,7 +61,12 @@
         std::optional<platform::engine_report> report;
     };
 
+    void updateAll();
     void update(const base::endpoint_id &endpoint);
+    void refreshDeclared();
+    /// Finds out which declared items no endpoint serves. True when this has changed.
+    bool refreshUnserved();
+    bool serves(const known_endpoint &known, const platform::resident_item &resident) const;
     void notify() const;
 
     routing::traffic_director &m_director;
@@ -64,6 +75,12 @@
     base::zone_id m_ownZone;
     double m_crossZoneRoundTripMs;
     std::map<base::endpoint_id, known_endpoint> m_endpoints;
+    /// Versions of the services that m_served was made from.
+    std::vector<std::pair<base::service_id, base::log_offset>> m_versions;
+    /// Whether an endpoint serves the item, for all declared items.
+    std::unordered_map<base::item_id, bool> m_served;
+    /// Declared items that no endpoint serves in their version, by name.
+    std::map<std::string, base::item_id> m_unserved;
     std::function<void()> m_changed;
 };
 
