Follow the naming rules in the test of the routing feed

The linter reported four members without the prefix m_ and one line that was too long in the planner. Names and the line are changed, nothing else.

--- a/packages/node/tests/routing_feed_test.cpp
+++ b/packages/node/tests/routing_feed_test.cpp
@@ -39,21 +39,21 @@
 public:
     void servesTheOldVersionUntilTheNewOneIsLoaded()
     {
-        feed.hostsChanged({engine("e1"), engine("e2")});
+        m_feed.hostsChanged({engine("e1"), engine("e2")});
         publish("1", "1");
         report("e1", {"m@1", "m@1/a@1"}, true);
-        CPPUNIT_ASSERT((director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1"}));
+        CPPUNIT_ASSERT((m_director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1"}));
         publish("1", "2");
-        CPPUNIT_ASSERT((director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1", "m@1/a@2"}));
+        CPPUNIT_ASSERT((m_director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1", "m@1/a@2"}));
         publish("2", "2");
-        CPPUNIT_ASSERT((director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1", "m@2", "m@2/a@2"}));
+        CPPUNIT_ASSERT((m_director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1", "m@2", "m@2/a@2"}));
         report("e2", {"m@2"}, false);
-        CPPUNIT_ASSERT_MESSAGE("a load in transit serves nobody", director.pools["e1"].contains("m@2"));
+        CPPUNIT_ASSERT_MESSAGE("a load in transit serves nobody", m_director.pools["e1"].contains("m@2"));
         report("e2", {"m@2"}, true);
-        CPPUNIT_ASSERT((director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1", "m@2/a@2"}));
-        CPPUNIT_ASSERT((director.pools["e2"] == std::set<std::string>{"m@2"}));
-        feed.reportMissed(base::endpoint_id("e2"), 5);
-        CPPUNIT_ASSERT_MESSAGE("the old version stands in again", director.pools["e1"].contains("m@2"));
+        CPPUNIT_ASSERT((m_director.pools["e1"] == std::set<std::string>{"m@1", "m@1/a@1", "m@2/a@2"}));
+        CPPUNIT_ASSERT((m_director.pools["e2"] == std::set<std::string>{"m@2"}));
+        m_feed.reportMissed(base::endpoint_id("e2"), 5);
+        CPPUNIT_ASSERT_MESSAGE("the old version stands in again", m_director.pools["e1"].contains("m@2"));
     }
 
 private:
@@ -71,9 +71,9 @@
         config::service_declaration declaration;
         declaration.service = base::service_id("s");
         declaration.models.push_back({"m", modelVersion, base::byte_count(1), base::byte_count(1), 1, 50, {{"a", adapterVersion, base::byte_count(1)}}});
-        const state::entry entry = state::publish_entry{state.folded(), modelVersion + adapterVersion, "author", declaration};
-        state.fold(state.folded() + base::log_offset(1), state::encodeRecord({&entry, 1}));
-        feed.stateChanged();
+        const state::entry entry = state::publish_entry{m_state.folded(), modelVersion + adapterVersion, "author", declaration};
+        m_state.fold(m_state.folded() + base::log_offset(1), state::encodeRecord({&entry, 1}));
+        m_feed.stateChanged();
     }
 
     void report(const std::string &endpoint, const std::vector<std::string> &items, bool loaded)
@@ -82,13 +82,13 @@
         for (const std::string &item : items) {
             report.items.push_back({base::item_id(item), base::byte_count(1), loaded});
         }
-        feed.reportArrived(base::endpoint_id(endpoint), report);
+        m_feed.reportArrived(base::endpoint_id(endpoint), report);
     }
 
-    facts_recorder director;
-    endpoint_directory directory;
-    state::replicated_state state;
-    routing_feed feed{director, directory, state, base::zone_id("a"), 0};
+    facts_recorder m_director;
+    endpoint_directory m_directory;
+    state::replicated_state m_state;
+    routing_feed m_feed{m_director, m_directory, m_state, base::zone_id("a"), 0};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(routing_feed_test);
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -105,7 +105,8 @@
             return config::nameOf(item.id) == name;
         };
         const auto newer = std::find_if(m_cluster.items.begin(), m_cluster.items.end(), isNewerVersion);
-        const bool waits = newer != m_cluster.items.end() && m_cluster.loadedCopies(static_cast<std::size_t>(newer - m_cluster.items.begin())) == 0 && !m_lacksRoom;
+        const auto index = static_cast<std::size_t>(newer - m_cluster.items.begin());
+        const bool waits = newer != m_cluster.items.end() && m_cluster.loadedCopies(index) == 0 && !m_lacksRoom;
         if (!waits) {
             m_changes.push_back({state::drop_entry{extra.endpoint, extra.item, m_token}, "no service declares it"});
         }
