Treat an engine's 404 as a copy that is gone

The 404 of an engine now counts as a refusal that did not run; it is retried elsewhere within the budget and otherwise answered 503 with Retry-After.

--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -148,6 +148,12 @@
         result.why = {base::error_kind::overloaded, where.endpoint.value() + " is overloaded"};
         co_return result;
     }
+    // An engine answers 404 for a model that is not loaded (docs/wire.md): it was restarted since its last report.
+    if (plan.inference && answer->header().result() == http::status::not_found) {
+        result.outcome = request_outcome::refused;
+        result.why = {base::error_kind::noEndpoint, where.endpoint.value() + " does not hold " + plan.facts.pool + " any more"};
+        co_return result;
+    }
     if (!isEventStream(answer->header())) {
         co_return co_await passWhole(request, answer);
     }
--- a/packages/node/tests/caller_api_test.cpp
+++ b/packages/node/tests/caller_api_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(triesAnotherEndpointWhenNothingWasSent);
     CPPUNIT_TEST(repeatsOnlyBeforeFirstByte);
     CPPUNIT_TEST(overloadedEndpointIsNotRun);
+    CPPUNIT_TEST(restartedEngineIsNotRun);
     CPPUNIT_TEST(deadlineEndsTheRequest);
     CPPUNIT_TEST(leavingCallerCancelsAtTheEngine);
     CPPUNIT_TEST(leavingCallerLeavesTheQueue);
@@ -155,6 +156,19 @@
         CPPUNIT_ASSERT(front.director.outcomes == std::vector{request_outcome::refused});
     }
 
+    /// The engine's 404 was passed on to callers, who took a declared model for an unknown one.
+    void restartedEngineIsNotRun()
+    {
+        test_front front;
+        front.addEndpoint("tall@3", answerAndClose(whole("{}", "404 Not Found")));
+        const std::string refused = front.ask(test_front::post("/v1/chat/completions", chatBody));
+        CPPUNIT_ASSERT_MESSAGE(refused, refused.starts_with("HTTP/1.1 503 ") && contains(refused, "Retry-After") && contains(refused, "X-Run-State: not run"));
+        front.addEndpoint("tall@3", answerAndClose(whole("{\"other\":1}")));
+        front.director.retries = 1;
+        const std::string answer = front.ask(test_front::post("/v1/chat/completions", chatBody));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 "));
+    }
+
     void deadlineEndsTheRequest()
     {
         test_front front;
