Remove settings without effect, bound endless timers, name the wait for engines

Change: each mended; defaults of the queue and of long work are the measured ones. Measured: all 15 test programs pass.

--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -214,14 +214,10 @@
         durationSetting("leaseTerm", 2s, 60s, "A holder gives its leases up so long after its last heartbeat; at least twice heartbeatInterval", &s::leaseTerm),
         durationSetting("leaseMargin", 100ms, 30s, "Other nodes wait so much longer before they take a lease over", &s::leaseMargin),
         durationSetting("heartbeatInterval", 500ms, 30s, "Between two heartbeats of a node that holds leases", &s::heartbeatInterval),
-        numberSetting("leaseHolders", "nodes", 1, 1'000, "Nodes that may hold leases", &s::leaseHolders),
         durationSetting(
             "quarantine", 10s, 24h, "Until a vanished owner's commands are no longer expected at engines that do not check fencing", &s::quarantine),
         durationSetting("checkpointInterval", 10s, 24h, "Between two checkpoints; at most a quarter of the log's retention", &s::checkpointInterval),
         durationSetting("keyLifetime", 1min, 24h, "How long an idempotency key is remembered", &s::keyLifetime),
-        bytesSetting("answerLimit", base::byte_count(0), base::byte_count(64 * 1024), "Longest answer to an order that is kept for repeats", &s::answerLimit),
-        durationSetting("probeInterval", 200ms, 30s, "Between two probes of other nodes", &s::probeInterval),
-        durationSetting("demandInterval", 200ms, 60s, "Between two reports of demand", &s::demandInterval),
         durationSetting("reportInterval", 200ms, 60s, "Between two reads of an endpoint's load report", &s::reportInterval),
         durationSetting("hostInterval", 200ms, 60s, "Between two reads of the list of hosts", &s::hostInterval),
         durationSetting("balancerWait", 0ms, 5min, "After SIGTERM, until the load balancer has seen that the node is not ready", &s::balancerWait),
@@ -234,7 +230,6 @@
         durationSetting("idleTimeout", 100ms, 1h, "Between two requests on a connection", &s::idleTimeout),
         numberSetting("queueLength", "requests", 1, 1'000'000, "Requests that wait per pool", &s::queueLength),
         numberSetting("retryPercent", "% of requests", 0, 100, "Budget of retries", &s::retryPercent),
-        numberSetting("hedgePercent", "% of requests", 0, 100, "Budget of second attempts for slow reads", &s::hedgePercent),
         numberSetting(
             "longWorkPercent", "% of slots", 1, 100, "Slots of an endpoint that long work may hold while short work is declared", &s::longWorkPercent),
         numberSetting("seed", "number", 0, 1'000'000'000, "Seed of random choices, for tests; 0 takes one from the system", &s::seed),
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -27,14 +27,10 @@
     base::milliseconds leaseTerm{6'000};
     base::milliseconds leaseMargin{1'000};
     base::milliseconds heartbeatInterval{2'000};
-    std::int64_t leaseHolders = 32;
     base::milliseconds quarantine{600'000};
     base::milliseconds checkpointInterval{60'000};
     base::milliseconds keyLifetime{7'200'000};
-    base::byte_count answerLimit{8 * 1024};
 
-    base::milliseconds probeInterval{1'000};
-    base::milliseconds demandInterval{2'000};
     base::milliseconds reportInterval{2'000};
     base::milliseconds hostInterval{2'000};
 
@@ -47,10 +43,9 @@
     base::milliseconds readTimeout{10'000};
     base::milliseconds writeTimeout{30'000};
     base::milliseconds idleTimeout{60'000};
-    std::int64_t queueLength = 1'000;
+    std::int64_t queueLength = 10'000;
     std::int64_t retryPercent = 10;
-    std::int64_t hedgePercent = 2;
-    std::int64_t longWorkPercent = 50;
+    std::int64_t longWorkPercent = 45;
     std::int64_t seed = 0;
 };
 
--- a/packages/control/src/chervilbend/control/change_signal.cpp
+++ b/packages/control/src/chervilbend/control/change_signal.cpp
@@ -12,15 +12,6 @@
 namespace chervilbend::control
 {
 
-namespace
-{
-
-/// Asio counts the time until a timer expires in microseconds, which overflow for the clock's maximum: it would look at the timer again
-/// and again without a pause.
-constexpr base::milliseconds longestTimer{3'600'000};
-
-} // namespace
-
 void change_signal::notify()
 {
     for (const std::weak_ptr<net::timer> &waiting : std::exchange(m_waiting, {})) {
@@ -33,7 +24,7 @@
 asio::awaitable<bool> change_signal::wait(base::time_point until)
 {
     const auto timer = std::make_shared<net::timer>(co_await asio::this_coro::executor);
-    timer->expires_at(std::min(until, base::clock::now() + longestTimer));
+    timer->expires_at(std::min(until, net::distantFuture));
     m_waiting.push_back(timer);
     const auto [error] = co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
     if (!error) {
--- a/packages/fakes/src/chervilbend/fakes/batch_slots.cpp
+++ b/packages/fakes/src/chervilbend/fakes/batch_slots.cpp
@@ -35,7 +35,7 @@
 {
     if (!m_runs) {
         m_signal = std::make_shared<net::timer>(co_await asio::this_coro::executor);
-        m_signal->expires_at(base::time_point::max());
+        m_signal->expires_at(net::distantFuture);
         const std::shared_ptr<net::timer> signal = m_signal;
         co_await signal->async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/packages/node/src/chervilbend/node/callers/admitted_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.cpp
@@ -95,7 +95,7 @@
     m_admission.m_waiting.emplace(m_ticket, this);
     m_admission.pump();
     if (!m_sent && !m_refused) {
-        m_wake.emplace(m_admission.m_executor, base::time_point::max());
+        m_wake.emplace(m_admission.m_executor, net::distantFuture);
         co_await m_wake->async_wait(asio::as_tuple(asio::use_awaitable));
         m_wake.reset();
     }
--- a/packages/node/src/chervilbend/node/callers/order_desk.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_desk.cpp
@@ -113,7 +113,7 @@
 struct order_desk::order_task {
     order_task(const asio::any_io_executor &executor, control::order_request wanted)
         : order(std::move(wanted))
-        , done(executor, base::time_point::max())
+        , done(executor, net::distantFuture)
     {
     }
 
--- a/packages/node/src/chervilbend/node/operators/commands/publish_method.cpp
+++ b/packages/node/src/chervilbend/node/operators/commands/publish_method.cpp
@@ -163,6 +163,10 @@
 
 bool publish_method::checkMemory(const config::service_declaration &declaration, Json::Value &warnings)
 {
+    if (m_view.endpoints().empty() && !declaration.models.empty()) {
+        fail(base::error_kind::noEndpoint, "no engine is registered yet, which takes a few seconds after the first start; publish again");
+        return false;
+    }
     const std::vector<config::service_declaration> all = servicesWith(m_view, declaration);
     const config::memory_fit fit = config::fitIntoMemory(all, endpointsOf(m_view));
     if (fit.fits) {
--- a/packages/node/src/chervilbend/node/reports/day_recorder.cpp
+++ b/packages/node/src/chervilbend/node/reports/day_recorder.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::string_view servicePrefix = "service/";
+/// A change's models may take so long to load before their absence counts as a failure.
+constexpr base::milliseconds firstLoadTime{60'000};
 
 } // namespace
 
@@ -145,6 +147,9 @@
         }
     }
     for (const auto &[service, view] : m_state.services()) {
+        if (!isSettled(service, view.version)) {
+            continue;
+        }
         for (const config::model_declaration &model : view.declaration.models) {
             if (!loaded.contains(config::itemOf(model))) {
                 failed("model " + model.name, sinceLast);
@@ -153,6 +158,17 @@
     }
 }
 
+bool day_recorder::isSettled(const base::service_id &service, base::log_offset version)
+{
+    const base::time_point now = base::clock::now();
+    auto &[seenVersion, seenAt] = m_versionSeen.try_emplace(service, version, now).first->second;
+    if (seenVersion != version) {
+        seenVersion = version;
+        seenAt = now;
+    }
+    return now - seenAt > firstLoadTime;
+}
+
 bool day_recorder::owns(const base::endpoint_id &endpoint) const
 {
     const auto lease = m_state.leases().find(state::endpointLease(endpoint));
--- a/packages/node/src/chervilbend/node/reports/day_recorder.hpp
+++ b/packages/node/src/chervilbend/node/reports/day_recorder.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chervilbend::node
@@ -51,6 +52,8 @@
     void observePublishes();
     void observeMoves();
     void observeReachability(base::milliseconds sinceLast);
+    /// Whether the version has been in force for so long that its models should be loaded.
+    bool isSettled(const base::service_id &service, base::log_offset version);
     bool owns(const base::endpoint_id &endpoint) const;
 
     base::node_id m_self;
@@ -58,6 +61,8 @@
     day_tally m_tally;
     std::set<std::string> m_openPublishes;
     std::map<placed_item, move> m_moves;
+    /// When each service's present version was first seen.
+    std::map<base::service_id, std::pair<base::log_offset, base::time_point>> m_versionSeen;
     /// The service that declares each item, rebuilt when a service's version has changed.
     std::map<std::string, std::string> m_serviceByItem;
     std::vector<base::log_offset> m_versions;
