Take the newest of several peers' states while the log is down

A node that was restarted during a log outage took the state of the first live peer. It now asks up to 5 live peers and keeps the newest state; the follower refuses an older one.

--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -26,6 +26,8 @@
 constexpr base::milliseconds memberInterval{1'000};
 /// Time that the log gets at a start before the state is asked of peers.
 constexpr base::milliseconds logPatienceAtStart{500};
+/// Peers that are asked for their state in one round. More of them cost a starting node more time than a newer state is worth.
+constexpr int mostStatePeers = 5;
 constexpr base::milliseconds stateTimeout{2'000};
 
 const log4cxx::LoggerPtr logger = base::partLogger("node");
@@ -249,19 +251,24 @@
 asio::awaitable<void> control_plane::fetchStateFromPeers()
 {
     co_await net::sleepFor(logPatienceAtStart);
-    while (m_control.follower().lastAtHead() == base::time_point::min()) {
-        for (const membership::member &member : m_members.live()) {
+    bool taken = false;
+    while (!taken && m_control.follower().lastAtHead() == base::time_point::min()) {
+        int asked = 0;
+        // A peer that was itself cut off may be behind the others. Only a newer state replaces the one taken before.
+        const std::vector<membership::member> peers = m_members.live();
+        for (const membership::member &member : peers) {
             const std::optional<net::address> peer = net::parseAddress(member.address);
-            if (member.id == m_identity.id || !peer) {
+            if (member.id == m_identity.id || !peer || asked == mostStatePeers) {
                 continue;
             }
+            ++asked;
             const bool hasControl = co_await fetchStream(*peer, "control", &m_control);
-            const bool hasOrders = co_await fetchStream(*peer, "orders", &m_orders);
-            if (hasControl && hasOrders) {
+            co_await fetchStream(*peer, "orders", &m_orders);
+            if (hasControl) {
                 LOG4CXX_INFO(logger, "Took the state at " << m_control.state().folded() << " from node " << member.id << ", the log is unavailable.");
-                co_return;
             }
         }
+        taken = m_control.state().folded() > base::log_offset(0) && m_orders.state().folded() > base::log_offset(0);
         co_await net::sleepFor(memberInterval);
     }
 }
