Keep a node's own pause out of what it learns of endpoints; tighten readiness

Change: the director is told every 200 ms that the process runs and drops samples across a longer silence; readiness needs the log's head, or a state from peers.

--- a/packages/node/src/chervilbend/node/composition/caller_side.cpp
+++ b/packages/node/src/chervilbend/node/composition/caller_side.cpp
@@ -74,6 +74,7 @@
 {
     asio::co_spawn(m_executor, followState(), asio::detached);
     asio::co_spawn(m_executor, exchangeSuspicions(), asio::detached);
+    asio::co_spawn(m_executor, tellRunning(), asio::detached);
 }
 
 asio::awaitable<void> caller_side::followState()
@@ -85,6 +86,14 @@
     }
 }
 
+asio::awaitable<void> caller_side::tellRunning()
+{
+    while (true) {
+        m_director.noteRunning();
+        co_await net::sleepFor(routing::traffic_director::runningInterval);
+    }
+}
+
 asio::awaitable<void> caller_side::exchangeSuspicions()
 {
     std::map<std::uint64_t, int> told;
--- a/packages/node/src/chervilbend/node/composition/caller_side.hpp
+++ b/packages/node/src/chervilbend/node/composition/caller_side.hpp
@@ -72,6 +72,7 @@
 private:
     boost::asio::awaitable<void> followState();
     boost::asio::awaitable<void> exchangeSuspicions();
+    boost::asio::awaitable<void> tellRunning();
 
     metered_director &m_director;
     control_plane &m_control;
--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -268,6 +268,7 @@
                 LOG4CXX_INFO(logger, "Took the state at " << m_control.state().folded() << " from node " << member.id << ", the log is unavailable.");
             }
         }
+        m_hasStateFromPeers = m_hasStateFromPeers || m_control.state().folded() > base::log_offset(0);
         taken = m_control.state().folded() > base::log_offset(0) && m_orders.state().folded() > base::log_offset(0);
         co_await net::sleepFor(memberInterval);
     }
--- a/packages/node/src/chervilbend/node/composition/control_plane.hpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -94,6 +94,12 @@
         return m_archive;
     }
 
+    /// Whether the state came from other nodes, because the log was unavailable at the start.
+    bool hasStateFromPeers() const
+    {
+        return m_hasStateFromPeers;
+    }
+
     base::node_id self() const override;
     log_contact log() const override;
     std::vector<known_node> nodes() const override;
@@ -110,6 +116,7 @@
     boost::asio::any_io_executor m_executor;
     config::node_settings m_settings;
     node_identity m_identity;
+    bool m_hasStateFromPeers = false;
     platform_clients &m_platform;
 
     std::function<void(const std::string &)> m_publishTaken;
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -201,8 +201,9 @@
             m_readiness.setMet("hosts");
         }
         // A node without any record yet is ready too: an empty configuration that was read to the log's head is a configuration.
+        // One that has read only a part of the log is not: it could answer by an older configuration.
         const bool readToHead = m_control.controlStream().follower().lastAtHead() != base::time_point::min();
-        if (readToHead || m_control.controlStream().state().folded() > base::log_offset(0)) {
+        if (readToHead || m_control.hasStateFromPeers()) {
             m_readiness.setMet("configuration");
         }
         if (m_readiness.isShuttingDown()) {
--- a/packages/node/src/chervilbend/node/metered_director.cpp
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -124,6 +124,11 @@
     return refusals;
 }
 
+void metered_director::noteRunning()
+{
+    m_inner.noteRunning();
+}
+
 void metered_director::firstByte(routing::ticket request)
 {
     m_inner.firstByte(request);
--- a/packages/node/src/chervilbend/node/metered_director.hpp
+++ b/packages/node/src/chervilbend/node/metered_director.hpp
@@ -33,6 +33,7 @@
     bool retry(routing::ticket request, routing::request_outcome outcome, base::reason &why) override;
     std::vector<routing::dispatch> takeDispatches() override;
     std::vector<routing::refusal> takeRefusals() override;
+    void noteRunning() override;
     void firstByte(routing::ticket request) override;
     void progress(routing::ticket request, base::token_count generated) override;
     void finish(routing::ticket request, routing::request_outcome outcome) override;
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -37,6 +38,7 @@
     bool retry(ticket request, request_outcome outcome, base::reason &why) override;
     std::vector<dispatch> takeDispatches() override;
     std::vector<refusal> takeRefusals() override;
+    void noteRunning() override;
     void firstByte(ticket request) override;
     void progress(ticket request, base::token_count generated) override;
     void finish(ticket request, request_outcome outcome) override;
@@ -69,6 +71,8 @@
 
     /// adaptive_director_outcome.cpp: from dispatch to the end.
     void closeFirstByte(request_state &request, double cost);
+    /// Whether this process was paused between @p since and @p now.
+    bool wasPaused(base::time_point since, base::time_point now) const;
     void addSample(request_state &request, double cost, long samples, base::time_point now);
     void setOutstanding(request_state &request, double cost);
     void setCountsAsLong(request_state &request, bool isLong);
@@ -78,6 +82,8 @@
     void release(request_state &request);
 
     director_settings m_settings;
+    std::optional<base::time_point> m_lastRunning;
+    base::time_point m_pauseEnd = base::time_point::min();
     int m_nodes = 1;
     std::unordered_map<base::endpoint_id, std::shared_ptr<endpoint_state>> m_endpoints;
     std::unordered_map<std::string, std::unique_ptr<pool_state>> m_pools;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -11,6 +11,14 @@
 namespace
 {
 
+/// A process on a busy host may be late by some intervals; a pause that matters is longer.
+constexpr base::milliseconds longestSilence = 5 * traffic_director::runningInterval;
+
+} // namespace
+
+namespace
+{
+
 /// No retries for this long after a pool had to shed: a retry would displace first attempts.
 constexpr base::milliseconds shedMemory{1000};
 /// Time after a failed connection until the endpoint is tried again.
@@ -62,15 +70,35 @@
         return;
     }
     request.isFirstByteOpen = false;
+    if (wasPaused(request.sent, request.firstByteAt)) {
+        request.lastSample = request.firstByteAt;
+        return;
+    }
     const auto ms = static_cast<double>((request.firstByteAt - request.sent).count());
     request.endpoint->limit.addSample(ms, cost);
     request.pool->limit.addSample(ms, cost);
     addSample(request, cost, 1, request.firstByteAt);
 }
 
+void adaptive_director::noteRunning()
+{
+    const base::time_point now = base::clock::now();
+    if (m_lastRunning && now - *m_lastRunning > longestSilence) {
+        m_pauseEnd = now;
+    }
+    m_lastRunning = now;
+}
+
+bool adaptive_director::wasPaused(base::time_point since, base::time_point now) const
+{
+    // What arrived during the pause may be handled before the next noteRunning().
+    return since < m_pauseEnd || (m_lastRunning && now - *m_lastRunning > longestSilence);
+}
+
 void adaptive_director::addSample(request_state &request, double cost, long samples, base::time_point now)
 {
-    if (pool_member *member = request.pool->memberOf(request.endpoint.get())) {
+    pool_member *const member = request.pool->memberOf(request.endpoint.get());
+    if (member != nullptr && !wasPaused(request.lastSample, now)) {
         member->latency.add(static_cast<double>((now - request.lastSample).count()), std::max(cost, 1e-3), samples, now);
     }
     request.lastSample = now;
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -38,6 +38,8 @@
 class traffic_director
 {
 public:
+    static constexpr base::milliseconds runningInterval{200};
+
     virtual ~traffic_director() = default;
 
     /// Commands.
@@ -60,6 +62,12 @@
     /// The queued requests that were given up since the last call.
     virtual std::vector<refusal> takeRefusals() = 0;
 
+    /// Tells that this process runs. Call every runningInterval: a longer silence means that the process was paused, and that times
+    /// measured across it say nothing of the endpoints. Never called means that pauses are not looked for.
+    virtual void noteRunning()
+    {
+    }
+
     /// The first byte of the answer has arrived.
     virtual void firstByte(ticket request) = 0;
     /// So many tokens were generated so far.
