Name work classes in one place, tell the two entry sinks apart, finish log sentences

Cause: the names of work classes stood in two packages, two interfaces were called entry_sink, and some log lines were no sentences. Change: config::nameOf and parseWorkClass serve both, the operators' interface is publish_sink.

--- a/packages/control/src/chervilbend/control/internal/log_order_gateway_implementation.cpp
+++ b/packages/control/src/chervilbend/control/internal/log_order_gateway_implementation.cpp
@@ -225,7 +225,7 @@
         spawn(recordOutcome(attempt, *attempt->answer, shared_from_this()));
         co_return *attempt->answer;
     }
-    LOG4CXX_INFO(logger(), "order " << attempt->keyHash << " is dispatched under claim " << attempt->claimId);
+    LOG4CXX_INFO(logger(), "Order " << attempt->keyHash << " is dispatched under claim " << attempt->claimId << '.');
     spawn(dispatchClaimed(attempt, std::move(dispatch), shared_from_this()));
     while (!attempt->answer && base::clock::now() < attempt->order.deadline) {
         co_await m_follower.waitForChange(attempt->order.deadline);
@@ -246,9 +246,9 @@
     try {
         answer = co_await dispatch();
     } catch (const std::exception &error) {
-        LOG4CXX_ERROR(logger(), "order " << attempt->keyHash << " failed in dispatch: " << error.what());
+        LOG4CXX_ERROR(logger(), "Order " << attempt->keyHash << " failed in dispatch: " << error.what());
     }
-    LOG4CXX_INFO(logger(), "order " << attempt->keyHash << " under claim " << attempt->claimId << ": " << base::toString(answer.state));
+    LOG4CXX_INFO(logger(), "Order " << attempt->keyHash << " under claim " << attempt->claimId << ": " << base::toString(answer.state) << '.');
     attempt->answer = answer;
     self->spawn(self->recordOutcome(attempt, std::move(answer), self));
     self->m_follower.notify();
--- a/packages/control/src/chervilbend/control/log_follower.cpp
+++ b/packages/control/src/chervilbend/control/log_follower.cpp
@@ -99,7 +99,7 @@
 {
     if (m_reachable != reachable) {
         m_reachable = reachable;
-        LOG4CXX_INFO(logger(), "stream " << m_options.stream << (reachable ? " is readable" : " is not readable") << " at offset " << m_state.folded());
+        LOG4CXX_INFO(logger(), "Stream " << m_options.stream << (reachable ? " is readable" : " is not readable") << " at offset " << m_state.folded() << '.');
         notify();
     }
 }
@@ -143,7 +143,7 @@
     m_lastAnswer = base::clock::now();
     // A state restored from a peer while the read was under way may lie behind the page's start, but never before it.
     if (page->firstRetained > m_state.folded() + base::log_offset(1)) {
-        LOG4CXX_WARN(logger(), "stream " << m_options.stream << " has lost records " << m_state.folded() << " to " << page->firstRetained);
+        LOG4CXX_WARN(logger(), "Stream " << m_options.stream << " has lost records " << m_state.folded() << " to " << page->firstRetained << '.');
         if (m_checkpoints) {
             co_await takeCheckpoint();
         }
@@ -168,7 +168,7 @@
 {
     const auto checkpoint = co_await readCheckpoint(*m_checkpoints, m_options.stream);
     if (checkpoint && checkpoint->folded > m_state.folded() && restore(checkpoint->dump)) {
-        LOG4CXX_INFO(logger(), "stream " << m_options.stream << " restored from the checkpoint at offset " << m_state.folded());
+        LOG4CXX_INFO(logger(), "Stream " << m_options.stream << " restored from the checkpoint at offset " << m_state.folded() << '.');
     }
 }
 
--- a/packages/ctl/tests/operator_nodes.hpp
+++ b/packages/ctl/tests/operator_nodes.hpp
@@ -23,7 +23,7 @@
 #include <vector>
 
 /// The operators' side of a node: its fold, its methods and its server. Records come from the test's log.
-class operator_node : public chervilbend::node::node_facts, public chervilbend::node::entry_sink
+class operator_node : public chervilbend::node::node_facts, public chervilbend::node::publish_sink
 {
 public:
     using append_function = std::function<void(const chervilbend::state::entry &)>;
--- a/packages/measure/src/main.cpp
+++ b/packages/measure/src/main.cpp
@@ -1,3 +1,4 @@
+#include <chervilbend/base/log.hpp>
 #include <chervilbend/measure/measurements.hpp>
 
 #include <gflags/gflags.h>
@@ -37,6 +38,7 @@
 {
     gflags::SetUsageMessage("[--seed N] [--seeds N] [NAME...]: measures policies and processes against baselines");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    chervilbend::base::configureLogging("ERROR");
     const std::set<std::string> wanted(argv + 1, argv + argc);
     std::printf("%-36s %12s %12s %8s %-14s\n", "name", "ours", "baseline", "ratio", "unit");
     bool allMet = true;
--- a/packages/node/src/chervilbend/node/callers/caller_terms.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_terms.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/node/callers/caller_terms.hpp>
 
+#include <chervilbend/config/work_class_name.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
@@ -19,16 +21,6 @@
     return found == request.end() ? std::string_view() : std::string_view(found->value().data(), found->value().size());
 }
 
-std::optional<base::work_class> parseClass(std::string_view text)
-{
-    for (const base::work_class candidate : {base::work_class::urgent, base::work_class::normal, base::work_class::batch}) {
-        if (text == toString(candidate)) {
-            return candidate;
-        }
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 std::optional<caller_terms> caller_terms_reader::read(const net::http_request &request, const caller_bounds &bounds)
@@ -41,7 +33,7 @@
     terms.account = base::account_id(account.empty() ? "default" : std::string(account));
 
     const std::string_view priority = headerOf(request, "X-Priority");
-    const std::optional<base::work_class> asked = priority.empty() ? bounds.defaultUrgency : parseClass(priority);
+    const std::optional<base::work_class> asked = priority.empty() ? bounds.defaultUrgency : config::parseWorkClass(priority);
     if (!asked) {
         return fail(base::error_kind::badRequest, "X-Priority is none of urgent, normal and batch");
     }
@@ -61,17 +53,4 @@
     return terms;
 }
 
-std::string_view toString(base::work_class urgency)
-{
-    switch (urgency) {
-    case base::work_class::urgent:
-        return "urgent";
-    case base::work_class::normal:
-        return "normal";
-    case base::work_class::batch:
-        break;
-    }
-    return "batch";
-}
-
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/caller_terms.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_terms.hpp
@@ -7,7 +7,6 @@
 #include <chervilbend/net/http_types.hpp>
 
 #include <optional>
-#include <string_view>
 
 namespace chervilbend::node
 {
@@ -34,7 +33,4 @@
     std::optional<caller_terms> read(const net::http_request &request, const caller_bounds &bounds);
 };
 
-/// "urgent", "normal" or "batch".
-std::string_view toString(base::work_class urgency);
-
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/error_answer.hpp>
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
@@ -85,7 +86,8 @@
     request_outcome outcome = request_outcome::refused;
     while (where) {
         LOG4CXX_INFO(routeLog(),
-                     facts.pool << " to " << where->endpoint << ", class " << toString(facts.urgency) << ", account " << facts.account << ": " << where->why);
+                     facts.pool << " to " << where->endpoint << ", class " << config::nameOf(facts.urgency) << ", account " << facts.account << ": "
+                                << where->why);
         attempt_result result = co_await attempt(request, *where);
         const bool cancelled = co_await isCancelled();
         outcome = cancelled ? request_outcome::cancelled : result.outcome;
@@ -108,7 +110,7 @@
     }
     if (why.text.empty()) {
         why = request->work.lastReason();
-        LOG4CXX_INFO(routeLog(), facts.pool << " refused, class " << toString(facts.urgency) << ", account " << facts.account << ": " << why.text);
+        LOG4CXX_INFO(routeLog(), facts.pool << " refused, class " << config::nameOf(facts.urgency) << ", account " << facts.account << ": " << why.text);
     }
     request->finish(outcome);
     m_metrics.onProblem(why.kind);
--- a/packages/node/src/chervilbend/node/callers/front_metrics.cpp
+++ b/packages/node/src/chervilbend/node/callers/front_metrics.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/node/callers/front_metrics.hpp>
 
 #include <chervilbend/base/error_answer.hpp>
+#include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/node/callers/admission.hpp>
 #include <chervilbend/node/callers/caller_terms.hpp>
@@ -30,7 +31,7 @@
     , m_tokens(registry.counterFor("chervilbend_tokens_total", "Generated tokens passed on to callers"))
 {
     for (std::size_t i = 0; i < m_classes.size(); ++i) {
-        const std::string name(toString(static_cast<base::work_class>(i)));
+        const std::string name(config::nameOf(static_cast<base::work_class>(i)));
         for (std::size_t outcome = 0; outcome < outcomeNames.size(); ++outcome) {
             m_classes[i].outcomes[outcome] = &registry.counterFor(
                 "chervilbend_requests_total", "Finished requests by the outcome of their last attempt", {{"class", name}, {"outcome", outcomeNames[outcome]}});
--- a/packages/node/src/chervilbend/node/callers/message_headers.cpp
+++ b/packages/node/src/chervilbend/node/callers/message_headers.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/node/callers/message_headers.hpp>
 
+#include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/node/callers/caller_terms.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 
@@ -63,7 +64,7 @@
         forwarded.method_string(request.method_string());
     }
     copyFields(request, forwarded);
-    const std::string_view urgency = toString(plan.facts.urgency);
+    const std::string_view urgency = config::nameOf(plan.facts.urgency);
     const base::milliseconds remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
     forwarded.set("X-Account", plan.facts.account.value());
     forwarded.set("X-Priority", boost::beast::string_view(urgency.data(), urgency.size()));
--- a/packages/node/src/chervilbend/node/callers/order_desk.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_desk.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/error_answer.hpp>
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/control/order_gateway.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_exchange.hpp>
@@ -195,8 +196,8 @@
     base::reason why;
     while (where) {
         LOG4CXX_INFO(routeLog(),
-                     plan.facts.pool << " order to " << where->endpoint << ", class " << toString(plan.facts.urgency) << ", account " << plan.facts.account
-                                     << ": " << where->why);
+                     plan.facts.pool << " order to " << where->endpoint << ", class " << config::nameOf(plan.facts.urgency) << ", account "
+                                     << plan.facts.account << ": " << where->why);
         const std::optional<net::address> address = m_endpoints.find(where->endpoint);
         std::optional<net::http_response> response;
         if (address) {
--- a/packages/node/src/chervilbend/node/composition/control_plane.hpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -13,9 +13,9 @@
 #include <chervilbend/membership/demand_tree.hpp>
 #include <chervilbend/membership/member_table.hpp>
 #include <chervilbend/node/composition/node_identity.hpp>
-#include <chervilbend/node/operators/entry_sink.hpp>
 #include <chervilbend/node/operators/node_facts.hpp>
 #include <chervilbend/node/operators/publish_archive.hpp>
+#include <chervilbend/node/operators/publish_sink.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -37,7 +37,7 @@
 struct platform_clients;
 
 /// A node's share of control: the log's streams, membership, leases, planning and the driving of engines.
-class control_plane : public entry_sink, public node_facts, public control::host_listener
+class control_plane : public publish_sink, public node_facts, public control::host_listener
 {
 public:
     /// All references must outlive the object, and the object the io_context's run.
--- a/packages/node/src/chervilbend/node/operators/commands/publish_method.cpp
+++ b/packages/node/src/chervilbend/node/operators/commands/publish_method.cpp
@@ -65,7 +65,7 @@
 
 } // namespace
 
-publish_method::publish_method(const operator_view &view, entry_sink &sink)
+publish_method::publish_method(const operator_view &view, publish_sink &sink)
     : m_view(view)
     , m_sink(sink)
 {
--- a/packages/node/src/chervilbend/node/operators/commands/publish_method.hpp
+++ b/packages/node/src/chervilbend/node/operators/commands/publish_method.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <chervilbend/node/operators/entry_sink.hpp>
 #include <chervilbend/node/operators/operator_view.hpp>
+#include <chervilbend/node/operators/publish_sink.hpp>
 #include <chervilbend/peers/rpc_method.hpp>
 
 namespace chervilbend::node::commands
@@ -16,7 +16,7 @@
 {
 public:
     /// Both must outlive the method.
-    publish_method(const operator_view &view, entry_sink &sink);
+    publish_method(const operator_view &view, publish_sink &sink);
 
     std::string name() const override;
     std::optional<Json::Value> call(const Json::Value &parameters) override;
@@ -28,7 +28,7 @@
     bool checkMemory(const config::service_declaration &declaration, Json::Value &warnings);
 
     const operator_view &m_view;
-    entry_sink &m_sink;
+    publish_sink &m_sink;
 };
 
 } // namespace chervilbend::node::commands
--- a/packages/node/src/chervilbend/node/operators/entry_sink.hpp
+++ b/packages/node/src/chervilbend/node/operators/publish_sink.hpp
@@ -6,11 +6,11 @@
 namespace chervilbend::node
 {
 
-/// Takes entries for the log.
-class entry_sink : public base::reason_holder
+/// Takes publishes for the log.
+class publish_sink : public base::reason_holder
 {
 public:
-    virtual ~entry_sink() = default;
+    virtual ~publish_sink() = default;
 
     /// Takes an entry to be appended with the next record. False, with a last reason, when it was not taken and will never be appended;
     /// true says only that it may be appended.
--- a/packages/node/tests/operators_test.cpp
+++ b/packages/node/tests/operators_test.cpp
@@ -36,7 +36,7 @@
     }
 };
 
-class fake_sink : public entry_sink
+class fake_sink : public publish_sink
 {
 public:
     bool submit(state::entry entry) override
