--- a/packages/control/src/chervilbend/control/end_observer.cpp
+++ b/packages/control/src/chervilbend/control/end_observer.cpp
@@ -2,9 +2,10 @@
 
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/control/entry_sink.hpp>
-#include <chervilbend/control/lease_keeper.hpp>
 #include <chervilbend/net/sleep.hpp>
 
+#include <utility>
+
 namespace asio = boost::asio;
 
 namespace chervilbend::control
@@ -18,11 +19,14 @@
 
 } // namespace
 
-end_observer::end_observer(
-    const state::replicated_state &state, const membership::member_table &members, const lease_keeper &leases, entry_sink &sink, base::milliseconds unlistedFor)
+end_observer::end_observer(const state::replicated_state &state,
+                           const membership::member_table &members,
+                           std::function<bool()> isPlanner,
+                           entry_sink &sink,
+                           base::milliseconds unlistedFor)
     : m_state(state)
     , m_members(members)
-    , m_leases(leases)
+    , m_isPlanner(std::move(isPlanner))
     , m_sink(sink)
     , m_unlistedFor(unlistedFor)
 {
@@ -47,7 +51,7 @@
         const auto known = m_endedSince.find(former);
         const base::time_point since = known == m_endedSince.end() ? now : known->second;
         endedSince[former] = since;
-        if (now - since < patienceFor(former) || !m_leases.holds(state::plannerLease())) {
+        if (now - since < patienceFor(former) || !m_isPlanner()) {
             continue;
         }
         LOG4CXX_INFO(logger, "Life " << former.second << " of node " << former.first << " has ended, its quarantine is lifted.");
--- a/packages/control/src/chervilbend/control/end_observer.hpp
+++ b/packages/control/src/chervilbend/control/end_observer.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -17,7 +18,6 @@
 {
 
 class entry_sink;
-class lease_keeper;
 
 /// Appends that a former life of a node has ended, which lifts the quarantine of items that it may still load at engines that do not
 /// check fencing tokens.
@@ -30,10 +30,11 @@
     /// After a later life has answered, commands of the former one may still be in the network for this time.
     static constexpr base::milliseconds commandFlight{30'000};
 
-    /// All references must outlive the task. @p unlistedFor is the time for which the host list must not show a silent node.
+    /// All references must outlive the task. @p isPlanner tells whether this node holds the planner's lease. @p unlistedFor is the time for which the host list
+    /// must not show a silent node.
     end_observer(const state::replicated_state &state,
                  const membership::member_table &members,
-                 const lease_keeper &leases,
+                 std::function<bool()> isPlanner,
                  entry_sink &sink,
                  base::milliseconds unlistedFor);
 
@@ -54,7 +55,7 @@
 
     const state::replicated_state &m_state;
     const membership::member_table &m_members;
-    const lease_keeper &m_leases;
+    std::function<bool()> m_isPlanner;
     entry_sink &m_sink;
     base::milliseconds m_unlistedFor;
     std::set<base::node_id> m_listed;
--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -99,7 +99,8 @@
     , m_leases(m_identity.id, m_identity.life, m_control.state(), m_control, m_control, leaseTimes(settings))
     , m_drivers(m_control.state(), m_leases, *platform.engines, m_control)
     , m_planner(m_control.state(), m_leases, m_control, m_demand, *platform.store)
-    , m_ends(m_control.state(), m_members, m_leases, m_control, settings.quarantine)
+    , m_ends(
+          m_control.state(), m_members, [this] { return m_leases.holds(state::plannerLease()); }, m_control, settings.quarantine)
 {
     m_leases.setOutstandingCheck([this] { return m_drivers.hasCommandsToLostEngines(); });
     m_hosts.addListener(*this);
