--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -20,8 +20,10 @@
 chervilbend_import_library(jsonrpc_common jsonrpccpp/common/exception.h jsonrpccpp-common)
 chervilbend_import_library(jsonrpc_server jsonrpccpp/server.h jsonrpccpp-server)
 chervilbend_import_library(jsonrpc_client jsonrpccpp/client.h jsonrpccpp-client)
-chervilbend_import_library(cppunit cppunit/TestCase.h cppunit)
-chervilbend_import_library(rapidcheck rapidcheck.h rapidcheck)
+if(CHERVILBEND_TESTS)
+    chervilbend_import_library(cppunit cppunit/TestCase.h cppunit)
+    chervilbend_import_library(rapidcheck rapidcheck.h rapidcheck)
+endif()
 target_include_directories(external::jsonrpc_common SYSTEM INTERFACE ${jsoncpp_INCLUDE}/jsoncpp)
 
 # Every target sees the same Asio and Beast configuration: their implementation is compiled once, in packages/net.
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -23,7 +23,7 @@
     endif()
 
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(tests)
+    if(tests AND CHERVILBEND_TESTS)
         add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
         target_link_libraries(test_${name} PRIVATE ${library} ${arg_TEST_DEPENDS} external::cppunit external::rapidcheck)
         target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR}/cmake)
--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -83,6 +83,53 @@
             }};
 }
 
+/// Shown as "none" when it is not set.
+node_setting optionalAddressSetting(std::string name, std::string help, std::string node_settings::*member)
+{
+    node_setting setting = addressSetting(std::move(name), std::move(help), member);
+    setting.defaultText = "none";
+    return setting;
+}
+
+node_setting fractionSetting(std::string name, std::string unit, double least, double most, std::string help, double node_settings::*member)
+{
+    const auto show = [](double value) {
+        std::array<char, 32> text{};
+        std::snprintf(text.data(), text.size(), "%g", value);
+        return std::string(text.data());
+    };
+    const std::string range = concat({show(least), " to ", show(most)});
+    const auto set = [member, least, most, range](node_settings &settings, std::string_view text) -> std::string {
+        double value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc{} || end != text.data() + text.size()) {
+            return concat({"\"", text, "\" is not a number"});
+        }
+        if (value < least || value > most) {
+            return outOfRange(std::string(text), range);
+        }
+        settings.*member = value;
+        return {};
+    };
+    return {std::move(name), std::move(unit), range, show(node_settings().*member), std::move(help), set, [member, show](const node_settings &settings) {
+                return show(settings.*member);
+            }};
+}
+
+node_setting flagSetting(std::string name, std::string help, bool node_settings::*member)
+{
+    const auto set = [member](node_settings &settings, std::string_view text) -> std::string {
+        if (text != "true" && text != "false") {
+            return concat({"\"", text, "\" is neither true nor false"});
+        }
+        settings.*member = text == "true";
+        return {};
+    };
+    return {std::move(name), "flag", "true, false", node_settings().*member ? "true" : "false", std::move(help), set, [member](const node_settings &settings) {
+                return std::string(settings.*member ? "true" : "false");
+            }};
+}
+
 node_setting levelSetting()
 {
     const auto set = [](node_settings &settings, std::string_view text) -> std::string {
@@ -209,6 +256,10 @@
         addressSetting("log", "The platform's log service", &s::log),
         addressSetting("hosts", "The platform's list of hosts", &s::hosts),
         addressSetting("store", "The platform's weight store", &s::store),
+        optionalAddressSetting("metadataStore",
+                               "The platform's metadata store; with it the node runs on that platform, and log, hosts, store and keys are not used",
+                               &s::metadataStore),
+        optionalAddressSetting("readyListen", "Where the platform asks whether the node is ready", &s::readyListen),
         keysSetting(),
         levelSetting(),
         durationSetting("leaseTerm", 2s, 60s, "A holder gives its leases up so long after its last heartbeat; at least twice heartbeatInterval", &s::leaseTerm),
@@ -232,6 +283,13 @@
         numberSetting("retryPercent", "% of requests", 0, 100, "Budget of retries", &s::retryPercent),
         numberSetting(
             "longWorkPercent", "% of slots", 1, 100, "Slots of an endpoint that long work may hold while short work is declared", &s::longWorkPercent),
+        durationSetting("drainTime", 100ms, 10min, "How long a leaving endpoint still takes requests after its registration says so", &s::drainTime),
+        durationSetting("commandGap", 0ms, 10min, "Least time between commands of two nodes to one engine", &s::commandGap),
+        flagSetting("enginesCheckFencing", "Whether engines refuse commands with a fencing token lower than one they have seen", &s::enginesCheckFencing),
+        fractionSetting("retryShare", "of a service's requests", 0, 1, "Second and further sends to a service's endpoints, over all nodes", &s::retryShare),
+        fractionSetting("retryBurst", "requests", 0, 1'000'000, "Second and further sends that are allowed besides, over all nodes", &s::retryBurst),
+        durationSetting("loadWindow", 100ms, 10min, "Time over which loads from the weight store are counted", &s::loadWindow),
+        fractionSetting("loadOvershoot", "of the store's rate", 0.1, 10, "Loads from the weight store that may begin in loadWindow", &s::loadOvershoot),
         numberSetting("seed", "number", 0, 1'000'000'000, "Seed of random choices, for tests; 0 takes one from the system", &s::seed),
     };
 }
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -20,6 +20,10 @@
     std::string log;
     std::string hosts;
     std::string store;
+    /// Of the platform's metadata store; not empty on the users' platform, where log, hosts, store and keys are not used.
+    std::string metadataStore;
+    /// Where the platform asks whether the node is ready; empty to answer on listen only.
+    std::string readyListen;
     /// One or two; the first signs, both are accepted.
     std::vector<std::string> keys;
     std::string logLevel = "INFO";
@@ -47,6 +51,13 @@
     std::int64_t retryPercent = 10;
     std::int64_t longWorkPercent = 45;
     std::int64_t seed = 0;
+    base::milliseconds drainTime{2'000};
+    base::milliseconds commandGap{3'000};
+    bool enginesCheckFencing = false;
+    double retryShare = 0.2;
+    double retryBurst = 50;
+    base::milliseconds loadWindow{5'000};
+    double loadOvershoot = 1.0;
 };
 
 } // namespace chervilbend::config
--- a/packages/config/src/chervilbend/config/node_settings_reader.cpp
+++ b/packages/config/src/chervilbend/config/node_settings_reader.cpp
@@ -32,6 +32,12 @@
     return found == table.end() ? nullptr : &*found;
 }
 
+/// Settings of services whose work the platform's metadata store does.
+bool isReplacedByMetadataStore(const std::string &name)
+{
+    return name == "log" || name == "hosts" || name == "store" || name == "keys";
+}
+
 /// A scalar, or the scalars of a list joined by commas. No value for anything else.
 std::optional<std::string> textOf(const yaml_node &value, bool listAllowed)
 {
@@ -68,7 +74,8 @@
         }
     }
     for (const node_setting &setting : nodeSettingTable()) {
-        if (setting.defaultText.empty() && !lines.contains(setting.name) && !overrides.contains(setting.name)) {
+        const bool isReplaced = !settings.metadataStore.empty() && isReplacedByMetadataStore(setting.name);
+        if (setting.defaultText.empty() && !isReplaced && !lines.contains(setting.name) && !overrides.contains(setting.name)) {
             m_faults.push_back({file, 0, setting.name, concat({"is missing: ", setting.help})});
         }
     }
--- a/packages/control/src/chervilbend/control/checkpoint_transfer.cpp
+++ b/packages/control/src/chervilbend/control/checkpoint_transfer.cpp
@@ -10,16 +10,16 @@
 namespace chervilbend::control
 {
 
-asio::awaitable<std::optional<state::checkpoint_collector::checkpoint>> readCheckpoint(platform::log_service &log, std::string stream)
+asio::awaitable<std::optional<state::checkpoint_collector::checkpoint>> readCheckpoint(external::log_service &log, std::string stream)
 {
     state::checkpoint_collector collector(std::move(stream));
     base::log_offset position;
     while (true) {
-        const std::optional<platform::log_page> page = co_await log.read(position, base::milliseconds(0));
+        const std::optional<external::log_page> page = co_await log.read(position, base::milliseconds(0));
         if (!page) {
             co_return std::nullopt;
         }
-        for (const platform::log_record &record : page->records) {
+        for (const external::log_record &record : page->records) {
             collector.add(record.payload);
             position = std::max(position, record.offset);
         }
@@ -29,13 +29,13 @@
     }
 }
 
-asio::awaitable<bool> writeCheckpoint(platform::log_service &log, std::string stream, const state::replicated_state &state, std::string checkpointId)
+asio::awaitable<bool> writeCheckpoint(external::log_service &log, std::string stream, const state::replicated_state &state, std::string checkpointId)
 {
     const std::vector<std::string> records = state::checkpointRecords(stream, state.folded(), state.dump(), checkpointId);
     for (const std::string &record : records) {
         // A chunk whose answer was lost is not sent again: the next checkpoint comes in a quarter of the retention time.
-        const platform::append_result result = co_await log.append(record);
-        if (result.status != platform::append_status::accepted) {
+        const external::append_result result = co_await log.append(record);
+        if (result.status != external::append_status::accepted) {
             co_return false;
         }
     }
--- a/packages/control/src/chervilbend/control/checkpoint_transfer.hpp
+++ b/packages/control/src/chervilbend/control/checkpoint_transfer.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 #include <chervilbend/state/checkpoint_collector.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
@@ -14,10 +14,10 @@
 
 /// Reads the checkpoint stream @p log and gives the newest complete checkpoint of @p stream. No value when there is none or the log is
 /// unavailable.
-boost::asio::awaitable<std::optional<state::checkpoint_collector::checkpoint>> readCheckpoint(platform::log_service &log, std::string stream);
+boost::asio::awaitable<std::optional<state::checkpoint_collector::checkpoint>> readCheckpoint(external::log_service &log, std::string stream);
 
 /// Appends a checkpoint of @p state to the checkpoint stream @p log. Returns whether all of its chunks were accepted; chunks of an
 /// unfinished one are passed over by readers. @p checkpointId must be unique, such as node, incarnation and offset.
-boost::asio::awaitable<bool> writeCheckpoint(platform::log_service &log, std::string stream, const state::replicated_state &state, std::string checkpointId);
+boost::asio::awaitable<bool> writeCheckpoint(external::log_service &log, std::string stream, const state::replicated_state &state, std::string checkpointId);
 
 } // namespace chervilbend::control
--- a/packages/control/src/chervilbend/control/command_ledger.cpp
+++ b/packages/control/src/chervilbend/control/command_ledger.cpp
@@ -14,16 +14,16 @@
     ++entry.unanswered;
 }
 
-void command_ledger::sent(const base::endpoint_id &endpoint, const base::item_id &item, platform::command_status status)
+void command_ledger::sent(const base::endpoint_id &endpoint, const base::item_id &item, external::command_status status)
 {
     const auto engine = m_loads.find(endpoint);
-    if (engine == m_loads.end() || !engine->second.contains(item) || status == platform::command_status::unknown) {
+    if (engine == m_loads.end() || !engine->second.contains(item) || status == external::command_status::unknown) {
         return;
     }
     load &entry = engine->second.at(item);
     entry.unansweredUntil = entry.unansweredBefore;
     --entry.unanswered;
-    if (status != platform::command_status::notSent) {
+    if (status != external::command_status::notSent) {
         entry.answeredUntil = base::clock::now() + answeredLife;
     }
 }
--- a/packages/control/src/chervilbend/control/command_ledger.hpp
+++ b/packages/control/src/chervilbend/control/command_ledger.hpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
-#include <chervilbend/platform/engine_command.hpp>
+#include <chervilbend/external/engine_command.hpp>
 
 #include <functional>
 #include <map>
@@ -23,7 +23,7 @@
 
     /// A load is about to be sent.
     void sending(const base::endpoint_id &endpoint, const base::item_id &item);
-    void sent(const base::endpoint_id &endpoint, const base::item_id &item, platform::command_status status);
+    void sent(const base::endpoint_id &endpoint, const base::item_id &item, external::command_status status);
     /// The engine's report shows the item as it was at @p moment. A single command sent before has arrived; of several, one may not have.
     void seen(const base::endpoint_id &endpoint, const base::item_id &item, base::time_point moment);
     /// The engine refuses all commands sent so far.
--- a/packages/control/src/chervilbend/control/end_observer.cpp
+++ b/packages/control/src/chervilbend/control/end_observer.cpp
@@ -62,12 +62,12 @@
     m_endedSince = std::move(endedSince);
 }
 
-void end_observer::hostsChanged(const std::vector<platform::host_entry> &hosts)
+void end_observer::hostsChanged(const std::vector<external::host_entry> &hosts)
 {
     m_knowsHosts = true;
     m_listed.clear();
-    for (const platform::host_entry &host : hosts) {
-        if (host.kind == platform::host_kind::node) {
+    for (const external::host_entry &host : hosts) {
+        if (host.kind == external::host_kind::node) {
             m_listed.insert(base::node_id(host.id));
         }
     }
--- a/packages/control/src/chervilbend/control/end_observer.hpp
+++ b/packages/control/src/chervilbend/control/end_observer.hpp
@@ -43,7 +43,7 @@
     /// Looks once per second until cancelled.
     boost::asio::awaitable<void> run();
     void observe();
-    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+    void hostsChanged(const std::vector<external::host_entry> &hosts) override;
 
 private:
     using node_life = std::pair<base::node_id, base::incarnation>;
--- a/packages/control/src/chervilbend/control/endpoint_driver.cpp
+++ b/packages/control/src/chervilbend/control/endpoint_driver.cpp
@@ -39,7 +39,7 @@
 endpoint_driver::endpoint_driver(base::endpoint_id endpoint,
                                  const state::replicated_state &state,
                                  lease_keeper &leases,
-                                 platform::engine_control &engines,
+                                 external::engine_control &engines,
                                  command_ledger &ledger,
                                  entry_sink &sink)
     : m_endpoint(endpoint)
@@ -91,10 +91,10 @@
         m_heldSince = base::clock::now();
     }
     if (view()->checksFencing && m_fencedWith != token) {
-        co_await sendCommand(*engine, platform::engine_action::fence, base::item_id(), base::byte_count(0));
+        co_await sendCommand(*engine, external::engine_action::fence, base::item_id(), base::byte_count(0));
     }
     const base::time_point asked = base::clock::now();
-    const std::optional<platform::engine_report> report = co_await m_engines.report(*engine);
+    const std::optional<external::engine_report> report = co_await m_engines.report(*engine);
     if (!report) {
         if (!std::exchange(m_unreachable, true)) {
             LOG4CXX_WARN(logger, "Engine " << m_endpoint << " does not report: " << m_engines.lastReason().text << '.');
@@ -106,7 +106,7 @@
         co_return;
     }
     const base::time_point moment = asked - report->lag;
-    for (const platform::resident_item &item : report->items) {
+    for (const external::resident_item &item : report->items) {
         m_ledger.seen(m_endpoint, item.item, moment);
     }
     const std::vector<endpoint_step> steps = m_reconciler.steps(*view(), *report, moment, m_heldSince);
@@ -115,7 +115,7 @@
     }
 }
 
-bool endpoint_driver::isFenced(const platform::engine_report &report)
+bool endpoint_driver::isFenced(const external::engine_report &report)
 {
     if (!view()->checksFencing) {
         return true;
@@ -154,12 +154,12 @@
     case endpoint_step::kind::sendLoad:
         // The fold may have moved on while earlier commands were sent.
         if (item && item->state != state::residency::dropping && token == m_leases.token(m_lease)) {
-            co_await sendCommand(engine, platform::engine_action::load, step.item, step.bytes);
+            co_await sendCommand(engine, external::engine_action::load, step.item, step.bytes);
         }
         break;
     case endpoint_step::kind::sendUnload:
         if (!item || item->state == state::residency::dropping) {
-            co_await sendCommand(engine, platform::engine_action::unload, step.item, step.bytes);
+            co_await sendCommand(engine, external::engine_action::unload, step.item, step.bytes);
         }
         break;
     case endpoint_step::kind::appendLoaded:
@@ -177,22 +177,22 @@
     }
 }
 
-boost::asio::awaitable<void> endpoint_driver::sendCommand(net::address engine, platform::engine_action action, base::item_id item, base::byte_count bytes)
+boost::asio::awaitable<void> endpoint_driver::sendCommand(net::address engine, external::engine_action action, base::item_id item, base::byte_count bytes)
 {
-    platform::engine_command command;
+    external::engine_command command;
     command.action = action;
     command.item = item;
     command.bytes = bytes;
     command.fencingToken = m_leases.token(m_lease);
-    const bool isLoad = action == platform::engine_action::load;
+    const bool isLoad = action == external::engine_action::load;
     if (isLoad) {
         m_ledger.sending(m_endpoint, item);
     }
-    const platform::command_status status = co_await m_engines.send(engine, command);
+    const external::command_status status = co_await m_engines.send(engine, command);
     if (isLoad) {
         m_ledger.sent(m_endpoint, item, status);
     }
-    if (status == platform::command_status::refused) {
+    if (status == external::command_status::refused) {
         LOG4CXX_WARN(logger, "Engine " << m_endpoint << " refused a command: " << m_engines.lastReason().text << '.');
     }
 }
--- a/packages/control/src/chervilbend/control/endpoint_driver.hpp
+++ b/packages/control/src/chervilbend/control/endpoint_driver.hpp
@@ -6,7 +6,7 @@
 #include <chervilbend/control/command_ledger.hpp>
 #include <chervilbend/control/internal/endpoint_reconciler.hpp>
 #include <chervilbend/net/address.hpp>
-#include <chervilbend/platform/engine_control.hpp>
+#include <chervilbend/external/engine_control.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -28,7 +28,7 @@
     endpoint_driver(base::endpoint_id endpoint,
                     const state::replicated_state &state,
                     lease_keeper &leases,
-                    platform::engine_control &engines,
+                    external::engine_control &engines,
                     command_ledger &ledger,
                     entry_sink &sink);
 
@@ -43,9 +43,9 @@
 private:
     bool mayCommand() const;
     /// Whether the engine obeys this owner's token only.
-    bool isFenced(const platform::engine_report &report);
+    bool isFenced(const external::engine_report &report);
     boost::asio::awaitable<void> carryOut(net::address engine, endpoint_step step);
-    boost::asio::awaitable<void> sendCommand(net::address engine, platform::engine_action action, base::item_id item, base::byte_count bytes);
+    boost::asio::awaitable<void> sendCommand(net::address engine, external::engine_action action, base::item_id item, base::byte_count bytes);
     const state::endpoint_view *view() const;
     /// The fold's entry for an item, nullptr when it does not count.
     const state::residency_view *resident(const base::item_id &item) const;
@@ -54,7 +54,7 @@
     base::lease_name m_lease;
     const state::replicated_state &m_state;
     lease_keeper &m_leases;
-    platform::engine_control &m_engines;
+    external::engine_control &m_engines;
     command_ledger &m_ledger;
     entry_sink &m_sink;
     endpoint_reconciler m_reconciler;
--- a/packages/control/src/chervilbend/control/endpoint_drivers.cpp
+++ b/packages/control/src/chervilbend/control/endpoint_drivers.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-endpoint_drivers::endpoint_drivers(const state::replicated_state &state, lease_keeper &leases, platform::engine_control &engines, entry_sink &sink)
+endpoint_drivers::endpoint_drivers(const state::replicated_state &state, lease_keeper &leases, external::engine_control &engines, entry_sink &sink)
     : m_state(state)
     , m_leases(leases)
     , m_engines(engines)
--- a/packages/control/src/chervilbend/control/endpoint_drivers.hpp
+++ b/packages/control/src/chervilbend/control/endpoint_drivers.hpp
@@ -3,7 +3,7 @@
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/control/command_ledger.hpp>
 #include <chervilbend/control/endpoint_driver.hpp>
-#include <chervilbend/platform/engine_control.hpp>
+#include <chervilbend/external/engine_control.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -22,7 +22,7 @@
 {
 public:
     /// All references must outlive the object, and the object its tasks.
-    endpoint_drivers(const state::replicated_state &state, lease_keeper &leases, platform::engine_control &engines, entry_sink &sink);
+    endpoint_drivers(const state::replicated_state &state, lease_keeper &leases, external::engine_control &engines, entry_sink &sink);
 
     /// Drives all owned endpoints, each in a task of its own, until cancelled.
     boost::asio::awaitable<void> run();
@@ -42,7 +42,7 @@
 
     const state::replicated_state &m_state;
     lease_keeper &m_leases;
-    platform::engine_control &m_engines;
+    external::engine_control &m_engines;
     entry_sink &m_sink;
     command_ledger m_ledger;
     std::map<base::endpoint_id, std::shared_ptr<slot>> m_slots;
--- a/packages/control/src/chervilbend/control/host_listener.hpp
+++ b/packages/control/src/chervilbend/control/host_listener.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chervilbend/platform/host_entry.hpp>
+#include <chervilbend/external/host_entry.hpp>
 
 #include <vector>
 
@@ -13,7 +13,7 @@
 public:
     virtual ~host_listener() = default;
 
-    virtual void hostsChanged(const std::vector<platform::host_entry> &hosts) = 0;
+    virtual void hostsChanged(const std::vector<external::host_entry> &hosts) = 0;
 };
 
 } // namespace chervilbend::control
--- a/packages/control/src/chervilbend/control/host_watcher.cpp
+++ b/packages/control/src/chervilbend/control/host_watcher.cpp
@@ -3,7 +3,7 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/net/sleep.hpp>
-#include <chervilbend/platform/host_list.hpp>
+#include <chervilbend/external/host_list.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -24,7 +24,7 @@
 
 } // namespace
 
-host_watcher::host_watcher(platform::host_list &source, base::milliseconds interval)
+host_watcher::host_watcher(external::host_list &source, base::milliseconds interval)
     : m_source(source)
     , m_interval(interval)
 {
@@ -42,7 +42,7 @@
 {
     bool reachable = true;
     while (true) {
-        std::optional<std::vector<platform::host_entry>> hosts = co_await m_source.fetch();
+        std::optional<std::vector<external::host_entry>> hosts = co_await m_source.fetch();
         if (hosts) {
             accept(std::move(*hosts));
         } else if (reachable) {
@@ -53,7 +53,7 @@
     }
 }
 
-void host_watcher::accept(std::vector<platform::host_entry> hosts)
+void host_watcher::accept(std::vector<external::host_entry> hosts)
 {
     std::sort(hosts.begin(), hosts.end(), [](const auto &left, const auto &right) { return left.id < right.id; });
     if (!isPlausible(hosts)) {
@@ -70,10 +70,10 @@
     }
 }
 
-bool host_watcher::isPlausible(const std::vector<platform::host_entry> &hosts)
+bool host_watcher::isPlausible(const std::vector<external::host_entry> &hosts)
 {
-    const auto isKept = [&hosts](const platform::host_entry &host) {
-        return std::any_of(hosts.begin(), hosts.end(), [&host](const platform::host_entry &other) { return other.id == host.id; });
+    const auto isKept = [&hosts](const external::host_entry &host) {
+        return std::any_of(hosts.begin(), hosts.end(), [&host](const external::host_entry &other) { return other.id == host.id; });
     };
     const auto kept = std::count_if(m_hosts.begin(), m_hosts.end(), isKept);
     if (static_cast<std::size_t>(kept) * 2 >= m_hosts.size()) {
--- a/packages/control/src/chervilbend/control/host_watcher.hpp
+++ b/packages/control/src/chervilbend/control/host_watcher.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
-#include <chervilbend/platform/host_entry.hpp>
+#include <chervilbend/external/host_entry.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 class host_list;
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
 
 namespace chervilbend::control
 {
@@ -25,7 +25,7 @@
 {
 public:
     /// All references must outlive the task.
-    host_watcher(platform::host_list &source, base::milliseconds interval);
+    host_watcher(external::host_list &source, base::milliseconds interval);
 
     /// Commands.
 
@@ -33,11 +33,11 @@
     /// The polling task; ends only by cancellation.
     boost::asio::awaitable<void> run();
     /// Takes one list as read; the task calls it, tests may.
-    void accept(std::vector<platform::host_entry> hosts);
+    void accept(std::vector<external::host_entry> hosts);
 
     /// Queries.
 
-    const std::vector<platform::host_entry> &hosts() const
+    const std::vector<external::host_entry> &hosts() const
     {
         return m_hosts;
     }
@@ -49,13 +49,13 @@
     }
 
 private:
-    bool isPlausible(const std::vector<platform::host_entry> &hosts);
+    bool isPlausible(const std::vector<external::host_entry> &hosts);
 
-    platform::host_list &m_source;
+    external::host_list &m_source;
     base::milliseconds m_interval;
     std::vector<host_listener *> m_listeners;
-    std::vector<platform::host_entry> m_hosts;
-    std::vector<platform::host_entry> m_doubted;
+    std::vector<external::host_entry> m_hosts;
+    std::vector<external::host_entry> m_doubted;
     int m_timesDoubted = 0;
     bool m_known = false;
 };
--- a/packages/control/src/chervilbend/control/internal/endpoint_reconciler.cpp
+++ b/packages/control/src/chervilbend/control/internal/endpoint_reconciler.cpp
@@ -22,7 +22,7 @@
 }
 
 std::vector<endpoint_step>
-    endpoint_reconciler::steps(const state::endpoint_view &view, const platform::engine_report &report, base::time_point moment, base::time_point heldSince)
+    endpoint_reconciler::steps(const state::endpoint_view &view, const external::engine_report &report, base::time_point moment, base::time_point heldSince)
 {
     const base::time_point now = base::clock::now();
     m_steps.clear();
@@ -30,7 +30,7 @@
     m_moment = moment;
     m_heldSince = heldSince;
     m_freeInEngine = view.memory;
-    for (const platform::resident_item &item : report.items) {
+    for (const external::resident_item &item : report.items) {
         m_reported[item.item] = item;
         m_freeInEngine -= item.bytes;
     }
--- a/packages/control/src/chervilbend/control/internal/endpoint_reconciler.hpp
+++ b/packages/control/src/chervilbend/control/internal/endpoint_reconciler.hpp
@@ -4,8 +4,8 @@
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/base/units.hpp>
 #include <chervilbend/control/command_ledger.hpp>
-#include <chervilbend/platform/engine_command.hpp>
-#include <chervilbend/platform/engine_report.hpp>
+#include <chervilbend/external/engine_command.hpp>
+#include <chervilbend/external/engine_report.hpp>
 #include <chervilbend/state/views.hpp>
 
 #include <map>
@@ -44,7 +44,7 @@
     /// The steps to take now, in this order. @p moment is the earliest time that the report may describe. @p heldSince is when this node
     /// became the owner.
     std::vector<endpoint_step>
-        steps(const state::endpoint_view &view, const platform::engine_report &report, base::time_point moment, base::time_point heldSince);
+        steps(const state::endpoint_view &view, const external::engine_report &report, base::time_point moment, base::time_point heldSince);
 
 private:
     /// What is known of an item in its current state.
@@ -70,7 +70,7 @@
     std::map<base::item_id, memory> m_memory;
 
     /// Of the call under way.
-    std::map<base::item_id, platform::resident_item> m_reported;
+    std::map<base::item_id, external::resident_item> m_reported;
     base::time_point m_moment;
     base::time_point m_heldSince;
     base::byte_count m_freeInEngine;
--- a/packages/control/src/chervilbend/control/internal/log_order_gateway_implementation.cpp
+++ b/packages/control/src/chervilbend/control/internal/log_order_gateway_implementation.cpp
@@ -58,7 +58,7 @@
 
 bool wasRefused(const append_answer &answer)
 {
-    return answer && answer->status == platform::append_status::refused;
+    return answer && answer->status == external::append_status::refused;
 }
 
 order_answer replay(const state::claim_view &claim)
@@ -266,8 +266,8 @@
     while (self->ownsClaim(*attempt) && base::clock::now() < giveUp) {
         std::vector<state::entry> entries;
         entries.emplace_back(state::outcome_entry{attempt->keyHash, attempt->claimId, answer.state, answer.httpStatus, answer.contentType, answer.body});
-        const platform::append_result appended = co_await self->m_appender.append(std::move(entries));
-        if (appended.status == platform::append_status::accepted) {
+        const external::append_result appended = co_await self->m_appender.append(std::move(entries));
+        if (appended.status == external::append_status::accepted) {
             break;
         }
         co_await net::sleepFor(pause);
@@ -316,8 +316,8 @@
     std::vector<state::entry> entries;
     entries.emplace_back(claimOf(*attempt, claimId, m_follower.state().claimBase(attempt->keyHash)));
     entries.emplace_back(state::outcome_entry{attempt->keyHash, claimId, run_state::notRun, 0, "", ""});
-    const platform::append_result appended = co_await m_appender.append(std::move(entries));
-    const bool isFolded = appended.status == platform::append_status::accepted && co_await m_follower.foldedBeyond(appended.offset, attempt->order.deadline);
+    const external::append_result appended = co_await m_appender.append(std::move(entries));
+    const bool isFolded = appended.status == external::append_status::accepted && co_await m_follower.foldedBeyond(appended.offset, attempt->order.deadline);
     if (isFolded && !claim(*attempt) && m_follower.state().claimBase(attempt->keyHash) == appended.offset) {
         co_return without(run_state::notRun, error_kind::orderNotDispatched, "an earlier attempt with this key was not dispatched");
     }
--- a/packages/control/src/chervilbend/control/internal/order_attempt.hpp
+++ b/packages/control/src/chervilbend/control/internal/order_attempt.hpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/control/order_answer.hpp>
 #include <chervilbend/control/order_request.hpp>
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 
 #include <memory>
 #include <optional>
@@ -12,7 +12,7 @@
 {
 
 /// The answer to an append, once it has come.
-using append_answer = std::optional<platform::append_result>;
+using append_answer = std::optional<external::append_result>;
 
 /// One call of the gateway.
 struct order_attempt {
--- a/packages/control/src/chervilbend/control/log_appender.cpp
+++ b/packages/control/src/chervilbend/control/log_appender.cpp
@@ -13,7 +13,7 @@
 namespace chervilbend::control
 {
 
-log_appender::log_appender(asio::any_io_executor executor, platform::log_service &log)
+log_appender::log_appender(asio::any_io_executor executor, external::log_service &log)
     : m_executor(std::move(executor))
     , m_log(log)
 {
@@ -24,10 +24,10 @@
     return m_waiting;
 }
 
-asio::awaitable<platform::append_result> log_appender::append(std::vector<state::entry> entries)
+asio::awaitable<external::append_result> log_appender::append(std::vector<state::entry> entries)
 {
     if (m_waiting + entries.size() > mostWaiting) {
-        co_return platform::append_result{platform::append_status::refused, {}};
+        co_return external::append_result{external::append_status::refused, {}};
     }
     const auto mine = std::make_shared<request>();
     mine->entries = std::move(entries);
@@ -63,7 +63,7 @@
         for (const auto &each : batch) {
             entries.insert(entries.end(), std::make_move_iterator(each->entries.begin()), std::make_move_iterator(each->entries.end()));
         }
-        const platform::append_result result = co_await m_log.append(state::encodeRecord(entries));
+        const external::append_result result = co_await m_log.append(state::encodeRecord(entries));
         m_waiting -= entries.size();
         for (const auto &each : batch) {
             each->result = result;
--- a/packages/control/src/chervilbend/control/log_appender.hpp
+++ b/packages/control/src/chervilbend/control/log_appender.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <chervilbend/control/change_signal.hpp>
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 #include <chervilbend/state/entries.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -22,11 +22,11 @@
 class log_appender
 {
 public:
-    log_appender(boost::asio::any_io_executor executor, platform::log_service &log);
+    log_appender(boost::asio::any_io_executor executor, external::log_service &log);
 
     /// Appends @p entries in one record, perhaps with others. The status is that of the record: "refused" when it certainly is not and
     /// will not be in the log, also when too many entries wait.
-    boost::asio::awaitable<platform::append_result> append(std::vector<state::entry> entries);
+    boost::asio::awaitable<external::append_result> append(std::vector<state::entry> entries);
 
     /// Entries that wait for their append or its answer.
     std::size_t waiting() const;
@@ -34,7 +34,7 @@
 private:
     struct request {
         std::vector<state::entry> entries;
-        platform::append_result result;
+        external::append_result result;
         bool done = false;
     };
 
@@ -46,7 +46,7 @@
     std::vector<std::shared_ptr<request>> nextBatch();
 
     boost::asio::any_io_executor m_executor;
-    platform::log_service &m_log;
+    external::log_service &m_log;
     std::deque<std::shared_ptr<request>> m_queue;
     std::size_t m_waiting = 0;
     bool m_draining = false;
--- a/packages/control/src/chervilbend/control/log_entry_sink.cpp
+++ b/packages/control/src/chervilbend/control/log_entry_sink.cpp
@@ -32,8 +32,8 @@
 
 boost::asio::awaitable<bool> log_entry_sink::appendAndFold(std::vector<state::entry> entries, base::time_point deadline)
 {
-    const platform::append_result result = co_await m_appender.append(std::move(entries));
-    if (result.status != platform::append_status::accepted) {
+    const external::append_result result = co_await m_appender.append(std::move(entries));
+    if (result.status != external::append_status::accepted) {
         co_return false;
     }
     co_return co_await m_follower.foldedBeyond(result.offset, deadline);
--- a/packages/control/src/chervilbend/control/log_follower.cpp
+++ b/packages/control/src/chervilbend/control/log_follower.cpp
@@ -31,10 +31,10 @@
 } // namespace
 
 log_follower::log_follower(asio::any_io_executor executor,
-                           platform::log_service &log,
+                           external::log_service &log,
                            state::replicated_state &state,
                            log_follower_options options,
-                           platform::log_service *checkpoints)
+                           external::log_service *checkpoints)
     : m_executor(std::move(executor))
     , m_log(log)
     , m_state(state)
@@ -136,7 +136,7 @@
     const base::log_offset asked = m_state.folded();
     // The first read, and the first one after an outage, shall tell at once whether the log answers.
     const base::milliseconds wait = m_reachable ? m_options.longestWait : base::milliseconds(0);
-    const std::optional<platform::log_page> page = co_await m_log.read(asked, wait);
+    const std::optional<external::log_page> page = co_await m_log.read(asked, wait);
     if (!page) {
         co_return false;
     }
@@ -149,7 +149,7 @@
         }
         co_return page->firstRetained <= m_state.folded() + base::log_offset(1);
     }
-    for (const platform::log_record &record : page->records) {
+    for (const external::log_record &record : page->records) {
         m_state.fold(record.offset, record.payload);
         if (m_options.onRecord) {
             m_options.onRecord(record.payload);
--- a/packages/control/src/chervilbend/control/log_follower.hpp
+++ b/packages/control/src/chervilbend/control/log_follower.hpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/control/change_signal.hpp>
 #include <chervilbend/control/log_follower_options.hpp>
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -19,10 +19,10 @@
 public:
     /// @p checkpoints is the checkpoint stream, nullptr for a stream without checkpoints.
     log_follower(boost::asio::any_io_executor executor,
-                 platform::log_service &log,
+                 external::log_service &log,
                  state::replicated_state &state,
                  log_follower_options options = {},
-                 platform::log_service *checkpoints = nullptr);
+                 external::log_service *checkpoints = nullptr);
 
     /// Commands.
 
@@ -58,10 +58,10 @@
     void setReachable(bool reachable);
 
     boost::asio::any_io_executor m_executor;
-    platform::log_service &m_log;
+    external::log_service &m_log;
     state::replicated_state &m_state;
     log_follower_options m_options;
-    platform::log_service *m_checkpoints;
+    external::log_service *m_checkpoints;
     change_signal m_changed;
     bool m_stopped = false;
     bool m_reachable = false;
--- a/packages/control/src/chervilbend/control/log_stream.cpp
+++ b/packages/control/src/chervilbend/control/log_stream.cpp
@@ -11,9 +11,9 @@
 {
 
 log_stream::log_stream(const asio::any_io_executor &executor,
-                       platform::log_service &log,
+                       external::log_service &log,
                        const log_follower_options &options,
-                       platform::log_service *checkpoints)
+                       external::log_service *checkpoints)
     : m_executor(executor)
     , m_appender(executor, log)
     , m_follower(executor, log, m_state, options, checkpoints)
@@ -34,8 +34,8 @@
 
 asio::awaitable<bool> log_stream::appendAndFold(std::vector<state::entry> entries, base::time_point deadline)
 {
-    const platform::append_result result = co_await m_appender.append(std::move(entries));
-    if (result.status != platform::append_status::accepted) {
+    const external::append_result result = co_await m_appender.append(std::move(entries));
+    if (result.status != external::append_status::accepted) {
         co_return false;
     }
     co_return co_await m_follower.foldedBeyond(result.offset, deadline);
--- a/packages/control/src/chervilbend/control/log_stream.hpp
+++ b/packages/control/src/chervilbend/control/log_stream.hpp
@@ -11,10 +11,10 @@
 
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 class log_service;
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
 
 namespace chervilbend::control
 {
@@ -25,9 +25,9 @@
 public:
     /// @p log and @p checkpoints must outlive the stream, and the stream the io_context's run. @p checkpoints may be nullptr.
     log_stream(const boost::asio::any_io_executor &executor,
-               platform::log_service &log,
+               external::log_service &log,
                const log_follower_options &options,
-               platform::log_service *checkpoints);
+               external::log_service *checkpoints);
 
     /// Commands.
 
--- a/packages/control/src/chervilbend/control/planner_task.cpp
+++ b/packages/control/src/chervilbend/control/planner_task.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 planner_task::planner_task(
-    const state::replicated_state &state, lease_keeper &leases, entry_sink &sink, const membership::demand_tree &demand, platform::weight_store &store)
+    const state::replicated_state &state, lease_keeper &leases, entry_sink &sink, const membership::demand_tree &demand, external::weight_store &store)
     : m_state(state)
     , m_leases(leases)
     , m_sink(sink)
@@ -48,15 +48,15 @@
 {
 }
 
-void planner_task::hostsChanged(const std::vector<platform::host_entry> &hosts)
+void planner_task::hostsChanged(const std::vector<external::host_entry> &hosts)
 {
     m_knowsHosts = true;
     m_engines.clear();
     m_nodes.clear();
-    for (const platform::host_entry &host : hosts) {
-        if (host.kind == platform::host_kind::modelEngine) {
+    for (const external::host_entry &host : hosts) {
+        if (host.kind == external::host_kind::modelEngine) {
             m_engines.emplace(base::endpoint_id(host.id), host);
-        } else if (host.kind == platform::host_kind::node) {
+        } else if (host.kind == external::host_kind::node) {
             m_nodes.insert(base::node_id(host.id));
         }
     }
@@ -75,7 +75,7 @@
     if (!m_leases.holds(state::plannerLease()) || !m_knowsHosts) {
         co_return;
     }
-    std::optional<platform::weight_store_status> store = co_await m_store.status();
+    std::optional<external::weight_store_status> store = co_await m_store.status();
     // The answer may have taken long; the lease may have ended meanwhile.
     if (!m_leases.holds(state::plannerLease())) {
         co_return;
@@ -139,7 +139,7 @@
     std::erase_if(m_nodeMissingSince, [&](const auto &entry) { return m_nodes.contains(entry.first) || !former.contains(entry.first); });
 }
 
-void planner_task::addPlan(std::vector<state::entry> &entries, const std::optional<platform::weight_store_status> &store)
+void planner_task::addPlan(std::vector<state::entry> &entries, const std::optional<external::weight_store_status> &store)
 {
     placement::planner_input input{m_state.services(), m_state.endpoints(), {}, m_demand.sum(), {}, m_leases.token(state::plannerLease())};
     for (const auto &[id, host] : m_engines) {
--- a/packages/control/src/chervilbend/control/planner_task.hpp
+++ b/packages/control/src/chervilbend/control/planner_task.hpp
@@ -5,7 +5,7 @@
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/membership/demand_tree.hpp>
 #include <chervilbend/placement/placement_planner.hpp>
-#include <chervilbend/platform/weight_store.hpp>
+#include <chervilbend/external/weight_store.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -27,7 +27,7 @@
 public:
     /// All references must outlive the task.
     planner_task(
-        const state::replicated_state &state, lease_keeper &leases, entry_sink &sink, const membership::demand_tree &demand, platform::weight_store &store);
+        const state::replicated_state &state, lease_keeper &leases, entry_sink &sink, const membership::demand_tree &demand, external::weight_store &store);
 
     /// Commands.
 
@@ -37,23 +37,23 @@
     /// One pass. Waits until the fold has the entries that it appends.
     boost::asio::awaitable<void> planOnce();
 
-    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+    void hostsChanged(const std::vector<external::host_entry> &hosts) override;
 
 private:
     /// Entries for engines that the host list shows anew, changed or no longer.
     std::vector<state::entry> endpointChanges();
     /// Entries for former owners of engines that do not check fencing tokens, when the host list has long not shown them.
     void addEndedNodes(std::vector<state::entry> &entries);
-    void addPlan(std::vector<state::entry> &entries, const std::optional<platform::weight_store_status> &store);
+    void addPlan(std::vector<state::entry> &entries, const std::optional<external::weight_store_status> &store);
 
     const state::replicated_state &m_state;
     lease_keeper &m_leases;
     entry_sink &m_sink;
     const membership::demand_tree &m_demand;
-    platform::weight_store &m_store;
+    external::weight_store &m_store;
     placement::placement_planner m_planner;
     bool m_knowsHosts = false;
-    std::map<base::endpoint_id, platform::host_entry> m_engines;
+    std::map<base::endpoint_id, external::host_entry> m_engines;
     std::set<base::node_id> m_nodes;
     std::map<base::node_id, base::time_point> m_nodeMissingSince;
     /// Since when the host list has not shown an endpoint of the fold.
--- a/packages/control/src/chervilbend/control/report_listener.hpp
+++ b/packages/control/src/chervilbend/control/report_listener.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/ids.hpp>
-#include <chervilbend/platform/engine_report.hpp>
+#include <chervilbend/external/engine_report.hpp>
 
 namespace chervilbend::control
 {
@@ -12,7 +12,7 @@
 public:
     virtual ~report_listener() = default;
 
-    virtual void reportArrived(const base::endpoint_id &endpoint, const platform::engine_report &report) = 0;
+    virtual void reportArrived(const base::endpoint_id &endpoint, const external::engine_report &report) = 0;
 
     /// The engine did not answer @p times polls in a row, 1 or more.
     virtual void reportMissed(const base::endpoint_id &endpoint, int times) = 0;
--- a/packages/control/src/chervilbend/control/report_poller.cpp
+++ b/packages/control/src/chervilbend/control/report_poller.cpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/control/report_listener.hpp>
 #include <chervilbend/net/sleep.hpp>
-#include <chervilbend/platform/engine_control.hpp>
+#include <chervilbend/external/engine_control.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,7 +15,7 @@
 namespace chervilbend::control
 {
 
-report_poller::report_poller(const asio::any_io_executor &executor, platform::engine_control &engines, base::milliseconds interval)
+report_poller::report_poller(const asio::any_io_executor &executor, external::engine_control &engines, base::milliseconds interval)
     : m_executor(executor)
     , m_engines(engines)
     , m_interval(interval)
@@ -39,11 +39,11 @@
     m_filter = std::move(wanted);
 }
 
-void report_poller::hostsChanged(const std::vector<platform::host_entry> &hosts)
+void report_poller::hostsChanged(const std::vector<external::host_entry> &hosts)
 {
     std::map<base::endpoint_id, std::shared_ptr<target>> kept;
-    for (const platform::host_entry &host : hosts) {
-        if (host.kind != platform::host_kind::modelEngine || (m_filter && !m_filter(host))) {
+    for (const external::host_entry &host : hosts) {
+        if (host.kind != external::host_kind::modelEngine || (m_filter && !m_filter(host))) {
             continue;
         }
         const base::endpoint_id endpoint(host.id);
@@ -66,7 +66,7 @@
 {
     int missed = 0;
     while (engine->wanted) {
-        const std::optional<platform::engine_report> report = co_await m_engines.report(engine->where);
+        const std::optional<external::engine_report> report = co_await m_engines.report(engine->where);
         if (!engine->wanted) {
             break;
         }
--- a/packages/control/src/chervilbend/control/report_poller.hpp
+++ b/packages/control/src/chervilbend/control/report_poller.hpp
@@ -13,10 +13,10 @@
 #include <memory>
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 class engine_control;
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
 
 namespace chervilbend::control
 {
@@ -27,16 +27,16 @@
 class report_poller : public host_listener
 {
 public:
-    using filter = std::function<bool(const platform::host_entry &)>;
+    using filter = std::function<bool(const external::host_entry &)>;
 
     /// All references must outlive the tasks. An empty filter lets all engines through.
-    report_poller(const boost::asio::any_io_executor &executor, platform::engine_control &engines, base::milliseconds interval);
+    report_poller(const boost::asio::any_io_executor &executor, external::engine_control &engines, base::milliseconds interval);
     ~report_poller() override;
 
     /// A listener must outlive the tasks.
     void addListener(report_listener &listener);
     void setFilter(filter wanted);
-    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+    void hostsChanged(const std::vector<external::host_entry> &hosts) override;
 
 private:
     struct target {
@@ -47,7 +47,7 @@
     boost::asio::awaitable<void> poll(base::endpoint_id endpoint, std::shared_ptr<target> engine);
 
     boost::asio::any_io_executor m_executor;
-    platform::engine_control &m_engines;
+    external::engine_control &m_engines;
     std::vector<report_listener *> m_listeners;
     base::milliseconds m_interval;
     filter m_filter;
--- a/packages/control/tests/control_cluster.hpp
+++ b/packages/control/tests/control_cluster.hpp
@@ -126,9 +126,9 @@
     /// A host with an engine of 100 bytes.
     void addEngine(int index, int zone, bool checksFencing)
     {
-        chervilbend::platform::host_entry host;
+        chervilbend::external::host_entry host;
         host.id = nameOf('e', index);
-        host.kind = chervilbend::platform::host_kind::modelEngine;
+        host.kind = chervilbend::external::host_kind::modelEngine;
         host.where = {"127.0.0.1", static_cast<std::uint16_t>(1'000 + index)};
         host.zone = chervilbend::base::zone_id(nameOf('z', zone));
         host.memory = chervilbend::base::byte_count(100);
@@ -151,9 +151,9 @@
 
     void tellHosts()
     {
-        std::vector<chervilbend::platform::host_entry> listed = hosts;
+        std::vector<chervilbend::external::host_entry> listed = hosts;
         for (int i = 0; i < static_cast<int>(nodes.size()); ++i) {
-            chervilbend::platform::host_entry host;
+            chervilbend::external::host_entry host;
             host.id = nameOf('n', i);
             listed.push_back(host);
         }
@@ -257,7 +257,7 @@
 
     chervilbend::base::manual_time_source time;
     std::shared_ptr<chervilbend::fakes::log_store> store;
-    std::vector<chervilbend::platform::host_entry> hosts;
+    std::vector<chervilbend::external::host_entry> hosts;
     std::vector<std::shared_ptr<chervilbend::fakes::engine_model>> engines;
     std::vector<std::unique_ptr<control_node>> nodes;
     std::vector<std::int64_t> lives;
--- a/packages/control/tests/end_observer_test.cpp
+++ b/packages/control/tests/end_observer_test.cpp
@@ -81,9 +81,9 @@
         return !log.state.quarantined().empty();
     }
 
-    static platform::host_entry listed(const char *id)
+    static external::host_entry listed(const char *id)
     {
-        platform::host_entry host;
+        external::host_entry host;
         host.id = id;
         return host;
     }
--- a/packages/control/tests/host_watcher_test.cpp
+++ b/packages/control/tests/host_watcher_test.cpp
@@ -1,6 +1,6 @@
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/control/host_watcher.hpp>
-#include <chervilbend/platform/host_list.hpp>
+#include <chervilbend/external/host_list.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,10 +11,10 @@
 namespace
 {
 
-class unused_host_list : public platform::host_list
+class unused_host_list : public external::host_list
 {
 public:
-    boost::asio::awaitable<std::optional<std::vector<platform::host_entry>>> fetch() override
+    boost::asio::awaitable<std::optional<std::vector<external::host_entry>>> fetch() override
     {
         co_return std::nullopt;
     }
@@ -23,7 +23,7 @@
 class counting_listener : public control::host_listener
 {
 public:
-    void hostsChanged(const std::vector<platform::host_entry> &hosts) override
+    void hostsChanged(const std::vector<external::host_entry> &hosts) override
     {
         ++changes;
         size = hosts.size();
@@ -33,11 +33,11 @@
     std::size_t size = 0;
 };
 
-std::vector<platform::host_entry> hostsNamed(const std::string &ids)
+std::vector<external::host_entry> hostsNamed(const std::string &ids)
 {
-    std::vector<platform::host_entry> hosts;
+    std::vector<external::host_entry> hosts;
     for (const char id : ids) {
-        platform::host_entry host;
+        external::host_entry host;
         host.id = id;
         hosts.push_back(host);
     }
--- a/packages/control/tests/log_follower_test.cpp
+++ b/packages/control/tests/log_follower_test.cpp
@@ -45,15 +45,15 @@
         return state::heartbeat_entry{base::node_id("node" + std::to_string(node)), base::incarnation(1), {}, false, base::clock::wallNow()};
     }
 
-    std::shared_ptr<std::optional<platform::append_result>> append(int node)
+    std::shared_ptr<std::optional<external::append_result>> append(int node)
     {
-        auto result = std::make_shared<std::optional<platform::append_result>>();
+        auto result = std::make_shared<std::optional<external::append_result>>();
         boost::asio::co_spawn(context, appendTo(appender, {heartbeat(node)}, result), boost::asio::detached);
         return result;
     }
 
     static boost::asio::awaitable<void>
-        appendTo(log_appender &to, std::vector<state::entry> entries, std::shared_ptr<std::optional<platform::append_result>> result)
+        appendTo(log_appender &to, std::vector<state::entry> entries, std::shared_ptr<std::optional<external::append_result>> result)
     {
         *result = co_await to.append(std::move(entries));
     }
@@ -119,7 +119,7 @@
         node.follower.start();
         const auto result = node.append(1);
         node.time.advance(milliseconds(5'000));
-        CPPUNIT_ASSERT(*result && (*result)->status == platform::append_status::unknown);
+        CPPUNIT_ASSERT(*result && (*result)->status == external::append_status::unknown);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), node.store->appendCount());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), node.state.heartbeats().size());
     }
@@ -135,7 +135,7 @@
         }
         const auto result = node.append(1'000);
         node.time.advance(milliseconds(100));
-        CPPUNIT_ASSERT(*result && (*result)->status == platform::append_status::refused);
+        CPPUNIT_ASSERT(*result && (*result)->status == external::append_status::refused);
     }
 
     void followerSurvivesAnOutage()
--- a/packages/platform/src/chervilbend/platform/engine_command.hpp
+++ b/packages/external/src/chervilbend/external/engine_command.hpp
@@ -3,7 +3,7 @@
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/base/units.hpp>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 enum class engine_action {
@@ -33,4 +33,4 @@
     unknown,
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/engine_control.hpp
+++ b/packages/external/src/chervilbend/external/engine_control.hpp
@@ -2,14 +2,14 @@
 
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/net/address.hpp>
-#include <chervilbend/platform/engine_command.hpp>
-#include <chervilbend/platform/engine_report.hpp>
+#include <chervilbend/external/engine_command.hpp>
+#include <chervilbend/external/engine_report.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// Commands to model engines and their reports.
@@ -23,4 +23,4 @@
     virtual boost::asio::awaitable<std::optional<engine_report>> report(net::address engine) = 0;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/engine_report.hpp
+++ b/packages/external/src/chervilbend/external/engine_report.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// An item in an engine's memory.
@@ -30,4 +30,4 @@
     base::milliseconds lag{0};
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/host_entry.hpp
+++ b/packages/external/src/chervilbend/external/host_entry.hpp
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 enum class host_kind {
@@ -35,4 +35,4 @@
     friend bool operator==(const host_entry &, const host_entry &) = default;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/host_list.hpp
+++ b/packages/external/src/chervilbend/external/host_list.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <chervilbend/base/reason_holder.hpp>
-#include <chervilbend/platform/host_entry.hpp>
+#include <chervilbend/external/host_entry.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The platform's list of live and leaving hosts. It lags.
@@ -20,4 +20,4 @@
     virtual boost::asio::awaitable<std::optional<std::vector<host_entry>>> fetch() = 0;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/engine_command_json.cpp
+++ b/packages/external/src/chervilbend/external/http/engine_command_json.cpp
@@ -1,6 +1,6 @@
-#include <chervilbend/platform/http/engine_command_json.hpp>
+#include <chervilbend/external/http/engine_command_json.hpp>
 
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <array>
 #include <cstdint>
@@ -10,7 +10,7 @@
 
 namespace json = boost::json;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -56,4 +56,4 @@
     return std::nullopt;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/engine_command_json.hpp
+++ b/packages/external/src/chervilbend/external/http/engine_command_json.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <chervilbend/platform/engine_command.hpp>
+#include <chervilbend/external/engine_command.hpp>
 
 #include <boost/json/object.hpp>
 
 #include <optional>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The wire form of a command to an engine; docs/wire.md describes it.
@@ -15,4 +15,4 @@
 /// Reads the wire form. No value when a field is missing or malformed.
 std::optional<engine_command> engineCommandFromJson(const boost::json::object &json);
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/engine_report_json.cpp
+++ b/packages/external/src/chervilbend/external/http/engine_report_json.cpp
@@ -1,6 +1,6 @@
-#include <chervilbend/platform/http/engine_report_json.hpp>
+#include <chervilbend/external/http/engine_report_json.hpp>
 
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <boost/json/array.hpp>
 
@@ -10,7 +10,7 @@
 
 namespace json = boost::json;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -77,4 +77,4 @@
     return report;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/engine_report_json.hpp
+++ b/packages/external/src/chervilbend/external/http/engine_report_json.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <chervilbend/platform/engine_report.hpp>
+#include <chervilbend/external/engine_report.hpp>
 
 #include <boost/json/object.hpp>
 
 #include <optional>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The wire form of an engine's report; docs/wire.md describes it.
@@ -15,4 +15,4 @@
 /// Reads the wire form. No value when a field is missing or malformed.
 std::optional<engine_report> engineReportFromJson(const boost::json::object &json);
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/host_entry_json.cpp
+++ b/packages/external/src/chervilbend/external/http/host_entry_json.cpp
@@ -1,6 +1,6 @@
-#include <chervilbend/platform/http/host_entry_json.hpp>
+#include <chervilbend/external/http/host_entry_json.hpp>
 
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <algorithm>
 #include <array>
@@ -10,7 +10,7 @@
 
 namespace json = boost::json;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -100,4 +100,4 @@
     return host;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/host_entry_json.hpp
+++ b/packages/external/src/chervilbend/external/http/host_entry_json.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <chervilbend/platform/host_entry.hpp>
+#include <chervilbend/external/host_entry.hpp>
 
 #include <boost/json/object.hpp>
 
 #include <optional>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The wire form of a line of the host list; docs/wire.md describes it.
@@ -15,4 +15,4 @@
 /// Reads the wire form. No value when a field is missing or malformed.
 std::optional<host_entry> hostEntryFromJson(const boost::json::object &json);
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_adapter_options.hpp
+++ b/packages/external/src/chervilbend/external/http/http_adapter_options.hpp
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// How long an adapter waits for a service of the platform, and how much it reads.
@@ -16,4 +16,4 @@
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_engine_control.cpp
+++ b/packages/external/src/chervilbend/external/http/http_engine_control.cpp
@@ -1,8 +1,8 @@
-#include <chervilbend/platform/http/http_engine_control.hpp>
+#include <chervilbend/external/http/http_engine_control.hpp>
 
-#include <chervilbend/platform/http/engine_command_json.hpp>
-#include <chervilbend/platform/http/engine_report_json.hpp>
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/engine_command_json.hpp>
+#include <chervilbend/external/http/engine_report_json.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <boost/json/serialize.hpp>
 
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -62,4 +62,4 @@
     co_return report;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_engine_control.hpp
+++ b/packages/external/src/chervilbend/external/http/http_engine_control.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <chervilbend/platform/engine_control.hpp>
-#include <chervilbend/platform/http/internal/json_client.hpp>
+#include <chervilbend/external/engine_control.hpp>
+#include <chervilbend/external/http/internal/json_client.hpp>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// Commands to engines and their reports over HTTP. docs/wire.md describes the wire form.
@@ -20,4 +20,4 @@
     json_client m_client;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_host_list.cpp
+++ b/packages/external/src/chervilbend/external/http/http_host_list.cpp
@@ -1,8 +1,8 @@
-#include <chervilbend/platform/http/http_host_list.hpp>
+#include <chervilbend/external/http/http_host_list.hpp>
 
 #include <chervilbend/base/log.hpp>
-#include <chervilbend/platform/http/host_entry_json.hpp>
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/host_entry_json.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -13,7 +13,7 @@
 
 namespace asio = boost::asio;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -66,4 +66,4 @@
     return hosts;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_host_list.hpp
+++ b/packages/external/src/chervilbend/external/http/http_host_list.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <chervilbend/net/address.hpp>
-#include <chervilbend/platform/host_list.hpp>
-#include <chervilbend/platform/http/internal/json_client.hpp>
+#include <chervilbend/external/host_list.hpp>
+#include <chervilbend/external/http/internal/json_client.hpp>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The platform's list of hosts over HTTP. docs/wire.md describes the wire form.
@@ -25,4 +25,4 @@
     net::address m_where;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_log_service.cpp
+++ b/packages/external/src/chervilbend/external/http/http_log_service.cpp
@@ -1,7 +1,7 @@
-#include <chervilbend/platform/http/http_log_service.hpp>
+#include <chervilbend/external/http/http_log_service.hpp>
 
-#include <chervilbend/platform/http/internal/json_fields.hpp>
-#include <chervilbend/platform/http/log_page_json.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/log_page_json.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -9,7 +9,7 @@
 
 namespace asio = boost::asio;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -82,4 +82,4 @@
     co_return page;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_log_service.hpp
+++ b/packages/external/src/chervilbend/external/http/http_log_service.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <chervilbend/net/address.hpp>
-#include <chervilbend/platform/http/internal/json_client.hpp>
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/http/internal/json_client.hpp>
+#include <chervilbend/external/log_service.hpp>
 
 #include <string>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// One stream of the platform's log over HTTP. docs/wire.md describes the wire form.
@@ -25,4 +25,4 @@
     std::string m_target;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_weight_store.cpp
+++ b/packages/external/src/chervilbend/external/http/http_weight_store.cpp
@@ -1,13 +1,13 @@
-#include <chervilbend/platform/http/http_weight_store.hpp>
+#include <chervilbend/external/http/http_weight_store.hpp>
 
-#include <chervilbend/platform/http/weight_store_status_json.hpp>
+#include <chervilbend/external/http/weight_store_status_json.hpp>
 
 #include <string>
 #include <utility>
 
 namespace asio = boost::asio;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 http_weight_store::http_weight_store(net::http_client &client, net::address where, http_adapter_options options)
@@ -33,4 +33,4 @@
     co_return status;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/http_weight_store.hpp
+++ b/packages/external/src/chervilbend/external/http/http_weight_store.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <chervilbend/net/address.hpp>
-#include <chervilbend/platform/http/internal/json_client.hpp>
-#include <chervilbend/platform/weight_store.hpp>
+#include <chervilbend/external/http/internal/json_client.hpp>
+#include <chervilbend/external/weight_store.hpp>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The weight store's state over HTTP. docs/wire.md describes the wire form.
@@ -21,4 +21,4 @@
     net::address m_where;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/internal/json_answer.hpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_answer.hpp
@@ -2,7 +2,7 @@
 
 #include <boost/json/object.hpp>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// An answer whose body was a JSON object.
@@ -11,4 +11,4 @@
     boost::json::object body;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/internal/json_client.cpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_client.cpp
@@ -1,4 +1,4 @@
-#include <chervilbend/platform/http/internal/json_client.hpp>
+#include <chervilbend/external/http/internal/json_client.hpp>
 
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
@@ -12,7 +12,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -87,4 +87,4 @@
     return fail(base::error_kind::endpointInvalidAnswer, error ? "the answer is not JSON: " + error.message() : "the answer is not a JSON object");
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/internal/json_client.hpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_client.hpp
@@ -4,8 +4,8 @@
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/http_types.hpp>
-#include <chervilbend/platform/http/http_adapter_options.hpp>
-#include <chervilbend/platform/http/internal/json_answer.hpp>
+#include <chervilbend/external/http/http_adapter_options.hpp>
+#include <chervilbend/external/http/internal/json_answer.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,7 +18,7 @@
 class http_client_stream;
 } // namespace chervilbend::net
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// Sends requests and reads answers that are JSON objects, within the adapter's bounds of time and size.
@@ -44,4 +44,4 @@
     http_adapter_options m_options;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/internal/json_fields.cpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_fields.cpp
@@ -1,11 +1,11 @@
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
 
 namespace json = boost::json;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -67,4 +67,4 @@
     return found ? found->if_array() : nullptr;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/internal/json_fields.hpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_fields.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// Longest id, address or name that is taken from an answer, in bytes.
@@ -29,4 +29,4 @@
 /// The field's array; nullptr when it is absent or of another type.
 const boost::json::array *list(const boost::json::object &object, std::string_view field);
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/log_page_json.cpp
+++ b/packages/external/src/chervilbend/external/http/log_page_json.cpp
@@ -1,6 +1,6 @@
-#include <chervilbend/platform/http/log_page_json.hpp>
+#include <chervilbend/external/http/log_page_json.hpp>
 
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <boost/json/array.hpp>
 
@@ -11,7 +11,7 @@
 
 namespace json = boost::json;
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -55,4 +55,4 @@
     return page;
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/log_page_json.hpp
+++ b/packages/external/src/chervilbend/external/http/log_page_json.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 
 #include <boost/json/object.hpp>
 
 #include <optional>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// The wire form of a page of the log; docs/wire.md describes it.
@@ -15,4 +15,4 @@
 /// Reads the wire form. No value when a field is malformed, or when the records are not in order behind @p after.
 std::optional<log_page> logPageFromJson(const boost::json::object &json, base::log_offset after);
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/http/weight_store_status_json.cpp
+++ b/packages/external/src/chervilbend/external/http/weight_store_status_json.cpp
@@ -1,10 +1,10 @@
-#include <chervilbend/platform/http/weight_store_status_json.hpp>
+#include <chervilbend/external/http/weight_store_status_json.hpp>
 
-#include <chervilbend/platform/http/internal/json_fields.hpp>
+#include <chervilbend/external/http/internal/json_fields.hpp>
 
 #include <cstdint>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 namespace
@@ -30,4 +30,4 @@
     return weight_store_status{*rate, static_cast<int>(*slots), static_cast<int>(*adapterSlots), static_cast<int>(*inTransit)};
 }
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/log_service.hpp
+++ b/packages/external/src/chervilbend/external/log_service.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 enum class append_status {
@@ -54,4 +54,4 @@
     virtual boost::asio::awaitable<std::optional<log_page>> read(base::log_offset after, base::milliseconds wait) = 0;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/src/chervilbend/platform/weight_store.hpp
+++ b/packages/external/src/chervilbend/external/weight_store.hpp
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 
 /// How much the weight store can deliver.
@@ -30,4 +30,4 @@
     virtual boost::asio::awaitable<std::optional<weight_store_status>> status() = 0;
 };
 
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
--- a/packages/platform/tests/http_adapters_test.cpp
+++ b/packages/external/tests/http_adapters_test.cpp
@@ -1,8 +1,8 @@
 #include <chervilbend/net/http_client.hpp>
-#include <chervilbend/platform/http/http_engine_control.hpp>
-#include <chervilbend/platform/http/http_host_list.hpp>
-#include <chervilbend/platform/http/http_log_service.hpp>
-#include <chervilbend/platform/http/http_weight_store.hpp>
+#include <chervilbend/external/http/http_engine_control.hpp>
+#include <chervilbend/external/http/http_host_list.hpp>
+#include <chervilbend/external/http/http_log_service.hpp>
+#include <chervilbend/external/http/http_weight_store.hpp>
 
 #include "../../net/tests/raw_peer.hpp"
 
@@ -14,8 +14,8 @@
 namespace asio = boost::asio;
 using namespace chervilbend;
 using net::test::raw_peer;
-using platform::append_status;
-using platform::command_status;
+using external::append_status;
+using external::command_status;
 
 /// Guards against services that answer wrongly, partly, too much or not at all: an append or command that may have taken effect must never
 /// be reported as refused or not sent, and no answer may end the process or fill its memory.
@@ -233,14 +233,14 @@
 
     void connectAdapters()
     {
-        platform::http_adapter_options options;
+        external::http_adapter_options options;
         options.answerTimeout = base::milliseconds(300);
         options.maxAnswerBytes = 65'536;
         m_where = {"127.0.0.1", m_server->port()};
-        m_log = std::make_unique<platform::http_log_service>(m_client, m_where, "control", options);
-        m_hosts = std::make_unique<platform::http_host_list>(m_client, m_where, options);
-        m_engines = std::make_unique<platform::http_engine_control>(m_client, options);
-        m_store = std::make_unique<platform::http_weight_store>(m_client, m_where, options);
+        m_log = std::make_unique<external::http_log_service>(m_client, m_where, "control", options);
+        m_hosts = std::make_unique<external::http_host_list>(m_client, m_where, options);
+        m_engines = std::make_unique<external::http_engine_control>(m_client, options);
+        m_store = std::make_unique<external::http_weight_store>(m_client, m_where, options);
     }
 
     template<typename Value>
@@ -251,35 +251,35 @@
         return std::move(*result);
     }
 
-    platform::append_result append()
+    external::append_result append()
     {
-        return wait<platform::append_result>([this] { return m_log->append("[1]"); });
+        return wait<external::append_result>([this] { return m_log->append("[1]"); });
     }
 
-    std::optional<platform::log_page> readPage(std::int64_t after)
+    std::optional<external::log_page> readPage(std::int64_t after)
     {
-        return wait<std::optional<platform::log_page>>([this, after] { return m_log->read(base::log_offset(after), base::milliseconds(100)); });
+        return wait<std::optional<external::log_page>>([this, after] { return m_log->read(base::log_offset(after), base::milliseconds(100)); });
     }
 
     command_status sendCommand()
     {
-        const platform::engine_command command{platform::engine_action::load, base::item_id("m@1"), base::byte_count(5), base::log_offset(3)};
+        const external::engine_command command{external::engine_action::load, base::item_id("m@1"), base::byte_count(5), base::log_offset(3)};
         return wait<command_status>([this, command] { return m_engines->send(m_where, command); });
     }
 
-    std::optional<platform::engine_report> readReport()
+    std::optional<external::engine_report> readReport()
     {
-        return wait<std::optional<platform::engine_report>>([this] { return m_engines->report(m_where); });
+        return wait<std::optional<external::engine_report>>([this] { return m_engines->report(m_where); });
     }
 
-    std::optional<std::vector<platform::host_entry>> fetchHosts()
+    std::optional<std::vector<external::host_entry>> fetchHosts()
     {
-        return wait<std::optional<std::vector<platform::host_entry>>>([this] { return m_hosts->fetch(); });
+        return wait<std::optional<std::vector<external::host_entry>>>([this] { return m_hosts->fetch(); });
     }
 
-    std::optional<platform::weight_store_status> storeStatus()
+    std::optional<external::weight_store_status> storeStatus()
     {
-        return wait<std::optional<platform::weight_store_status>>([this] { return m_store->status(); });
+        return wait<std::optional<external::weight_store_status>>([this] { return m_store->status(); });
     }
 
     asio::io_context m_context;
@@ -287,10 +287,10 @@
     net::address m_where;
     std::string m_received;
     std::unique_ptr<net::test::raw_server> m_server;
-    std::unique_ptr<platform::http_log_service> m_log;
-    std::unique_ptr<platform::http_host_list> m_hosts;
-    std::unique_ptr<platform::http_engine_control> m_engines;
-    std::unique_ptr<platform::http_weight_store> m_store;
+    std::unique_ptr<external::http_log_service> m_log;
+    std::unique_ptr<external::http_host_list> m_hosts;
+    std::unique_ptr<external::http_engine_control> m_engines;
+    std::unique_ptr<external::http_weight_store> m_store;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_adapters_test);
--- a/packages/fakes/src/chervilbend/fakes/engine_model.cpp
+++ b/packages/fakes/src/chervilbend/fakes/engine_model.cpp
@@ -21,13 +21,13 @@
     recordChange(base::clock::now());
 }
 
-platform::command_status engine_model::apply(const platform::engine_command &command)
+external::command_status engine_model::apply(const external::engine_command &command)
 {
     settle();
     return applyAt(command, base::clock::now());
 }
 
-void engine_model::applyLater(const platform::engine_command &command, base::milliseconds delay)
+void engine_model::applyLater(const external::engine_command &command, base::milliseconds delay)
 {
     settle();
     m_late.emplace(base::clock::now() + delay, command);
@@ -95,13 +95,13 @@
     return loaded;
 }
 
-platform::engine_report engine_model::report()
+external::engine_report engine_model::report()
 {
     settle();
     if (!m_running) {
         return {};
     }
-    platform::engine_report report = m_reports.at(base::clock::now() - m_options.reportLag);
+    external::engine_report report = m_reports.at(base::clock::now() - m_options.reportLag);
     report.lag = m_options.reportLag;
     return report;
 }
@@ -176,27 +176,27 @@
     return true;
 }
 
-platform::command_status engine_model::applyAt(const platform::engine_command &command, base::time_point when)
+external::command_status engine_model::applyAt(const external::engine_command &command, base::time_point when)
 {
     if (!m_running) {
-        return platform::command_status::notSent;
+        return external::command_status::notSent;
     }
     if (m_options.checksFencing) {
         if (command.fencingToken < m_token) {
-            return platform::command_status::refused;
+            return external::command_status::refused;
         }
         m_token = command.fencingToken;
     }
-    if (command.action == platform::engine_action::load) {
+    if (command.action == external::engine_action::load) {
         load(command, when);
-    } else if (command.action == platform::engine_action::unload) {
+    } else if (command.action == external::engine_action::unload) {
         unload(command.item, when);
     }
     recordChange(when);
-    return platform::command_status::accepted;
+    return external::command_status::accepted;
 }
 
-void engine_model::load(const platform::engine_command &command, base::time_point when)
+void engine_model::load(const external::engine_command &command, base::time_point when)
 {
     const auto [held, isNew] = m_items.try_emplace(command.item);
     if (!isNew && held->second.now != stage::unloading) {
@@ -231,7 +231,7 @@
 
 void engine_model::recordChange(base::time_point when)
 {
-    platform::engine_report report;
+    external::engine_report report;
     report.life = m_options.life;
     report.fencingToken = m_token;
     report.running = m_runningRequests;
--- a/packages/fakes/src/chervilbend/fakes/engine_model.hpp
+++ b/packages/fakes/src/chervilbend/fakes/engine_model.hpp
@@ -4,8 +4,8 @@
 #include <chervilbend/fakes/engine_options.hpp>
 #include <chervilbend/fakes/lagged_history.hpp>
 #include <chervilbend/fakes/weight_store_model.hpp>
-#include <chervilbend/platform/engine_command.hpp>
-#include <chervilbend/platform/engine_report.hpp>
+#include <chervilbend/external/engine_command.hpp>
+#include <chervilbend/external/engine_report.hpp>
 
 #include <cstdint>
 #include <map>
@@ -28,9 +28,9 @@
     /// Commands.
 
     /// Takes a command: accepted, or refused for its fencing token. Memory counts from here to the end of an unload.
-    platform::command_status apply(const platform::engine_command &command);
+    external::command_status apply(const external::engine_command &command);
     /// Applies @p command when @p delay has passed.
-    void applyLater(const platform::engine_command &command, base::milliseconds delay);
+    void applyLater(const external::engine_command &command, base::milliseconds delay);
     /// Lets the load of @p item that is in transit end after @p duration, counted from now. No effect when none is.
     void setLoadTime(const base::item_id &item, base::milliseconds duration);
     /// Requests in work and waiting, for the report.
@@ -45,7 +45,7 @@
     /// Queries.
 
     /// The report of a lag ago. Only of use while the engine is running.
-    platform::engine_report report();
+    external::engine_report report();
     bool isRunning() const;
     bool isLoaded(const base::item_id &item);
     std::vector<base::item_id> loadedItems();
@@ -72,8 +72,8 @@
 
     void settle();
     bool settleNext(base::time_point now);
-    platform::command_status applyAt(const platform::engine_command &command, base::time_point when);
-    void load(const platform::engine_command &command, base::time_point when);
+    external::command_status applyAt(const external::engine_command &command, base::time_point when);
+    void load(const external::engine_command &command, base::time_point when);
     void unload(const base::item_id &item, base::time_point when);
     base::milliseconds loadTime(const base::item_id &item);
     void recordChange(base::time_point when);
@@ -85,10 +85,10 @@
     std::int64_t m_runningRequests = 0;
     std::int64_t m_queuedRequests = 0;
     std::map<base::item_id, held_item> m_items;
-    std::multimap<base::time_point, platform::engine_command> m_late;
+    std::multimap<base::time_point, external::engine_command> m_late;
     base::byte_count m_used;
     base::byte_count m_highestUsed;
-    lagged_history<platform::engine_report> m_reports;
+    lagged_history<external::engine_report> m_reports;
 };
 
 } // namespace chervilbend::fakes
--- a/packages/fakes/src/chervilbend/fakes/host_directory.cpp
+++ b/packages/fakes/src/chervilbend/fakes/host_directory.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-auto findHost(std::vector<platform::host_entry> &hosts, const std::string &id)
+auto findHost(std::vector<external::host_entry> &hosts, const std::string &id)
 {
-    return std::find_if(hosts.begin(), hosts.end(), [&id](const platform::host_entry &host) { return host.id == id; });
+    return std::find_if(hosts.begin(), hosts.end(), [&id](const external::host_entry &host) { return host.id == id; });
 }
 
 } // namespace
@@ -22,9 +22,9 @@
     m_history.record(base::clock::now(), {});
 }
 
-void host_directory::set(platform::host_entry host)
+void host_directory::set(external::host_entry host)
 {
-    std::vector<platform::host_entry> hosts = actual();
+    std::vector<external::host_entry> hosts = actual();
     const auto found = findHost(hosts, host.id);
     if (found == hosts.end()) {
         hosts.push_back(std::move(host));
@@ -36,7 +36,7 @@
 
 void host_directory::remove(const std::string &id)
 {
-    std::vector<platform::host_entry> hosts = actual();
+    std::vector<external::host_entry> hosts = actual();
     const auto found = findHost(hosts, id);
     if (found != hosts.end()) {
         hosts.erase(found);
@@ -46,7 +46,7 @@
 
 bool host_directory::setLeaving(const std::string &id, bool leaving)
 {
-    std::vector<platform::host_entry> hosts = actual();
+    std::vector<external::host_entry> hosts = actual();
     const auto found = findHost(hosts, id);
     if (found == hosts.end()) {
         return false;
@@ -61,12 +61,12 @@
     m_lag = lag;
 }
 
-const std::vector<platform::host_entry> &host_directory::seen()
+const std::vector<external::host_entry> &host_directory::seen()
 {
     return m_history.at(base::clock::now() - m_lag);
 }
 
-const std::vector<platform::host_entry> &host_directory::actual() const
+const std::vector<external::host_entry> &host_directory::actual() const
 {
     return m_history.newest();
 }
--- a/packages/fakes/src/chervilbend/fakes/host_directory.hpp
+++ b/packages/fakes/src/chervilbend/fakes/host_directory.hpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/fakes/lagged_history.hpp>
-#include <chervilbend/platform/host_entry.hpp>
+#include <chervilbend/external/host_entry.hpp>
 
 #include <string>
 #include <vector>
@@ -19,7 +19,7 @@
     /// Commands.
 
     /// Adds a host or replaces the one with the same id.
-    void set(platform::host_entry host);
+    void set(external::host_entry host);
     /// Removes the host; ids that are not listed have no effect.
     void remove(const std::string &id);
     /// Marks the host as leaving, or takes the mark back. False when the id is not listed.
@@ -29,13 +29,13 @@
     /// Queries.
 
     /// What readers see: the list as it was a lag ago, in the order in which the hosts were first added.
-    const std::vector<platform::host_entry> &seen();
+    const std::vector<external::host_entry> &seen();
     /// The list without lag.
-    const std::vector<platform::host_entry> &actual() const;
+    const std::vector<external::host_entry> &actual() const;
 
 private:
     base::milliseconds m_lag;
-    lagged_history<std::vector<platform::host_entry>> m_history;
+    lagged_history<std::vector<external::host_entry>> m_history;
 };
 
 } // namespace chervilbend::fakes
--- a/packages/fakes/src/chervilbend/fakes/in_process_engine_control.cpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_engine_control.cpp
@@ -29,38 +29,38 @@
     m_faultsOfOne[where] = faults;
 }
 
-platform::command_status in_process_engine_control::sendNow(const net::address &where, const platform::engine_command &command)
+external::command_status in_process_engine_control::sendNow(const net::address &where, const external::engine_command &command)
 {
     const std::shared_ptr<engine_model> engine = reach(where);
     if (!engine) {
-        return platform::command_status::notSent;
+        return external::command_status::notSent;
     }
     const engine_faults &faults = faultsAt(where);
     if (m_random.chance(faults.lostCommands)) {
         fail(base::error_kind::endpointFailed, "no answer to a command");
-        return platform::command_status::unknown;
+        return external::command_status::unknown;
     }
     const base::milliseconds lateBy(m_random.between(0, faults.lateBy.count()));
     if (m_random.chance(faults.lateCommands)) {
         engine->applyLater(command, faults.answerTimeout + lateBy);
         fail(base::error_kind::endpointFailed, "no answer to a command");
-        return platform::command_status::unknown;
+        return external::command_status::unknown;
     }
-    const platform::command_status status = engine->apply(command);
+    const external::command_status status = engine->apply(command);
     if (m_random.chance(faults.duplicates)) {
         engine->applyLater(command, lateBy);
     }
     if (m_random.chance(faults.lostAnswers)) {
         fail(base::error_kind::endpointFailed, "no answer to a command");
-        return platform::command_status::unknown;
+        return external::command_status::unknown;
     }
-    if (status == platform::command_status::refused) {
+    if (status == external::command_status::refused) {
         fail(base::error_kind::endpointFailed, "the engine refused the command");
     }
     return status;
 }
 
-std::optional<platform::engine_report> in_process_engine_control::reportNow(const net::address &where)
+std::optional<external::engine_report> in_process_engine_control::reportNow(const net::address &where)
 {
     const std::shared_ptr<engine_model> engine = reach(where);
     if (!engine) {
@@ -69,21 +69,21 @@
     return engine->report();
 }
 
-asio::awaitable<platform::command_status> in_process_engine_control::send(net::address engine, platform::engine_command command)
+asio::awaitable<external::command_status> in_process_engine_control::send(net::address engine, external::engine_command command)
 {
     if (faultsAt(engine).delay.count() > 0) {
         co_await net::sleepFor(faultsAt(engine).delay);
     }
-    const platform::command_status status = sendNow(engine, command);
+    const external::command_status status = sendNow(engine, command);
     const base::reason why = lastReason();
-    if (status == platform::command_status::unknown) {
+    if (status == external::command_status::unknown) {
         co_await net::sleepFor(faultsAt(engine).answerTimeout);
         fail(why);
     }
     co_return status;
 }
 
-asio::awaitable<std::optional<platform::engine_report>> in_process_engine_control::report(net::address engine)
+asio::awaitable<std::optional<external::engine_report>> in_process_engine_control::report(net::address engine)
 {
     if (faultsAt(engine).delay.count() > 0) {
         co_await net::sleepFor(faultsAt(engine).delay);
--- a/packages/fakes/src/chervilbend/fakes/in_process_engine_control.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_engine_control.hpp
@@ -3,7 +3,7 @@
 #include <chervilbend/fakes/engine_faults.hpp>
 #include <chervilbend/fakes/engine_model.hpp>
 #include <chervilbend/fakes/seeded_random.hpp>
-#include <chervilbend/platform/engine_control.hpp>
+#include <chervilbend/external/engine_control.hpp>
 
 #include <cstdint>
 #include <map>
@@ -13,7 +13,7 @@
 {
 
 /// One node's access to the engine models of the same process, over an unreliable network.
-class in_process_engine_control : public platform::engine_control
+class in_process_engine_control : public external::engine_control
 {
 public:
     explicit in_process_engine_control(std::uint64_t seed = 1);
@@ -25,12 +25,12 @@
     void setFaults(const net::address &where, const engine_faults &faults);
 
     /// send() without the waiting, for simulations without tasks.
-    platform::command_status sendNow(const net::address &where, const platform::engine_command &command);
+    external::command_status sendNow(const net::address &where, const external::engine_command &command);
     /// report() without the waiting, for simulations without tasks.
-    std::optional<platform::engine_report> reportNow(const net::address &where);
+    std::optional<external::engine_report> reportNow(const net::address &where);
 
-    boost::asio::awaitable<platform::command_status> send(net::address engine, platform::engine_command command) override;
-    boost::asio::awaitable<std::optional<platform::engine_report>> report(net::address engine) override;
+    boost::asio::awaitable<external::command_status> send(net::address engine, external::engine_command command) override;
+    boost::asio::awaitable<std::optional<external::engine_report>> report(net::address engine) override;
 
 private:
     const engine_faults &faultsAt(const net::address &where) const;
--- a/packages/fakes/src/chervilbend/fakes/in_process_host_list.cpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_host_list.cpp
@@ -15,7 +15,7 @@
     m_reachable = reachable;
 }
 
-boost::asio::awaitable<std::optional<std::vector<platform::host_entry>>> in_process_host_list::fetch()
+boost::asio::awaitable<std::optional<std::vector<external::host_entry>>> in_process_host_list::fetch()
 {
     if (!m_reachable) {
         co_return fail(base::error_kind::endpointFailed, "the host list is down");
--- a/packages/fakes/src/chervilbend/fakes/in_process_host_list.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_host_list.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <chervilbend/fakes/host_directory.hpp>
-#include <chervilbend/platform/host_list.hpp>
+#include <chervilbend/external/host_list.hpp>
 
 #include <memory>
 
@@ -9,14 +9,14 @@
 {
 
 /// One node's access to a host directory of the same process.
-class in_process_host_list : public platform::host_list
+class in_process_host_list : public external::host_list
 {
 public:
     explicit in_process_host_list(std::shared_ptr<host_directory> directory);
 
     void setReachable(bool reachable);
 
-    boost::asio::awaitable<std::optional<std::vector<platform::host_entry>>> fetch() override;
+    boost::asio::awaitable<std::optional<std::vector<external::host_entry>>> fetch() override;
 
 private:
     std::shared_ptr<host_directory> m_directory;
--- a/packages/fakes/src/chervilbend/fakes/in_process_log_service.cpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_log_service.cpp
@@ -28,24 +28,24 @@
     }
 }
 
-asio::awaitable<platform::append_result> in_process_log_service::append(std::string payload)
+asio::awaitable<external::append_result> in_process_log_service::append(std::string payload)
 {
     if (m_store->faults().delay.count() > 0) {
         co_await net::sleepFor(m_store->faults().delay);
     }
     if (!isAvailable()) {
         fail(base::error_kind::logUnavailable, "the log service is down");
-        co_return platform::append_result{platform::append_status::refused, {}};
+        co_return external::append_result{external::append_status::refused, {}};
     }
-    const platform::append_result result = m_store->append(std::move(payload));
-    if (result.status == platform::append_status::unknown) {
+    const external::append_result result = m_store->append(std::move(payload));
+    if (result.status == external::append_status::unknown) {
         co_await net::sleepFor(m_store->faults().answerTimeout);
         fail(base::error_kind::logUnavailable, "no answer to an append");
     }
     co_return result;
 }
 
-asio::awaitable<std::optional<platform::log_page>> in_process_log_service::read(base::log_offset after, base::milliseconds wait)
+asio::awaitable<std::optional<external::log_page>> in_process_log_service::read(base::log_offset after, base::milliseconds wait)
 {
     const base::time_point deadline = base::clock::now() + wait;
     if (m_store->faults().delay.count() > 0) {
@@ -55,7 +55,7 @@
         if (!isAvailable()) {
             co_return fail(base::error_kind::logUnavailable, "the log service is down");
         }
-        platform::log_page page = m_store->read(after);
+        external::log_page page = m_store->read(after);
         if (!page.records.empty() || base::clock::now() >= deadline) {
             co_return page;
         }
--- a/packages/fakes/src/chervilbend/fakes/in_process_log_service.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_log_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <chervilbend/fakes/log_store.hpp>
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 
 #include <memory>
 
@@ -9,7 +9,7 @@
 {
 
 /// One node's access to a log store that several nodes of a simulation share.
-class in_process_log_service : public platform::log_service
+class in_process_log_service : public external::log_service
 {
 public:
     explicit in_process_log_service(std::shared_ptr<log_store> store);
@@ -17,8 +17,8 @@
     /// Cuts this node off from the log, or connects it again. Reads that wait end at once.
     void setReachable(bool reachable);
 
-    boost::asio::awaitable<platform::append_result> append(std::string payload) override;
-    boost::asio::awaitable<std::optional<platform::log_page>> read(base::log_offset after, base::milliseconds wait) override;
+    boost::asio::awaitable<external::append_result> append(std::string payload) override;
+    boost::asio::awaitable<std::optional<external::log_page>> read(base::log_offset after, base::milliseconds wait) override;
 
 private:
     bool isAvailable() const;
--- a/packages/fakes/src/chervilbend/fakes/in_process_weight_store.cpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_weight_store.cpp
@@ -15,7 +15,7 @@
     m_reachable = reachable;
 }
 
-boost::asio::awaitable<std::optional<platform::weight_store_status>> in_process_weight_store::status()
+boost::asio::awaitable<std::optional<external::weight_store_status>> in_process_weight_store::status()
 {
     if (!m_reachable) {
         co_return fail(base::error_kind::endpointFailed, "the weight store is down");
--- a/packages/fakes/src/chervilbend/fakes/in_process_weight_store.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_weight_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <chervilbend/fakes/weight_store_model.hpp>
-#include <chervilbend/platform/weight_store.hpp>
+#include <chervilbend/external/weight_store.hpp>
 
 #include <memory>
 
@@ -9,14 +9,14 @@
 {
 
 /// Access to a weight store model of the same process.
-class in_process_weight_store : public platform::weight_store
+class in_process_weight_store : public external::weight_store
 {
 public:
     explicit in_process_weight_store(std::shared_ptr<weight_store_model> model);
 
     void setReachable(bool reachable);
 
-    boost::asio::awaitable<std::optional<platform::weight_store_status>> status() override;
+    boost::asio::awaitable<std::optional<external::weight_store_status>> status() override;
 
 private:
     std::shared_ptr<weight_store_model> m_model;
--- a/packages/fakes/src/chervilbend/fakes/log_store.cpp
+++ b/packages/fakes/src/chervilbend/fakes/log_store.cpp
@@ -13,28 +13,28 @@
 {
 }
 
-platform::append_result log_store::append(std::string payload)
+external::append_result log_store::append(std::string payload)
 {
     ++m_appendCount;
     settle();
     if (m_faults.outage) {
-        return {platform::append_status::refused, {}};
+        return {external::append_status::refused, {}};
     }
     if (m_random.chance(m_faults.lostAppends)) {
-        return {platform::append_status::unknown, {}};
+        return {external::append_status::unknown, {}};
     }
     if (m_random.chance(m_faults.lateAppends)) {
         const base::milliseconds lateBy = m_faults.answerTimeout + base::milliseconds(m_random.between(0, m_faults.lateBy.count()));
         m_late.emplace(base::clock::now() + lateBy, std::move(payload));
         notify();
-        return {platform::append_status::unknown, {}};
+        return {external::append_status::unknown, {}};
     }
     const base::log_offset offset = store(std::move(payload), base::clock::now());
     notify();
     if (m_random.chance(m_faults.lostAnswers)) {
-        return {platform::append_status::unknown, {}};
+        return {external::append_status::unknown, {}};
     }
-    return {platform::append_status::accepted, offset};
+    return {external::append_status::accepted, offset};
 }
 
 void log_store::setFaults(const log_faults &faults)
@@ -55,16 +55,16 @@
     m_listeners.erase(subscription);
 }
 
-platform::log_page log_store::read(base::log_offset after)
+external::log_page log_store::read(base::log_offset after)
 {
     settle();
-    platform::log_page page;
+    external::log_page page;
     page.head = base::log_offset(m_head);
     page.firstRetained = m_records.empty() ? base::log_offset(m_head + 1) : m_records.front().record.offset;
     std::size_t bytes = 0;
     const std::int64_t skip = std::max<std::int64_t>(0, after.count() + 1 - page.firstRetained.count());
     for (auto i = static_cast<std::size_t>(skip); i < m_records.size(); ++i) {
-        const platform::log_record &record = m_records[i].record;
+        const external::log_record &record = m_records[i].record;
         if (page.records.size() == m_options.pageRecords || (!page.records.empty() && bytes + record.payload.size() > m_options.pageBytes)) {
             break;
         }
--- a/packages/fakes/src/chervilbend/fakes/log_store.hpp
+++ b/packages/fakes/src/chervilbend/fakes/log_store.hpp
@@ -4,7 +4,7 @@
 #include <chervilbend/fakes/log_faults.hpp>
 #include <chervilbend/fakes/log_store_options.hpp>
 #include <chervilbend/fakes/seeded_random.hpp>
-#include <chervilbend/platform/log_service.hpp>
+#include <chervilbend/external/log_service.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -24,7 +24,7 @@
     /// Commands.
 
     /// Appends, or fails as the faults have it. The status is what the writer may know; the record may be appended whatever it says.
-    platform::append_result append(std::string payload);
+    external::append_result append(std::string payload);
     void setFaults(const log_faults &faults);
 
     /// Calls @p listener after each change until unsubscribe() with the returned number.
@@ -34,7 +34,7 @@
     /// Queries.
 
     /// Records behind @p after, up to the page limits.
-    platform::log_page read(base::log_offset after);
+    external::log_page read(base::log_offset after);
     const log_faults &faults() const;
     base::log_offset head();
     /// When a late append takes effect next; the clock's maximum for none.
@@ -44,7 +44,7 @@
 
 private:
     struct kept_record {
-        platform::log_record record;
+        external::log_record record;
         base::time_point appended;
     };
 
--- a/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
@@ -6,8 +6,8 @@
 #include <chervilbend/fakes/servers/completion_text.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/sleep.hpp>
-#include <chervilbend/platform/http/engine_command_json.hpp>
-#include <chervilbend/platform/http/engine_report_json.hpp>
+#include <chervilbend/external/http/engine_command_json.hpp>
+#include <chervilbend/external/http/engine_report_json.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -109,21 +109,21 @@
 asio::awaitable<void> engine_server::takeCommand(std::shared_ptr<net::http_exchange> exchange)
 {
     const std::optional<json::object> body = bodyOf(exchange->request());
-    const std::optional<platform::engine_command> command = body ? platform::engineCommandFromJson(*body) : std::nullopt;
+    const std::optional<external::engine_command> command = body ? external::engineCommandFromJson(*body) : std::nullopt;
     if (!command) {
         co_await refuse(exchange, http::status::bad_request, "the body is not a valid command");
         co_return;
     }
-    const platform::command_status status = co_await m_control.send(ownAddress(), *command);
-    if (status == platform::command_status::refused) {
+    const external::command_status status = co_await m_control.send(ownAddress(), *command);
+    if (status == external::command_status::refused) {
         co_await refuse(exchange, http::status::conflict, "the fencing token is older than the highest seen");
         co_return;
     }
-    if (command->action == platform::engine_action::load && m_options.store) {
+    if (command->action == external::engine_action::load && m_options.store) {
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
         asio::co_spawn(executor, askStore(command->item), asio::detached);
     }
-    if (status == platform::command_status::accepted) {
+    if (status == external::command_status::accepted) {
         json::object answer{{"status", "accepted"}};
         co_await respond(exchange, http::status::ok, std::move(answer));
     }
@@ -144,9 +144,9 @@
 
 asio::awaitable<void> engine_server::sendReport(std::shared_ptr<net::http_exchange> exchange)
 {
-    const std::optional<platform::engine_report> report = co_await m_control.report(ownAddress());
+    const std::optional<external::engine_report> report = co_await m_control.report(ownAddress());
     if (report) {
-        co_await respond(exchange, http::status::ok, platform::toJson(*report));
+        co_await respond(exchange, http::status::ok, external::toJson(*report));
     }
 }
 
--- a/packages/fakes/src/chervilbend/fakes/servers/host_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/host_server.cpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/sleep.hpp>
-#include <chervilbend/platform/http/host_entry_json.hpp>
+#include <chervilbend/external/http/host_entry_json.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -36,7 +36,7 @@
         return false;
     }
     for (const json::value &element : hosts->get_array()) {
-        const std::optional<platform::host_entry> host = element.is_object() ? platform::hostEntryFromJson(element.get_object()) : std::nullopt;
+        const std::optional<external::host_entry> host = element.is_object() ? external::hostEntryFromJson(element.get_object()) : std::nullopt;
         if (!host) {
             return false;
         }
@@ -63,8 +63,8 @@
         co_return;
     }
     json::array hosts;
-    for (const platform::host_entry &host : m_directory.seen()) {
-        hosts.push_back(platform::toJson(host));
+    for (const external::host_entry &host : m_directory.seen()) {
+        hosts.push_back(external::toJson(host));
     }
     json::object body{{"hosts", std::move(hosts)}};
     co_await respond(exchange, http::status::ok, std::move(body));
@@ -76,7 +76,7 @@
         m_directory.remove(id);
     } else if (exchange->request().method() == http::verb::put) {
         const std::optional<json::object> body = bodyOf(exchange->request());
-        const std::optional<platform::host_entry> host = body ? platform::hostEntryFromJson(*body) : std::nullopt;
+        const std::optional<external::host_entry> host = body ? external::hostEntryFromJson(*body) : std::nullopt;
         if (!host || host->id != id) {
             co_await refuse(exchange, http::status::bad_request, "the body is not a valid entry for " + id);
             co_return;
--- a/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
@@ -1,7 +1,7 @@
 #include <chervilbend/fakes/servers/log_server.hpp>
 
 #include <chervilbend/net/http_exchange.hpp>
-#include <chervilbend/platform/http/log_page_json.hpp>
+#include <chervilbend/external/http/log_page_json.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -72,10 +72,10 @@
 asio::awaitable<void> log_server::append(std::shared_ptr<net::http_exchange> exchange, std::string name)
 {
     in_process_log_service &service = *streamOf(name).service;
-    const platform::append_result result = co_await service.append(exchange->request().body());
-    if (result.status == platform::append_status::refused) {
+    const external::append_result result = co_await service.append(exchange->request().body());
+    if (result.status == external::append_status::refused) {
         co_await refuse(exchange, http::status::service_unavailable, service.lastReason().text);
-    } else if (result.status == platform::append_status::accepted) {
+    } else if (result.status == external::append_status::accepted) {
         boost::json::object body{{"offset", result.offset.count()}};
         co_await respond(exchange, http::status::ok, std::move(body));
     }
@@ -86,9 +86,9 @@
     in_process_log_service &service = *streamOf(name).service;
     const base::log_offset after(std::max<std::int64_t>(0, target.number("after", 0)));
     const base::milliseconds wait(std::clamp<std::int64_t>(target.number("waitMs", 0), 0, longestWaitMs));
-    const std::optional<platform::log_page> page = co_await service.read(after, wait);
+    const std::optional<external::log_page> page = co_await service.read(after, wait);
     if (page) {
-        co_await respond(exchange, http::status::ok, platform::toJson(*page));
+        co_await respond(exchange, http::status::ok, external::toJson(*page));
     } else {
         co_await refuse(exchange, http::status::service_unavailable, service.lastReason().text);
     }
--- a/packages/fakes/src/chervilbend/fakes/servers/store_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/store_server.cpp
@@ -1,7 +1,7 @@
 #include <chervilbend/fakes/servers/store_server.hpp>
 
 #include <chervilbend/net/http_exchange.hpp>
-#include <chervilbend/platform/http/weight_store_status_json.hpp>
+#include <chervilbend/external/http/weight_store_status_json.hpp>
 
 #include <utility>
 
@@ -12,7 +12,7 @@
 namespace chervilbend::fakes
 {
 
-store_server::store_server(platform::weight_store_status figures, std::uint64_t seed)
+store_server::store_server(external::weight_store_status figures, std::uint64_t seed)
     : m_model(figures, seed)
 {
     m_panel.addFlag("outage", m_outage);
@@ -25,7 +25,7 @@
     if (m_outage) {
         co_await refuse(exchange, http::status::service_unavailable, "the weight store is down");
     } else if (target.path() == "/status") {
-        co_await respond(exchange, http::status::ok, platform::toJson(m_model.status()));
+        co_await respond(exchange, http::status::ok, external::toJson(m_model.status()));
     } else if (target.path() == "/loads" && exchange->request().method() == http::verb::post) {
         co_await beginLoad(exchange);
     } else {
--- a/packages/fakes/src/chervilbend/fakes/servers/store_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/store_server.hpp
@@ -10,7 +10,7 @@
 class store_server : public fake_server
 {
 public:
-    store_server(platform::weight_store_status figures, std::uint64_t seed);
+    store_server(external::weight_store_status figures, std::uint64_t seed);
 
 protected:
     boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange, request_target target) override;
--- a/packages/fakes/src/chervilbend/fakes/weight_store_model.cpp
+++ b/packages/fakes/src/chervilbend/fakes/weight_store_model.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-weight_store_model::weight_store_model(platform::weight_store_status figures, std::uint64_t seed)
+weight_store_model::weight_store_model(external::weight_store_status figures, std::uint64_t seed)
     : m_figures(figures)
     , m_random(seed)
 {
@@ -58,9 +58,9 @@
     m_slowness = factor;
 }
 
-platform::weight_store_status weight_store_model::status()
+external::weight_store_status weight_store_model::status()
 {
-    platform::weight_store_status now = m_figures;
+    external::weight_store_status now = m_figures;
     now.inTransit = countInTransit(m_modelEnds, base::clock::now());
     return now;
 }
--- a/packages/fakes/src/chervilbend/fakes/weight_store_model.hpp
+++ b/packages/fakes/src/chervilbend/fakes/weight_store_model.hpp
@@ -2,7 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/fakes/seeded_random.hpp>
-#include <chervilbend/platform/weight_store.hpp>
+#include <chervilbend/external/weight_store.hpp>
 
 #include <cstdint>
 #include <set>
@@ -18,7 +18,7 @@
 {
 public:
     /// Only the rate and the slots of @p figures are used.
-    explicit weight_store_model(platform::weight_store_status figures = {}, std::uint64_t seed = 1);
+    explicit weight_store_model(external::weight_store_status figures = {}, std::uint64_t seed = 1);
 
     /// Registers the load of a model and gives the time until it is complete.
     base::milliseconds beginModelLoad();
@@ -27,12 +27,12 @@
     /// Makes later loads so many times slower; 1 is normal.
     void setSlowness(double factor);
 
-    platform::weight_store_status status();
+    external::weight_store_status status();
     /// Most model loads ever in transit at once.
     int highestInTransit() const;
 
 private:
-    platform::weight_store_status m_figures;
+    external::weight_store_status m_figures;
     seeded_random m_random;
     double m_slowness = 1;
     int m_highestInTransit = 0;
--- a/packages/fakes/src/main.cpp
+++ b/packages/fakes/src/main.cpp
@@ -78,7 +78,7 @@
 
 std::unique_ptr<fakes::fake_server> makeStore()
 {
-    platform::weight_store_status figures;
+    external::weight_store_status figures;
     figures.loadsPerSecond = FLAGS_loads_per_second;
     figures.slots = FLAGS_slots;
     figures.adapterSlots = FLAGS_adapter_slots;
--- a/packages/fakes/tests/engine_model_test.cpp
+++ b/packages/fakes/tests/engine_model_test.cpp
@@ -4,8 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace chervilbend;
-using platform::command_status;
-using platform::engine_action;
+using external::command_status;
+using external::engine_action;
 
 /// Guards against an engine fake that would hide an overcommitted memory or a command that an old owner sent.
 class engine_model_test : public CppUnit::TestFixture
@@ -52,7 +52,7 @@
         fakes::engine_faults faults;
         faults.lateCommands = 1;
         control.setFaults(where, faults);
-        const platform::engine_command load{engine_action::load, base::item_id("a@1"), base::byte_count(90), base::log_offset(1)};
+        const external::engine_command load{engine_action::load, base::item_id("a@1"), base::byte_count(90), base::log_offset(1)};
         CPPUNIT_ASSERT(control.sendNow(where, load) == command_status::unknown);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), m_engine->used().count());
         send(*m_engine, engine_action::load, "b@1", 20, 1);
@@ -91,7 +91,7 @@
     {
         send(*m_engine, engine_action::load, "a@1", 10, 9);
         m_engine->restart();
-        const platform::engine_report report = m_engine->report();
+        const external::engine_report report = m_engine->report();
         CPPUNIT_ASSERT(report.items.empty());
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), report.fencingToken.count());
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), report.life.count());
@@ -99,7 +99,7 @@
 
     void slowsLoadsBeyondTheStoresSlots()
     {
-        platform::weight_store_status figures;
+        external::weight_store_status figures;
         figures.loadsPerSecond = 1'000;
         fakes::weight_store_model store(figures);
         for (int load = 0; load < 4; ++load) {
--- a/packages/fakes/tests/in_process_log_service_test.cpp
+++ b/packages/fakes/tests/in_process_log_service_test.cpp
@@ -50,7 +50,7 @@
         log_faults faults;
         faults.lostAnswers = 1;
         m_store->setFaults(faults);
-        CPPUNIT_ASSERT(m_store->append("a").status == platform::append_status::unknown);
+        CPPUNIT_ASSERT(m_store->append("a").status == external::append_status::unknown);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1), m_store->head().count());
     }
 
@@ -59,7 +59,7 @@
         log_faults faults;
         faults.lateAppends = 1;
         m_store->setFaults(faults);
-        CPPUNIT_ASSERT(m_store->append("a").status == platform::append_status::unknown);
+        CPPUNIT_ASSERT(m_store->append("a").status == external::append_status::unknown);
         startRead(0, 60'000);
         m_time->advance(faults.answerTimeout - base::milliseconds(1));
         CPPUNIT_ASSERT(!m_readDone);
@@ -74,7 +74,7 @@
             m_store->append(payload);
             m_time->advance(base::milliseconds(400));
         }
-        const platform::log_page page = m_store->read(base::log_offset(0));
+        const external::log_page page = m_store->read(base::log_offset(0));
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), page.firstRetained.count());
         CPPUNIT_ASSERT_EQUAL(std::string("b"), page.records.at(0).payload);
         m_time->advance(base::milliseconds(5'000));
@@ -90,7 +90,7 @@
         m_store->setFaults(faults);
         m_time->settle();
         CPPUNIT_ASSERT(m_readDone && !m_page);
-        CPPUNIT_ASSERT(m_store->append("a").status == platform::append_status::refused);
+        CPPUNIT_ASSERT(m_store->append("a").status == external::append_status::refused);
     }
 
 private:
@@ -119,7 +119,7 @@
     std::shared_ptr<fakes::log_store> m_store;
     std::optional<fakes::in_process_log_service> m_service;
     bool m_readDone = false;
-    std::optional<platform::log_page> m_page;
+    std::optional<external::log_page> m_page;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(in_process_log_service_test);
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/fleet/traffic_configuration.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace chervilbend::fleet
+{
+
+class fleet_store;
+
+/// Keeps the operators' configuration up to date from the platform's store. A version once in force is never replaced by an older one.
+class configuration_follower
+{
+public:
+    /// @p store must outlive the follower.
+    explicit configuration_follower(fleet_store &store);
+
+    /// Commands.
+
+    /// Follows the store for good.
+    boost::asio::awaitable<void> run();
+    /// Called after each change of the version in force.
+    void onChange(std::function<void(const traffic_configuration &)> listener);
+
+    /// Queries.
+
+    /// The version in force; nullptr before the first one was read. It stays valid for requests that began under it.
+    std::shared_ptr<const traffic_configuration> current() const
+    {
+        return m_current;
+    }
+
+    /// When the store last said that this is the newest version.
+    base::time_point confirmedAt() const
+    {
+        return m_confirmedAt;
+    }
+
+private:
+    void take(std::optional<traffic_configuration> newest);
+
+    fleet_store &m_store;
+    std::function<void(const traffic_configuration &)> m_listener;
+    std::shared_ptr<const traffic_configuration> m_current;
+    std::optional<std::int64_t> m_position;
+    base::time_point m_confirmedAt;
+};
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -0,0 +1,114 @@
+#include <chervilbend/fleet/endpoint_registry.hpp>
+
+namespace chervilbend::fleet
+{
+
+void endpoint_registry::noteAway(base::time_point /*now*/)
+{
+    m_away = true;
+}
+
+void endpoint_registry::noteReturn(base::time_point now)
+{
+    if (m_away) {
+        m_away = false;
+        m_graceEnd = now + returnGrace;
+    }
+}
+
+std::set<base::endpoint_id> endpoint_registry::apply(const std::vector<endpoint_change> &changes, base::time_point now)
+{
+    noteReturn(now);
+    std::set<base::endpoint_id> changed;
+    for (const endpoint_change &change : changes) {
+        if (take(change, now)) {
+            changed.insert(change.id);
+        }
+    }
+    changed.merge(expire(now));
+    return changed;
+}
+
+std::set<base::endpoint_id> endpoint_registry::replace(const std::vector<endpoint_change> &all, base::time_point now)
+{
+    noteReturn(now);
+    std::set<base::endpoint_id> registered;
+    std::set<base::endpoint_id> changed;
+    for (const endpoint_change &change : all) {
+        registered.insert(change.id);
+        if (take(change, now)) {
+            changed.insert(change.id);
+        }
+    }
+    std::vector<base::endpoint_id> ended;
+    for (const auto &[id, known] : m_endpoints) {
+        if (!registered.contains(id)) {
+            ended.push_back(id);
+        }
+    }
+    for (const base::endpoint_id &id : ended) {
+        if (end(id, now)) {
+            changed.insert(id);
+        }
+    }
+    changed.merge(expire(now));
+    return changed;
+}
+
+std::set<base::endpoint_id> endpoint_registry::expire(base::time_point now)
+{
+    std::set<base::endpoint_id> gone;
+    for (auto known = m_endpoints.begin(); known != m_endpoints.end();) {
+        if (known->second.lapsesAt && *known->second.lapsesAt <= now) {
+            gone.insert(known->first);
+            known = m_endpoints.erase(known);
+        } else {
+            ++known;
+        }
+    }
+    return gone;
+}
+
+bool endpoint_registry::take(const endpoint_change &change, base::time_point now)
+{
+    if (!change.entry) {
+        return end(change.id, now);
+    }
+    const endpoint_entry &entry = *change.entry;
+    known_endpoint &known = m_endpoints[change.id];
+    // An entry of an earlier process under the same id, read late.
+    if (entry.born < known.entry.born) {
+        return false;
+    }
+    const bool isNewProcess = entry.born != known.entry.born;
+    const bool differs = isNewProcess || known.lapsesAt || entry.draining != known.entry.draining || entry.where != known.entry.where
+        || entry.slots != known.entry.slots || entry.models != known.entry.models || entry.commands != known.entry.commands;
+    if (isNewProcess) {
+        known.leavingSince.reset();
+    }
+    if (entry.draining && !known.leavingSince) {
+        known.leavingSince = now;
+    }
+    known.entry = entry;
+    known.seen = now;
+    known.lapsesAt.reset();
+    return differs;
+}
+
+bool endpoint_registry::end(const base::endpoint_id &id, base::time_point now)
+{
+    const auto known = m_endpoints.find(id);
+    if (known == m_endpoints.end()) {
+        return false;
+    }
+    if (now < m_graceEnd && !known->second.entry.draining) {
+        if (!known->second.lapsesAt) {
+            known->second.lapsesAt = m_graceEnd;
+        }
+        return false;
+    }
+    m_endpoints.erase(known);
+    return true;
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/retry_pause.cpp
@@ -0,0 +1,22 @@
+#include <chervilbend/fleet/retry_pause.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::fleet
+{
+
+base::milliseconds retry_pause::next()
+{
+    constexpr int mostDoublings = 3;
+    const base::milliseconds bound = std::min(longest(), shortest() * (1 << std::min(m_failures, mostDoublings)));
+    ++m_failures;
+    std::uniform_int_distribution<base::milliseconds::rep> draw(bound.count() / 2, bound.count());
+    return base::milliseconds(draw(m_random));
+}
+
+void retry_pause::reset()
+{
+    m_failures = 0;
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/route_table.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chervilbend/fleet/traffic_configuration.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace chervilbend::fleet
+{
+
+/// Finds the route of a request in one version of the configuration.
+class route_table
+{
+public:
+    explicit route_table(std::shared_ptr<const traffic_configuration> configuration);
+
+    /// The route of @p host with the longest prefix of @p path; nullptr when there is none.
+    const route_rule *find(std::string_view host, std::string_view path) const;
+
+    const traffic_configuration &configuration() const
+    {
+        return *m_configuration;
+    }
+
+private:
+    std::shared_ptr<const traffic_configuration> m_configuration;
+    std::map<std::string, std::map<std::string, const route_rule *, std::less<>>, std::less<>> m_byHost;
+};
+
+/// The service that a request takes among a route's shares: the same one for the same @p key. nullptr when no share has a weight.
+const base::service_id *chooseService(const route_rule &route, std::string_view key);
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/traffic_configuration.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chervilbend/fleet/route_rule.hpp>
+#include <chervilbend/fleet/service_rule.hpp>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace chervilbend::fleet
+{
+
+/// One version of the operators' configuration, as a whole.
+struct traffic_configuration {
+    /// Greater than that of all earlier versions.
+    std::int64_t version = 0;
+    std::vector<route_rule> routes;
+    std::map<base::service_id, service_rule> services;
+    /// How long a caller's connection may stay idle.
+    base::milliseconds idleTimeout{60'000};
+};
+
+} // namespace chervilbend::fleet
--- a/packages/measure/src/chervilbend/measure/attainment/attainment_measurement.cpp
+++ b/packages/measure/src/chervilbend/measure/attainment/attainment_measurement.cpp
@@ -19,11 +19,11 @@
 /// The two deployments of the design page.
 std::vector<deployment> deployments()
 {
-    platform::weight_store_status chapaSul;
+    external::weight_store_status chapaSul;
     chapaSul.loadsPerSecond = 2;
     chapaSul.slots = 4;
     chapaSul.adapterSlots = 30;
-    platform::weight_store_status consorcio = chapaSul;
+    external::weight_store_status consorcio = chapaSul;
     consorcio.slots = 3;
     consorcio.adapterSlots = 25;
     return {{"chapa-sul", 3, 12, 15, 75, chapaSul}, {"consorcio", 4, 9, 13, 55, consorcio}};
--- a/packages/measure/src/chervilbend/measure/attainment/placement_simulation.cpp
+++ b/packages/measure/src/chervilbend/measure/attainment/placement_simulation.cpp
@@ -116,7 +116,7 @@
     for (const auto &[id, view] : m_state.endpoints()) {
         input.usable.insert(id);
     }
-    const platform::weight_store_status store = m_store.status();
+    const external::weight_store_status store = m_store.status();
     input.store = {store.loadsPerSecond, store.slots, store.adapterSlots, store.inTransit};
     const std::vector<state::entry> entries = policy.plan(input);
     if (entries.empty()) {
--- a/packages/measure/src/chervilbend/measure/attainment/placement_simulation.hpp
+++ b/packages/measure/src/chervilbend/measure/attainment/placement_simulation.hpp
@@ -24,7 +24,7 @@
     int endpoints = 12;
     int models = 15;
     int adapters = 75;
-    platform::weight_store_status store;
+    external::weight_store_status store;
     /// Memory of an endpoint in units of 640 GB.
     std::int64_t memoryFactor = 1;
 };
--- a/packages/measure/src/chervilbend/measure/simulation/memory_simulation.cpp
+++ b/packages/measure/src/chervilbend/measure/simulation/memory_simulation.cpp
@@ -262,8 +262,8 @@
 
 void memory_simulation::observe()
 {
-    const platform::log_page page = m_store->read(m_observer.folded());
-    for (const platform::log_record &record : page.records) {
+    const external::log_page page = m_store->read(m_observer.folded());
+    for (const external::log_record &record : page.records) {
         std::map<base::endpoint_id, std::size_t> before;
         for (const auto &[id, view] : m_observer.endpoints()) {
             before[id] = view.items.size();
--- /dev/null
+++ b/packages/net/src/chervilbend/net/forwarded_fields.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <chervilbend/net/http_types.hpp>
+
+namespace chervilbend::net
+{
+
+/// Copies the fields that a proxy passes on: all but those that concern one connection (RFC 9110, section 7.6.1) and those that the HTTP
+/// client or server sets itself, among them Host and Content-Length.
+void copyForwardedFields(const http::fields &from, http::fields &to);
+
+} // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -9,6 +9,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace asio = boost::asio;
@@ -21,12 +25,27 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerAddress = 64;
-/// Shorter than the 5 s after which common servers close idle connections: a request that is written to a connection at the moment when
-/// the server closes it fails without anyone knowing whether it ran.
-constexpr base::milliseconds longestIdle{4'000};
+/// Bounds on the time until the kernel notices that a peer has fallen silent, in seconds and in milliseconds.
+constexpr int keepAliveIdle = 2;
+constexpr int keepAliveInterval = 1;
+constexpr int keepAliveProbes = 2;
+constexpr unsigned unacknowledgedTimeout = 4'000;
 /// Bound for answers that send() keeps whole.
 constexpr std::size_t longestWholeAnswer = 64 * 1024 * 1024;
 
+/// Makes the kernel end a connection whose peer has fallen silent: a wait for its answer would otherwise last until the deadline.
+void noticeSilence(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = socket.native_handle();
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdle, sizeof keepAliveIdle);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveInterval, sizeof keepAliveInterval);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeout, sizeof unacknowledgedTimeout);
+}
+
 /// Whether an idle connection was closed, or sent something unasked, since it was given back.
 bool isStale(connection &idle)
 {
@@ -40,7 +59,7 @@
 } // namespace
 
 http_client::http_client()
-    : m_idle(std::make_shared<std::map<address, std::vector<std::shared_ptr<connection>>>>())
+    : m_idle(std::make_shared<std::map<address, std::vector<idle_connection>>>())
 {
 }
 
@@ -85,7 +104,9 @@
     }
     request.version(11);
     request.keep_alive(true);
-    request.set(http::field::host, toString(where));
+    if (request.count(http::field::host) == 0) {
+        request.set(http::field::host, toString(where));
+    }
     request.prepare_payload();
     endpoint->expireAfter(options.answerTimeout);
     const bool headOnly = request.method() == http::verb::head;
@@ -97,18 +118,16 @@
         endpoint->close();
         co_return nullptr;
     }
-    const auto giveBackTo = [idle = std::weak_ptr(m_idle), where](std::shared_ptr<connection> used) {
+    const auto giveBackTo = [idle = std::weak_ptr(m_idle), where](std::shared_ptr<connection> used, base::milliseconds idleLimit) {
         const auto pool = idle.lock();
         if (!pool || used->buffer().size() != 0) {
             return;
         }
-        std::vector<std::shared_ptr<connection>> &idleHere = (*pool)[where];
-        if (idleHere.size() >= maxIdlePerAddress) {
-            std::erase_if(idleHere, [](const auto &old) { return !old->socket().is_open(); });
-        }
+        std::vector<idle_connection> &idleHere = (*pool)[where];
+        std::erase_if(idleHere, [](const idle_connection &old) { return !old.link->socket().is_open(); });
         if (idleHere.size() < maxIdlePerAddress) {
-            used->expireAfter(longestIdle);
-            idleHere.push_back(std::move(used));
+            used->expireAfter(idleLimit);
+            idleHere.push_back({std::move(used), base::clock::now()});
         }
     };
     const auto stream = std::make_shared<http_client_stream>(endpoint, options.answerTimeout, options.deadline, headOnly, giveBackTo);
@@ -126,11 +145,16 @@
     m_idle->clear();
 }
 
-std::shared_ptr<connection> http_client::takeIdle(const address &where)
+std::shared_ptr<connection> http_client::takeIdle(const address &where, base::milliseconds longestIdle)
 {
-    std::vector<std::shared_ptr<connection>> &idle = (*m_idle)[where];
-    while (!idle.empty()) {
-        std::shared_ptr<connection> candidate = std::move(idle.back());
+    const auto found = m_idle->find(where);
+    if (found == m_idle->end()) {
+        return nullptr;
+    }
+    // The one that was used last is the least likely to have been dropped, and lets the others time out.
+    std::vector<idle_connection> &idle = found->second;
+    while (!idle.empty() && base::clock::now() - idle.back().since <= longestIdle) {
+        std::shared_ptr<connection> candidate = std::move(idle.back().link);
         idle.pop_back();
         if (!isStale(*candidate)) {
             return candidate;
@@ -142,7 +166,7 @@
 asio::awaitable<std::shared_ptr<connection>> http_client::connect(address where, http_send_options options)
 {
     if (!options.freshConnection) {
-        if (std::shared_ptr<connection> idle = takeIdle(where)) {
+        if (std::shared_ptr<connection> idle = takeIdle(where, options.longestIdle)) {
             co_return idle;
         }
     }
@@ -162,8 +186,8 @@
         fresh->close();
         co_return nullptr;
     }
-    boost::system::error_code ignored;
-    fresh->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    noticeSilence(fresh->socket());
+    ++m_opened;
     co_return fresh;
 }
 
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,8 @@
     /// Never uses a pooled connection. A pooled one may turn out closed only after the request was written, which leaves it
     /// uncertain whether the request ran.
     bool freshConnection = false;
+    /// Longest time that a pooled connection may have been idle. A peer may have dropped an idle connection without a sign.
+    base::milliseconds longestIdle{60'000};
 };
 
 /// Sends HTTP/1.1 requests over pooled connections. The pool keeps a bounded number of idle connections per address.
@@ -48,6 +51,12 @@
 
     void closeIdle();
 
+    /// Connections that were opened since the start.
+    std::int64_t connectionsOpened() const
+    {
+        return m_opened;
+    }
+
     /// Whether the last call without a value ended because time was up, rather than because the connection broke.
     bool hasTimedOut() const
     {
@@ -58,10 +67,16 @@
     friend class http_client_stream;
 
     boost::asio::awaitable<std::shared_ptr<connection>> connect(address where, http_send_options options);
-    std::shared_ptr<connection> takeIdle(const address &where);
+    std::shared_ptr<connection> takeIdle(const address &where, base::milliseconds longestIdle);
+
+    struct idle_connection {
+        std::shared_ptr<connection> link;
+        base::time_point since;
+    };
 
-    std::shared_ptr<std::map<address, std::vector<std::shared_ptr<connection>>>> m_idle;
+    std::shared_ptr<std::map<address, std::vector<idle_connection>>> m_idle;
     bool m_timedOut = false;
+    std::int64_t m_opened = 0;
 };
 
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -20,6 +22,11 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 /// Twice what the server side takes, since services add fields of their own.
 constexpr std::uint32_t longestHeader = 32 * 1024;
+/// For peers that do not say how long they keep an idle connection: shorter than the 5 s after which common servers close it. A request that
+/// is written at the moment when the server closes the connection fails without anyone knowing whether it ran.
+constexpr base::milliseconds defaultIdleLimit{4'000};
+/// Taken off what a peer says, for the time that a request is on its way.
+constexpr base::milliseconds idleMargin{700};
 } // namespace
 
 http_client_stream::http_client_stream(
@@ -37,12 +44,27 @@
 {
     if (m_parser->is_done() && m_parser->get().keep_alive()) {
         m_connection->neverExpire();
-        m_giveBack(std::move(m_connection));
+        m_giveBack(std::move(m_connection), idleLimit());
     } else {
         m_connection->close();
     }
 }
 
+base::milliseconds http_client_stream::idleLimit() const
+{
+    constexpr std::int64_t millisecondsPerSecond = 1'000;
+    constexpr std::string_view parameter = "timeout=";
+    const auto field = header()[http::field::keep_alive];
+    const std::string_view text(field.data(), field.size());
+    const std::size_t found = text.find(parameter);
+    std::int64_t seconds = 0;
+    if (found == std::string_view::npos
+        || std::from_chars(text.data() + found + parameter.size(), text.data() + text.size(), seconds).ec != std::errc{}) {
+        return defaultIdleLimit;
+    }
+    return std::max(base::milliseconds(seconds * millisecondsPerSecond) - idleMargin, base::milliseconds(0));
+}
+
 bool http_client_stream::hasTimedOut() const
 {
     return m_connection->hasExpired();
@@ -100,6 +122,29 @@
     }
 }
 
+asio::awaitable<bool> http_client_stream::skipToNext()
+{
+    if (!marksItsEnd()) {
+        fail(base::error_kind::endpointInvalidAnswer, "an answer to another request does not say where it ends");
+        co_return false;
+    }
+    while (true) {
+        const std::optional<std::string_view> piece = co_await read();
+        if (!piece) {
+            co_return false;
+        }
+        if (piece->empty()) {
+            break;
+        }
+    }
+    if (!m_parser->get().keep_alive()) {
+        fail(base::error_kind::endpointFailed, "the endpoint ended the connection after an answer to another request");
+        co_return false;
+    }
+    startParser();
+    co_return co_await readHeader();
+}
+
 asio::awaitable<std::optional<std::string_view>> http_client_stream::read()
 {
     std::size_t filled = 0;
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -24,7 +24,8 @@
 class http_client_stream : public base::reason_holder
 {
 public:
-    using return_connection = std::function<void(std::shared_ptr<connection>)>;
+    /// Takes a connection that can be used again, and how long the peer keeps it open while it is idle.
+    using return_connection = std::function<void(std::shared_ptr<connection>, base::milliseconds)>;
 
     http_client_stream(
         std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, base::time_point deadline, bool headOnly, return_connection giveBack);
@@ -35,6 +36,10 @@
     /// Reads the header. False with a last reason when the connection fails or the answer is malformed.
     boost::asio::awaitable<bool> readHeader();
 
+    /// Throws the rest of this answer away and reads the header of the next one on the connection, for an answer that was not meant for the
+    /// request. False as for readHeader(), and when this answer does not say where it ends.
+    boost::asio::awaitable<bool> skipToNext();
+
     const http::response_header<> &header() const
     {
         return m_parser->get().base();
@@ -54,6 +59,7 @@
 
 private:
     void expireInTime();
+    base::milliseconds idleLimit() const;
     void startParser();
     std::nullopt_t failFor(const boost::system::error_code &error);
 
--- a/packages/node/src/chervilbend/node/callers/event_scanner.cpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.cpp
@@ -70,6 +70,10 @@
             line.remove_prefix(5);
             line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
             scanData(line);
+        } else if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+            scanId(line);
         }
     }
 }
@@ -84,6 +88,16 @@
     m_tokens = counted > 0 ? std::max(m_tokens, counted) : m_tokens + 1;
 }
 
+void event_scanner::scanId(std::string_view id)
+{
+    std::int64_t number = 0;
+    if (std::from_chars(id.data(), id.data() + id.size(), number).ec != std::errc{}) {
+        return;
+    }
+    m_outOfOrder = m_outOfOrder || (m_lastEvent && number <= *m_lastEvent);
+    m_lastEvent = number;
+}
+
 base::token_count event_scanner::tokensOfWholeAnswer(std::string_view body)
 {
     return base::token_count(countIn(body));
--- a/packages/node/src/chervilbend/node/callers/event_scanner.hpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.hpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/units.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,14 +41,41 @@
         return !m_held.empty();
     }
 
+    /// Id of the last whole event; no value while none had one.
+    std::optional<std::int64_t> lastEvent() const
+    {
+        return m_lastEvent;
+    }
+
+    /// Whether an event's id was not above that of the one before it.
+    bool isOutOfOrder() const
+    {
+        return m_outOfOrder;
+    }
+
+    /// The stream goes on from another endpoint after lastEvent(): what was held back comes again.
+    void resume()
+    {
+        m_held.clear();
+    }
+
+    /// The caller has the events up to this one.
+    void startAfter(std::int64_t event)
+    {
+        m_lastEvent = event;
+    }
+
 private:
     void scan(std::string_view events);
     void scanData(std::string_view data);
+    void scanId(std::string_view id);
 
     std::string m_held;
     std::string m_ready;
     std::int64_t m_tokens = 0;
     bool m_done = false;
+    std::optional<std::int64_t> m_lastEvent;
+    bool m_outOfOrder = false;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/error_answer.hpp>
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
 #include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
@@ -32,6 +33,12 @@
 
 /// A whole answer that is longer than this is passed on as a stream, so that it need not fit into the node's memory.
 constexpr std::size_t longestWholeAnswer = 4 * 1024 * 1024;
+/// A connection over the platform's links is there within some ms; the kernel repeats a lost opening packet only after a second.
+constexpr base::milliseconds longestConnect{300};
+/// A request that may run only once is not sent on a connection that its peer may have dropped in the meantime.
+constexpr base::milliseconds longestIdleForOnce{1'500};
+/// When a caller of the platform's wire may come back after a refusal.
+constexpr const char *retryAfterSeconds = "0.2";
 
 const log4cxx::LoggerPtr &routeLog()
 {
@@ -45,11 +52,15 @@
     return std::string_view(type.data(), type.size()).starts_with("text/event-stream");
 }
 
-/// Whether the endpoint turned the request away unrun because it has too much to do. Plain services also use 429 for their own limits per
-/// account, which another instance would answer alike.
-bool isOverloadAnswer(const http::response_header<> &header, bool inference)
+/// The log line of a decision on a request.
+base::log_event eventFor(std::string_view name, const forwarding_plan &plan)
 {
-    return header.result() == http::status::service_unavailable || (inference && header.result() == http::status::too_many_requests);
+    base::log_event event(name);
+    event.with("request", plan.attempt).with("pool", plan.facts.pool).with("class", config::nameOf(plan.facts.urgency));
+    if (!plan.facts.account.empty()) {
+        event.with("account", plan.facts.account.value());
+    }
+    return event;
 }
 
 asio::awaitable<bool> startStream(std::shared_ptr<net::http_exchange> exchange, std::shared_ptr<net::http_client_stream> answer)
@@ -60,6 +71,15 @@
     co_return co_await exchange->startStream(std::move(header));
 }
 
+/// Whether a stream that ended without a failure is complete.
+bool isWhole(const forwarding_plan &plan, const net::http_client_stream &answer, const event_scanner &scanner, bool needsDone)
+{
+    if (needsDone) {
+        return scanner.isDone();
+    }
+    return (answer.marksItsEnd() || plan.statusIsPromise) && !scanner.isInsideEvent();
+}
+
 asio::awaitable<bool> isCancelled()
 {
     const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
@@ -80,25 +100,40 @@
 {
     const auto request = std::make_shared<passage>(m_admission, m_metrics, exchange, std::move(plan));
     const routing::request_facts &facts = request->plan.facts;
+    const base::time_point began = base::clock::now();
     std::optional<routing::dispatch> where = co_await request->work.submit(facts);
     bool mayHaveRun = false;
     base::reason why;
     request_outcome outcome = request_outcome::refused;
+    int attempts = 0;
     while (where) {
+        ++attempts;
         LOG4CXX_INFO(routeLog(),
-                     facts.pool << " to " << where->endpoint << ", class " << config::nameOf(facts.urgency) << ", account " << facts.account << ": "
-                                << where->why);
-        attempt_result result = co_await attempt(request, *where);
+                     eventFor("sent", request->plan)
+                         .with("endpoint", where->endpoint.value())
+                         .with("attempt", attempts)
+                         .with("waitedMs", (base::clock::now() - began).count())
+                         .with("why", where->why)
+                         .text());
+        const bool isLast = request->plan.mostAttempts != 0 && attempts >= request->plan.mostAttempts;
+        attempt_result result = co_await attempt(request, *where, isLast);
         const bool cancelled = co_await isCancelled();
         outcome = cancelled ? request_outcome::cancelled : result.outcome;
         if (cancelled || result.settled) {
+            LOG4CXX_INFO(routeLog(),
+                         eventFor(cancelled ? "callerLeft" : "ended", request->plan)
+                             .with("endpoint", where->endpoint.value())
+                             .with("tookMs", (base::clock::now() - began).count())
+                             .with("why", result.why.text)
+                             .text());
             request->finish(outcome);
             co_return;
         }
         mayHaveRun = mayHaveRun || result.mayHaveRun;
         why = std::move(result.why);
-        LOG4CXX_INFO(routeLog(), facts.pool << " failed at " << where->endpoint << ": " << why.text);
-        if (outcome == request_outcome::timedOut || (result.mayHaveRun && !facts.repeatable)) {
+        LOG4CXX_INFO(routeLog(), eventFor("attemptFailed", request->plan).with("endpoint", where->endpoint.value()).with("why", why.text).text());
+        const bool timeIsUp = base::clock::now() >= facts.deadline;
+        if (isLast || timeIsUp || (outcome == request_outcome::timedOut && request->plan.mostAttempts == 0) || (result.mayHaveRun && !facts.repeatable)) {
             break;
         }
         where = co_await request->work.retry(outcome);
@@ -110,15 +145,28 @@
     }
     if (why.text.empty()) {
         why = request->work.lastReason();
-        LOG4CXX_INFO(routeLog(), facts.pool << " refused, class " << config::nameOf(facts.urgency) << ", account " << facts.account << ": " << why.text);
     }
     request->finish(outcome);
+    co_await refuse(request, std::move(why), mayHaveRun);
+}
+
+asio::awaitable<void> forwarder::refuse(std::shared_ptr<passage> request, base::reason why, bool mayHaveRun)
+{
+    const forwarding_plan &plan = request->plan;
+    LOG4CXX_INFO(routeLog(), eventFor("refused", plan).with("mayHaveRun", mayHaveRun).with("why", why.text).text());
     m_metrics.onProblem(why.kind);
+    if (plan.statusIsPromise) {
+        why.kind = mayHaveRun ? base::error_kind::endpointFailed : base::error_kind::noEndpoint;
+    }
     const base::run_state state = mayHaveRun ? base::run_state::unknown : base::answerFor(why.kind).state;
-    co_await exchange->respond(problemAnswer(why, state));
+    net::http_response answer = problemAnswer(why, state);
+    if (plan.statusIsPromise && !mayHaveRun) {
+        answer.set(http::field::retry_after, retryAfterSeconds);
+    }
+    co_await request->exchange->respond(std::move(answer));
 }
 
-asio::awaitable<forwarder::attempt_result> forwarder::attempt(std::shared_ptr<passage> request, routing::dispatch where)
+asio::awaitable<forwarder::attempt_result> forwarder::attempt(std::shared_ptr<passage> request, routing::dispatch where, bool isLast)
 {
     attempt_result result;
     request->startAttempt();
@@ -133,7 +181,15 @@
     options.deadline = plan.facts.deadline;
     options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
     options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
-    net::http_request forwarded = requestForEndpoint(request->exchange->request(), plan);
+    if (plan.statusIsPromise) {
+        options.connectTimeout = std::min(options.connectTimeout, longestConnect);
+        options.longestIdle = plan.facts.repeatable ? options.longestIdle : longestIdleForOnce;
+    }
+    if (plan.patience > base::milliseconds(0) && !isLast) {
+        options.answerTimeout = std::min(options.answerTimeout, plan.patience);
+    }
+    const endpoint_dialect &dialect = plan.dialect ? *plan.dialect : m_native;
+    net::http_request forwarded = dialect.prepare(request->exchange->request(), plan, where.endpoint, request->events.lastEvent());
     const std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(*address, std::move(forwarded), options);
     if (!answer) {
         result.why = m_client.lastReason();
@@ -145,18 +201,52 @@
         }
         co_return result;
     }
-    if (isOverloadAnswer(answer->header(), plan.inference)) {
+    co_return co_await pass(request, std::move(where), answer);
+}
+
+asio::awaitable<forwarder::attempt_result>
+    forwarder::pass(std::shared_ptr<passage> request, routing::dispatch where, std::shared_ptr<net::http_client_stream> answer)
+{
+    attempt_result result;
+    const forwarding_plan &plan = request->plan;
+    const endpoint_dialect &dialect = plan.dialect ? *plan.dialect : m_native;
+    fleet::answer_verdict verdict = dialect.judge(answer->header(), plan);
+    while (verdict == fleet::answer_verdict::foreign) {
+        // The answer to a request that was given up comes before the one that is waited for.
+        if (!co_await answer->skipToNext()) {
+            result.mayHaveRun = true;
+            result.outcome = answer->hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
+            result.why = answer->lastReason();
+            co_return result;
+        }
+        verdict = dialect.judge(answer->header(), plan);
+    }
+    switch (verdict) {
+    case fleet::answer_verdict::notRunBusy:
         result.outcome = request_outcome::refused;
         result.why = {base::error_kind::overloaded, where.endpoint.value() + " is overloaded"};
         co_return result;
-    }
-    // An engine answers 404 for a model that is not loaded (docs/wire.md): it was restarted since its last report.
-    if (plan.inference && answer->header().result() == http::status::not_found) {
+    case fleet::answer_verdict::notRunElsewhere:
         result.outcome = request_outcome::refused;
         result.why = {base::error_kind::noEndpoint, where.endpoint.value() + " does not hold " + plan.facts.pool + " any more"};
         co_return result;
+    case fleet::answer_verdict::invalid:
+        result.mayHaveRun = true;
+        result.outcome = request_outcome::connectionLost;
+        result.why = {base::error_kind::endpointInvalidAnswer, "the endpoint does not vouch for its answer " + std::to_string(answer->header().result_int())};
+        co_return result;
+    case fleet::answer_verdict::notRunRejected:
+    case fleet::answer_verdict::passOn:
+    case fleet::answer_verdict::foreign:
+        break;
     }
     if (!isEventStream(answer->header())) {
+        if (request->exchange->isStarted()) {
+            result.mayHaveRun = true;
+            result.outcome = request_outcome::connectionLost;
+            result.why = {base::error_kind::endpointInvalidAnswer, "the endpoint answered " + std::to_string(answer->header().result_int()) + " to a stream's second part"};
+            co_return result;
+        }
         co_return co_await passWhole(request, answer);
     }
     const bool needsDone = plan.inference && answer->header().result() == http::status::ok;
@@ -168,7 +258,7 @@
     attempt_result result;
     result.mayHaveRun = true;
     result.settled = true;
-    if (!answer->marksItsEnd()) {
+    if (!answer->marksItsEnd() && !request->plan.statusIsPromise) {
         result.why = {base::error_kind::endpointInvalidAnswer, "the endpoint's answer does not say where it ends"};
         m_metrics.onProblem(result.why.kind);
         co_await request->exchange->respond(problemAnswer(result.why));
@@ -205,15 +295,14 @@
     forwarder::passStream(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer, std::string beginning, bool needsDone)
 {
     const std::shared_ptr<net::http_exchange> exchange = request->exchange;
+    const forwarding_plan &plan = request->plan;
     const bool events = isEventStream(answer->header());
     attempt_result result;
     result.mayHaveRun = true;
-    result.settled = true;
-    event_scanner scanner;
+    event_scanner &scanner = request->events;
     std::string_view ready = beginning;
-    bool ended = false;
     bool whole = false;
-    while (!ended) {
+    while (true) {
         bool sent = true;
         if (!ready.empty() && !exchange->isStarted()) {
             sent = co_await startStream(exchange, answer);
@@ -222,20 +311,22 @@
             sent = co_await exchange->writeChunk(ready);
         }
         if (!sent) {
+            result.settled = true;
             result.outcome = request_outcome::cancelled;
             co_return result;
         }
         const std::optional<std::string_view> piece = co_await answer->read();
-        ended = !piece || piece->empty();
-        if (ended) {
-            whole = piece && (needsDone ? scanner.isDone() : answer->marksItsEnd() && !scanner.isInsideEvent());
+        if (!piece || piece->empty()) {
+            whole = piece && isWhole(plan, *answer, scanner, needsDone);
             break;
         }
         request->firstByte();
         ready = events ? scanner.feed(*piece) : *piece;
-        if (needsDone) {
-            request->progress(scanner.tokens());
+        if (events && scanner.isOutOfOrder()) {
+            result.why = {base::error_kind::endpointInvalidAnswer, "the stream's events are out of order"};
+            break;
         }
+        request->progress(base::token_count(scanner.tokens().count() * plan.tokensPerEvent));
     }
     if (whole) {
         bool sent = exchange->isStarted();
@@ -245,19 +336,22 @@
         if (sent) {
             sent = co_await exchange->finishStream();
         }
+        result.settled = true;
         result.outcome = sent ? request_outcome::answered : request_outcome::cancelled;
         co_return result;
     }
     result.outcome = answer->hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
-    result.why = answer->lastReason();
+    if (result.why.text.empty()) {
+        result.why = answer->lastReason();
+    }
     if (result.why.text.empty()) {
         result.why = {base::error_kind::endpointInvalidAnswer, "the stream ended before its end mark"};
     }
-    result.settled = exchange->isStarted();
+    // What has begun can only go on where a stream can be resumed.
+    result.settled = exchange->isStarted() && !(plan.resumable && scanner.lastEvent() && !scanner.isOutOfOrder());
     if (result.settled) {
-        LOG4CXX_INFO(routeLog(), request->plan.facts.pool << " broke off in its stream: " << result.why.text);
         m_metrics.onBrokenStream();
-        if (events) {
+        if (events && !plan.statusIsPromise) {
             co_await exchange->writeChunk(problemEvent(result.why, base::run_state::unknown));
         }
     }
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/reason.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
+#include <chervilbend/node/callers/native_dialect.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 
@@ -28,7 +29,8 @@
 /// Forwards requests that may be repeated to endpoints and passes the answers on.
 ///
 /// Whole answers are read to their end before the first byte goes to the caller. Streams are passed on piece by piece; each piece waits
-/// until the caller's socket took it. A stream that breaks off ends with an error event, and its connection is not ended cleanly.
+/// until the caller's socket took it. A stream that breaks off goes on at another endpoint where that is possible; otherwise its connection is
+/// not ended cleanly, after an error event where the product's own interface is spoken.
 class forwarder
 {
 public:
@@ -46,7 +48,9 @@
         base::reason why;
     };
 
-    boost::asio::awaitable<attempt_result> attempt(std::shared_ptr<passage> request, routing::dispatch where);
+    boost::asio::awaitable<attempt_result> attempt(std::shared_ptr<passage> request, routing::dispatch where, bool isLast);
+    boost::asio::awaitable<attempt_result> pass(std::shared_ptr<passage> request, routing::dispatch where, std::shared_ptr<net::http_client_stream> answer);
+    boost::asio::awaitable<void> refuse(std::shared_ptr<passage> request, base::reason why, bool mayHaveRun);
     boost::asio::awaitable<attempt_result> passWhole(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer);
     /// @p beginning was read from the answer before.
     boost::asio::awaitable<attempt_result>
@@ -56,6 +60,7 @@
     endpoint_directory &m_endpoints;
     net::http_client &m_client;
     front_metrics &m_metrics;
+    native_dialect m_native;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/passage.cpp
+++ b/packages/node/src/chervilbend/node/callers/passage.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/node/callers/passage.hpp>
 
+#include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/front_metrics.hpp>
 
 #include <utility>
@@ -13,6 +14,15 @@
     , work(gate)
     , m_metrics(metrics)
 {
+    restartEvents();
+}
+
+void passage::restartEvents()
+{
+    events = event_scanner();
+    if (plan.lastEvent) {
+        events.startAfter(*plan.lastEvent);
+    }
 }
 
 passage::~passage()
@@ -23,7 +33,12 @@
 void passage::startAttempt()
 {
     m_hasFirstByte = false;
-    m_tokens = 0;
+    if (exchange->isStarted()) {
+        events.resume();
+    } else {
+        restartEvents();
+    }
+    m_tokens = events.tokens().count() * plan.tokensPerEvent;
 }
 
 void passage::firstByte()
--- a/packages/node/src/chervilbend/node/callers/passage.hpp
+++ b/packages/node/src/chervilbend/node/callers/passage.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/node/callers/admitted_request.hpp>
+#include <chervilbend/node/callers/event_scanner.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
 
@@ -38,8 +39,12 @@
     const std::shared_ptr<net::http_exchange> exchange;
     const forwarding_plan plan;
     admitted_request work;
+    /// Follows the stream over all attempts.
+    event_scanner events;
 
 private:
+    void restartEvents();
+
     front_metrics &m_metrics;
     base::time_point m_since = base::clock::now();
     std::int64_t m_tokens = 0;
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -0,0 +1,184 @@
+#include <chervilbend/node/callers/route_api.hpp>
+
+#include <chervilbend/base/hash.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/pool_name.hpp>
+#include <chervilbend/fleet/request_wire.hpp>
+#include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/node/callers/forwarder.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
+#include <chervilbend/node/callers/item_supply.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
+#include <chervilbend/node/callers/problem_answer.hpp>
+
+#include <boost/asio/error.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+/// For callers that do not say how long they will wait.
+constexpr base::milliseconds defaultPatience{30'000};
+/// An endpoint that has been silent for so many target latencies is given up, within the bounds below.
+constexpr int patienceFactor = 3;
+constexpr base::milliseconds leastPatience{400};
+constexpr base::milliseconds mostPatience{2'000};
+constexpr int leastUrgentLevel = 9;
+
+const log4cxx::LoggerPtr &routeLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("route");
+    return logger;
+}
+
+base::work_class classOf(int priority)
+{
+    return static_cast<base::work_class>(std::clamp(priority, 0, base::workClassCount - 1));
+}
+
+/// Hash of the parts of the prompt that requests share; 0 when there are none.
+std::uint64_t sharedPrefix(const fleet::caller_request &caller, std::string_view pool)
+{
+    if (caller.prompt.size() < 2) {
+        return 0;
+    }
+    std::uint64_t hash = base::hash64(pool);
+    for (std::size_t i = 0; i + 1 < caller.prompt.size(); ++i) {
+        hash = base::hash64(caller.prompt[i].id, hash);
+    }
+    return hash;
+}
+
+std::string_view textOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+route_api::route_api(const fleet::request_wire &wire, forwarder &requests, item_supply &supply, open_requests &open, front_metrics &metrics)
+    : m_wire(wire)
+    , m_dialect(wire)
+    , m_forwarder(requests)
+    , m_supply(supply)
+    , m_open(open)
+    , m_metrics(metrics)
+{
+}
+
+void route_api::setRoutes(std::shared_ptr<const fleet::route_table> routes)
+{
+    m_routes = std::move(routes);
+}
+
+asio::awaitable<void> route_api::handle(std::shared_ptr<net::http_exchange> exchange)
+{
+    const open_requests::registration listed(m_open, exchange);
+    std::string failure;
+    try {
+        co_await serve(exchange);
+        co_return;
+    } catch (const boost::system::system_error &error) {
+        if (error.code() == asio::error::operation_aborted) {
+            throw;
+        }
+        failure = error.what();
+    } catch (const std::exception &error) {
+        failure = error.what();
+    }
+    LOG4CXX_ERROR(routeLog(), base::log_event("handlerFailed").with("target", textOf(exchange->request().target())).with("why", failure).text());
+    if (!exchange->isStarted()) {
+        const base::reason why{base::error_kind::endpointFailed, "the request could not be handled"};
+        co_await exchange->respond(problemAnswer(why));
+    }
+}
+
+asio::awaitable<void> route_api::refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text)
+{
+    const base::reason why{kind, std::move(text)};
+    LOG4CXX_INFO(routeLog(),
+                 base::log_event("refused")
+                     .with("request", attempt)
+                     .with("target", textOf(exchange->request().target()))
+                     .with("version", m_routes ? m_routes->configuration().version : 0)
+                     .with("why", why.text)
+                     .text());
+    m_metrics.onProblem(why.kind);
+    co_await exchange->respond(problemAnswer(why));
+}
+
+asio::awaitable<void> route_api::serve(std::shared_ptr<net::http_exchange> exchange)
+{
+    const net::http_request &request = exchange->request();
+    if (!m_routes) {
+        co_await refuse(exchange, std::string(), base::error_kind::noEndpoint, "no configuration is known yet");
+        co_return;
+    }
+    base::reason why;
+    const std::optional<fleet::caller_request> caller = m_wire.read(request, why);
+    if (!caller) {
+        co_await refuse(exchange, std::string(), why.kind, why.text);
+        co_return;
+    }
+    const std::shared_ptr<const fleet::route_table> routes = m_routes;
+    const std::string_view target = textOf(request.target());
+    const std::string_view host = textOf(request[http::field::host]);
+    const fleet::route_rule *const route = routes->find(host.substr(0, host.find(':')), target.substr(0, target.find('?')));
+    const base::service_id *const service = route ? fleet::chooseService(*route, caller->attempt) : nullptr;
+    if (!service) {
+        co_await refuse(exchange, caller->attempt, base::error_kind::unknownRoute, "no route takes this host and path");
+        co_return;
+    }
+    const auto rule = routes->configuration().services.find(*service);
+    forwarding_plan plan = planFor(request, *caller, *route, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
+    if (!caller->model.empty()) {
+        const bool isHeld = co_await m_supply.supply(*service, caller->model, caller->adapter, plan.facts.deadline);
+        if (!isHeld) {
+            co_await refuse(exchange, caller->attempt, base::error_kind::noEndpoint, "no endpoint holds " + plan.facts.pool);
+            co_return;
+        }
+    }
+    co_await m_forwarder.forward(exchange, std::move(plan));
+}
+
+forwarding_plan route_api::planFor(const net::http_request &request,
+                                   const fleet::caller_request &caller,
+                                   const fleet::route_rule &route,
+                                   const base::service_id &service,
+                                   const fleet::service_rule *rule) const
+{
+    forwarding_plan plan;
+    plan.dialect = &m_dialect;
+    plan.statusIsPromise = true;
+    plan.attempt = caller.attempt;
+    plan.mostAttempts = route.attempts;
+    plan.urgency = std::clamp(route.priority, 0, leastUrgentLevel);
+    plan.resumable = route.kind == fleet::route_kind::stream && route.resumable;
+    plan.lastEvent = caller.lastEvent;
+    plan.tokensPerEvent = rule && rule->engine ? rule->engine->tokensPerEvent : 1;
+    plan.facts.pool = fleet::poolName(service, caller.model, caller.adapter);
+    plan.facts.retryGroup = service.value();
+    plan.facts.urgency = classOf(route.priority);
+    plan.facts.deadline = base::clock::now() + std::min(caller.patience.value_or(defaultPatience), route.timeout);
+    plan.facts.promptTokens = caller.promptTokens;
+    plan.facts.maxTokens = caller.maxTokens;
+    plan.facts.prefix = sharedPrefix(caller, plan.facts.pool);
+    plan.facts.fingerprint = base::hash64(request.body(), base::hash64(textOf(request.target())));
+    plan.facts.repeatable = route.isRepeatable();
+    if (plan.facts.repeatable) {
+        plan.patience = std::clamp(route.targetLatency * patienceFactor, leastPatience, mostPatience);
+    }
+    return plan;
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chervilbend/base/error_kind.hpp>
+#include <chervilbend/fleet/route_table.hpp>
+#include <chervilbend/net/http_handler.hpp>
+#include <chervilbend/node/callers/forwarding_plan.hpp>
+#include <chervilbend/node/callers/wire_dialect.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace chervilbend::fleet
+{
+class request_wire;
+struct caller_request;
+} // namespace chervilbend::fleet
+
+namespace chervilbend::node
+{
+
+class forwarder;
+class front_metrics;
+class item_supply;
+class open_requests;
+
+/// Takes requests on the routes of the operators' configuration and has them forwarded.
+class route_api : public net::http_handler
+{
+public:
+    /// References must outlive the server that uses this handler.
+    route_api(const fleet::request_wire &wire, forwarder &requests, item_supply &supply, open_requests &open, front_metrics &metrics);
+
+    /// Requests that arrive from now on go by this version.
+    void setRoutes(std::shared_ptr<const fleet::route_table> routes);
+
+    boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
+
+private:
+    boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange);
+    boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text);
+    forwarding_plan planFor(const net::http_request &request,
+                            const fleet::caller_request &caller,
+                            const fleet::route_rule &route,
+                            const base::service_id &service,
+                            const fleet::service_rule *rule) const;
+
+    const fleet::request_wire &m_wire;
+    wire_dialect m_dialect;
+    forwarder &m_forwarder;
+    item_supply &m_supply;
+    open_requests &m_open;
+    front_metrics &m_metrics;
+    std::shared_ptr<const fleet::route_table> m_routes;
+};
+
+} // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/composition/control_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.cpp
@@ -170,11 +170,11 @@
     return true;
 }
 
-void control_plane::hostsChanged(const std::vector<platform::host_entry> &hosts)
+void control_plane::hostsChanged(const std::vector<external::host_entry> &hosts)
 {
     std::vector<membership::member> listed;
-    for (const platform::host_entry &host : hosts) {
-        if (host.kind != platform::host_kind::node) {
+    for (const external::host_entry &host : hosts) {
+        if (host.kind != external::host_kind::node) {
             continue;
         }
         membership::member node;
--- a/packages/node/src/chervilbend/node/composition/control_plane.hpp
+++ b/packages/node/src/chervilbend/node/composition/control_plane.hpp
@@ -60,7 +60,7 @@
     /// Called with the id of each publish that this node takes. Empty for none.
     void onPublish(std::function<void(const std::string &publishId)> taken);
     bool submit(state::entry entry) override;
-    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
+    void hostsChanged(const std::vector<external::host_entry> &hosts) override;
 
     control::log_stream &controlStream()
     {
--- a/packages/node/src/chervilbend/node/composition/day_side.cpp
+++ b/packages/node/src/chervilbend/node/composition/day_side.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-day_side::day_side(const asio::any_io_executor &executor, const node_identity &identity, control_plane &control, platform::log_service &log)
+day_side::day_side(const asio::any_io_executor &executor, const node_identity &identity, control_plane &control, external::log_service &log)
     : m_executor(executor)
     , m_control(control)
     , m_stream(executor, log, followerOptions(m_days), nullptr)
@@ -90,7 +90,7 @@
     }
 }
 
-void day_side::reportArrived(const base::endpoint_id &endpoint, const platform::engine_report &)
+void day_side::reportArrived(const base::endpoint_id &endpoint, const external::engine_report &)
 {
     m_silentEndpoints.erase(endpoint);
 }
@@ -122,8 +122,8 @@
     }
     // An entry that arrives twice counts once, so an append whose answer was lost is repeated.
     const std::vector<state::entry> batch(m_unsent.begin(), m_unsent.begin() + static_cast<std::ptrdiff_t>(std::min(m_unsent.size(), longestBatch)));
-    const platform::append_result result = co_await m_stream.appender().append(batch);
-    if (result.status == platform::append_status::accepted) {
+    const external::append_result result = co_await m_stream.appender().append(batch);
+    if (result.status == external::append_status::accepted) {
         m_unsent.erase(m_unsent.begin(), m_unsent.begin() + static_cast<std::ptrdiff_t>(batch.size()));
     }
 }
@@ -137,9 +137,9 @@
         m_recorder.failed("endpoint " + endpoint.value(), sinceLast);
     }
     std::set<base::node_id> lost;
-    for (const platform::host_entry &host : m_control.hosts().hosts()) {
+    for (const external::host_entry &host : m_control.hosts().hosts()) {
         const base::node_id node(host.id);
-        const membership::member *member = host.kind == platform::host_kind::node ? m_control.members().find(node) : nullptr;
+        const membership::member *member = host.kind == external::host_kind::node ? m_control.members().find(node) : nullptr;
         if (!member || member->state != membership::member_state::dead) {
             continue;
         }
--- a/packages/node/src/chervilbend/node/composition/day_side.hpp
+++ b/packages/node/src/chervilbend/node/composition/day_side.hpp
@@ -13,10 +13,10 @@
 #include <set>
 #include <vector>
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 class log_service;
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
 
 namespace chervilbend::peers
 {
@@ -33,7 +33,7 @@
 {
 public:
     /// All references must outlive the object, and the object the io_context's run.
-    day_side(const boost::asio::any_io_executor &executor, const node_identity &identity, control_plane &control, platform::log_service &log);
+    day_side(const boost::asio::any_io_executor &executor, const node_identity &identity, control_plane &control, external::log_service &log);
 
     /// Commands.
 
@@ -44,7 +44,7 @@
     /// Appends the counts of the last minute with the mark of a planned stop, and waits for it up to @p patience.
     boost::asio::awaitable<void> stop(base::milliseconds patience);
 
-    void reportArrived(const base::endpoint_id &endpoint, const platform::engine_report &report) override;
+    void reportArrived(const base::endpoint_id &endpoint, const external::engine_report &report) override;
     void reportMissed(const base::endpoint_id &endpoint, int times) override;
 
     const recent_days &days() const
--- a/packages/node/src/chervilbend/node/composition/platform_clients.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_clients.cpp
@@ -1,10 +1,10 @@
 #include <chervilbend/node/composition/platform_clients.hpp>
 
 #include <chervilbend/net/http_client.hpp>
-#include <chervilbend/platform/http/http_engine_control.hpp>
-#include <chervilbend/platform/http/http_host_list.hpp>
-#include <chervilbend/platform/http/http_log_service.hpp>
-#include <chervilbend/platform/http/http_weight_store.hpp>
+#include <chervilbend/external/http/http_engine_control.hpp>
+#include <chervilbend/external/http/http_host_list.hpp>
+#include <chervilbend/external/http/http_log_service.hpp>
+#include <chervilbend/external/http/http_weight_store.hpp>
 
 namespace chervilbend::node
 {
@@ -18,9 +18,9 @@
     return net::parseAddress(text).value_or(net::address());
 }
 
-std::unique_ptr<platform::log_service> stream(net::http_client &client, const config::node_settings &settings, const std::string &name)
+std::unique_ptr<external::log_service> stream(net::http_client &client, const config::node_settings &settings, const std::string &name)
 {
-    return std::make_unique<platform::http_log_service>(client, addressOf(settings.log), name);
+    return std::make_unique<external::http_log_service>(client, addressOf(settings.log), name);
 }
 
 } // namespace
@@ -37,9 +37,9 @@
     clients.orders = stream(*clients.http, settings, "orders");
     clients.day = stream(*clients.http, settings, "day");
     clients.checkpoints = stream(*clients.http, settings, "checkpoint");
-    clients.hosts = std::make_unique<platform::http_host_list>(*clients.http, addressOf(settings.hosts));
-    clients.engines = std::make_unique<platform::http_engine_control>(*clients.http);
-    clients.store = std::make_unique<platform::http_weight_store>(*clients.http, addressOf(settings.store));
+    clients.hosts = std::make_unique<external::http_host_list>(*clients.http, addressOf(settings.hosts));
+    clients.engines = std::make_unique<external::http_engine_control>(*clients.http);
+    clients.store = std::make_unique<external::http_weight_store>(*clients.http, addressOf(settings.store));
     return clients;
 }
 
--- a/packages/node/src/chervilbend/node/composition/platform_clients.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_clients.hpp
@@ -9,13 +9,13 @@
 class http_client;
 } // namespace chervilbend::net
 
-namespace chervilbend::platform
+namespace chervilbend::external
 {
 class engine_control;
 class host_list;
 class log_service;
 class weight_store;
-} // namespace chervilbend::platform
+} // namespace chervilbend::external
 
 namespace chervilbend::node
 {
@@ -30,14 +30,14 @@
     std::unique_ptr<net::http_client> http;
 
     /// The streams of the log.
-    std::unique_ptr<platform::log_service> control;
-    std::unique_ptr<platform::log_service> orders;
-    std::unique_ptr<platform::log_service> day;
-    std::unique_ptr<platform::log_service> checkpoints;
-
-    std::unique_ptr<platform::host_list> hosts;
-    std::unique_ptr<platform::engine_control> engines;
-    std::unique_ptr<platform::weight_store> store;
+    std::unique_ptr<external::log_service> control;
+    std::unique_ptr<external::log_service> orders;
+    std::unique_ptr<external::log_service> day;
+    std::unique_ptr<external::log_service> checkpoints;
+
+    std::unique_ptr<external::host_list> hosts;
+    std::unique_ptr<external::engine_control> engines;
+    std::unique_ptr<external::weight_store> store;
 };
 
 /// The HTTP adapters for the addresses in the settings, which must be valid.
--- /dev/null
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -0,0 +1,203 @@
+#include <chervilbend/node/composition/platform_node.hpp>
+
+#include <chervilbend/base/hash.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+#include <chervilbend/net/http_server.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/node/settings/settings_file.hpp>
+#include <chervilbend/platform/store_client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+/// Zones lie about 4 ms apart one way (docs/design.md, current sizes).
+constexpr double crossZoneRoundTripMs = 8;
+/// Part of the retry bounds that the nodes use, since what they know of each other is a second old.
+constexpr double retryMargin = 0.8;
+/// Between the end of the last request and the end of the process.
+constexpr base::milliseconds stopReserve{500};
+/// A leaving endpoint is seen within so much of the time that it still takes requests; the rest is for the store's delay and for requests
+/// that wait in the node.
+constexpr double seenWithin = 0.4;
+constexpr base::milliseconds shortestReadInterval{250};
+/// Callers reuse connections for as long as the operators' limits allow, which are not known when the server starts.
+constexpr base::milliseconds callerIdleTimeout{60'000};
+
+const log4cxx::LoggerPtr &nodeLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("node");
+    return logger;
+}
+
+net::http_server_limits callerLimits(const config::node_settings &settings)
+{
+    net::http_server_limits limits;
+    limits.headerBytes = static_cast<std::uint32_t>(settings.headerLimit.count());
+    limits.bodyBytes = static_cast<std::uint64_t>(settings.bodyLimit.count());
+    limits.connections = static_cast<std::size_t>(settings.connectionLimit);
+    limits.readTimeout = settings.readTimeout;
+    limits.writeTimeout = settings.writeTimeout;
+    limits.idleTimeout = std::max(settings.idleTimeout, callerIdleTimeout);
+    return limits;
+}
+
+routing::director_settings directorSettings(const config::node_settings &settings)
+{
+    routing::director_settings director;
+    director.queueMaximum = static_cast<std::size_t>(settings.queueLength);
+    director.isolateSuspects = false;
+    director.retryShare = settings.retryShare * retryMargin;
+    director.retryBurstOfAll = settings.retryBurst * retryMargin;
+    return director;
+}
+
+std::shared_ptr<platform::store_client> storeClient(const config::node_settings &settings, std::shared_ptr<net::http_client> transport)
+{
+    return std::make_shared<platform::store_client>(net::parseAddress(settings.metadataStore).value_or(net::address{}), std::move(transport));
+}
+
+base::milliseconds readInterval(const config::node_settings &settings)
+{
+    return std::max(shortestReadInterval, base::milliseconds(static_cast<std::int64_t>(static_cast<double>(settings.drainTime.count()) * seenWithin)));
+}
+
+std::uint64_t seedOf(const config::node_settings &settings)
+{
+    return settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
+                              : base::hash64(settings.node, static_cast<std::uint64_t>(base::clock::wallNow().count()));
+}
+
+} // namespace
+
+platform_node::platform_node(const config::node_settings &settings, settings_file &file)
+    : m_settings(settings)
+    , m_file(file)
+    , m_context(1)
+    , m_storeTransport(std::make_shared<net::http_client>())
+    , m_store(storeClient(settings, m_storeTransport))
+    , m_configuration(m_store)
+    , m_endpointFollower(m_store, m_endpoints, readInterval(settings))
+    , m_residency(m_endpoints)
+    , m_director(seedOf(settings), directorSettings(settings))
+    , m_admission(m_context.get_executor(), m_director)
+    , m_metrics(m_registry)
+    , m_feed(m_director, m_directory, m_endpoints, m_residency, base::zone_id(settings.zone), crossZoneRoundTripMs)
+    , m_forwarder(m_admission, m_directory, m_client, m_metrics)
+    , m_supply(m_endpoints, m_residency)
+    , m_api(m_wire, m_forwarder, m_supply, m_open, m_metrics)
+    , m_readinessHandler([this] { return m_readiness.isReady(); })
+    , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_api, callerLimits(settings)))
+    , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
+    , m_shutdown(m_context.get_executor(),
+                 m_readiness,
+                 *m_callerServer,
+                 m_open,
+                 {settings.balancerWait, settings.shutdownBound - stopReserve, base::milliseconds(0)},
+                 {})
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+{
+    connectParts();
+}
+
+platform_node::~platform_node() = default;
+
+void platform_node::connectParts()
+{
+    m_readiness.setMissing("configuration");
+    m_readiness.setMissing("endpoints");
+    m_director.setNodeCount(6);
+    m_feed.onChange([this] { m_admission.pump(); });
+    m_configuration.onChange([this](const fleet::traffic_configuration & /*newest*/) {
+        m_api.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
+        m_readiness.setMet("configuration");
+    });
+    m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
+        m_feed.update(changed);
+        m_readiness.setMet("endpoints");
+    });
+    m_metrics.watch(m_open, m_admission, *m_callerServer);
+}
+
+std::optional<std::size_t> platform_node::run()
+{
+    if (!listen()) {
+        return std::nullopt;
+    }
+    LOG4CXX_INFO(nodeLog(),
+                 base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
+    asio::co_spawn(m_context, m_configuration.run(), asio::detached);
+    asio::co_spawn(m_context, m_endpointFollower.run(), asio::detached);
+    asio::co_spawn(m_context, tellRunning(), asio::detached);
+    waitForSignal();
+    m_context.run();
+    return m_cutOff;
+}
+
+bool platform_node::listen()
+{
+    const std::optional<net::address> callers = net::parseAddress(m_settings.listen);
+    const std::optional<net::address> ready = net::parseAddress(m_settings.readyListen);
+    if (!callers || !ready) {
+        fail(base::error_kind::settingInvalid, "listen and readyListen must be IP:PORT");
+        return false;
+    }
+    if (!m_readyServer->listen(*ready)) {
+        fail(m_readyServer->lastReason());
+        return false;
+    }
+    if (!m_callerServer->listen(*callers)) {
+        fail(m_callerServer->lastReason());
+        return false;
+    }
+    return true;
+}
+
+void platform_node::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        LOG4CXX_INFO(nodeLog(), base::log_event("signal").with("number", signal).text());
+        if (signal == SIGHUP) {
+            LOG4CXX_INFO(nodeLog(), base::log_event("reload").with("why", "the settings that a running node takes over have not changed").text());
+        } else if (++m_stops == 1) {
+            startShutdown();
+        } else {
+            m_shutdown.cutOff();
+        }
+        waitForSignal();
+    });
+}
+
+void platform_node::startShutdown()
+{
+    asio::co_spawn(m_context, m_shutdown.run(), [this](const std::exception_ptr &, std::size_t cutOff) {
+        m_cutOff = cutOff;
+        LOG4CXX_INFO(nodeLog(), base::log_event("stopped").with("cutOff", cutOff).text());
+        m_context.stop();
+    });
+}
+
+asio::awaitable<void> platform_node::tellRunning()
+{
+    while (true) {
+        m_director.noteRunning();
+        co_await net::sleepFor(routing::traffic_director::runningInterval);
+    }
+}
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <chervilbend/base/metric_registry.hpp>
+#include <chervilbend/base/reason_holder.hpp>
+#include <chervilbend/config/node_settings.hpp>
+#include <chervilbend/fleet/configuration_follower.hpp>
+#include <chervilbend/fleet/endpoint_follower.hpp>
+#include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/fleet/registered_residency.hpp>
+#include <chervilbend/net/http_client.hpp>
+#include <chervilbend/node/callers/admission.hpp>
+#include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/node/callers/forwarder.hpp>
+#include <chervilbend/node/callers/front_metrics.hpp>
+#include <chervilbend/node/callers/open_requests.hpp>
+#include <chervilbend/node/callers/route_api.hpp>
+#include <chervilbend/node/endpoint_feed.hpp>
+#include <chervilbend/node/health/readiness.hpp>
+#include <chervilbend/node/health/shutdown_sequence.hpp>
+#include <chervilbend/node/platform_supply.hpp>
+#include <chervilbend/platform/platform_store.hpp>
+#include <chervilbend/platform/platform_wire.hpp>
+#include <chervilbend/platform/readiness_handler.hpp>
+#include <chervilbend/routing/adaptive_director.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+namespace chervilbend::net
+{
+class http_server;
+}
+
+namespace chervilbend::node
+{
+
+class settings_file;
+
+/// A node on the users' platform: its parts, and how they are wired.
+class platform_node : public base::reason_holder
+{
+public:
+    platform_node(const config::node_settings &settings, settings_file &file);
+    ~platform_node();
+
+    /// Runs until the planned stop has ended; gives the number of requests that were cut off. No value when the node cannot start.
+    std::optional<std::size_t> run();
+
+private:
+    bool listen();
+    void connectParts();
+    void waitForSignal();
+    void startShutdown();
+    boost::asio::awaitable<void> tellRunning();
+
+    config::node_settings m_settings;
+    settings_file &m_file;
+    boost::asio::io_context m_context;
+    base::metric_registry m_registry;
+
+    std::shared_ptr<net::http_client> m_storeTransport;
+    platform::platform_store m_store;
+    platform::platform_wire m_wire;
+    fleet::configuration_follower m_configuration;
+    fleet::endpoint_registry m_endpoints;
+    fleet::endpoint_follower m_endpointFollower;
+    fleet::registered_residency m_residency;
+
+    routing::adaptive_director m_director;
+    admission m_admission;
+    endpoint_directory m_directory;
+    net::http_client m_client;
+    front_metrics m_metrics;
+    open_requests m_open;
+    endpoint_feed m_feed;
+    forwarder m_forwarder;
+    platform_supply m_supply;
+    route_api m_api;
+    readiness m_readiness;
+    platform::readiness_handler m_readinessHandler;
+    std::shared_ptr<net::http_server> m_callerServer;
+    std::shared_ptr<net::http_server> m_readyServer;
+    shutdown_sequence m_shutdown;
+    boost::asio::signal_set m_signals;
+    int m_stops = 0;
+    std::size_t m_cutOff = 0;
+};
+
+} // namespace chervilbend::node
--- /dev/null
+++ b/packages/node/src/chervilbend/node/endpoint_feed.cpp
@@ -0,0 +1,99 @@
+#include <chervilbend/node/endpoint_feed.hpp>
+
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/fleet/pool_name.hpp>
+#include <chervilbend/fleet/residency_view.hpp>
+#include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/routing/traffic_director.hpp>
+
+#include <utility>
+
+namespace chervilbend::node
+{
+
+namespace
+{
+
+const log4cxx::LoggerPtr &endpointLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("endpoints");
+    return logger;
+}
+
+} // namespace
+
+endpoint_feed::endpoint_feed(routing::traffic_director &director,
+                             endpoint_directory &directory,
+                             const fleet::endpoint_registry &registry,
+                             const fleet::residency_view &residency,
+                             base::zone_id ownZone,
+                             double crossZoneRoundTripMs)
+    : m_director(director)
+    , m_directory(directory)
+    , m_registry(registry)
+    , m_residency(residency)
+    , m_ownZone(std::move(ownZone))
+    , m_crossZoneRoundTripMs(crossZoneRoundTripMs)
+{
+}
+
+void endpoint_feed::onChange(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+}
+
+void endpoint_feed::update(const std::set<base::endpoint_id> &changed)
+{
+    for (const base::endpoint_id &id : changed) {
+        updateOne(id);
+    }
+    if (m_changed && !changed.empty()) {
+        m_changed();
+    }
+}
+
+void endpoint_feed::updateOne(const base::endpoint_id &id)
+{
+    const auto found = m_registry.endpoints().find(id);
+    const auto born = m_born.find(id);
+    const bool isOtherProcess = found != m_registry.endpoints().end() && born != m_born.end() && born->second != found->second.entry.born;
+    if (born != m_born.end() && (found == m_registry.endpoints().end() || isOtherProcess)) {
+        LOG4CXX_INFO(endpointLog(), base::log_event("endpointGone").with("endpoint", id.value()).with("restarted", isOtherProcess).text());
+        m_director.removeEndpoint(id);
+        m_directory.remove(id);
+        m_born.erase(born);
+    }
+    if (found == m_registry.endpoints().end()) {
+        return;
+    }
+    const fleet::endpoint_entry &entry = found->second.entry;
+    if (!m_born.contains(id)) {
+        LOG4CXX_INFO(endpointLog(),
+                     base::log_event("endpointKnown")
+                         .with("endpoint", id.value())
+                         .with("service", entry.service.value())
+                         .with("zone", entry.zone.value())
+                         .with("draining", entry.draining)
+                         .text());
+    }
+    routing::endpoint_facts facts;
+    facts.endpoint = id;
+    facts.zone = entry.zone;
+    facts.leaving = entry.draining;
+    facts.zoneDistanceMs = entry.zone == m_ownZone ? 0 : m_crossZoneRoundTripMs;
+    facts.slots = entry.slots;
+    facts.pools.insert(entry.service.value());
+    for (const fleet::resident_model &model : m_residency.modelsAt(id)) {
+        facts.pools.insert(fleet::poolName(entry.service, model.name, {}));
+        for (const std::string &adapter : model.adapters) {
+            facts.pools.insert(fleet::poolName(entry.service, model.name, adapter));
+        }
+    }
+    m_born[id] = entry.born;
+    m_directory.set(id, entry.where);
+    m_director.setEndpoint(facts);
+}
+
+} // namespace chervilbend::node
