--- a/packages/node/src/chervilbend/node/routing_feed.cpp
+++ b/packages/node/src/chervilbend/node/routing_feed.cpp
@@ -42,11 +42,11 @@
 {
 }
 
-void routing_feed::hostsChanged(const std::vector<platform::host_entry> &hosts)
+void routing_feed::hostsChanged(const std::vector<external::host_entry> &hosts)
 {
     std::map<base::endpoint_id, known_endpoint> kept;
-    for (const platform::host_entry &host : hosts) {
-        if (host.kind == platform::host_kind::node) {
+    for (const external::host_entry &host : hosts) {
+        if (host.kind == external::host_kind::node) {
             continue;
         }
         const base::endpoint_id endpoint(host.id);
@@ -68,7 +68,7 @@
     notify();
 }
 
-void routing_feed::reportArrived(const base::endpoint_id &endpoint, const platform::engine_report &report)
+void routing_feed::reportArrived(const base::endpoint_id &endpoint, const external::engine_report &report)
 {
     const auto known = m_endpoints.find(endpoint);
     if (known == m_endpoints.end()) {
@@ -146,7 +146,7 @@
         if (!known.report || known.host.leaving) {
             continue;
         }
-        for (const platform::resident_item &resident : known.report->items) {
+        for (const external::resident_item &resident : known.report->items) {
             const auto found = m_served.find(resident.item);
             if (found != m_served.end() && !found->second) {
                 found->second = serves(known, resident);
@@ -164,7 +164,7 @@
     return changed;
 }
 
-bool routing_feed::serves(const known_endpoint &known, const platform::resident_item &resident) const
+bool routing_feed::serves(const known_endpoint &known, const external::resident_item &resident) const
 {
     const std::optional<state::residency> residency = residencyOf(m_state, base::endpoint_id(known.host.id), resident.item);
     if (residency == state::residency::dropping) {
@@ -182,10 +182,10 @@
     facts.zone = known.host.zone;
     facts.leaving = known.host.leaving;
     facts.zoneDistanceMs = known.host.zone == m_ownZone ? 0 : m_crossZoneRoundTripMs;
-    if (known.host.kind == platform::host_kind::plainService) {
+    if (known.host.kind == external::host_kind::plainService) {
         facts.pools.insert("service/" + known.host.service.value());
     } else if (known.report) {
-        for (const platform::resident_item &resident : known.report->items) {
+        for (const external::resident_item &resident : known.report->items) {
             if (!serves(known, resident)) {
                 continue;
             }
--- a/packages/node/src/chervilbend/node/routing_feed.hpp
+++ b/packages/node/src/chervilbend/node/routing_feed.hpp
@@ -4,8 +4,8 @@
 #include <chervilbend/base/units.hpp>
 #include <chervilbend/control/host_listener.hpp>
 #include <chervilbend/control/report_listener.hpp>
-#include <chervilbend/platform/engine_report.hpp>
-#include <chervilbend/platform/host_entry.hpp>
+#include <chervilbend/external/engine_report.hpp>
+#include <chervilbend/external/host_entry.hpp>
 
 #include <functional>
 #include <map>
@@ -47,8 +47,8 @@
 
     /// Commands.
 
-    void hostsChanged(const std::vector<platform::host_entry> &hosts) override;
-    void reportArrived(const base::endpoint_id &endpoint, const platform::engine_report &report) override;
+    void hostsChanged(const std::vector<external::host_entry> &hosts) override;
+    void reportArrived(const base::endpoint_id &endpoint, const external::engine_report &report) override;
     void reportMissed(const base::endpoint_id &endpoint, int times) override;
     /// Call after the replicated state has changed.
     void stateChanged();
@@ -57,8 +57,8 @@
 
 private:
     struct known_endpoint {
-        platform::host_entry host;
-        std::optional<platform::engine_report> report;
+        external::host_entry host;
+        std::optional<external::engine_report> report;
     };
 
     void updateAll();
@@ -66,7 +66,7 @@
     void refreshDeclared();
     /// Finds out which declared items no endpoint serves. True when this has changed.
     bool refreshUnserved();
-    bool serves(const known_endpoint &known, const platform::resident_item &resident) const;
+    bool serves(const known_endpoint &known, const external::resident_item &resident) const;
     void notify() const;
 
     routing::traffic_director &m_director;
--- a/packages/node/tests/routing_feed_test.cpp
+++ b/packages/node/tests/routing_feed_test.cpp
@@ -57,11 +57,11 @@
     }
 
 private:
-    static platform::host_entry engine(const std::string &id)
+    static external::host_entry engine(const std::string &id)
     {
-        platform::host_entry host;
+        external::host_entry host;
         host.id = id;
-        host.kind = platform::host_kind::modelEngine;
+        host.kind = external::host_kind::modelEngine;
         host.zone = base::zone_id("a");
         return host;
     }
@@ -78,7 +78,7 @@
 
     void report(const std::string &endpoint, const std::vector<std::string> &items, bool loaded)
     {
-        platform::engine_report report;
+        external::engine_report report;
         for (const std::string &item : items) {
             report.items.push_back({base::item_id(item), base::byte_count(1), loaded});
         }
--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -21,7 +21,6 @@
     , m_suspicions(m_settings)
     , m_selector(seed, m_settings, m_suspicions)
     , m_slow(m_settings)
-    , m_retries(m_settings.retryShare, m_settings.retryBurst)
 {
 }
 
@@ -58,6 +57,19 @@
 {
     m_nodes = std::max(1, nodes);
     m_nextTick = base::time_point{};
+    for (auto &[group, budget] : m_retries) {
+        budget.setBurst(retryBurst());
+    }
+}
+
+double adaptive_director::retryBurst() const
+{
+    return m_settings.retryBurstOfAll > 0 ? m_settings.retryBurstOfAll / m_nodes : m_settings.retryBurst;
+}
+
+retry_budget &adaptive_director::retriesOf(const request_state &request)
+{
+    return m_retries.try_emplace(request.facts.retryGroup, m_settings.retryShare, retryBurst()).first->second;
 }
 
 std::vector<dispatch> adaptive_director::takeDispatches()
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -9,6 +9,7 @@
 #include <chervilbend/routing/traffic_director.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -97,7 +98,11 @@
     suspicion_ledger m_suspicions;
     endpoint_selector m_selector;
     slow_detector m_slow;
-    retry_budget m_retries;
+    /// The budget of a request's retry group.
+    retry_budget &retriesOf(const request_state &request);
+    double retryBurst() const;
+
+    std::map<std::string, retry_budget> m_retries;
     std::uint64_t m_nextSerial = 1;
     base::time_point m_nextTick;
     base::time_point m_nextExpiry;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -219,6 +219,7 @@
 
 bool adaptive_director::mayRetry(const request_state &request, request_outcome outcome, base::time_point now, base::reason &why)
 {
+    retry_budget &retries = retriesOf(request);
     const pool_state &pool = *request.pool;
     const bool didNotRun = outcome == request_outcome::notSent || outcome == request_outcome::refused;
     const base::error_kind failure = outcome == request_outcome::refused ? base::error_kind::overloaded
@@ -234,7 +235,7 @@
         why = {failure, "its deadline leaves no time for a retry"};
     } else if (pool.queue.isCrowded() || (pool.hasShed && now - pool.lastShed < shedMemory)) {
         why = {failure, "no retry against an overloaded pool"};
-    } else if (!m_retries.take()) {
+    } else if (!retries.take()) {
         why = {failure, "the retry budget is used up"};
     } else {
         return true;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -44,7 +44,6 @@
         why = {base::error_kind::noEndpoint, "no endpoint serves " + facts.pool};
         return std::nullopt;
     }
-    m_retries.earn();
     if (m_suspicions.isRefused(facts.fingerprint)) {
         why = {base::error_kind::requestRefused, "the same request crashed " + std::to_string(m_settings.crashesToRefuse) + " endpoints"};
         return std::nullopt;
@@ -54,6 +53,7 @@
     request.submitted = base::clock::now();
     request.pool = found->second.get();
     ++request.pool->tickets;
+    retriesOf(request).earn();
     predict(request);
     if (!admit(request, why)) {
         release(request);
@@ -120,7 +120,7 @@
     pool_state &pool = *request.pool;
     request.queuedSince = base::clock::now();
     m_latestStarts.insert({request.latestStart, request.id});
-    if (m_suspicions.isSuspect(request.facts.fingerprint)) {
+    if (m_settings.isolateSuspects && m_suspicions.isSuspect(request.facts.fingerprint)) {
         request.isSuspect = true;
         request.phase = request_phase::held;
         request.heldPlace = pool.suspects.insert(pool.suspects.end(), request.id);
--- a/packages/routing/src/chervilbend/routing/director_settings.hpp
+++ b/packages/routing/src/chervilbend/routing/director_settings.hpp
@@ -11,6 +11,9 @@
 struct director_settings {
     /// Concurrent requests an endpoint is first trusted with, over all nodes; 1 to 1024.
     double initialLimit = 16;
+    /// Where an endpoint says how many requests it runs at once, its limit starts at so many times that number, stays above half of it and
+    /// does not grow; 0.5 to 4. Above 1, a few requests wait at the endpoint, and no slot stays empty while nodes have unequal work.
+    double slotFactor = 1.25;
     /// Upper bound of the adaptive limit of an endpoint; 1 to 65536.
     double maximumLimit = 1024;
     /// The limit falls when latency per unit of cost exceeds the best by this factor; 1.5 to 5.
@@ -46,6 +49,8 @@
     double retryShare = 0.1;
     /// Retries that are allowed at once after a quiet time; 1 to 1000. Enough for what one node has in flight on an engine that crashes.
     double retryBurst = 64;
+    /// The same over all nodes together, of which each node takes an equal part; 0 to go by retryBurst.
+    double retryBurstOfAll = 0;
 
     /// Latency per cost over the peers' median from which an endpoint gets less work; 1.2 to 10.
     double slowFactor = 2;
@@ -58,6 +63,8 @@
     /// Requests of the pool between two probes of one endpoint, so that probes stay below the 99th percentile; 0 to 10000.
     int probeSpacing = 400;
 
+    /// Whether requests that were present at a crash run apart from each other when they come again.
+    bool isolateSuspects = true;
     /// Crashes after which a request is refused; 1 to 10.
     int crashesToRefuse = 2;
     /// Time that a suspect waits before it runs again, so that news of its crash reaches the other nodes; 0 to 60000 ms.
--- a/packages/routing/src/chervilbend/routing/endpoint_facts.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_facts.hpp
@@ -18,6 +18,8 @@
     bool leaving = false;
     /// Estimated round trip to its zone in milliseconds.
     double zoneDistanceMs = 0;
+    /// Requests that it runs at once; 0 when it does not say.
+    int slots = 0;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/concurrency_limit.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/concurrency_limit.cpp
@@ -22,10 +22,16 @@
 
 } // namespace
 
-concurrency_limit::concurrency_limit(const director_settings &settings)
+concurrency_limit::concurrency_limit(const director_settings &settings, int slots)
     : m_settings(settings)
     , m_limit(settings.initialLimit)
+    , m_most(settings.maximumLimit)
 {
+    if (slots > 0) {
+        constexpr double leastShare = 0.5;
+        m_limit = m_most = std::max(1.0, settings.slotFactor * slots);
+        m_least = std::max(1.0, leastShare * slots);
+    }
 }
 
 void concurrency_limit::addSample(double msToFirstByte, double inputCost)
@@ -61,7 +67,7 @@
     if (seen > m_settings.latencyTolerance * m_best) {
         decrease();
     } else if (m_usedUp) {
-        m_limit = std::min(m_settings.maximumLimit, m_limit + step());
+        m_limit = std::min(m_most, m_limit + step());
     }
 }
 
@@ -77,7 +83,7 @@
 void concurrency_limit::decrease()
 {
     m_ceiling = m_limit;
-    m_limit = std::max(1.0, m_limit * decreaseFactor);
+    m_limit = std::max(m_least, m_limit * decreaseFactor);
 }
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/concurrency_limit.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/concurrency_limit.hpp
@@ -14,7 +14,8 @@
 class concurrency_limit
 {
 public:
-    explicit concurrency_limit(const director_settings &settings);
+    /// @p slots is the number of requests that the endpoint says it runs at once; 0 when it does not say.
+    explicit concurrency_limit(const director_settings &settings, int slots = 0);
 
     /// Commands.
 
@@ -47,6 +48,8 @@
 
     const director_settings &m_settings;
     double m_limit;
+    double m_least = 1;
+    double m_most;
     double m_best = 0;
     /// The limit at the last decrease; 0 before the first.
     double m_ceiling = 0;
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.cpp
@@ -20,7 +20,7 @@
     : facts(known)
     , serial(number)
     , idHash(base::hash64(known.endpoint.value()))
-    , limit(settings)
+    , limit(settings, known.slots)
 {
 }
 
--- a/packages/routing/src/chervilbend/routing/request_facts.hpp
+++ b/packages/routing/src/chervilbend/routing/request_facts.hpp
@@ -15,6 +15,8 @@
 struct request_facts {
     /// Endpoints are pooled by what they serve: an item's id, or "service/ID" for a plain service.
     std::string pool;
+    /// Retries are bounded for each of these apart: the service that the request goes to. Empty where one bound serves all.
+    std::string retryGroup;
     base::account_id account;
     base::work_class urgency = base::work_class::normal;
     base::time_point deadline;
--- a/packages/routing/src/chervilbend/routing/retry_budget.hpp
+++ b/packages/routing/src/chervilbend/routing/retry_budget.hpp
@@ -15,6 +15,13 @@
     {
     }
 
+    /// Changes the bound on retries at once; the tokens at hand stay, up to it.
+    void setBurst(double burst)
+    {
+        m_burst = burst;
+        m_tokens = m_tokens < burst ? m_tokens : burst;
+    }
+
     /// A new request earns a part of a retry.
     void earn()
     {
