--- a/packages/base/src/chervilbend/base/clock.cpp
+++ b/packages/base/src/chervilbend/base/clock.cpp
@@ -2,6 +2,8 @@
 
 #include <chervilbend/base/time_source.hpp>
 
+#include <ctime>
+
 namespace chervilbend::base
 {
 
@@ -16,6 +18,15 @@
         return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
     }
 
+    std::int64_t bootMilliseconds() const override
+    {
+        constexpr std::int64_t perSecond = 1'000;
+        constexpr std::int64_t nanosecondsPerMillisecond = 1'000'000;
+        timespec now{};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return static_cast<std::int64_t>(now.tv_sec) * perSecond + static_cast<std::int64_t>(now.tv_nsec) / nanosecondsPerMillisecond;
+    }
+
     std::int64_t wallMilliseconds() const override
     {
         return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -32,6 +43,11 @@
     return time_point(milliseconds(installedSource->steadyMilliseconds()));
 }
 
+clock::time_point clock::bootNow() noexcept
+{
+    return time_point(milliseconds(installedSource->bootMilliseconds()));
+}
+
 milliseconds clock::wallNow() noexcept
 {
     return milliseconds(installedSource->wallMilliseconds());
--- a/packages/base/src/chervilbend/base/clock.hpp
+++ b/packages/base/src/chervilbend/base/clock.hpp
@@ -24,6 +24,10 @@
 
     static time_point now() noexcept;
 
+    /// Monotonic time that goes on while the host is suspended, when now() stands still. For what others believe to run out meanwhile, such as
+    /// leases.
+    static time_point bootNow() noexcept;
+
     /// Wall-clock time since 1970-01-01 UTC, for log lines, pages and idempotency keys only. May jump.
     static milliseconds wallNow() noexcept;
 
--- a/packages/control/src/chervilbend/control/log_appender.hpp
+++ b/packages/control/src/chervilbend/control/log_appender.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chervilbend/control/change_signal.hpp>
+#include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/external/log_service.hpp>
 #include <chervilbend/state/entries.hpp>
 
@@ -50,7 +50,7 @@
     std::deque<std::shared_ptr<request>> m_queue;
     std::size_t m_waiting = 0;
     bool m_draining = false;
-    change_signal m_answered;
+    net::change_signal m_answered;
 };
 
 } // namespace chervilbend::control
--- a/packages/control/src/chervilbend/control/log_follower.hpp
+++ b/packages/control/src/chervilbend/control/log_follower.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chervilbend/control/change_signal.hpp>
+#include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/control/log_follower_options.hpp>
 #include <chervilbend/external/log_service.hpp>
 #include <chervilbend/state/replicated_state.hpp>
@@ -62,7 +62,7 @@
     state::replicated_state &m_state;
     log_follower_options m_options;
     external::log_service *m_checkpoints;
-    change_signal m_changed;
+    net::change_signal m_changed;
     bool m_stopped = false;
     bool m_reachable = false;
     base::time_point m_lastAnswer = base::time_point::min();
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/adapter_policy.cpp
@@ -0,0 +1,66 @@
+#include <chervilbend/fleet/adapter_policy.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+/// The adapter at an engine that was used the longest time ago, among those that can be unloaded.
+struct idle_adapter {
+    std::string model;
+    std::string adapter;
+    base::time_point lastUsed = base::time_point::max();
+};
+
+idle_adapter longestIdle(const engine_record &engine)
+{
+    idle_adapter oldest;
+    for (const auto &[name, model] : engine.models) {
+        for (const auto &[adapter, held] : model.adapters) {
+            if (held.state == item_state::loaded && model.state == item_state::loaded && held.lastUsed < oldest.lastUsed) {
+                oldest = {name, adapter, held.lastUsed};
+            }
+        }
+    }
+    return oldest;
+}
+
+bool isBusyWithModel(const engine_record &engine)
+{
+    return std::any_of(engine.models.begin(), engine.models.end(), [](const auto &model) { return model.second.state != item_state::loaded; });
+}
+
+} // namespace
+
+std::optional<adapter_place> placeAdapter(const engine_ledger &ledger, const service_rule &service, const std::string &model)
+{
+    std::optional<adapter_place> best;
+    // An engine that loads or unloads a model takes no other command until that is done.
+    std::tuple<bool, bool, base::time_point, int> bestRank;
+    for (const auto &[id, engine] : ledger.engines()) {
+        const auto held = engine.models.find(model);
+        if (engine.entry.service != service.id || engine.entry.draining || held == engine.models.end() || held->second.state != item_state::loaded) {
+            continue;
+        }
+        const bool isFull = engine.adapterCount() >= service.engine->adapterSlots;
+        const idle_adapter victim = isFull ? longestIdle(engine) : idle_adapter();
+        if (isFull && victim.adapter.empty()) {
+            continue;
+        }
+        const std::tuple rank(isBusyWithModel(engine), isFull, isFull ? victim.lastUsed : base::time_point{}, engine.adapterCount() + engine.pending);
+        if (!best || rank < bestRank) {
+            bestRank = rank;
+            best = adapter_place{id, std::nullopt};
+            if (isFull) {
+                best->victim = std::pair(victim.model, victim.adapter);
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -82,7 +82,7 @@
     }
     const bool isNewProcess = entry.born != known.entry.born;
     const bool differs = isNewProcess || known.lapsesAt || entry.draining != known.entry.draining || entry.where != known.entry.where
-        || entry.slots != known.entry.slots || entry.models != known.entry.models || entry.commands != known.entry.commands;
+        || entry.slots != known.entry.slots || entry.models != known.entry.models;
     if (isNewProcess) {
         known.leavingSince.reset();
     }
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/fleet/engine_driver.hpp>
+#include <chervilbend/fleet/engine_ledger.hpp>
+#include <chervilbend/fleet/engine_news.hpp>
+#include <chervilbend/fleet/model_policy.hpp>
+#include <chervilbend/fleet/traffic_configuration.hpp>
+#include <chervilbend/net/change_signal.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilbend::fleet
+{
+
+class command_lease;
+class endpoint_registry;
+
+/// The holder's work: collects the demand of all nodes, decides which models and adapters the engines hold, and commands them. Does nothing on
+/// a node that does not hold the lease.
+class engine_controller
+{
+public:
+    using configuration_source = std::function<std::shared_ptr<const traffic_configuration>()>;
+
+    /// References must outlive the controller.
+    engine_controller(const boost::asio::any_io_executor &executor,
+                      engine_commands &engines,
+                      command_lease &lease,
+                      const endpoint_registry &registry,
+                      configuration_source configuration);
+
+    /// Commands.
+
+    /// Plans for good, while the lease is held.
+    boost::asio::awaitable<void> run();
+    /// The lease was gained or lost.
+    void leaseChanged(bool isHolder);
+    /// Registrations have changed or ended.
+    void endpointsChanged(const std::set<base::endpoint_id> &changed);
+    /// Takes a node's report and answers it. Call only on the holder.
+    holder_answer report(const node_report &report);
+    /// Has the item loaded somewhere, and waits for that until @p until. False when it is not there by then, or the lease is lost.
+    boost::asio::awaitable<bool> want(wanted_item item, base::time_point until);
+    /// Called after each change of what an engine holds.
+    void onChange(std::function<void()> listener);
+
+    /// Queries.
+
+    /// The engines that hold the item and take new work.
+    std::vector<engine_news> holders(const wanted_item &item) const;
+    /// The engines that have changed since a version.
+    std::vector<engine_news> newsSince(std::int64_t version) const;
+    std::int64_t version() const
+    {
+        return m_ledger.version();
+    }
+    const engine_driver &driver() const
+    {
+        return m_driver;
+    }
+
+private:
+    struct reported_demand {
+        std::map<std::string, int> open;
+        base::time_point when;
+    };
+
+    struct wait_state {
+        int waiting = 0;
+        /// When an adapter was last told to make room for it.
+        base::time_point roomMadeAt{base::milliseconds(-1'000'000)};
+    };
+
+    engine_news newsOf(const base::endpoint_id &id, const engine_record &engine) const;
+    const service_rule *findService(const base::service_id &id) const;
+    void placeAllWanted();
+    void plan(const service_rule &service);
+    void apply(const model_move &move, const service_rule &service);
+    void placeWanted(const wanted_item &item);
+    void noteUse(const std::string &pool);
+    model_demand demandFor(const service_rule &service) const;
+    int liveNodes() const;
+    void changed();
+    base::milliseconds loadTime(const engine_record &engine, const model_rule &model) const;
+
+    boost::asio::any_io_executor m_executor;
+    command_lease &m_lease;
+    const endpoint_registry &m_registry;
+    configuration_source m_configuration;
+    engine_ledger m_ledger;
+    engine_driver m_driver;
+    std::map<base::service_id, model_policy> m_policies;
+    std::map<base::node_id, reported_demand> m_reports;
+    /// Items that requests wait for.
+    std::map<wanted_item, wait_state> m_wanted;
+    net::change_signal m_changed;
+    std::function<void()> m_listener;
+};
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -0,0 +1,310 @@
+#include <chervilbend/fleet/engine_driver.hpp>
+
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/net/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+constexpr int mostTries = 8;
+constexpr base::milliseconds retryInterval{120};
+/// An engine's word on itself is some hundred ms old.
+constexpr base::milliseconds statusLag{250};
+/// Between two looks at the ledger, which learns of an ended load from the registrations, and between two questions to the engine.
+constexpr base::milliseconds endPoll{50};
+constexpr base::milliseconds askInterval{250};
+/// A load that has not ended after its expected time and this is given up.
+constexpr base::milliseconds endPatience{15'000};
+
+const log4cxx::LoggerPtr &placeLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("place");
+    return logger;
+}
+
+std::string_view nameOf(engine_action action)
+{
+    return action == engine_action::load ? "load" : "unload";
+}
+
+std::string_view nameOf(command_result result)
+{
+    switch (result) {
+    case command_result::accepted:
+        return "accepted";
+    case command_result::alreadyHolds:
+        return "alreadyHolds";
+    case command_result::conflict:
+        return "conflict";
+    case command_result::fenced:
+        return "fenced";
+    case command_result::misdirected:
+        return "misdirected";
+    case command_result::invalid:
+        return "invalid";
+    case command_result::notSent:
+        return "notSent";
+    case command_result::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+engine_driver::engine_driver(const asio::any_io_executor &executor, engine_commands &engines, engine_ledger &ledger, command_lease &lease)
+    : m_executor(executor)
+    , m_engines(engines)
+    , m_ledger(ledger)
+    , m_lease(lease)
+{
+}
+
+void engine_driver::onChange(std::function<void()> listener)
+{
+    m_listener = std::move(listener);
+}
+
+void engine_driver::notify() const
+{
+    if (m_listener) {
+        m_listener();
+    }
+}
+
+void engine_driver::enqueue(const base::endpoint_id &engine, queued_command command)
+{
+    const bool isIdle = !m_queues.contains(engine);
+    m_queues[engine].push_back(std::move(command));
+    m_ledger.addPending(engine, 1);
+    if (isIdle) {
+        asio::co_spawn(m_executor, drive(engine, m_generation), asio::detached);
+    }
+}
+
+void engine_driver::clear()
+{
+    ++m_generation;
+    m_queues.clear();
+}
+
+asio::awaitable<void> engine_driver::drive(base::endpoint_id engine, std::int64_t generation)
+{
+    while (generation == m_generation) {
+        const auto queue = m_queues.find(engine);
+        if (queue == m_queues.end()) {
+            co_return;
+        }
+        if (queue->second.empty()) {
+            m_queues.erase(queue);
+            co_return;
+        }
+        const queued_command command = queue->second.front();
+        queue->second.pop_front();
+        const bool done = co_await execute(engine, command, generation);
+        if (generation != m_generation) {
+            co_return;
+        }
+        m_ledger.addPending(engine, -1);
+        if (!done) {
+            revert(engine, command);
+        }
+        notify();
+    }
+}
+
+asio::awaitable<bool> engine_driver::execute(base::endpoint_id engine, queued_command command, std::int64_t generation)
+{
+    for (int tried = 0; tried < mostTries && generation == m_generation; ++tried) {
+        const step result = co_await sendOnce(engine, command, generation);
+        if (result == step::done) {
+            co_return true;
+        }
+        if (result == step::dropped) {
+            co_return false;
+        }
+        if (result == step::again) {
+            co_await net::sleepFor(retryInterval);
+        }
+    }
+    co_return false;
+}
+
+asio::awaitable<engine_driver::step> engine_driver::sendOnce(base::endpoint_id engine, queued_command command, std::int64_t generation)
+{
+    const engine_record *const record = m_ledger.find(engine);
+    if (!record || !m_lease.isHolder()) {
+        co_return step::dropped;
+    }
+    if (!m_lease.mayCommand()) {
+        co_return step::again;
+    }
+    if (!record->commands) {
+        co_await ask(engine, generation);
+        co_return isOver(engine, command) ? step::done : (m_ledger.find(engine) && m_ledger.find(engine)->commands ? step::next : step::again);
+    }
+    engine_command message;
+    message.action = command.action;
+    message.model = command.model;
+    message.adapter = command.adapter;
+    message.expectedCommands = record->commands;
+    message.holder = base::node_id(m_lease.holder() ? m_lease.holder()->holder.value() : std::string());
+    message.fencingToken = m_lease.token();
+    ++m_sent;
+    m_modelLoads += command.action == engine_action::load && command.adapter.empty() ? 1 : 0;
+    const net::address where = record->entry.where;
+    const std::int64_t expected = *record->commands;
+    const command_result result = co_await m_engines.send(where, engine, message);
+    LOG4CXX_INFO(placeLog(),
+                 base::log_event("command")
+                     .with("endpoint", engine.value())
+                     .with("action", nameOf(command.action))
+                     .with("model", command.model)
+                     .with("adapter", command.adapter)
+                     .with("token", message.fencingToken)
+                     .with("expected", expected)
+                     .with("result", nameOf(result))
+                     .with("why", command.why)
+                     .text());
+    if (generation != m_generation) {
+        co_return step::dropped;
+    }
+    m_ledger.noteCommand(engine, result == command_result::accepted);
+    switch (result) {
+    case command_result::accepted:
+        co_await awaitEnd(engine, command, generation);
+        co_return step::done;
+    case command_result::alreadyHolds:
+        // An adapter that nobody uses is unloaded at once, which counts as a command.
+        m_ledger.noteCommand(engine, command.action == engine_action::unload && !command.adapter.empty());
+        finish(engine, command);
+        co_return step::done;
+    case command_result::fenced:
+        m_lease.resign("an engine has seen a higher fencing token");
+        co_return step::dropped;
+    case command_result::misdirected:
+    case command_result::invalid:
+        co_return step::dropped;
+    case command_result::notSent:
+        co_return step::again;
+    case command_result::conflict:
+    case command_result::unknown:
+        break;
+    }
+    if (result == command_result::unknown) {
+        co_await net::sleepFor(statusLag);
+    }
+    const std::optional<engine_status> status = co_await ask(engine, generation);
+    if (!status || generation != m_generation) {
+        co_return step::again;
+    }
+    if (isOver(engine, command)) {
+        co_return step::done;
+    }
+    // The lost command was carried out, and its effect is still to come.
+    if (result == command_result::unknown && status->commands == expected + 1) {
+        co_await awaitEnd(engine, command, generation);
+        co_return step::done;
+    }
+    co_return step::again;
+}
+
+asio::awaitable<std::optional<engine_status>> engine_driver::ask(base::endpoint_id engine, std::int64_t generation)
+{
+    const engine_record *const record = m_ledger.find(engine);
+    if (!record) {
+        co_return std::nullopt;
+    }
+    const net::address where = record->entry.where;
+    std::optional<engine_status> status = co_await m_engines.status(where, engine);
+    if (status && generation == m_generation) {
+        m_ledger.reconcile(engine, *status);
+        notify();
+    }
+    co_return status;
+}
+
+asio::awaitable<void> engine_driver::awaitEnd(base::endpoint_id engine, queued_command command, std::int64_t generation)
+{
+    if (!command.adapter.empty() && command.action == engine_action::load) {
+        co_await net::sleepFor(command.expected);
+        if (generation == m_generation) {
+            finish(engine, command);
+        }
+        co_return;
+    }
+    const base::time_point began = base::clock::now();
+    base::time_point nextAsk = began + command.expected + endPoll;
+    while (generation == m_generation && !isOver(engine, command) && base::clock::now() - began < command.expected + endPatience) {
+        co_await net::sleepFor(endPoll);
+        if (generation != m_generation || isOver(engine, command) || base::clock::now() < nextAsk) {
+            continue;
+        }
+        const std::optional<engine_status> status = co_await ask(engine, generation);
+        nextAsk = base::clock::now() + askInterval;
+        if (status && generation == m_generation && command.action == engine_action::unload && !status->busy) {
+            finish(engine, command);
+        }
+    }
+}
+
+/// Whether the ledger shows that the command's effect has come about.
+bool engine_driver::isOver(const base::endpoint_id &engine, const queued_command &command) const
+{
+    const engine_record *const record = m_ledger.find(engine);
+    if (!record) {
+        return true;
+    }
+    const auto model = record->models.find(command.model);
+    if (command.action == engine_action::unload) {
+        return model == record->models.end() || (!command.adapter.empty() && !model->second.adapters.contains(command.adapter));
+    }
+    if (model == record->models.end()) {
+        return false;
+    }
+    if (command.adapter.empty()) {
+        return model->second.state == item_state::loaded;
+    }
+    const auto adapter = model->second.adapters.find(command.adapter);
+    return adapter != model->second.adapters.end() && adapter->second.state == item_state::loaded;
+}
+
+void engine_driver::finish(const base::endpoint_id &engine, const queued_command &command)
+{
+    if (command.action == engine_action::load) {
+        m_ledger.finishLoad(engine, command.model, command.adapter);
+    } else {
+        m_ledger.finishUnload(engine, command.model, command.adapter);
+    }
+    notify();
+}
+
+void engine_driver::revert(const base::endpoint_id &engine, const queued_command &command)
+{
+    LOG4CXX_WARN(placeLog(),
+                 base::log_event("commandGivenUp")
+                     .with("endpoint", engine.value())
+                     .with("action", nameOf(command.action))
+                     .with("model", command.model)
+                     .with("adapter", command.adapter)
+                     .text());
+    if (command.action == engine_action::load) {
+        m_ledger.cancelLoad(engine, command.model, command.adapter);
+    } else {
+        m_ledger.cancelUnload(engine, command.model, command.adapter);
+    }
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/fleet/engine_commands.hpp>
+#include <chervilbend/fleet/engine_ledger.hpp>
+#include <chervilbend/net/change_signal.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace chervilbend::fleet
+{
+
+class command_lease;
+
+/// A command that waits for its turn at an engine. The ledger has been told of it.
+struct queued_command {
+    engine_action action = engine_action::load;
+    std::string model;
+    std::string adapter;
+    /// How long the engine is expected to take.
+    base::milliseconds expected{0};
+    /// For the log line.
+    std::string why;
+};
+
+/// Sends commands to engines: one task per engine, one command at a time, each with the number of commands that the engine must have accepted
+/// before. A command whose answer was lost is settled by the engine's own word before the next one is sent.
+class engine_driver
+{
+public:
+    /// References must outlive the driver.
+    engine_driver(const boost::asio::any_io_executor &executor, engine_commands &engines, engine_ledger &ledger, command_lease &lease);
+
+    /// Commands.
+
+    void enqueue(const base::endpoint_id &engine, queued_command command);
+    /// Forgets all commands, when the lease is lost.
+    void clear();
+    /// Called after each command that has changed what an engine holds.
+    void onChange(std::function<void()> listener);
+
+    /// Queries.
+
+    /// Commands that were sent since the start.
+    std::int64_t sent() const
+    {
+        return m_sent;
+    }
+    /// Loads of models among them.
+    std::int64_t modelLoads() const
+    {
+        return m_modelLoads;
+    }
+
+private:
+    enum class step {
+        done,
+        /// After a pause.
+        again,
+        /// Without one.
+        next,
+        dropped,
+    };
+
+    boost::asio::awaitable<void> drive(base::endpoint_id engine, std::int64_t generation);
+    boost::asio::awaitable<bool> execute(base::endpoint_id engine, queued_command command, std::int64_t generation);
+    boost::asio::awaitable<step> sendOnce(base::endpoint_id engine, queued_command command, std::int64_t generation);
+    boost::asio::awaitable<void> awaitEnd(base::endpoint_id engine, queued_command command, std::int64_t generation);
+    boost::asio::awaitable<std::optional<engine_status>> ask(base::endpoint_id engine, std::int64_t generation);
+    bool isOver(const base::endpoint_id &engine, const queued_command &command) const;
+    void revert(const base::endpoint_id &engine, const queued_command &command);
+    void finish(const base::endpoint_id &engine, const queued_command &command);
+    void notify() const;
+
+    boost::asio::any_io_executor m_executor;
+    engine_commands &m_engines;
+    engine_ledger &m_ledger;
+    command_lease &m_lease;
+    std::function<void()> m_listener;
+    std::map<base::endpoint_id, std::deque<queued_command>> m_queues;
+    /// Changes when all commands are forgotten, which ends the tasks.
+    std::int64_t m_generation = 0;
+    std::int64_t m_sent = 0;
+    std::int64_t m_modelLoads = 0;
+};
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -0,0 +1,290 @@
+#include <chervilbend/fleet/engine_ledger.hpp>
+
+#include <algorithm>
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+/// A registration shows what an engine holds only some time after a command: it is written at intervals and read at intervals.
+constexpr base::milliseconds registrationLag{3'000};
+
+bool holds(const std::vector<resident_model> &models, const std::string &model, const std::string &adapter)
+{
+    return std::any_of(models.begin(), models.end(), [&](const resident_model &each) {
+        return each.name == model && (adapter.empty() || std::find(each.adapters.begin(), each.adapters.end(), adapter) != each.adapters.end());
+    });
+}
+
+} // namespace
+
+int engine_record::adapterCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, model] : models) {
+        count += model.adapters.size();
+    }
+    return static_cast<int>(count);
+}
+
+double engine_record::usedMb(const engine_rule &rule) const
+{
+    double sum = 0;
+    for (const auto &[name, model] : models) {
+        const model_rule *const declared = rule.findModel(name);
+        // A model that is no longer declared may be of any size.
+        sum += declared ? declared->weightMb : rule.memoryMb;
+        sum += declared ? declared->adapterMb * static_cast<double>(model.adapters.size()) : 0;
+    }
+    return sum;
+}
+
+std::vector<resident_model> loadedModels(const engine_record &engine)
+{
+    std::vector<resident_model> loaded;
+    for (const auto &[name, model] : engine.models) {
+        if (model.state != item_state::loaded) {
+            continue;
+        }
+        resident_model &shown = loaded.emplace_back();
+        shown.name = name;
+        for (const auto &[adapter, held] : model.adapters) {
+            if (held.state == item_state::loaded) {
+                shown.adapters.push_back(adapter);
+            }
+        }
+    }
+    return loaded;
+}
+
+void engine_ledger::clear()
+{
+    m_engines.clear();
+    ++m_version;
+}
+
+const engine_record *engine_ledger::find(const base::endpoint_id &engine) const
+{
+    const auto found = m_engines.find(engine);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+engine_record *engine_ledger::get(const base::endpoint_id &engine)
+{
+    const auto found = m_engines.find(engine);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+void engine_ledger::touch(engine_record &engine)
+{
+    engine.version = ++m_version;
+}
+
+void engine_ledger::sync(const endpoint_registry::known_endpoint &known)
+{
+    const endpoint_entry &entry = known.entry;
+    const auto found = m_engines.find(entry.id);
+    const bool isNew = found == m_engines.end() || found->second.entry.born != entry.born;
+    engine_record &engine = m_engines[entry.id];
+    if (isNew) {
+        engine = engine_record();
+        for (const resident_model &model : entry.models) {
+            held_model &held = engine.models[model.name];
+            held.state = item_state::loaded;
+            held.since = known.seen;
+            for (const std::string &adapter : model.adapters) {
+                held.adapters[adapter].state = item_state::loaded;
+            }
+        }
+        engine.entry = entry;
+        touch(engine);
+        return;
+    }
+    const bool drains = entry.draining != engine.entry.draining;
+    engine.entry = entry;
+    if (drains) {
+        touch(engine);
+    }
+    // What the engine shows long enough after the last command is what it holds.
+    if (engine.pending == 0 && known.seen - engine.lastCommand >= registrationLag) {
+        take(engine, entry.models, {});
+        return;
+    }
+    // A load that has ended shows at once.
+    for (auto &[name, model] : engine.models) {
+        if (model.state == item_state::loading && holds(entry.models, name, {})) {
+            model.state = item_state::loaded;
+            touch(engine);
+        }
+    }
+}
+
+void engine_ledger::remove(const base::endpoint_id &engine)
+{
+    if (m_engines.erase(engine) > 0) {
+        ++m_version;
+    }
+}
+
+bool engine_ledger::startLoad(const base::endpoint_id &id, const engine_rule &rule, const std::string &model, const std::string &adapter)
+{
+    engine_record *const engine = get(id);
+    const model_rule *const declared = rule.findModel(model);
+    if (!engine || !declared) {
+        return false;
+    }
+    const auto held = engine->models.find(model);
+    if (adapter.empty()) {
+        if (held != engine->models.end() || engine->usedMb(rule) + declared->weightMb > rule.memoryMb) {
+            return false;
+        }
+        engine->models[model] = {item_state::loading, base::clock::now(), {}};
+    } else {
+        const bool hasBase = held != engine->models.end() && held->second.state == item_state::loaded && !held->second.adapters.contains(adapter);
+        if (!hasBase || engine->adapterCount() >= rule.adapterSlots || engine->usedMb(rule) + declared->adapterMb > rule.memoryMb) {
+            return false;
+        }
+        held->second.adapters[adapter] = {item_state::loading, base::clock::now()};
+    }
+    touch(*engine);
+    return true;
+}
+
+void engine_ledger::finishLoad(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
+{
+    engine_record *const engine = get(id);
+    const auto held = engine ? engine->models.find(model) : std::map<std::string, held_model>::iterator();
+    if (!engine || held == engine->models.end()) {
+        return;
+    }
+    if (adapter.empty()) {
+        held->second.state = item_state::loaded;
+    } else if (const auto part = held->second.adapters.find(adapter); part != held->second.adapters.end()) {
+        part->second.state = item_state::loaded;
+    }
+    touch(*engine);
+}
+
+void engine_ledger::cancelLoad(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
+{
+    finishUnload(id, model, adapter);
+}
+
+bool engine_ledger::startUnload(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
+{
+    engine_record *const engine = get(id);
+    const auto held = engine ? engine->models.find(model) : std::map<std::string, held_model>::iterator();
+    if (!engine || held == engine->models.end()) {
+        return false;
+    }
+    item_state *state = &held->second.state;
+    if (!adapter.empty()) {
+        const auto part = held->second.adapters.find(adapter);
+        if (part == held->second.adapters.end()) {
+            return false;
+        }
+        state = &part->second.state;
+    }
+    if (*state != item_state::loaded) {
+        return false;
+    }
+    *state = item_state::unloading;
+    touch(*engine);
+    return true;
+}
+
+void engine_ledger::finishUnload(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
+{
+    engine_record *const engine = get(id);
+    const auto held = engine ? engine->models.find(model) : std::map<std::string, held_model>::iterator();
+    if (!engine || held == engine->models.end()) {
+        return;
+    }
+    if (adapter.empty()) {
+        engine->models.erase(held);
+    } else {
+        held->second.adapters.erase(adapter);
+    }
+    touch(*engine);
+}
+
+void engine_ledger::cancelUnload(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
+{
+    finishLoad(id, model, adapter);
+}
+
+void engine_ledger::noteCommand(const base::endpoint_id &id, bool accepted)
+{
+    if (engine_record *const engine = get(id)) {
+        if (engine->commands && accepted) {
+            ++*engine->commands;
+        }
+        engine->lastCommand = base::clock::now();
+    }
+}
+
+void engine_ledger::addPending(const base::endpoint_id &id, int change)
+{
+    if (engine_record *const engine = get(id)) {
+        engine->pending = std::max(0, engine->pending + change);
+    }
+}
+
+void engine_ledger::reconcile(const base::endpoint_id &id, const engine_status &status)
+{
+    if (engine_record *const engine = get(id)) {
+        take(*engine, status.models, status.coming);
+        engine->commands = std::max(engine->commands.value_or(0), status.commands);
+    }
+}
+
+void engine_ledger::take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming)
+{
+    bool changed = false;
+    // What the engine has and the ledger lacks.
+    for (const resident_model &shown : models) {
+        auto [model, isNew] = engine.models.try_emplace(shown.name, held_model{item_state::loaded, base::clock::now(), {}});
+        changed = changed || isNew;
+        for (const std::string &adapter : shown.adapters) {
+            const auto [part, isNewPart] = model->second.adapters.try_emplace(adapter, held_adapter{item_state::loaded, base::time_point{}});
+            changed = changed || isNewPart;
+        }
+    }
+    // What the ledger has as loaded and the engine lacks.
+    for (auto model = engine.models.begin(); model != engine.models.end();) {
+        const bool isThere = holds(models, model->first, {});
+        if (!isThere && model->second.state == item_state::loaded) {
+            model = engine.models.erase(model);
+            changed = true;
+            continue;
+        }
+        changed = changed || (isThere && model->second.state == item_state::loading);
+        model->second.state = isThere && model->second.state == item_state::loading ? item_state::loaded : model->second.state;
+        const auto lost = [&](const auto &adapter) {
+            return adapter.second.state == item_state::loaded && !holds(models, model->first, adapter.first)
+                && !coming.contains(model->first + '/' + adapter.first);
+        };
+        changed = std::erase_if(model->second.adapters, lost) > 0 || changed;
+        ++model;
+    }
+    if (changed) {
+        touch(engine);
+    }
+}
+
+void engine_ledger::noteUse(const base::endpoint_id &id, const std::string &model, const std::string &adapter, base::time_point when)
+{
+    engine_record *const engine = get(id);
+    const auto held = engine ? engine->models.find(model) : std::map<std::string, held_model>::iterator();
+    if (!engine || held == engine->models.end()) {
+        return;
+    }
+    const auto part = held->second.adapters.find(adapter);
+    if (part != held->second.adapters.end()) {
+        part->second.lastUsed = std::max(part->second.lastUsed, when);
+    }
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/engine_news.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/fleet/endpoint_entry.hpp>
+#include <chervilbend/fleet/lease_record.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilbend::fleet
+{
+
+/// What the holder of the command lease knows of an engine.
+struct engine_news {
+    base::endpoint_id engine;
+    /// Start of the engine's process.
+    std::int64_t born = 0;
+    /// Token of the holder, and version of its knowledge of this engine; the greater ones are newer.
+    std::int64_t token = 0;
+    std::int64_t version = 0;
+    /// The items that requests may rely on.
+    std::vector<resident_model> models;
+};
+
+/// What a node tells the holder.
+struct node_report {
+    base::node_id node;
+    /// Open requests by "SERVICE/MODEL".
+    std::map<std::string, int> open;
+    /// Adapters that were asked for since the last report, as "SERVICE/MODEL/ADAPTER".
+    std::vector<std::string> used;
+    /// Token and version of the holder's news that the node has already; 0 for none.
+    std::int64_t token = 0;
+    std::int64_t version = 0;
+};
+
+/// What the holder tells a node.
+struct holder_answer {
+    lease_record lease;
+    /// Position of the lease's record, and the time since its renewal was sent.
+    std::int64_t offset = 0;
+    base::milliseconds age{0};
+    /// Nodes that have reported lately, the holder among them.
+    int nodes = 1;
+    std::int64_t version = 0;
+    /// Engines that have changed since the version that the node had.
+    std::vector<engine_news> news;
+};
+
+/// An item that a request needs.
+struct wanted_item {
+    base::service_id service;
+    std::string model;
+    /// Empty for the model itself.
+    std::string adapter;
+
+    friend auto operator<=>(const wanted_item &, const wanted_item &) = default;
+};
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -0,0 +1,166 @@
+#include <chervilbend/fleet/exchange_json.hpp>
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+bool hasText(const Json::Value &object, const char *name)
+{
+    return object.isObject() && object[name].isString();
+}
+
+bool hasNumber(const Json::Value &object, const char *name)
+{
+    return object.isObject() && object[name].isInt64();
+}
+
+} // namespace
+
+Json::Value toJson(const node_report &report)
+{
+    Json::Value json(Json::objectValue);
+    json["node"] = report.node.value();
+    json["token"] = static_cast<Json::Int64>(report.token);
+    json["version"] = static_cast<Json::Int64>(report.version);
+    Json::Value &open = json["open"] = Json::Value(Json::objectValue);
+    for (const auto &[model, count] : report.open) {
+        open[model] = count;
+    }
+    Json::Value &used = json["used"] = Json::Value(Json::arrayValue);
+    for (const std::string &adapter : report.used) {
+        used.append(adapter);
+    }
+    return json;
+}
+
+std::optional<node_report> readNodeReport(const Json::Value &json)
+{
+    if (!hasText(json, "node") || !hasNumber(json, "token") || !hasNumber(json, "version") || !json["open"].isObject() || !json["used"].isArray()) {
+        return std::nullopt;
+    }
+    node_report report;
+    report.node = base::node_id(json["node"].asString());
+    report.token = json["token"].asInt64();
+    report.version = json["version"].asInt64();
+    for (const std::string &model : json["open"].getMemberNames()) {
+        if (json["open"][model].isInt()) {
+            report.open[model] = json["open"][model].asInt();
+        }
+    }
+    for (const Json::Value &adapter : json["used"]) {
+        if (adapter.isString()) {
+            report.used.push_back(adapter.asString());
+        }
+    }
+    return report;
+}
+
+Json::Value toJson(const std::vector<engine_news> &news)
+{
+    Json::Value list(Json::arrayValue);
+    for (const engine_news &each : news) {
+        Json::Value &item = list.append(Json::Value(Json::objectValue));
+        item["engine"] = each.engine.value();
+        item["born"] = static_cast<Json::Int64>(each.born);
+        item["token"] = static_cast<Json::Int64>(each.token);
+        item["version"] = static_cast<Json::Int64>(each.version);
+        Json::Value &models = item["models"] = Json::Value(Json::objectValue);
+        for (const resident_model &model : each.models) {
+            Json::Value &adapters = models[model.name] = Json::Value(Json::arrayValue);
+            for (const std::string &adapter : model.adapters) {
+                adapters.append(adapter);
+            }
+        }
+    }
+    return list;
+}
+
+std::optional<std::vector<engine_news>> readNews(const Json::Value &json)
+{
+    if (!json.isArray()) {
+        return std::nullopt;
+    }
+    std::vector<engine_news> news;
+    for (const Json::Value &item : json) {
+        if (!hasText(item, "engine") || !hasNumber(item, "born") || !hasNumber(item, "token") || !hasNumber(item, "version") || !item["models"].isObject()) {
+            return std::nullopt;
+        }
+        engine_news &each = news.emplace_back();
+        each.engine = base::endpoint_id(item["engine"].asString());
+        each.born = item["born"].asInt64();
+        each.token = item["token"].asInt64();
+        each.version = item["version"].asInt64();
+        for (const std::string &name : item["models"].getMemberNames()) {
+            resident_model &model = each.models.emplace_back();
+            model.name = name;
+            for (const Json::Value &adapter : item["models"][name]) {
+                if (adapter.isString()) {
+                    model.adapters.push_back(adapter.asString());
+                }
+            }
+        }
+    }
+    return news;
+}
+
+Json::Value toJson(const holder_answer &answer)
+{
+    Json::Value json(Json::objectValue);
+    json["holder"] = answer.lease.holder.value();
+    json["life"] = static_cast<Json::Int64>(answer.lease.life);
+    json["address"] = answer.lease.peerAddress;
+    json["token"] = static_cast<Json::Int64>(answer.lease.token);
+    json["renewal"] = static_cast<Json::Int64>(answer.lease.renewal);
+    json["offset"] = static_cast<Json::Int64>(answer.offset);
+    json["ageMs"] = static_cast<Json::Int64>(answer.age.count());
+    json["nodes"] = answer.nodes;
+    json["version"] = static_cast<Json::Int64>(answer.version);
+    json["news"] = toJson(answer.news);
+    return json;
+}
+
+std::optional<holder_answer> readHolderAnswer(const Json::Value &json)
+{
+    for (const char *name : {"life", "token", "renewal", "offset", "ageMs", "nodes", "version"}) {
+        if (!hasNumber(json, name)) {
+            return std::nullopt;
+        }
+    }
+    std::optional<std::vector<engine_news>> news = readNews(json["news"]);
+    if (!hasText(json, "holder") || !hasText(json, "address") || !news) {
+        return std::nullopt;
+    }
+    holder_answer answer;
+    answer.lease.holder = base::node_id(json["holder"].asString());
+    answer.lease.life = json["life"].asInt64();
+    answer.lease.peerAddress = json["address"].asString();
+    answer.lease.token = json["token"].asInt64();
+    answer.lease.renewal = json["renewal"].asInt64();
+    answer.offset = json["offset"].asInt64();
+    answer.age = base::milliseconds(json["ageMs"].asInt64());
+    answer.nodes = json["nodes"].asInt();
+    answer.version = json["version"].asInt64();
+    answer.news = std::move(*news);
+    return answer;
+}
+
+Json::Value toJson(const wanted_item &item)
+{
+    Json::Value json(Json::objectValue);
+    json["service"] = item.service.value();
+    json["model"] = item.model;
+    json["adapter"] = item.adapter;
+    return json;
+}
+
+std::optional<wanted_item> readWantedItem(const Json::Value &json)
+{
+    if (!hasText(json, "service") || !hasText(json, "model") || !hasText(json, "adapter")) {
+        return std::nullopt;
+    }
+    return wanted_item{base::service_id(json["service"].asString()), json["model"].asString(), json["adapter"].asString()};
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chervilbend/fleet/engine_news.hpp>
+
+#include <json/value.h>
+
+#include <optional>
+#include <vector>
+
+namespace chervilbend::fleet
+{
+
+/// The messages between a node and the holder of the command lease. Readers give no value for messages with missing or wrong members.
+Json::Value toJson(const node_report &report);
+std::optional<node_report> readNodeReport(const Json::Value &json);
+
+Json::Value toJson(const holder_answer &answer);
+std::optional<holder_answer> readHolderAnswer(const Json::Value &json);
+
+Json::Value toJson(const wanted_item &item);
+std::optional<wanted_item> readWantedItem(const Json::Value &json);
+
+Json::Value toJson(const std::vector<engine_news> &news);
+std::optional<std::vector<engine_news>> readNews(const Json::Value &json);
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
@@ -0,0 +1,68 @@
+#include <chervilbend/fleet/exchange_methods.hpp>
+
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/engine_controller.hpp>
+#include <chervilbend/fleet/exchange_json.hpp>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::fleet
+{
+
+exchange_method::exchange_method(const command_lease &lease, engine_controller &controller)
+    : m_lease(lease)
+    , m_controller(controller)
+{
+}
+
+std::string exchange_method::name() const
+{
+    return exchangeMethodName;
+}
+
+std::optional<Json::Value> exchange_method::call(const Json::Value &parameters)
+{
+    const std::optional<node_report> report = readNodeReport(parameters);
+    if (!report) {
+        return fail(base::error_kind::badRequest, "the report cannot be read");
+    }
+    if (!m_lease.isHolder()) {
+        return fail(base::error_kind::peerUnavailable, "this node does not hold the lease");
+    }
+    return toJson(m_controller.report(*report));
+}
+
+want_method::want_method(const command_lease &lease, engine_controller &controller)
+    : m_lease(lease)
+    , m_controller(controller)
+{
+}
+
+std::string want_method::name() const
+{
+    return wantMethodName;
+}
+
+asio::awaitable<void> want_method::prepare(Json::Value parameters)
+{
+    const std::optional<wanted_item> item = readWantedItem(parameters);
+    if (item && m_lease.isHolder()) {
+        co_await m_controller.want(*item, base::clock::now() + longestWant);
+    }
+}
+
+std::optional<Json::Value> want_method::call(const Json::Value &parameters)
+{
+    const std::optional<wanted_item> item = readWantedItem(parameters);
+    if (!item) {
+        return fail(base::error_kind::badRequest, "the item cannot be read");
+    }
+    if (!m_lease.isHolder()) {
+        return fail(base::error_kind::peerUnavailable, "this node does not hold the lease");
+    }
+    Json::Value answer(Json::objectValue);
+    answer["news"] = toJson(m_controller.holders(*item));
+    return answer;
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/peers/rpc_method.hpp>
+
+namespace chervilbend::fleet
+{
+
+class command_lease;
+class engine_controller;
+
+inline constexpr const char *exchangeMethodName = "engines.exchange";
+inline constexpr const char *wantMethodName = "engines.want";
+/// The holder answers a question for an item after this at the latest, with or without it.
+inline constexpr base::milliseconds longestWant{1'500};
+
+/// Takes a node's report and gives it the news. Refused by a node that does not hold the command lease.
+class exchange_method : public peers::rpc_method
+{
+public:
+    exchange_method(const command_lease &lease, engine_controller &controller);
+
+    std::string name() const override;
+    std::optional<Json::Value> call(const Json::Value &parameters) override;
+
+private:
+    const command_lease &m_lease;
+    engine_controller &m_controller;
+};
+
+/// Has an item loaded and answers when it is there.
+class want_method : public peers::rpc_method
+{
+public:
+    want_method(const command_lease &lease, engine_controller &controller);
+
+    std::string name() const override;
+    boost::asio::awaitable<void> prepare(Json::Value parameters) override;
+    std::optional<Json::Value> call(const Json::Value &parameters) override;
+
+private:
+    const command_lease &m_lease;
+    engine_controller &m_controller;
+};
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.cpp
@@ -0,0 +1,188 @@
+#include <chervilbend/fleet/holder_link.hpp>
+
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/engine_controller.hpp>
+#include <chervilbend/fleet/exchange_json.hpp>
+#include <chervilbend/fleet/exchange_methods.hpp>
+#include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/usage_meter.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/change_signal.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/peers/rpc_caller.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+constexpr base::milliseconds exchangeInterval{500};
+constexpr base::milliseconds exchangeTimeout{700};
+/// After so long without the holder, the engines' registrations say more than its last news.
+constexpr base::milliseconds newsLife{3'000};
+/// Between two tries to reach a holder for an item that a request waits for.
+constexpr base::milliseconds wantInterval{60};
+/// The holder answers a question for an item after longestWant at the latest.
+constexpr base::milliseconds wantTimeout = longestWant + base::milliseconds(300);
+
+const log4cxx::LoggerPtr &placeLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("place");
+    return logger;
+}
+
+} // namespace
+
+holder_link::holder_link(
+    base::node_id node, command_lease &lease, engine_controller &controller, peers::rpc_caller &peers, known_residency &residency, usage_meter &usage)
+    : m_node(std::move(node))
+    , m_lease(lease)
+    , m_controller(controller)
+    , m_peers(peers)
+    , m_residency(residency)
+    , m_usage(usage)
+{
+}
+
+void holder_link::onChange(std::function<void(const std::set<base::endpoint_id> &)> listener)
+{
+    m_listener = std::move(listener);
+}
+
+void holder_link::onNodes(std::function<void(int)> listener)
+{
+    m_nodesListener = std::move(listener);
+}
+
+void holder_link::notify(const std::set<base::endpoint_id> &changed) const
+{
+    if (m_listener && !changed.empty()) {
+        m_listener(changed);
+    }
+}
+
+asio::awaitable<void> holder_link::run()
+{
+    bool reached = false;
+    base::time_point answeredAt = base::clock::now();
+    while (true) {
+        const bool isAnswered = co_await exchange();
+        if (isAnswered) {
+            answeredAt = base::clock::now();
+        } else if (base::clock::now() - answeredAt > newsLife) {
+            m_residency.forgetNews();
+        }
+        if (isAnswered != reached) {
+            const std::optional<lease_record> holder = m_lease.holder();
+            LOG4CXX_INFO(placeLog(),
+                         base::log_event(isAnswered ? "holderReached" : "holderLost").with("holder", holder ? holder->holder.value() : std::string()).text());
+            reached = isAnswered;
+        }
+        co_await net::sleepFor(exchangeInterval);
+    }
+}
+
+asio::awaitable<bool> holder_link::exchange()
+{
+    const std::optional<lease_record> holder = m_lease.holder();
+    if (!holder) {
+        co_return false;
+    }
+    node_report report;
+    report.node = m_node;
+    report.open = m_usage.open();
+    report.used = m_usage.takeUsed();
+    report.token = m_token;
+    report.version = m_version;
+    if (m_lease.isHolder()) {
+        take(m_controller.report(report));
+        co_return true;
+    }
+    const std::optional<net::address> where = net::parseAddress(holder->peerAddress);
+    if (!where) {
+        co_return false;
+    }
+    const Json::Value message = toJson(report);
+    const std::optional<Json::Value> json = co_await m_peers.call(*where, exchangeMethodName, message, exchangeTimeout);
+    const std::optional<holder_answer> answer = json ? readHolderAnswer(*json) : std::nullopt;
+    if (!answer) {
+        co_return false;
+    }
+    m_lease.noteHolder(answer->lease, answer->offset, answer->age);
+    take(*answer);
+    co_return true;
+}
+
+void holder_link::take(const holder_answer &answer)
+{
+    m_token = answer.lease.token;
+    m_version = answer.version;
+    if (m_nodesListener) {
+        m_nodesListener(answer.nodes);
+    }
+    notify(m_residency.take(answer.news));
+}
+
+void holder_link::ownNews()
+{
+    if (m_lease.isHolder()) {
+        const std::int64_t since = m_token == m_lease.token() ? m_version : 0;
+        m_token = m_lease.token();
+        m_version = m_controller.version();
+        notify(m_residency.take(m_controller.newsSince(since)));
+    }
+}
+
+asio::awaitable<bool> holder_link::want(wanted_item item, base::time_point until)
+{
+    while (!m_residency.isHeld(item) && base::clock::now() < until) {
+        const auto asking = m_asking.find(item);
+        if (asking != m_asking.end()) {
+            const std::shared_ptr<net::change_signal> signal = asking->second;
+            co_await signal->wait(until);
+            continue;
+        }
+        const auto signal = std::make_shared<net::change_signal>();
+        m_asking[item] = signal;
+        co_await ask(item, until);
+        m_asking.erase(item);
+        signal->notify();
+        if (!m_residency.isHeld(item)) {
+            co_await net::sleepFor(std::min(wantInterval, until - base::clock::now()));
+        }
+    }
+    co_return m_residency.isHeld(item);
+}
+
+asio::awaitable<void> holder_link::ask(wanted_item item, base::time_point until)
+{
+    const std::optional<lease_record> holder = m_lease.holder();
+    if (!holder) {
+        co_return;
+    }
+    if (m_lease.isHolder()) {
+        co_await m_controller.want(item, std::min(until, base::clock::now() + longestWant));
+        ownNews();
+        co_return;
+    }
+    const std::optional<net::address> where = net::parseAddress(holder->peerAddress);
+    if (!where) {
+        co_return;
+    }
+    const Json::Value message = toJson(item);
+    const std::optional<Json::Value> json = co_await m_peers.call(*where, wantMethodName, message, wantTimeout);
+    const std::optional<std::vector<engine_news>> news = json ? readNews((*json)["news"]) : std::nullopt;
+    if (news) {
+        notify(m_residency.take(*news));
+    }
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/model_policy.cpp
@@ -0,0 +1,132 @@
+#include <chervilbend/fleet/model_policy.hpp>
+
+#include <chervilbend/config/model_declaration.hpp>
+#include <chervilbend/state/views.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <variant>
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+constexpr double bytesPerMb = 1'000'000;
+/// The weight store serves about so many loads at once at full speed, as part of the loads that would be under way at its full rate.
+constexpr double storeSlotShare = 0.75;
+/// Engines report no versions that could be chosen: a load always takes the newest.
+const std::string anyVersion = "1";
+
+base::byte_count bytes(double mb)
+{
+    return base::byte_count(static_cast<std::int64_t>(mb * bytesPerMb));
+}
+
+placement::planner_settings plannerSettings()
+{
+    placement::planner_settings settings;
+    // Demand moves to other models within seconds, and a load takes two or three.
+    settings.upUtilisation = 0.5;
+    settings.keepBelow = 0.45;
+    settings.downUtilisation = 0.15;
+    settings.downAfter = base::milliseconds(20'000);
+    settings.riseTime = base::milliseconds(500);
+    settings.fallTime = base::milliseconds(8'000);
+    settings.payback = base::milliseconds(20'000);
+    settings.coldCache = base::milliseconds(500);
+    settings.movesPerMinute = 600;
+    settings.loadPatience = base::milliseconds(20'000);
+    settings.roomPatience = base::milliseconds(5'000);
+    return settings;
+}
+
+base::item_id itemFor(const std::string &model)
+{
+    return base::item_id(model + '@' + anyVersion);
+}
+
+state::residency residencyOf(item_state state)
+{
+    switch (state) {
+    case item_state::loading:
+        return state::residency::assigned;
+    case item_state::loaded:
+        return state::residency::loaded;
+    case item_state::unloading:
+        break;
+    }
+    return state::residency::dropping;
+}
+
+placement::store_pace paceOf(const engine_rule &engine)
+{
+    base::milliseconds longest{1};
+    for (const model_rule &model : engine.models) {
+        longest = std::max(longest, model.loadTime);
+    }
+    placement::store_pace pace;
+    pace.loadsPerSecond = engine.loadsPerSecond;
+    pace.slots = std::max(1, static_cast<int>(std::lround(storeSlotShare * engine.loadsPerSecond * static_cast<double>(longest.count()) / 1'000.0)));
+    return pace;
+}
+
+} // namespace
+
+model_policy::model_policy()
+    : m_planner(plannerSettings())
+{
+}
+
+std::vector<model_move>
+    model_policy::plan(const engine_ledger &ledger, const service_rule &service, const model_demand &demand, base::time_point /*now*/)
+{
+    const engine_rule &rule = *service.engine;
+    double adapterMb = 0;
+    std::map<base::service_id, state::service_view> services;
+    config::service_declaration &declaration = services[service.id].declaration;
+    declaration.service = service.id;
+    for (const model_rule &model : rule.models) {
+        config::model_declaration &declared = declaration.models.emplace_back();
+        declared.name = model.name;
+        declared.version = anyVersion;
+        declared.weights = bytes(model.weightMb);
+        adapterMb = std::max(adapterMb, model.adapters > 0 ? model.adapterMb : 0);
+    }
+    // Adapters come and go beside the planner, so the memory for as many as an engine may hold is kept free for them.
+    const double usableMb = rule.memoryMb - adapterMb * rule.adapterSlots;
+    std::map<base::endpoint_id, state::endpoint_view> endpoints;
+    placement::planner_input input{services, endpoints, {}, {}, paceOf(rule), base::log_offset(1)};
+    for (const auto &[id, engine] : ledger.engines()) {
+        if (engine.entry.service != service.id) {
+            continue;
+        }
+        state::endpoint_view &view = endpoints[id];
+        view.zone = engine.entry.zone;
+        view.memory = bytes(usableMb);
+        for (const auto &[name, model] : engine.models) {
+            const model_rule *const declared = rule.findModel(name);
+            const base::byte_count size = bytes(declared ? declared->weightMb : usableMb);
+            view.items[itemFor(name)] = {residencyOf(model.state), size, {}, {}};
+            view.reserved += size;
+        }
+        if (!engine.entry.draining) {
+            input.usable.insert(id);
+        }
+    }
+    for (const auto &[model, busy] : demand) {
+        input.demand[itemFor(model)] = busy;
+    }
+    std::vector<model_move> moves;
+    for (const placement::planned_change &change : m_planner.plan(input)) {
+        if (const auto *const assign = std::get_if<state::assign_entry>(&change.entry)) {
+            moves.push_back({assign->endpoint, config::nameOf(assign->item), true, change.reason});
+        } else if (const auto *const drop = std::get_if<state::drop_entry>(&change.entry)) {
+            moves.push_back({drop->endpoint, config::nameOf(drop->item), false, change.reason});
+        }
+    }
+    return moves;
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/usage_meter.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chervilbend/fleet/engine_news.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilbend::fleet
+{
+
+/// Counts this node's open requests for each model, and remembers which adapters were asked for.
+class usage_meter
+{
+public:
+    /// Counts one request for its own lifetime.
+    class registration
+    {
+    public:
+        registration(usage_meter &meter, const wanted_item &item);
+        ~registration();
+        registration(const registration &) = delete;
+        registration &operator=(const registration &) = delete;
+
+    private:
+        std::shared_ptr<std::map<std::string, int>> m_open;
+        std::string m_model;
+    };
+
+    /// Open requests by "SERVICE/MODEL".
+    const std::map<std::string, int> &open() const
+    {
+        return *m_open;
+    }
+
+    /// The adapters that were asked for since the last call, as "SERVICE/MODEL/ADAPTER".
+    std::vector<std::string> takeUsed();
+
+private:
+    /// Shared with the registrations: the event loop may destroy the last tasks after this object.
+    std::shared_ptr<std::map<std::string, int>> m_open = std::make_shared<std::map<std::string, int>>();
+    std::set<std::string> m_used;
+};
+
+} // namespace chervilbend::fleet
--- a/packages/control/src/chervilbend/control/change_signal.hpp
+++ b/packages/net/src/chervilbend/net/change_signal.hpp
@@ -8,7 +8,7 @@
 #include <memory>
 #include <vector>
 
-namespace chervilbend::control
+namespace chervilbend::net
 {
 
 /// Lets tasks wait for a change that other tasks of the same thread make. Must outlive the tasks that wait.
@@ -23,7 +23,7 @@
 
 private:
     /// Weak, because a waiting task may be destroyed with its io_context.
-    std::vector<std::weak_ptr<net::timer>> m_waiting;
+    std::vector<std::weak_ptr<timer>> m_waiting;
 };
 
-} // namespace chervilbend::control
+} // namespace chervilbend::net
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -96,6 +96,11 @@
 {
 }
 
+void forwarder::onMissing(missing_listener listener)
+{
+    m_onMissing = std::move(listener);
+}
+
 asio::awaitable<void> forwarder::forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
 {
     const auto request = std::make_shared<passage>(m_admission, m_metrics, exchange, std::move(plan));
@@ -227,6 +232,9 @@
         result.why = {base::error_kind::overloaded, where.endpoint.value() + " is overloaded"};
         co_return result;
     case fleet::answer_verdict::notRunElsewhere:
+        if (m_onMissing) {
+            m_onMissing(where.endpoint, plan.item);
+        }
         result.outcome = request_outcome::refused;
         result.why = {base::error_kind::noEndpoint, where.endpoint.value() + " does not hold " + plan.facts.pool + " any more"};
         co_return result;
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -36,6 +37,10 @@
 public:
     forwarder(admission &gate, endpoint_directory &endpoints, net::http_client &client, front_metrics &metrics);
 
+    /// Told of endpoints that do not hold the item of a request.
+    using missing_listener = std::function<void(const base::endpoint_id &endpoint, const fleet::wanted_item &item)>;
+    void onMissing(missing_listener listener);
+
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
 private:
@@ -61,6 +66,7 @@
     net::http_client &m_client;
     front_metrics &m_metrics;
     native_dialect m_native;
+    missing_listener m_onMissing;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/item_supply.hpp
+++ b/packages/node/src/chervilbend/node/callers/item_supply.hpp
@@ -2,11 +2,10 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
+#include <chervilbend/fleet/engine_news.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
-#include <string>
-
 namespace chervilbend::node
 {
 
@@ -16,8 +15,11 @@
 public:
     virtual ~item_supply() = default;
 
-    /// Waits until an endpoint that takes new work holds the item, at most until @p deadline. False when none does.
-    virtual boost::asio::awaitable<bool> supply(base::service_id service, std::string model, std::string adapter, base::time_point deadline) = 0;
+    /// Waits until an endpoint that takes new work holds the item, at most until @p until. False when none does.
+    virtual boost::asio::awaitable<bool> supply(fleet::wanted_item item, base::time_point until) = 0;
+
+    /// An endpoint refused a request because it does not hold the item.
+    virtual void noteMissing(const base::endpoint_id &endpoint, const fleet::wanted_item &item) = 0;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -66,11 +66,12 @@
 
 } // namespace
 
-route_api::route_api(const fleet::request_wire &wire, forwarder &requests, item_supply &supply, open_requests &open, front_metrics &metrics)
+route_api::route_api(const fleet::request_wire &wire, forwarder &requests, item_supply &supply, fleet::usage_meter &usage, open_requests &open, front_metrics &metrics)
     : m_wire(wire)
     , m_dialect(wire)
     , m_forwarder(requests)
     , m_supply(supply)
+    , m_usage(usage)
     , m_open(open)
     , m_metrics(metrics)
 {
@@ -142,11 +143,16 @@
     const auto rule = routes->configuration().services.find(*service);
     forwarding_plan plan = planFor(request, *caller, *route, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
     if (!caller->model.empty()) {
-        const bool isHeld = co_await m_supply.supply(*service, caller->model, caller->adapter, plan.facts.deadline);
+        const fleet::wanted_item item{*service, caller->model, caller->adapter};
+        plan.item = item;
+        const fleet::usage_meter::registration counted(m_usage, item);
+        const bool isHeld = co_await m_supply.supply(item, plan.facts.deadline);
         if (!isHeld) {
             co_await refuse(exchange, caller->attempt, base::error_kind::noEndpoint, "no endpoint holds " + plan.facts.pool);
             co_return;
         }
+        co_await m_forwarder.forward(exchange, std::move(plan));
+        co_return;
     }
     co_await m_forwarder.forward(exchange, std::move(plan));
 }
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/error_kind.hpp>
 #include <chervilbend/fleet/route_table.hpp>
+#include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/http_handler.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/wire_dialect.hpp>
@@ -30,7 +31,12 @@
 {
 public:
     /// References must outlive the server that uses this handler.
-    route_api(const fleet::request_wire &wire, forwarder &requests, item_supply &supply, open_requests &open, front_metrics &metrics);
+    route_api(const fleet::request_wire &wire,
+              forwarder &requests,
+              item_supply &supply,
+              fleet::usage_meter &usage,
+              open_requests &open,
+              front_metrics &metrics);
 
     /// Requests that arrive from now on go by this version.
     void setRoutes(std::shared_ptr<const fleet::route_table> routes);
@@ -50,6 +56,7 @@
     wire_dialect m_dialect;
     forwarder &m_forwarder;
     item_supply &m_supply;
+    fleet::usage_meter &m_usage;
     open_requests &m_open;
     front_metrics &m_metrics;
     std::shared_ptr<const fleet::route_table> m_routes;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/settings/settings_file.hpp>
@@ -27,6 +28,8 @@
 constexpr double crossZoneRoundTripMs = 8;
 /// Part of the retry bounds that the nodes use, since what they know of each other is a second old.
 constexpr double retryMargin = 0.8;
+/// Until the holder of the command lease tells how many nodes there are.
+constexpr int nodesAtStart = 6;
 /// Between the end of the last request and the end of the process.
 constexpr base::milliseconds stopReserve{500};
 /// A leaving endpoint is seen within so much of the time that it still takes requests; the rest is for the store's delay and for requests
@@ -64,6 +67,16 @@
     return director;
 }
 
+fleet::command_lease_options leaseOptions(const config::node_settings &settings)
+{
+    fleet::command_lease_options options;
+    options.node = base::node_id(settings.node);
+    options.life = base::clock::wallNow().count();
+    options.peerAddress = settings.peerListen;
+    options.gap = settings.commandGap;
+    return options;
+}
+
 std::shared_ptr<platform::store_client> storeClient(const config::node_settings &settings, std::shared_ptr<net::http_client> transport)
 {
     return std::make_shared<platform::store_client>(net::parseAddress(settings.metadataStore).value_or(net::address{}), std::move(transport));
@@ -91,22 +104,30 @@
     , m_configuration(m_store)
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings))
     , m_residency(m_endpoints)
+    , m_engines(std::make_shared<net::http_client>())
+    , m_lease(m_store, leaseOptions(settings))
+    , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
+    , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
+    , m_peers(m_signer, std::make_shared<net::http_client>())
+    , m_holder(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage)
     , m_director(seedOf(settings), directorSettings(settings))
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
     , m_feed(m_director, m_directory, m_endpoints, m_residency, base::zone_id(settings.zone), crossZoneRoundTripMs)
     , m_forwarder(m_admission, m_directory, m_client, m_metrics)
-    , m_supply(m_endpoints, m_residency)
-    , m_api(m_wire, m_forwarder, m_supply, m_open, m_metrics)
+    , m_supply(m_residency, m_holder)
+    , m_api(m_wire, m_forwarder, m_supply, m_usage, m_open, m_metrics)
     , m_readinessHandler([this] { return m_readiness.isReady(); })
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_api, callerLimits(settings)))
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
+    , m_rpc(m_signer)
+    , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_rpc))
     , m_shutdown(m_context.get_executor(),
                  m_readiness,
                  *m_callerServer,
                  m_open,
                  {settings.balancerWait, settings.shutdownBound - stopReserve, base::milliseconds(0)},
-                 {})
+                 [this] { return m_lease.release(); })
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
     connectParts();
@@ -118,7 +139,7 @@
 {
     m_readiness.setMissing("configuration");
     m_readiness.setMissing("endpoints");
-    m_director.setNodeCount(6);
+    m_director.setNodeCount(nodesAtStart);
     m_feed.onChange([this] { m_admission.pump(); });
     m_configuration.onChange([this](const fleet::traffic_configuration & /*newest*/) {
         m_api.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
@@ -126,8 +147,19 @@
     });
     m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
         m_feed.update(changed);
+        m_controller.endpointsChanged(changed);
         m_readiness.setMet("endpoints");
     });
+    m_lease.onChange([this](bool isHolder) { m_controller.leaseChanged(isHolder); });
+    m_controller.onChange([this] { m_holder.ownNews(); });
+    m_holder.onChange([this](const std::set<base::endpoint_id> &changed) { m_feed.update(changed); });
+    m_holder.onNodes([this](int nodes) { m_director.setNodeCount(nodes); });
+    m_forwarder.onMissing([this](const base::endpoint_id &endpoint, const fleet::wanted_item &item) {
+        m_supply.noteMissing(endpoint, item);
+        m_feed.update({endpoint});
+    });
+    m_rpc.add(std::make_shared<fleet::exchange_method>(m_lease, m_controller));
+    m_rpc.addWaiting(std::make_shared<fleet::want_method>(m_lease, m_controller));
     m_metrics.watch(m_open, m_admission, *m_callerServer);
 }
 
@@ -141,6 +173,9 @@
     asio::co_spawn(m_context, m_configuration.run(), asio::detached);
     asio::co_spawn(m_context, m_endpointFollower.run(), asio::detached);
     asio::co_spawn(m_context, tellRunning(), asio::detached);
+    asio::co_spawn(m_context, m_lease.run(), asio::detached);
+    asio::co_spawn(m_context, m_controller.run(), asio::detached);
+    asio::co_spawn(m_context, m_holder.run(), asio::detached);
     waitForSignal();
     m_context.run();
     return m_cutOff;
@@ -150,8 +185,13 @@
 {
     const std::optional<net::address> callers = net::parseAddress(m_settings.listen);
     const std::optional<net::address> ready = net::parseAddress(m_settings.readyListen);
-    if (!callers || !ready) {
-        fail(base::error_kind::settingInvalid, "listen and readyListen must be IP:PORT");
+    const std::optional<net::address> peers = net::parseAddress(m_settings.peerListen);
+    if (!callers || !ready || !peers) {
+        fail(base::error_kind::settingInvalid, "listen, readyListen and peerListen must be IP:PORT");
+        return false;
+    }
+    if (!m_peerServer->listen(*peers)) {
+        fail(m_peerServer->lastReason());
         return false;
     }
     if (!m_readyServer->listen(*ready)) {
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -6,7 +6,11 @@
 #include <chervilbend/fleet/configuration_follower.hpp>
 #include <chervilbend/fleet/endpoint_follower.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
-#include <chervilbend/fleet/registered_residency.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/engine_controller.hpp>
+#include <chervilbend/fleet/holder_link.hpp>
+#include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/node/callers/admission.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
@@ -17,7 +21,10 @@
 #include <chervilbend/node/endpoint_feed.hpp>
 #include <chervilbend/node/health/readiness.hpp>
 #include <chervilbend/node/health/shutdown_sequence.hpp>
-#include <chervilbend/node/platform_supply.hpp>
+#include <chervilbend/node/fleet_supply.hpp>
+#include <chervilbend/peers/rpc_client.hpp>
+#include <chervilbend/peers/rpc_server.hpp>
+#include <chervilbend/platform/platform_engines.hpp>
 #include <chervilbend/platform/platform_store.hpp>
 #include <chervilbend/platform/platform_wire.hpp>
 #include <chervilbend/platform/readiness_handler.hpp>
@@ -68,7 +75,14 @@
     fleet::configuration_follower m_configuration;
     fleet::endpoint_registry m_endpoints;
     fleet::endpoint_follower m_endpointFollower;
-    fleet::registered_residency m_residency;
+    fleet::known_residency m_residency;
+    fleet::usage_meter m_usage;
+    platform::platform_engines m_engines;
+    fleet::command_lease m_lease;
+    fleet::engine_controller m_controller;
+    std::shared_ptr<membership::message_signer> m_signer;
+    peers::rpc_client m_peers;
+    fleet::holder_link m_holder;
 
     routing::adaptive_director m_director;
     admission m_admission;
@@ -78,12 +92,14 @@
     open_requests m_open;
     endpoint_feed m_feed;
     forwarder m_forwarder;
-    platform_supply m_supply;
+    fleet_supply m_supply;
     route_api m_api;
     readiness m_readiness;
     platform::readiness_handler m_readinessHandler;
     std::shared_ptr<net::http_server> m_callerServer;
     std::shared_ptr<net::http_server> m_readyServer;
+    peers::rpc_server m_rpc;
+    std::shared_ptr<net::http_server> m_peerServer;
     shutdown_sequence m_shutdown;
     boost::asio::signal_set m_signals;
     int m_stops = 0;
--- a/packages/peers/src/chervilbend/peers/internal/rpc_dispatcher.cpp
+++ b/packages/peers/src/chervilbend/peers/internal/rpc_dispatcher.cpp
@@ -23,6 +23,12 @@
     }
 }
 
+std::shared_ptr<rpc_method> rpc_dispatcher::find(const std::string &name) const
+{
+    const auto found = m_methods.find(name);
+    return found == m_methods.end() ? nullptr : found->second;
+}
+
 void rpc_dispatcher::HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input, Json::Value &output)
 {
     rpc_method &method = *m_methods.at(procedure.GetProcedureName());
--- a/packages/peers/src/chervilbend/peers/internal/rpc_dispatcher.hpp
+++ b/packages/peers/src/chervilbend/peers/internal/rpc_dispatcher.hpp
@@ -19,6 +19,9 @@
 
     void add(std::shared_ptr<rpc_method> method);
 
+    /// The method that a message calls; nullptr when there is none of that name.
+    std::shared_ptr<rpc_method> find(const std::string &name) const;
+
     void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input, Json::Value &output) override;
 
 private:
--- a/packages/peers/src/chervilbend/peers/rpc_method.hpp
+++ b/packages/peers/src/chervilbend/peers/rpc_method.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/reason_holder.hpp>
 
+#include <boost/asio/awaitable.hpp>
 #include <json/value.h>
 
 #include <optional>
@@ -18,6 +19,12 @@
 
     virtual std::string name() const = 0;
 
+    /// Waits until call() can answer; may suspend. Most methods answer at once.
+    virtual boost::asio::awaitable<void> prepare(Json::Value /*parameters*/)
+    {
+        co_return;
+    }
+
     /// Answers one call with named parameters. Without a value, lastReason() becomes the JSON-RPC error.
     virtual std::optional<Json::Value> call(const Json::Value &parameters) = 0;
 };
--- a/packages/peers/src/chervilbend/peers/rpc_server.cpp
+++ b/packages/peers/src/chervilbend/peers/rpc_server.cpp
@@ -7,6 +7,8 @@
 #include <chervilbend/peers/internal/rpc_transport.hpp>
 #include <chervilbend/peers/rpc_headers.hpp>
 
+#include <json/reader.h>
+
 #include <string>
 #include <utility>
 
@@ -27,6 +29,26 @@
     m_dispatcher->add(std::move(method));
 }
 
+void rpc_server::addWaiting(std::shared_ptr<rpc_method> method)
+{
+    m_hasWaiting = true;
+    add(std::move(method));
+}
+
+boost::asio::awaitable<void> rpc_server::prepare(const std::string &body)
+{
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    Json::Value message;
+    if (!reader->parse(body.data(), body.data() + body.size(), &message, nullptr) || !message.isObject() || !message["method"].isString()) {
+        // The dispatcher answers what it cannot read.
+        co_return;
+    }
+    const std::shared_ptr<rpc_method> method = m_dispatcher->find(message["method"].asString());
+    if (method) {
+        co_await method->prepare(message["params"]);
+    }
+}
+
 boost::asio::awaitable<void> rpc_server::handle(std::shared_ptr<net::http_exchange> exchange)
 {
     const net::http_request &request = exchange->request();
@@ -41,6 +63,9 @@
         co_await exchange->respond(net::problemResponse(m_signer->lastReason()));
         co_return;
     }
+    if (m_hasWaiting) {
+        co_await prepare(request.body());
+    }
     net::http_response response(net::http::status::ok, 11);
     response.set(net::http::field::content_type, "application/json");
     m_transport->OnRequest(request.body(), &response.body());
--- a/packages/peers/src/chervilbend/peers/rpc_server.hpp
+++ b/packages/peers/src/chervilbend/peers/rpc_server.hpp
@@ -25,6 +25,9 @@
     /// Serves a method; a second one of the same name has no effect.
     void add(std::shared_ptr<rpc_method> method);
 
+    /// Like add(), for a method whose prepare() waits.
+    void addWaiting(std::shared_ptr<rpc_method> method);
+
     boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
 
     /// Queries.
@@ -36,9 +39,12 @@
     }
 
 private:
+    boost::asio::awaitable<void> prepare(const std::string &body);
+
     std::shared_ptr<membership::message_signer> m_signer;
     std::unique_ptr<rpc_transport> m_transport;
     std::unique_ptr<rpc_dispatcher> m_dispatcher;
+    bool m_hasWaiting = false;
     std::uint64_t m_refusedMessages = 0;
 };
 
