Settle an engine's unknown command before counting its room; finish requests that have arrived at a stop

Change: the count of commands stays unknown while an engine is busy with a command that the ledger does not know, and room is checked again before each send; a stop closes only connections on which nothing has arrived.

--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -44,7 +44,10 @@
     , m_lease(lease)
     , m_registry(registry)
     , m_configuration(std::move(configuration))
-    , m_driver(executor, engines, m_ledger, lease)
+    , m_driver(executor, engines, m_ledger, lease, [this](const base::service_id &id) {
+        const service_rule *const service = findService(id);
+        return service && service->engine ? &*service->engine : nullptr;
+    })
 {
     m_driver.onChange([this] { changed(); });
 }
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -64,11 +64,16 @@
 
 } // namespace
 
-engine_driver::engine_driver(const asio::any_io_executor &executor, engine_commands &engines, engine_ledger &ledger, command_lease &lease)
+engine_driver::engine_driver(const asio::any_io_executor &executor,
+                             engine_commands &engines,
+                             engine_ledger &ledger,
+                             command_lease &lease,
+                             std::function<const engine_rule *(const base::service_id &)> rules)
     : m_executor(executor)
     , m_engines(engines)
     , m_ledger(ledger)
     , m_lease(lease)
+    , m_rules(std::move(rules))
 {
 }
 
@@ -155,6 +160,11 @@
         co_await ask(engine, generation);
         co_return isOver(engine, command) ? step::done : (m_ledger.find(engine) && m_ledger.find(engine)->commands ? step::next : step::again);
     }
+    // What the engine said since the command was planned may have used its room up.
+    const engine_rule *const rule = m_rules(record->entry.service);
+    if (command.action == engine_action::load && (!rule || !m_ledger.fits(engine, *rule))) {
+        co_return step::dropped;
+    }
     engine_command message;
     message.action = command.action;
     message.model = command.model;
@@ -203,9 +213,8 @@
     case command_result::unknown:
         break;
     }
-    if (result == command_result::unknown) {
-        co_await net::sleepFor(statusLag);
-    }
+    // A status is some hundred ms old, so one that is asked for at once may not show what became of the command.
+    co_await net::sleepFor(statusLag);
     const std::optional<engine_status> status = co_await ask(engine, generation);
     if (!status || generation != m_generation) {
         co_return step::again;
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
@@ -37,7 +37,11 @@
 {
 public:
     /// References must outlive the driver.
-    engine_driver(const boost::asio::any_io_executor &executor, engine_commands &engines, engine_ledger &ledger, command_lease &lease);
+    engine_driver(const boost::asio::any_io_executor &executor,
+                  engine_commands &engines,
+                  engine_ledger &ledger,
+                  command_lease &lease,
+                  std::function<const engine_rule *(const base::service_id &)> rules);
 
     /// Commands.
 
@@ -84,6 +88,8 @@
     engine_commands &m_engines;
     engine_ledger &m_ledger;
     command_lease &m_lease;
+    /// What the engines of a service have in common; nullptr when no configuration says so.
+    std::function<const engine_rule *(const base::service_id &)> m_rules;
     std::function<void()> m_listener;
     std::map<base::endpoint_id, std::deque<queued_command>> m_queues;
     /// Changes when all commands are forgotten, which ends the tasks.
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -71,6 +71,12 @@
     return found == m_engines.end() ? nullptr : &found->second;
 }
 
+bool engine_ledger::fits(const base::endpoint_id &id, const engine_rule &rule) const
+{
+    const engine_record *const engine = find(id);
+    return engine && engine->usedMb(rule) <= rule.memoryMb && engine->adapterCount() <= rule.adapterSlots;
+}
+
 engine_record *engine_ledger::get(const base::endpoint_id &engine)
 {
     const auto found = m_engines.find(engine);
@@ -236,7 +242,11 @@
 {
     if (engine_record *const engine = get(id)) {
         take(*engine, status.models, status.coming);
-        engine->commands = std::max(engine->commands.value_or(0), status.commands);
+        if (status.busy) {
+            engine->commands.reset();
+        } else {
+            engine->commands = status.commands;
+        }
     }
 }
 
@@ -252,6 +262,13 @@
             changed = changed || isNewPart;
         }
     }
+    for (const std::string &item : coming) {
+        const std::size_t slash = item.find('/');
+        const auto model = engine.models.find(item.substr(0, slash));
+        if (slash != std::string::npos && model != engine.models.end()) {
+            changed = model->second.adapters.try_emplace(item.substr(slash + 1), held_adapter{item_state::loaded, base::time_point{}}).second || changed;
+        }
+    }
     // What the ledger has as loaded and the engine lacks.
     for (auto model = engine.models.begin(); model != engine.models.end();) {
         const bool isThere = holds(models, model->first, {});
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
@@ -78,7 +78,8 @@
     void cancelUnload(const base::endpoint_id &engine, const std::string &model, const std::string &adapter);
 
     void noteCommand(const base::endpoint_id &engine, bool accepted);
-    /// The engine's own word, which goes before what was assumed. Items of commands that wait are kept.
+    /// The engine's own word, which goes before what was assumed. Items of commands that wait are kept. While a command that this ledger does not
+    /// know of is under way, the count of commands stays unknown: what that command loads does not show yet.
     void reconcile(const base::endpoint_id &engine, const engine_status &status);
     void noteUse(const base::endpoint_id &engine, const std::string &model, const std::string &adapter, base::time_point when);
     void addPending(const base::endpoint_id &engine, int change);
@@ -94,6 +95,8 @@
     {
         return m_version;
     }
+    /// Whether all that counts at the engine fits into its memory and adapter slots.
+    bool fits(const base::endpoint_id &engine, const engine_rule &rule) const;
 
 private:
     engine_record *get(const base::endpoint_id &engine);
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -73,8 +73,18 @@
     return m_acceptor.local_endpoint().port();
 }
 
+void http_server::announceDrain()
+{
+    m_leaving = true;
+    const std::vector<http_session *> sessions(m_sessions.begin(), m_sessions.end());
+    for (http_session *session : sessions) {
+        session->announceDrain();
+    }
+}
+
 void http_server::drain()
 {
+    m_leaving = true;
     m_draining = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -30,6 +30,9 @@
     /// Binds and starts to accept; gives the bound port. No value when the address cannot be bound.
     std::optional<std::uint16_t> listen(const address &where);
 
+    /// Still takes connections and requests, but each answer tells its caller to use another connection from then on.
+    void announceDrain();
+
     /// Takes no new connections, closes idle ones and answers open requests with "Connection: close".
     void drain();
 
@@ -55,6 +58,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     timer m_pause;
     std::set<http_session *> m_sessions;
+    bool m_leaving = false;
     bool m_draining = false;
 };
 
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -140,11 +140,22 @@
 {
     if (m_exchange) {
         m_exchange->closeAfterAnswer();
-    } else {
+        return;
+    }
+    // A request that has arrived, or has begun to, is answered before the connection is closed.
+    const bool hasRequest = m_connection->buffer().size() > 0 || (m_connection->socket().is_open() && stateOf(m_connection->socket()) == peer_state::hasSentMore);
+    if (!hasRequest) {
         close();
     }
 }
 
+void http_session::announceDrain()
+{
+    if (m_exchange) {
+        m_exchange->closeAfterAnswer();
+    }
+}
+
 void http_session::close()
 {
     m_connection->close();
@@ -165,11 +176,11 @@
     bool open = true;
     while (open) {
         const std::shared_ptr<http_exchange> exchange = co_await readRequest();
-        if (!exchange) {
+        if (!exchange || !m_connection->socket().is_open()) {
             break;
         }
         m_exchange = exchange;
-        if (m_server->m_draining) {
+        if (m_server->m_leaving) {
             exchange->closeAfterAnswer();
         }
         co_await answer(exchange);
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -32,6 +32,8 @@
 
     /// Closes the connection now if no request is open; otherwise after the open request's answer.
     void drain();
+    /// Lets the open request's answer tell the caller to use another connection.
+    void announceDrain();
     void close();
 
     bool isBusy() const
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
@@ -51,6 +51,7 @@
 {
     const base::time_point end = base::clock::now() + m_settings.bound;
     m_readiness.startShutdown();
+    m_server.announceDrain();
     LOG4CXX_INFO(nodeLog(), "shutting down: not ready any more, waiting " << m_settings.balancerWait.count() << " ms for the load balancer");
     co_await pause(std::min(m_settings.balancerWait, m_settings.bound));
 
