End a command's wait when it is finished; make room only in place of idle adapters

Change: the wait ends there; victims must have been idle for a second by the nodes' reports; a status that may be older than the last command is passed over; engines that were not reached are left alone for a second.

--- a/packages/fleet/src/chervilbend/fleet/adapter_policy.cpp
+++ b/packages/fleet/src/chervilbend/fleet/adapter_policy.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 
+/// An adapter in use is unloaded only when its requests have ended, and the engine takes no other command until then. Nodes report the adapters
+/// of their open requests every half second.
+constexpr base::milliseconds leastIdle{1'000};
+
 /// The adapter at an engine that was used the longest time ago, among those that can be unloaded.
 struct idle_adapter {
     std::string model;
@@ -19,9 +23,10 @@
 idle_adapter longestIdle(const engine_record &engine)
 {
     idle_adapter oldest;
+    const base::time_point idleBefore = base::clock::now() - leastIdle;
     for (const auto &[name, model] : engine.models) {
         for (const auto &[adapter, held] : model.adapters) {
-            if (held.state == item_state::loaded && model.state == item_state::loaded && held.lastUsed < oldest.lastUsed) {
+            if (held.state == item_state::loaded && model.state == item_state::loaded && held.lastUsed < std::min(oldest.lastUsed, idleBefore)) {
                 oldest = {name, adapter, held.lastUsed};
             }
         }
@@ -43,7 +48,8 @@
     std::tuple<bool, bool, base::time_point, int> bestRank;
     for (const auto &[id, engine] : ledger.engines()) {
         const auto held = engine.models.find(model);
-        if (engine.entry.service != service.id || engine.entry.draining || held == engine.models.end() || held->second.state != item_state::loaded) {
+        if (engine.entry.service != service.id || engine.entry.draining || held == engine.models.end() || held->second.state != item_state::loaded
+            || base::clock::now() < engine.avoidUntil) {
             continue;
         }
         const bool isFull = engine.adapterCount() >= service.engine->adapterSlots;
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -204,6 +204,9 @@
 holder_answer engine_controller::report(const node_report &report)
 {
     m_reports[report.node] = {report.open, base::clock::now()};
+    for (const auto &[pool, count] : report.open) {
+        noteUse(pool);
+    }
     for (const std::string &pool : report.used) {
         noteUse(pool);
     }
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -20,8 +20,6 @@
 
 constexpr int mostTries = 8;
 constexpr base::milliseconds retryInterval{120};
-/// An engine's word on itself is some hundred ms old.
-constexpr base::milliseconds statusLag{250};
 /// Between two looks at the ledger, which learns of an ended load from the registrations, and between two questions to the engine.
 constexpr base::milliseconds endPoll{50};
 constexpr base::milliseconds askInterval{250};
@@ -206,14 +204,16 @@
         co_return step::dropped;
     case command_result::misdirected:
     case command_result::invalid:
+        m_ledger.noteFailure(engine);
         co_return step::dropped;
     case command_result::notSent:
+        m_ledger.noteFailure(engine);
         co_return step::again;
     case command_result::conflict:
     case command_result::unknown:
         break;
     }
-    // A status is some hundred ms old, so one that is asked for at once may not show what became of the command.
+    // A status that is asked for at once may not show what became of the command.
     co_await net::sleepFor(statusLag);
     const std::optional<engine_status> status = co_await ask(engine, generation);
     if (!status || generation != m_generation) {
@@ -238,10 +238,10 @@
     }
     const net::address where = record->entry.where;
     std::optional<engine_status> status = co_await m_engines.status(where, engine);
-    if (status && generation == m_generation) {
-        m_ledger.reconcile(engine, *status);
-        notify();
+    if (!status || generation != m_generation || !m_ledger.reconcile(engine, *status)) {
+        co_return std::nullopt;
     }
+    notify();
     co_return status;
 }
 
@@ -255,7 +255,7 @@
         co_return;
     }
     const base::time_point began = base::clock::now();
-    base::time_point nextAsk = began + command.expected + endPoll;
+    base::time_point nextAsk = began + std::max(command.expected + endPoll, statusLag);
     while (generation == m_generation && !isOver(engine, command) && base::clock::now() - began < command.expected + endPatience) {
         co_await net::sleepFor(endPoll);
         if (generation != m_generation || isOver(engine, command) || base::clock::now() < nextAsk) {
@@ -264,7 +264,9 @@
         const std::optional<engine_status> status = co_await ask(engine, generation);
         nextAsk = base::clock::now() + askInterval;
         if (status && generation == m_generation && command.action == engine_action::unload && !status->busy) {
+            // Whoever is told of the end may command the same item again at once.
             finish(engine, command);
+            co_return;
         }
     }
 }
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -11,6 +11,9 @@
 /// A registration shows what an engine holds only some time after a command: it is written at intervals and read at intervals.
 constexpr base::milliseconds registrationLag{3'000};
 
+/// An engine that could not be reached is tried again after this time; its registration may end before.
+constexpr base::milliseconds failurePause{1'000};
+
 bool holds(const std::vector<resident_model> &models, const std::string &model, const std::string &adapter)
 {
     return std::any_of(models.begin(), models.end(), [&](const resident_model &each) {
@@ -221,9 +224,19 @@
     finishLoad(id, model, adapter);
 }
 
+void engine_ledger::noteFailure(const base::endpoint_id &id)
+{
+    if (engine_record *const engine = get(id)) {
+        engine->avoidUntil = base::clock::now() + failurePause;
+    }
+}
+
 void engine_ledger::noteCommand(const base::endpoint_id &id, bool accepted)
 {
     if (engine_record *const engine = get(id)) {
+        if (accepted) {
+            engine->lastAccepted = base::clock::now();
+        }
         if (engine->commands && accepted) {
             ++*engine->commands;
         }
@@ -238,9 +251,11 @@
     }
 }
 
-void engine_ledger::reconcile(const base::endpoint_id &id, const engine_status &status)
+bool engine_ledger::reconcile(const base::endpoint_id &id, const engine_status &status)
 {
-    if (engine_record *const engine = get(id)) {
+    engine_record *const engine = get(id);
+    const bool isOld = engine && engine->commands && status.commands < *engine->commands && base::clock::now() - engine->lastAccepted < statusLag;
+    if (engine && !isOld) {
         take(*engine, status.models, status.coming);
         if (status.busy) {
             engine->commands.reset();
@@ -248,6 +263,7 @@
             engine->commands = status.commands;
         }
     }
+    return engine && !isOld;
 }
 
 void engine_ledger::take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming)
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
@@ -43,8 +43,11 @@
     std::map<std::string, held_model> models;
     /// Commands that it has accepted since its start; no value while it was not asked.
     std::optional<std::int64_t> commands;
-    /// When the last command ended, accepted or not.
+    /// When the last command ended, accepted or not, and when the last one was accepted.
     base::time_point lastCommand;
+    base::time_point lastAccepted;
+    /// It could not be reached, or is another process: nothing is planned for it until then.
+    base::time_point avoidUntil;
     /// Commands that are queued or under way.
     int pending = 0;
     /// Grows with each change, over all engines.
@@ -54,6 +57,9 @@
     double usedMb(const engine_rule &rule) const;
 };
 
+/// An engine's word on itself is some hundred ms old; after this time it shows every command accepted before.
+inline constexpr base::milliseconds statusLag{400};
+
 /// What every engine holds and will hold, as its commander knows it. An item is entered before it is commanded and leaves only when the engine
 /// is known not to have it, so that no order of lost, late and repeated commands can exceed an engine's memory or adapter slots.
 class engine_ledger
@@ -77,10 +83,13 @@
     void finishUnload(const base::endpoint_id &engine, const std::string &model, const std::string &adapter);
     void cancelUnload(const base::endpoint_id &engine, const std::string &model, const std::string &adapter);
 
+    /// A command did not reach the engine.
+    void noteFailure(const base::endpoint_id &engine);
     void noteCommand(const base::endpoint_id &engine, bool accepted);
     /// The engine's own word, which goes before what was assumed. Items of commands that wait are kept. While a command that this ledger does not
     /// know of is under way, the count of commands stays unknown: what that command loads does not show yet.
-    void reconcile(const base::endpoint_id &engine, const engine_status &status);
+    /// False when the status may be older than the last command, and was passed over.
+    bool reconcile(const base::endpoint_id &engine, const engine_status &status);
     void noteUse(const base::endpoint_id &engine, const std::string &model, const std::string &adapter, base::time_point when);
     void addPending(const base::endpoint_id &engine, int change);
 
--- a/packages/fleet/src/chervilbend/fleet/engine_news.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_news.hpp
@@ -28,7 +28,7 @@
 /// What a node tells the holder.
 struct node_report {
     base::node_id node;
-    /// Open requests by "SERVICE/MODEL".
+    /// Open requests by "SERVICE/MODEL" and "SERVICE/MODEL/ADAPTER".
     std::map<std::string, int> open;
     /// Adapters that were asked for since the last report, as "SERVICE/MODEL/ADAPTER".
     std::vector<std::string> used;
--- a/packages/fleet/src/chervilbend/fleet/model_policy.cpp
+++ b/packages/fleet/src/chervilbend/fleet/model_policy.cpp
@@ -111,7 +111,7 @@
             view.items[itemFor(name)] = {residencyOf(model.state), size, {}, {}};
             view.reserved += size;
         }
-        if (!engine.entry.draining) {
+        if (!engine.entry.draining && base::clock::now() >= engine.avoidUntil) {
             input.usable.insert(id);
         }
     }
--- a/packages/fleet/src/chervilbend/fleet/usage_meter.cpp
+++ b/packages/fleet/src/chervilbend/fleet/usage_meter.cpp
@@ -8,21 +8,29 @@
 usage_meter::registration::registration(usage_meter &meter, const wanted_item &item)
     : m_open(meter.m_open)
     , m_model(poolName(item.service, item.model, {}))
+    , m_adapter(item.adapter.empty() ? std::string() : poolName(item.service, item.model, item.adapter))
 {
     ++(*m_open)[m_model];
-    if (!item.adapter.empty()) {
-        meter.m_used.insert(poolName(item.service, item.model, item.adapter));
+    if (!m_adapter.empty()) {
+        ++(*m_open)[m_adapter];
+        meter.m_used.insert(m_adapter);
     }
 }
 
-usage_meter::registration::~registration()
+void usage_meter::registration::end(const std::string &pool)
 {
-    const auto count = m_open->find(m_model);
-    if (--count->second == 0) {
+    const auto count = m_open->find(pool);
+    if (count != m_open->end() && --count->second == 0) {
         m_open->erase(count);
     }
 }
 
+usage_meter::registration::~registration()
+{
+    end(m_model);
+    end(m_adapter);
+}
+
 std::vector<std::string> usage_meter::takeUsed()
 {
     std::vector<std::string> used(m_used.begin(), m_used.end());
--- a/packages/fleet/src/chervilbend/fleet/usage_meter.hpp
+++ b/packages/fleet/src/chervilbend/fleet/usage_meter.hpp
@@ -11,7 +11,7 @@
 namespace chervilbend::fleet
 {
 
-/// Counts this node's open requests for each model, and remembers which adapters were asked for.
+/// Counts this node's open requests for each model and adapter, and remembers which adapters were asked for.
 class usage_meter
 {
 public:
@@ -25,11 +25,14 @@
         registration &operator=(const registration &) = delete;
 
     private:
+        void end(const std::string &pool);
+
         std::shared_ptr<std::map<std::string, int>> m_open;
         std::string m_model;
+        std::string m_adapter;
     };
 
-    /// Open requests by "SERVICE/MODEL".
+    /// Open requests by "SERVICE/MODEL" and "SERVICE/MODEL/ADAPTER".
     const std::map<std::string, int> &open() const
     {
         return *m_open;
