Let an engine's count of commands count only once it has stood, and read the configuration more often while the store is doubtful

Change: a count counts when an idle engine has shown it twice, 400 ms apart; a new holder surveys all engines at once; reads wait 2 s, and 0.6 s for 10 s after a failed or slow one.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -17,7 +17,12 @@
 
 /// How long the store holds a read back while there is nothing new. Longer waits save calls; the kernel's keep-alive notices a connection
 /// that has fallen silent meanwhile.
-constexpr base::milliseconds longPoll{5'000};
+constexpr base::milliseconds longPoll{2'000};
+/// While the store has lately failed or been slow, which is when it forgets a read that waits.
+constexpr base::milliseconds doubtfulPoll{600};
+constexpr base::milliseconds doubtFor{10'000};
+/// An answer to a read that does not wait takes some ms.
+constexpr base::milliseconds slowAnswer{150};
 
 const log4cxx::LoggerPtr &configLog()
 {
@@ -42,11 +47,16 @@
     retry_pause pause;
     while (true) {
         std::optional<configuration_page> page;
+        const base::time_point asked = base::clock::now();
+        const base::milliseconds wait = asked < m_doubtUntil ? doubtfulPoll : longPoll;
         if (m_position) {
-            page = co_await m_store.configurationFrom(*m_position, longPoll);
+            page = co_await m_store.configurationFrom(*m_position, wait);
         } else {
             page = co_await m_store.newestConfiguration();
         }
+        if (!page || base::clock::now() - asked > wait + slowAnswer) {
+            noteDoubt();
+        }
         if (page) {
             if (pause.failures() > 0) {
                 LOG4CXX_INFO(configLog(), "The store's configuration can be read again after " << pause.failures() << " failures.");
@@ -70,6 +80,11 @@
     }
 }
 
+void configuration_follower::noteDoubt()
+{
+    m_doubtUntil = base::clock::now() + doubtFor;
+}
+
 void configuration_follower::take(std::optional<traffic_configuration> newest)
 {
     if (!newest || (m_current && newest->version <= m_current->version)) {
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -26,6 +26,8 @@
 
     /// Follows the store for good.
     boost::asio::awaitable<void> run();
+    /// Another read of the store has failed or was slow.
+    void noteDoubt();
     /// Called after each change of the version in force.
     void onChange(std::function<void(const traffic_configuration &)> listener);
 
@@ -51,6 +53,7 @@
     std::shared_ptr<const traffic_configuration> m_current;
     std::optional<std::int64_t> m_position;
     base::time_point m_confirmedAt;
+    base::time_point m_doubtUntil;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+/// The store answers within some ms.
+constexpr base::milliseconds slowAnswer{150};
+
 const log4cxx::LoggerPtr &endpointLog()
 {
     static const log4cxx::LoggerPtr logger = base::partLogger("endpoints");
@@ -30,6 +33,11 @@
 {
 }
 
+void endpoint_follower::onDoubt(std::function<void()> listener)
+{
+    m_onDoubt = std::move(listener);
+}
+
 void endpoint_follower::onChange(std::function<void(const std::set<base::endpoint_id> &)> listener)
 {
     m_listener = std::move(listener);
@@ -39,6 +47,7 @@
 {
     retry_pause pause;
     while (true) {
+        const base::time_point asked = base::clock::now();
         const bool whole = !m_position;
         std::optional<endpoint_page> page;
         if (whole) {
@@ -47,6 +56,9 @@
             page = co_await m_store.endpointsFrom(*m_position);
         }
         const base::time_point now = base::clock::now();
+        if (m_onDoubt && (!page || now - asked > slowAnswer)) {
+            m_onDoubt();
+        }
         if (page) {
             if (pause.failures() > 0) {
                 LOG4CXX_INFO(endpointLog(), "The endpoints' registrations can be read again after " << pause.failures() << " failures.");
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
@@ -28,6 +28,9 @@
     /// Called with the endpoints that have changed or are gone.
     void onChange(std::function<void(const std::set<base::endpoint_id> &)> listener);
 
+    /// Called after each read that failed or was slow.
+    void onDoubt(std::function<void()> listener);
+
     /// Whether all endpoints were read at least once.
     bool isKnown() const
     {
@@ -47,6 +50,7 @@
     endpoint_registry &m_registry;
     base::milliseconds m_interval;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
+    std::function<void()> m_onDoubt;
     std::optional<std::int64_t> m_position;
     bool m_known = false;
     base::time_point m_readAt;
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -132,6 +132,7 @@
             for (const auto &[endpoint, known] : m_registry.endpoints()) {
                 if (known.entry.service == id) {
                     m_ledger.sync(known);
+                    m_driver.survey(endpoint);
                 }
             }
             plan(service);
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -37,6 +37,15 @@
     return action == engine_action::load ? "load" : "unload";
 }
 
+std::string namesOf(const std::vector<resident_model> &models)
+{
+    std::string names;
+    for (const resident_model &model : models) {
+        names.append(names.empty() ? "" : " ").append(model.name).append("+").append(std::to_string(model.adapters.size()));
+    }
+    return names;
+}
+
 std::string_view nameOf(command_result result)
 {
     switch (result) {
@@ -97,14 +106,38 @@
     }
 }
 
+void engine_driver::survey(const base::endpoint_id &engine)
+{
+    const engine_record *const record = m_ledger.find(engine);
+    if (record && !record->commands && !m_queues.contains(engine)) {
+        m_queues[engine];
+        asio::co_spawn(m_executor, drive(engine, m_generation), asio::detached);
+    }
+}
+
 void engine_driver::clear()
 {
     ++m_generation;
     m_queues.clear();
 }
 
+asio::awaitable<void> engine_driver::settle(base::endpoint_id engine, std::int64_t generation)
+{
+    for (int tried = 0; tried < mostTries && generation == m_generation; ++tried) {
+        const engine_record *const record = m_ledger.find(engine);
+        if (!record || record->commands) {
+            co_return;
+        }
+        if (tried > 0) {
+            co_await net::sleepFor(statusLag + endPoll);
+        }
+        co_await ask(engine, generation);
+    }
+}
+
 asio::awaitable<void> engine_driver::drive(base::endpoint_id engine, std::int64_t generation)
 {
+    co_await settle(engine, generation);
     while (generation == m_generation) {
         const auto queue = m_queues.find(engine);
         if (queue == m_queues.end()) {
@@ -138,9 +171,7 @@
         if (result == step::dropped) {
             co_return false;
         }
-        if (result == step::again) {
-            co_await net::sleepFor(retryInterval);
-        }
+        co_await net::sleepFor(retryInterval);
     }
     co_return false;
 }
@@ -155,8 +186,8 @@
         co_return step::again;
     }
     if (!record->commands) {
-        co_await ask(engine, generation);
-        co_return isOver(engine, command) ? step::done : (m_ledger.find(engine) && m_ledger.find(engine)->commands ? step::next : step::again);
+        co_await settle(engine, generation);
+        co_return isOver(engine, command) ? step::done : step::again;
     }
     // What the engine said since the command was planned may have used its room up.
     const engine_rule *const rule = m_rules(record->entry.service);
@@ -238,6 +269,15 @@
     }
     const net::address where = record->entry.where;
     std::optional<engine_status> status = co_await m_engines.status(where, engine);
+    if (status) {
+        LOG4CXX_INFO(placeLog(),
+                     base::log_event("engineStatus")
+                         .with("endpoint", engine.value())
+                         .with("commands", status->commands)
+                         .with("busy", status->busy)
+                         .with("models", namesOf(status->models))
+                         .text());
+    }
     if (!status || generation != m_generation || !m_ledger.reconcile(engine, *status)) {
         co_return std::nullopt;
     }
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
@@ -46,6 +46,8 @@
     /// Commands.
 
     void enqueue(const base::endpoint_id &engine, queued_command command);
+    /// Finds out what an engine holds and how many commands it has accepted, if that is not known.
+    void survey(const base::endpoint_id &engine);
     /// Forgets all commands, when the lease is lost.
     void clear();
     /// Called after each command that has changed what an engine holds.
@@ -67,14 +69,12 @@
 private:
     enum class step {
         done,
-        /// After a pause.
         again,
-        /// Without one.
-        next,
         dropped,
     };
 
     boost::asio::awaitable<void> drive(base::endpoint_id engine, std::int64_t generation);
+    boost::asio::awaitable<void> settle(base::endpoint_id engine, std::int64_t generation);
     boost::asio::awaitable<bool> execute(base::endpoint_id engine, queued_command command, std::int64_t generation);
     boost::asio::awaitable<step> sendOnce(base::endpoint_id engine, queued_command command, std::int64_t generation);
     boost::asio::awaitable<void> awaitEnd(base::endpoint_id engine, queued_command command, std::int64_t generation);
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -257,15 +257,30 @@
     const bool isOld = engine && engine->commands && status.commands < *engine->commands && base::clock::now() - engine->lastAccepted < statusLag;
     if (engine && !isOld) {
         take(*engine, status.models, status.coming);
-        if (status.busy) {
-            engine->commands.reset();
-        } else {
-            engine->commands = status.commands;
-        }
+        settle(*engine, status);
     }
     return engine && !isOld;
 }
 
+void engine_ledger::settle(engine_record &engine, const engine_status &status)
+{
+    const base::time_point now = base::clock::now();
+    if (status.busy) {
+        engine.commands.reset();
+        engine.shown.reset();
+    } else if (engine.commands == status.commands) {
+        return;
+    } else if (engine.shown && engine.shown->first == status.commands && now - engine.shown->second >= statusLag) {
+        engine.commands = status.commands;
+        engine.shown.reset();
+    } else {
+        engine.commands.reset();
+        if (!engine.shown || engine.shown->first != status.commands) {
+            engine.shown = {status.commands, now};
+        }
+    }
+}
+
 void engine_ledger::take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming)
 {
     bool changed = false;
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chervilbend::fleet
@@ -43,6 +44,9 @@
     std::map<std::string, held_model> models;
     /// Commands that it has accepted since its start; no value while it was not asked.
     std::optional<std::int64_t> commands;
+    /// The count that an idle engine showed while commands was not known, and when; it counts once it has stood for statusLag, because a status
+    /// may show the end of a command before its effect.
+    std::optional<std::pair<std::int64_t, base::time_point>> shown;
     /// When the last command ended, accepted or not, and when the last one was accepted.
     base::time_point lastCommand;
     base::time_point lastAccepted;
@@ -110,6 +114,7 @@
 private:
     engine_record *get(const base::endpoint_id &engine);
     void touch(engine_record &engine);
+    void settle(engine_record &engine, const engine_status &status);
     void take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming);
 
     std::map<base::endpoint_id, engine_record> m_engines;
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -26,7 +26,7 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerAddress = 64;
 /// Bounds on the time until the kernel notices that a peer has fallen silent, in seconds and in milliseconds.
-constexpr int keepAliveIdle = 2;
+constexpr int keepAliveIdle = 1;
 constexpr int keepAliveInterval = 1;
 constexpr int keepAliveProbes = 2;
 constexpr unsigned unacknowledgedTimeout = 4'000;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -145,6 +145,7 @@
         m_api.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
         m_readiness.setMet("configuration");
     });
+    m_endpointFollower.onDoubt([this] { m_configuration.noteDoubt(); });
     m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
         m_feed.update(changed);
         m_controller.endpointsChanged(changed);
