--- a/packages/fleet/src/chervilbend/fleet/endpoint_entry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_entry.hpp
@@ -35,6 +35,8 @@
     std::optional<base::milliseconds> remaining;
     /// Start of its process; a changed value under the same id is a new process that holds nothing of before.
     std::int64_t born = 0;
+    /// Grows each time the endpoint writes its entry.
+    std::int64_t beat = 0;
     /// Engines only.
     std::vector<resident_model> models;
     /// Models whose weights are in its host memory or on its disk.
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -26,6 +26,7 @@
         }
     }
     changed.merge(expire(now));
+    m_lastRead = now;
     return changed;
 }
 
@@ -52,6 +53,7 @@
         }
     }
     changed.merge(expire(now));
+    m_lastRead = now;
     return changed;
 }
 
@@ -85,6 +87,10 @@
         || entry.slots != known.entry.slots || entry.models != known.entry.models;
     if (isNewProcess) {
         known.leavingSince.reset();
+        known.writtenAfter = base::time_point{};
+    } else if (entry.beat != known.entry.beat) {
+        // At the last read, the entry before this one was still the newest.
+        known.writtenAfter = m_lastRead;
     }
     if (entry.draining && !known.leavingSince) {
         known.leavingSince = now;
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
@@ -27,6 +27,8 @@
         endpoint_entry entry;
         /// When the entry was last read.
         base::time_point seen;
+        /// The endpoint wrote the entry after this time; the clock's epoch when that is not known.
+        base::time_point writtenAfter;
         /// The registration has ended while the store was away; the endpoint is used until then.
         std::optional<base::time_point> lapsesAt;
         /// When the endpoint was first seen to leave.
@@ -57,6 +59,8 @@
     bool end(const base::endpoint_id &id, base::time_point now);
 
     std::map<base::endpoint_id, known_endpoint> m_endpoints;
+    /// The last read before the one that is being taken over.
+    base::time_point m_lastRead;
     bool m_away = false;
     /// End of the grace after the store's last return.
     base::time_point m_graceEnd;
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// A registration shows what an engine holds only some time after a command: it is written at intervals and read at intervals.
-constexpr base::milliseconds registrationLag{3'000};
+/// After this time, an entry that an engine writes shows the effects of its last command.
+constexpr base::milliseconds registrationLag{500};
 
 /// An engine that could not be reached is tried again after this time; its registration may end before.
 constexpr base::milliseconds failurePause{1'000};
@@ -116,8 +116,8 @@
     if (drains) {
         touch(engine);
     }
-    // What the engine shows long enough after the last command is what it holds.
-    if (engine.pending == 0 && known.seen - engine.lastCommand >= registrationLag) {
+    // What the engine has written long enough after the last command is what it holds. An entry may be old when it is read.
+    if (engine.pending == 0 && known.writtenAfter - std::max(engine.lastCommand, engine.lastStatus) >= registrationLag) {
         take(engine, entry.models, {});
         return;
     }
@@ -258,6 +258,7 @@
     if (engine && !isOld) {
         take(*engine, status.models, status.coming);
         settle(*engine, status);
+        engine->lastStatus = base::clock::now();
     }
     return engine && !isOld;
 }
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
@@ -50,6 +50,8 @@
     /// When the last command ended, accepted or not, and when the last one was accepted.
     base::time_point lastCommand;
     base::time_point lastAccepted;
+    /// When its own word was last taken over.
+    base::time_point lastStatus;
     /// It could not be reached, or is another process: nothing is planned for it until then.
     base::time_point avoidUntil;
     /// Commands that are queued or under way.
