Bound waits before a send, tell a silent endpoint from a live one, and send lost commands again at once

Change: requests are refused while their callers can still come back; a stream is given up only when its endpoint is silent towards this node as a whole and another may take it; a lost command is sent again with the same count; attempts that certainly did not run do not use up the route's bound.

--- a/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -19,7 +19,7 @@
 {
 
 constexpr int mostTries = 8;
-constexpr base::milliseconds retryInterval{120};
+constexpr base::milliseconds retryInterval{60};
 /// Between two looks at the ledger, which learns of an ended load from the registrations, and between two questions to the engine.
 constexpr base::milliseconds endPoll{50};
 constexpr base::milliseconds askInterval{250};
@@ -205,6 +205,7 @@
     m_modelLoads += command.action == engine_action::load && command.adapter.empty() ? 1 : 0;
     const net::address where = record->entry.where;
     const std::int64_t expected = *record->commands;
+    const bool hadLost = record->hasLost;
     const command_result result = co_await m_engines.send(where, engine, message);
     LOG4CXX_INFO(placeLog(),
                  base::log_event("command")
@@ -220,14 +221,16 @@
     if (generation != m_generation) {
         co_return step::dropped;
     }
-    m_ledger.noteCommand(engine, result == command_result::accepted);
+    if (result != command_result::unknown && result != command_result::alreadyHolds) {
+        m_ledger.noteCommand(engine, result == command_result::accepted);
+    }
     switch (result) {
     case command_result::accepted:
         co_await awaitEnd(engine, command, generation);
         co_return step::done;
     case command_result::alreadyHolds:
-        // An adapter that nobody uses is unloaded at once, which counts as a command.
-        m_ledger.noteCommand(engine, command.action == engine_action::unload && !command.adapter.empty());
+        // An adapter that nobody uses is unloaded at once, which counts as a command, as does the lost one that had this effect.
+        m_ledger.noteCommand(engine, hadLost || (command.action == engine_action::unload && !command.adapter.empty()));
         finish(engine, command);
         co_return step::done;
     case command_result::fenced:
@@ -240,8 +243,11 @@
     case command_result::notSent:
         m_ledger.noteFailure(engine);
         co_return step::again;
-    case command_result::conflict:
     case command_result::unknown:
+        // Sent again with the same count, the command takes effect once at most: whichever comes first makes the other's count wrong.
+        m_ledger.noteLost(engine);
+        co_return step::again;
+    case command_result::conflict:
         break;
     }
     // A status that is asked for at once may not show what became of the command.
@@ -254,7 +260,7 @@
         co_return step::done;
     }
     // The lost command was carried out, and its effect is still to come.
-    if (result == command_result::unknown && status->commands == expected + 1) {
+    if (hadLost && status->commands == expected + 1) {
         co_await awaitEnd(engine, command, generation);
         co_return step::done;
     }
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -224,6 +224,13 @@
     finishLoad(id, model, adapter);
 }
 
+void engine_ledger::noteLost(const base::endpoint_id &id)
+{
+    if (engine_record *const engine = get(id)) {
+        engine->hasLost = true;
+    }
+}
+
 void engine_ledger::noteFailure(const base::endpoint_id &id)
 {
     if (engine_record *const engine = get(id)) {
@@ -241,6 +248,7 @@
             ++*engine->commands;
         }
         engine->lastCommand = base::clock::now();
+        engine->hasLost = false;
     }
 }
 
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
@@ -50,6 +50,8 @@
     /// When the last command ended, accepted or not, and when the last one was accepted.
     base::time_point lastCommand;
     base::time_point lastAccepted;
+    /// The answer to the last command was lost.
+    bool hasLost = false;
     /// When its own word was last taken over.
     base::time_point lastStatus;
     /// It could not be reached, or is another process: nothing is planned for it until then.
@@ -89,6 +91,8 @@
     void finishUnload(const base::endpoint_id &engine, const std::string &model, const std::string &adapter);
     void cancelUnload(const base::endpoint_id &engine, const std::string &model, const std::string &adapter);
 
+    /// No answer came to a command.
+    void noteLost(const base::endpoint_id &engine);
     /// A command did not reach the engine.
     void noteFailure(const base::endpoint_id &engine);
     void noteCommand(const base::endpoint_id &engine, bool accepted);
--- a/packages/fleet/src/chervilbend/fleet/holder_link.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.cpp
@@ -24,7 +24,7 @@
 namespace
 {
 
-constexpr base::milliseconds exchangeInterval{500};
+constexpr base::milliseconds exchangeInterval{250};
 constexpr base::milliseconds exchangeTimeout{700};
 /// After so long without the holder, the engines' registrations say more than its last news.
 constexpr base::milliseconds newsLife{3'000};
--- a/packages/net/src/chervilbend/net/connection.cpp
+++ b/packages/net/src/chervilbend/net/connection.cpp
@@ -24,6 +24,7 @@
 void connection::setDeadline(base::milliseconds duration, bool closes)
 {
     m_closesAtDeadline = closes;
+    m_expired = false;
     m_deadline = base::clock::now() + duration;
     if (!m_armedFor || *m_deadline < *m_armedFor) {
         arm(*m_deadline);
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -130,7 +130,7 @@
             idleHere.push_back({std::move(used), base::clock::now()});
         }
     };
-    const auto stream = std::make_shared<http_client_stream>(endpoint, options.answerTimeout, options.deadline, headOnly, giveBackTo);
+    const auto stream = std::make_shared<http_client_stream>(endpoint, options, headOnly, giveBackTo);
     const bool answered = co_await stream->readHeader();
     if (!answered) {
         m_timedOut = stream->hasTimedOut();
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +26,8 @@
     base::milliseconds connectTimeout{1'000};
     /// Until the whole answer, or the header of a streamed one, has arrived; then between two reads of a stream.
     base::milliseconds answerTimeout{30'000};
+    /// Asked when answerTimeout has passed without a byte, while the deadline has not: true waits for as long again. Empty for no.
+    std::function<bool()> keepWaiting;
     /// End of the whole exchange, including all reads of a stream.
     base::time_point deadline = base::time_point::max();
     /// Never uses a pooled connection. A pooled one may turn out closed only after the request was written, which leaves it
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/net/http_client_stream.hpp>
 
 #include <chervilbend/net/connection.hpp>
+#include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/internal/message_framing.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -29,11 +30,11 @@
 constexpr base::milliseconds idleMargin{700};
 } // namespace
 
-http_client_stream::http_client_stream(
-    std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, base::time_point deadline, bool headOnly, return_connection giveBack)
+http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, return_connection giveBack)
     : m_connection(std::move(endpoint))
-    , m_readTimeout(readTimeout)
-    , m_deadline(deadline)
+    , m_readTimeout(options.answerTimeout)
+    , m_deadline(options.deadline)
+    , m_keepWaiting(options.keepWaiting)
     , m_giveBack(std::move(giveBack))
     , m_headOnly(headOnly)
 {
@@ -80,7 +81,17 @@
 
 void http_client_stream::expireInTime()
 {
-    m_connection->expireAfter(std::min(m_readTimeout, std::max(m_deadline - base::clock::now(), base::milliseconds(0))));
+    const base::milliseconds left = std::max(m_deadline - base::clock::now(), base::milliseconds(0));
+    if (m_keepWaiting && m_readTimeout < left) {
+        m_connection->interruptAfter(m_readTimeout);
+    } else {
+        m_connection->expireAfter(std::min(m_readTimeout, left));
+    }
+}
+
+bool http_client_stream::waitsOn(const boost::system::error_code &error) const
+{
+    return error == asio::error::operation_aborted && m_connection->hasExpired() && m_connection->socket().is_open() && m_keepWaiting && m_keepWaiting();
 }
 
 std::nullopt_t http_client_stream::failFor(const boost::system::error_code &error)
@@ -101,9 +112,12 @@
 
 asio::awaitable<bool> http_client_stream::readHeader()
 {
-    expireInTime();
     while (true) {
+        expireInTime();
         const auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, awaitTuple);
+        if (waitsOn(error)) {
+            continue;
+        }
         if (error) {
             failFor(error);
             co_return false;
@@ -153,6 +167,9 @@
         m_parser->get().body().size = m_piece.size();
         expireInTime();
         const auto [error, size] = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, awaitTuple);
+        if (waitsOn(error)) {
+            continue;
+        }
         if (error && error != http::error::need_buffer) {
             co_return failFor(error);
         }
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -19,6 +19,7 @@
 {
 
 class connection;
+struct http_send_options;
 
 /// The answer to a request whose body arrives piece by piece.
 class http_client_stream : public base::reason_holder
@@ -27,8 +28,7 @@
     /// Takes a connection that can be used again, and how long the peer keeps it open while it is idle.
     using return_connection = std::function<void(std::shared_ptr<connection>, base::milliseconds)>;
 
-    http_client_stream(
-        std::shared_ptr<connection> endpoint, base::milliseconds readTimeout, base::time_point deadline, bool headOnly, return_connection giveBack);
+    http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, return_connection giveBack);
     ~http_client_stream();
     http_client_stream(const http_client_stream &) = delete;
     http_client_stream &operator=(const http_client_stream &) = delete;
@@ -59,6 +59,8 @@
 
 private:
     void expireInTime();
+    /// After an operation that ended for lack of time: whether to wait on.
+    bool waitsOn(const boost::system::error_code &error) const;
     base::milliseconds idleLimit() const;
     void startParser();
     std::nullopt_t failFor(const boost::system::error_code &error);
@@ -66,6 +68,7 @@
     std::shared_ptr<connection> m_connection;
     base::milliseconds m_readTimeout;
     base::time_point m_deadline;
+    std::function<bool()> m_keepWaiting;
     return_connection m_giveBack;
     bool m_headOnly;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
--- a/packages/node/src/chervilbend/node/callers/admitted_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.cpp
@@ -47,6 +47,11 @@
     co_return co_await decision();
 }
 
+bool admitted_request::allowsRetry() const
+{
+    return m_ticket != 0 && m_admission.m_director.allowsRetry(m_ticket);
+}
+
 void admitted_request::firstByte()
 {
     if (m_ticket != 0) {
--- a/packages/node/src/chervilbend/node/callers/admitted_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.hpp
@@ -31,6 +31,9 @@
     /// Reports a failed attempt and waits for another dispatch. Without a value, the ticket is finished and lastReason() says why.
     boost::asio::awaitable<std::optional<routing::dispatch>> retry(routing::request_outcome outcome);
 
+    /// Whether retry() would be granted now.
+    bool allowsRetry() const;
+
     void firstByte();
     /// So many tokens in total so far.
     void progress(base::token_count generated);
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -39,6 +39,8 @@
 constexpr base::milliseconds longestIdleForOnce{1'500};
 /// When a caller of the platform's wire may come back after a refusal.
 constexpr const char *retryAfterSeconds = "0.2";
+/// Endpoints that a request may be offered to beyond its route's bound while none of them ran it.
+constexpr int mostUnrunAttempts = 2;
 
 const log4cxx::LoggerPtr &routeLog()
 {
@@ -111,6 +113,8 @@
     base::reason why;
     request_outcome outcome = request_outcome::refused;
     int attempts = 0;
+    // Attempts that may have run; only these count against the route's bound.
+    int counted = 0;
     while (where) {
         ++attempts;
         LOG4CXX_INFO(routeLog(),
@@ -120,8 +124,10 @@
                          .with("waitedMs", (base::clock::now() - began).count())
                          .with("why", where->why)
                          .text());
-        const bool isLast = request->plan.mostAttempts != 0 && attempts >= request->plan.mostAttempts;
+        const bool isLast = request->plan.mostAttempts != 0 && counted + 1 >= request->plan.mostAttempts;
         attempt_result result = co_await attempt(request, *where, isLast);
+        counted += result.mayHaveRun ? 1 : 0;
+        const bool isUsedUp = request->plan.mostAttempts != 0 && (counted >= request->plan.mostAttempts || attempts >= request->plan.mostAttempts + mostUnrunAttempts);
         const bool cancelled = co_await isCancelled();
         outcome = cancelled ? request_outcome::cancelled : result.outcome;
         if (cancelled || result.settled) {
@@ -138,7 +144,7 @@
         why = std::move(result.why);
         LOG4CXX_INFO(routeLog(), eventFor("attemptFailed", request->plan).with("endpoint", where->endpoint.value()).with("why", why.text).text());
         const bool timeIsUp = base::clock::now() >= facts.deadline;
-        if (isLast || timeIsUp || (outcome == request_outcome::timedOut && request->plan.mostAttempts == 0) || (result.mayHaveRun && !facts.repeatable)) {
+        if (isUsedUp || timeIsUp || (outcome == request_outcome::timedOut && request->plan.mostAttempts == 0) || (result.mayHaveRun && !facts.repeatable)) {
             break;
         }
         where = co_await request->work.retry(outcome);
@@ -192,6 +198,14 @@
     }
     if (plan.patience > base::milliseconds(0) && !isLast) {
         options.answerTimeout = std::min(options.answerTimeout, plan.patience);
+        options.keepWaiting = [this, weak = std::weak_ptr(request), endpoint = where.endpoint] {
+            const std::shared_ptr<passage> waiting = weak.lock();
+            if (!waiting || !waiting->work.allowsRetry()) {
+                return waiting != nullptr;
+            }
+            // Within a stream, a live endpoint is silent when it has put the request back; before the first byte, another is tried.
+            return waiting->hasFirstByte() && !isSilent(endpoint, waiting->plan.patience);
+        };
     }
     const endpoint_dialect &dialect = plan.dialect ? *plan.dialect : m_native;
     net::http_request forwarded = dialect.prepare(request->exchange->request(), plan, where.endpoint, request->events.lastEvent());
@@ -206,9 +220,16 @@
         }
         co_return result;
     }
+    m_lastBytes[where.endpoint] = base::clock::now();
     co_return co_await pass(request, std::move(where), answer);
 }
 
+bool forwarder::isSilent(const base::endpoint_id &endpoint, base::milliseconds patience) const
+{
+    const auto last = m_lastBytes.find(endpoint);
+    return last == m_lastBytes.end() || base::clock::now() - last->second >= patience;
+}
+
 asio::awaitable<forwarder::attempt_result>
     forwarder::pass(std::shared_ptr<passage> request, routing::dispatch where, std::shared_ptr<net::http_client_stream> answer)
 {
@@ -258,6 +279,7 @@
         co_return co_await passWhole(request, answer);
     }
     const bool needsDone = plan.inference && answer->header().result() == http::status::ok;
+    request->endpoint = where.endpoint;
     co_return co_await passStream(request, answer, std::string(), needsDone);
 }
 
@@ -329,6 +351,7 @@
             break;
         }
         request->firstByte();
+        m_lastBytes[request->endpoint] = base::clock::now();
         ready = events ? scanner.feed(*piece) : *piece;
         if (events && scanner.isOutOfOrder()) {
             result.why = {base::error_kind::endpointInvalidAnswer, "the stream's events are out of order"};
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace chervilbend::net
 {
@@ -56,6 +57,7 @@
     boost::asio::awaitable<attempt_result> attempt(std::shared_ptr<passage> request, routing::dispatch where, bool isLast);
     boost::asio::awaitable<attempt_result> pass(std::shared_ptr<passage> request, routing::dispatch where, std::shared_ptr<net::http_client_stream> answer);
     boost::asio::awaitable<void> refuse(std::shared_ptr<passage> request, base::reason why, bool mayHaveRun);
+    bool isSilent(const base::endpoint_id &endpoint, base::milliseconds patience) const;
     boost::asio::awaitable<attempt_result> passWhole(std::shared_ptr<passage> request, std::shared_ptr<net::http_client_stream> answer);
     /// @p beginning was read from the answer before.
     boost::asio::awaitable<attempt_result>
@@ -67,6 +69,8 @@
     front_metrics &m_metrics;
     native_dialect m_native;
     missing_listener m_onMissing;
+    /// When each endpoint last sent anything.
+    std::unordered_map<base::endpoint_id, base::time_point> m_lastBytes;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/passage.hpp
+++ b/packages/node/src/chervilbend/node/callers/passage.hpp
@@ -39,6 +39,13 @@
     const std::shared_ptr<net::http_exchange> exchange;
     const forwarding_plan plan;
     admitted_request work;
+    bool hasFirstByte() const
+    {
+        return m_hasFirstByte;
+    }
+
+    /// The endpoint of the stream that is passed on.
+    base::endpoint_id endpoint;
     /// Follows the stream over all attempts.
     event_scanner events;
 
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -34,6 +34,10 @@
 constexpr base::milliseconds leastPatience{400};
 constexpr base::milliseconds mostPatience{2'000};
 constexpr int leastUrgentLevel = 9;
+/// Callers leave a stream whose first event has not come after the longest of these; half of the time is left to the endpoint.
+constexpr base::milliseconds leastStartPatience{2'000};
+constexpr int startPatienceFactor = 4;
+constexpr int gapPatienceFactor = 8;
 
 const log4cxx::LoggerPtr &routeLog()
 {
@@ -146,7 +150,7 @@
         const fleet::wanted_item item{*service, caller->model, caller->adapter};
         plan.item = item;
         const fleet::usage_meter::registration counted(m_usage, item);
-        const bool isHeld = co_await m_supply.supply(item, plan.facts.deadline);
+        const bool isHeld = co_await m_supply.supply(item, std::min(plan.facts.deadline, plan.facts.latestDispatch));
         if (!isHeld) {
             co_await refuse(exchange, caller->attempt, base::error_kind::noEndpoint, "no endpoint holds " + plan.facts.pool);
             co_return;
@@ -176,6 +180,10 @@
     plan.facts.retryGroup = service.value();
     plan.facts.urgency = classOf(route.priority);
     plan.facts.deadline = base::clock::now() + std::min(caller.patience.value_or(defaultPatience), route.timeout);
+    if (route.kind == fleet::route_kind::stream) {
+        const base::milliseconds patience = std::max({leastStartPatience, route.targetLatency * startPatienceFactor, route.longestGap * gapPatienceFactor});
+        plan.facts.latestDispatch = base::clock::now() + patience / 2;
+    }
     plan.facts.promptTokens = caller.promptTokens;
     plan.facts.maxTokens = caller.maxTokens;
     plan.facts.prefix = sharedPrefix(caller, plan.facts.pool);
--- a/packages/node/src/chervilbend/node/metered_director.cpp
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -98,6 +98,11 @@
     return queued;
 }
 
+bool metered_director::allowsRetry(routing::ticket request) const
+{
+    return m_inner.allowsRetry(request);
+}
+
 std::vector<routing::dispatch> metered_director::takeDispatches()
 {
     std::vector<routing::dispatch> dispatches = m_inner.takeDispatches();
--- a/packages/node/src/chervilbend/node/metered_director.hpp
+++ b/packages/node/src/chervilbend/node/metered_director.hpp
@@ -31,6 +31,7 @@
     void setNodeCount(int nodes) override;
     std::optional<routing::ticket> submit(const routing::request_facts &facts, base::reason &why) override;
     bool retry(routing::ticket request, routing::request_outcome outcome, base::reason &why) override;
+    bool allowsRetry(routing::ticket request) const override;
     std::vector<routing::dispatch> takeDispatches() override;
     std::vector<routing::refusal> takeRefusals() override;
     void noteRunning() override;
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -37,6 +37,7 @@
     void setNodeCount(int nodes) override;
     std::optional<ticket> submit(const request_facts &facts, base::reason &why) override;
     bool retry(ticket request, request_outcome outcome, base::reason &why) override;
+    bool allowsRetry(ticket request) const override;
     std::vector<dispatch> takeDispatches() override;
     std::vector<refusal> takeRefusals() override;
     void noteRunning() override;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -217,6 +217,22 @@
     return true;
 }
 
+bool adaptive_director::allowsRetry(ticket id) const
+{
+    const request_state *const request = m_requests.find(id);
+    if (request == nullptr) {
+        return false;
+    }
+    const pool_state &pool = *request->pool;
+    const bool isShedding = pool.hasShed && base::clock::now() - pool.lastShed < shedMemory;
+    const auto budget = m_retries.find(request->facts.retryGroup);
+    const bool isUsedUp = budget != m_retries.end() && budget->second.isUsedUp();
+    const bool hasOther = std::any_of(pool.members.begin(), pool.members.end(), [&](const pool_member &member) {
+        return member.endpoint != request->endpoint && !member.endpoint->facts.leaving && !member.endpoint->isDown;
+    });
+    return hasOther && !isShedding && !isUsedUp && pool.queue.size() == 0;
+}
+
 bool adaptive_director::mayRetry(const request_state &request, request_outcome outcome, base::time_point now, base::reason &why)
 {
     retry_budget &retries = retriesOf(request);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -74,6 +74,7 @@
     request.lane = {request.facts.urgency, request.cost > pool.longThreshold};
     const double needed = neededShare * request.cost * pool.msPerCost;
     request.latestStart = request.facts.deadline - base::milliseconds(static_cast<std::int64_t>(std::min(needed, 1e12)));
+    request.latestStart = std::min(request.latestStart, request.facts.latestDispatch);
 }
 
 bool adaptive_director::admit(request_state &request, base::reason &why)
--- a/packages/routing/src/chervilbend/routing/internal/request_table.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_table.hpp
@@ -35,6 +35,11 @@
         return id != 0 && index < m_slots.size() && m_slots[index].request.id == id ? &m_slots[index].request : nullptr;
     }
 
+    const request_state *find(ticket id) const
+    {
+        return const_cast<request_table *>(this)->find(id);
+    }
+
     void remove(request_state &request)
     {
         m_free.push_back(static_cast<std::uint32_t>(request.id));
--- a/packages/routing/src/chervilbend/routing/request_facts.hpp
+++ b/packages/routing/src/chervilbend/routing/request_facts.hpp
@@ -20,6 +20,8 @@
     base::account_id account;
     base::work_class urgency = base::work_class::normal;
     base::time_point deadline;
+    /// Time after which it is no longer sent: its caller would leave before the first byte. The clock's maximum for none.
+    base::time_point latestDispatch = base::time_point::max();
     base::token_count promptTokens;
     /// Upper bound of generated tokens.
     base::token_count maxTokens;
--- a/packages/routing/src/chervilbend/routing/retry_budget.hpp
+++ b/packages/routing/src/chervilbend/routing/retry_budget.hpp
@@ -28,6 +28,11 @@
         m_tokens = m_tokens + m_share < m_burst ? m_tokens + m_share : m_burst;
     }
 
+    bool isUsedUp() const
+    {
+        return m_tokens < 1;
+    }
+
     /// Takes one retry. False when none is left.
     bool take()
     {
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -57,6 +57,12 @@
     /// then finished.
     virtual bool retry(ticket request, request_outcome outcome, base::reason &why) = 0;
 
+    /// Whether retry() would be granted now, as far as the state of the pool and the budget decide.
+    virtual bool allowsRetry(ticket /*request*/) const
+    {
+        return true;
+    }
+
     /// The requests that may be sent now. Call after every command and at nextWakeup().
     virtual std::vector<dispatch> takeDispatches() = 0;
     /// The queued requests that were given up since the last call.
