Log as JSON on standard output without waiting for it; serve metrics of the platform's parts; test the adapter and the fleet package

Cause: the on-call engineers have logs and metrics only, and the parts built today had no tests. Change: jsonLog writes one object a line and drops the least important lines when nobody reads; metricsListen serves store calls, ages and commands.

--- /dev/null
+++ b/packages/base/src/chervilbend/base/internal/stream_appender.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chervilbend/base/log_queue.hpp>
+
+#include <log4cxx/appenderskeleton.h>
+
+#include <string>
+
+namespace chervilbend::base
+{
+
+// The macros of log4cxx name its namespaces without their parent.
+namespace helpers = log4cxx::helpers;
+
+/// Writes each log event as one line of JSON to standard output, and never waits for it.
+class stream_appender : public log4cxx::AppenderSkeleton
+{
+public:
+    DECLARE_LOG4CXX_OBJECT(stream_appender)
+    BEGIN_LOG4CXX_CAST_MAP()
+    LOG4CXX_CAST_ENTRY(stream_appender)
+    LOG4CXX_CAST_ENTRY_CHAIN(log4cxx::AppenderSkeleton)
+    END_LOG4CXX_CAST_MAP()
+
+    stream_appender();
+
+    void close() override
+    {
+    }
+
+    bool requiresLayout() const override
+    {
+        return false;
+    }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override;
+
+private:
+    log_queue m_queue;
+};
+
+/// The line of one event: time, level and part, then the message's own fields where it is a JSON object, otherwise the message as text.
+std::string jsonLine(std::string_view time, std::string_view level, std::string_view part, std::string_view message);
+
+} // namespace chervilbend::base
--- a/packages/base/src/chervilbend/base/log.cpp
+++ b/packages/base/src/chervilbend/base/log.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/base/log.hpp>
 
+#include <chervilbend/base/internal/stream_appender.hpp>
+
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -15,6 +17,13 @@
     return log4cxx::Logger::getLogger(std::string(part));
 }
 
+void configureJsonLogging(std::string_view level)
+{
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(std::make_shared<stream_appender>());
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(std::string(level), log4cxx::Level::getInfo()));
+}
+
 void configureLogging(std::string_view level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [%c] %m%n"));
--- a/packages/base/src/chervilbend/base/manual_time_source.hpp
+++ b/packages/base/src/chervilbend/base/manual_time_source.hpp
@@ -28,6 +28,17 @@
         m_elapsed += step;
     }
 
+    /// The host is suspended for @p duration: only the boot clock and the wall clock go on.
+    void suspend(milliseconds duration)
+    {
+        m_suspended += duration;
+    }
+
+    std::int64_t bootMilliseconds() const override
+    {
+        return (m_elapsed + m_suspended).count();
+    }
+
     std::int64_t steadyMilliseconds() const override
     {
         return m_elapsed.count();
@@ -35,7 +46,7 @@
 
     std::int64_t wallMilliseconds() const override
     {
-        return startOfWallTime.count() + m_elapsed.count();
+        return (startOfWallTime + m_elapsed + m_suspended).count();
     }
 
 private:
@@ -43,6 +54,7 @@
     static constexpr milliseconds startOfWallTime{1'767'225'600'000};
 
     milliseconds m_elapsed{1};
+    milliseconds m_suspended{0};
 };
 
 } // namespace chervilbend::base
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -24,9 +24,13 @@
     std::string metadataStore;
     /// Where the platform asks whether the node is ready; empty to answer on listen only.
     std::string readyListen;
+    /// Where metrics are served; empty to serve them on listen only.
+    std::string metricsListen;
     /// One or two; the first signs, both are accepted.
     std::vector<std::string> keys;
     std::string logLevel = "INFO";
+    /// Log lines as JSON objects on standard output, instead of text on standard error.
+    bool jsonLog = false;
 
     base::milliseconds leaseTerm{6'000};
     base::milliseconds leaseMargin{1'000};
--- a/packages/config/tests/node_settings_test.cpp
+++ b/packages/config/tests/node_settings_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(node_settings_test);
     CPPUNIT_TEST(readsFileAndOverrides);
     CPPUNIT_TEST(reportsAllFaults);
+    CPPUNIT_TEST(metadataStoreReplacesServices);
     CPPUNIT_TEST(rereadsKeysOnly);
     CPPUNIT_TEST(defaultsAreInRange);
     CPPUNIT_TEST(pageFollowsTheTable);
@@ -68,6 +69,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("s:9: shutdownBound: 5 s is not more than balancerWait, 5 s\n"), faultLines(minimal("shutdownBound: 5 s\n")));
     }
 
+    /// On the users' platform one store does the work of the log, the list of hosts and the weight store, and there are no secrets.
+    void metadataStoreReplacesServices()
+    {
+        node_settings_reader reader;
+        const auto settings = reader.read("s",
+                                          "node: n1\nzone: a\nlisten: 127.0.0.1:8080\npeerListen: 127.0.0.1:8081\nmetadataStore: 127.0.0.1:1\n"
+                                          "readyListen: 127.0.0.1:8082\nretryShare: 0.2\nretryBurst: 52\nenginesCheckFencing: true\nloadOvershoot: 1.1\n");
+        CPPUNIT_ASSERT_MESSAGE(reader.lastReason().text, settings);
+        CPPUNIT_ASSERT(settings->enginesCheckFencing && settings->retryBurst == 52 && settings->retryShare == 0.2);
+        CPPUNIT_ASSERT(faultLines("metadataStore: 127.0.0.1:1\nretryShare: 2\nenginesCheckFencing: perhaps\n").find("\"perhaps\" is neither true nor false")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(faultLines("metadataStore: 127.0.0.1:1\n").find("keys: is missing") == std::string::npos);
+    }
+
     /// A running node takes new secrets even when another value of the file has become invalid, and keeps the old ones when the new
     /// ones are invalid.
     void rereadsKeysOnly()
--- a/packages/fakes/src/chervilbend/fakes/virtual_time.hpp
+++ b/packages/fakes/src/chervilbend/fakes/virtual_time.hpp
@@ -23,6 +23,12 @@
     /// Moves the time forward by @p duration in steps, and settles after each. Timers fire at most one step late.
     void advance(base::milliseconds duration, base::milliseconds step = base::milliseconds(10));
 
+    /// The host is suspended: timers stand still, but the boot clock goes on.
+    void suspend(base::milliseconds duration)
+    {
+        m_source.suspend(duration);
+    }
+
 private:
     std::size_t runDueTimers();
 
--- /dev/null
+++ b/packages/fleet/tests/command_lease_test.cpp
@@ -0,0 +1,233 @@
+#include "memory_store.hpp"
+
+#include <chervilbend/fakes/virtual_time.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+using namespace chervilbend;
+using namespace chervilbend::fleet;
+namespace asio = boost::asio;
+
+namespace
+{
+
+struct lease_node {
+    lease_node(test::store_content &content, const std::string &name, std::int64_t life)
+        : store(content)
+        , lease(store, optionsFor(name, life))
+    {
+    }
+
+    static command_lease_options optionsFor(const std::string &name, std::int64_t life)
+    {
+        command_lease_options options;
+        options.node = base::node_id(name);
+        options.life = life;
+        options.peerAddress = "127.0.0.1:1";
+        return options;
+    }
+
+    test::memory_store store;
+    command_lease lease;
+};
+
+struct lease_cluster {
+    lease_node &add(const std::string &name, std::int64_t life = 1)
+    {
+        nodes.push_back(std::make_unique<lease_node>(content, name, life));
+        asio::co_spawn(context, nodes.back()->lease.run(), asio::detached);
+        return *nodes.back();
+    }
+
+    /// Runs in small steps, and checks in each that commands of two nodes are the gap apart.
+    void run(int ms)
+    {
+        for (int done = 0; done < ms; done += 10) {
+            time.advance(base::milliseconds(10));
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                if (!nodes[i]->lease.mayCommand()) {
+                    continue;
+                }
+                const base::time_point now = base::clock::now();
+                CPPUNIT_ASSERT_MESSAGE("two nodes command within the gap", lastCommander == i || now - lastCommand >= base::milliseconds(3'000));
+                lastCommander = i;
+                lastCommand = now;
+            }
+        }
+    }
+
+    int holders() const
+    {
+        int count = 0;
+        for (const auto &node : nodes) {
+            count += node->lease.isHolder() ? 1 : 0;
+        }
+        return count;
+    }
+
+    lease_node &holder()
+    {
+        for (const auto &node : nodes) {
+            if (node->lease.isHolder()) {
+                return *node;
+            }
+        }
+        CPPUNIT_FAIL("nobody holds the lease");
+        return *nodes.front();
+    }
+
+    asio::io_context context;
+    fakes::virtual_time time{context};
+    test::store_content content;
+    std::vector<std::unique_ptr<lease_node>> nodes;
+    std::size_t lastCommander = 0;
+    base::time_point lastCommand{base::milliseconds(-10'000)};
+};
+
+} // namespace
+
+/// Guards against two nodes that command the engines within the gap, against tokens that fall, and against a lease that nobody takes.
+class command_lease_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(command_lease_test);
+    CPPUNIT_TEST(oneNodeTakesAFreeLease);
+    CPPUNIT_TEST(anotherTakesOverFromACutHolder);
+    CPPUNIT_TEST(lostAnswersDoNotLoseTheLease);
+    CPPUNIT_TEST(suspendedHolderGivesUpBeforeItActs);
+    CPPUNIT_TEST(releasedLeaseIsTakenAtOnceAndUsedAfterTheGap);
+    CPPUNIT_TEST(restartedHolderGoesOnWithAHigherToken);
+    CPPUNIT_TEST(resignsWhenAnEngineKnowsAHigherToken);
+    CPPUNIT_TEST(outageOfTheStoreLeavesOneHolder);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void oneNodeTakesAFreeLease()
+    {
+        lease_cluster cluster;
+        for (const char *name : {"a", "b", "c"}) {
+            cluster.add(name);
+        }
+        cluster.run(1'000);
+        CPPUNIT_ASSERT_EQUAL(1, cluster.holders());
+        CPPUNIT_ASSERT_MESSAGE("nobody commanded before, so there is no gap to wait for", cluster.holder().lease.mayCommand());
+        const std::int64_t token = cluster.holder().lease.token();
+        cluster.run(10'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("renewals keep the token", token, cluster.holder().lease.token());
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(cluster.content.writes), cluster.content.writes <= 30);
+    }
+
+    void anotherTakesOverFromACutHolder()
+    {
+        lease_cluster cluster;
+        cluster.add("a");
+        cluster.add("b");
+        cluster.run(1'000);
+        lease_node &old = cluster.holder();
+        const std::int64_t token = old.lease.token();
+        old.store.isCut = true;
+        int waited = 0;
+        while (!(cluster.holders() == 1 && !old.lease.isHolder() && cluster.holder().lease.mayCommand())) {
+            cluster.run(100);
+            waited += 100;
+            CPPUNIT_ASSERT(waited < 8'000);
+        }
+        CPPUNIT_ASSERT(cluster.holder().lease.token() > token);
+        old.store.isCut = false;
+        cluster.run(5'000);
+        CPPUNIT_ASSERT(!old.lease.isHolder());
+    }
+
+    void lostAnswersDoNotLoseTheLease()
+    {
+        lease_cluster cluster;
+        lease_node &node = cluster.add("a");
+        cluster.run(1'000);
+        node.store.losesAnswers = true;
+        for (int step = 0; step < 50; ++step) {
+            cluster.run(100);
+            CPPUNIT_ASSERT_MESSAGE("its record stands in the store", node.lease.isHolder());
+        }
+    }
+
+    /// A host that was suspended has a steady clock that stood still while the others' terms ran out.
+    void suspendedHolderGivesUpBeforeItActs()
+    {
+        lease_cluster cluster;
+        lease_node &node = cluster.add("a");
+        cluster.run(1'000);
+        CPPUNIT_ASSERT(node.lease.mayCommand());
+        cluster.time.suspend(base::milliseconds(4'000));
+        CPPUNIT_ASSERT_MESSAGE("before it has read anything, it knows by the boot clock", !node.lease.mayCommand());
+    }
+
+    void releasedLeaseIsTakenAtOnceAndUsedAfterTheGap()
+    {
+        lease_cluster cluster;
+        cluster.add("a");
+        cluster.add("b");
+        cluster.run(1'000);
+        lease_node &old = cluster.holder();
+        asio::co_spawn(cluster.context, old.lease.release(), asio::detached);
+        cluster.run(2'500);
+        CPPUNIT_ASSERT(!old.lease.isHolder() && cluster.holders() == 1);
+        CPPUNIT_ASSERT_MESSAGE("the gap counts from the release", !cluster.holder().lease.mayCommand());
+        cluster.run(3'000);
+        CPPUNIT_ASSERT(cluster.holder().lease.mayCommand());
+    }
+
+    void restartedHolderGoesOnWithAHigherToken()
+    {
+        lease_cluster cluster;
+        lease_node &first = cluster.add("a", 1);
+        cluster.run(1'000);
+        const std::int64_t token = first.lease.token();
+        first.store.isCut = true;
+        first.lease.resign("killed");
+        lease_node &second = cluster.add("a", 2);
+        cluster.lastCommander = 1;
+        cluster.run(500);
+        CPPUNIT_ASSERT_MESSAGE("commands of one host need no gap", second.lease.mayCommand());
+        CPPUNIT_ASSERT(second.lease.token() > token);
+    }
+
+    void resignsWhenAnEngineKnowsAHigherToken()
+    {
+        lease_cluster cluster;
+        lease_node &node = cluster.add("a");
+        cluster.run(1'000);
+        const std::int64_t token = node.lease.token();
+        node.lease.resign("an engine has seen a higher fencing token");
+        CPPUNIT_ASSERT(!node.lease.mayCommand() && node.lease.token() == 0);
+        cluster.run(1'000);
+        CPPUNIT_ASSERT_MESSAGE("it comes back only with a token of its own", node.lease.token() > token);
+    }
+
+    void outageOfTheStoreLeavesOneHolder()
+    {
+        lease_cluster cluster;
+        for (const char *name : {"a", "b", "c"}) {
+            cluster.add(name);
+        }
+        cluster.run(1'000);
+        for (const auto &node : cluster.nodes) {
+            node->store.isCut = true;
+        }
+        cluster.run(5'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("without the store nobody commands", 0, cluster.holders());
+        for (const auto &node : cluster.nodes) {
+            node->store.isCut = false;
+        }
+        cluster.run(8'000);
+        CPPUNIT_ASSERT_EQUAL(1, cluster.holders());
+        CPPUNIT_ASSERT(cluster.holder().lease.mayCommand());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(command_lease_test);
--- /dev/null
+++ b/packages/fleet/tests/engine_controller_test.cpp
@@ -0,0 +1,294 @@
+#include "fake_engines.hpp"
+#include "memory_store.hpp"
+
+#include <chervilbend/fakes/virtual_time.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/engine_controller.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <memory>
+#include <vector>
+
+using namespace chervilbend;
+using namespace chervilbend::fleet;
+namespace asio = boost::asio;
+
+namespace
+{
+
+const base::service_id chat("chat");
+
+std::shared_ptr<const traffic_configuration> sampleConfiguration()
+{
+    auto configuration = std::make_shared<traffic_configuration>();
+    service_rule &service = configuration->services[chat];
+    service.id = chat;
+    service.engine.emplace();
+    service.engine->slots = 8;
+    service.engine->memoryMb = 83'000;
+    service.engine->adapterSlots = 4;
+    service.engine->loadsPerSecond = 2.2;
+    for (int i = 0; i < 5; ++i) {
+        model_rule &model = service.engine->models.emplace_back();
+        model.name = "m" + std::to_string(i);
+        model.weightMb = i < 4 ? 34'300 : 16'100;
+        model.loadTime = base::milliseconds(i < 4 ? 2'600 : 1'300);
+        model.diskLoadTime = model.warmLoadTime = base::milliseconds(400);
+        model.adapters = 6;
+        model.adapterMb = 40;
+    }
+    return configuration;
+}
+
+/// A node that may hold the lease.
+struct controller_node {
+    controller_node(asio::io_context &context,
+                    test::store_content &content,
+                    std::map<std::string, test::fake_engine> &all,
+                    std::shared_ptr<const traffic_configuration> configuration,
+                    const std::string &name,
+                    unsigned seed)
+        : store(content)
+        , engines(context.get_executor(), all, *configuration->services.at(chat).engine, seed)
+        , lease(store, optionsFor(name, seed))
+        , controller(context.get_executor(), engines, lease, registry, [configuration] { return configuration; })
+    {
+        lease.onChange([this](bool isHolder) { controller.leaseChanged(isHolder); });
+        asio::co_spawn(context, lease.run(), asio::detached);
+        asio::co_spawn(context, controller.run(), asio::detached);
+    }
+
+    static command_lease_options optionsFor(const std::string &name, unsigned seed)
+    {
+        command_lease_options options;
+        options.node = base::node_id(name);
+        options.life = seed;
+        options.peerAddress = "127.0.0.1:1";
+        return options;
+    }
+
+    test::memory_store store;
+    test::fake_engines engines;
+    endpoint_registry registry;
+    command_lease lease;
+    engine_controller controller;
+};
+
+struct controller_cluster {
+    explicit controller_cluster(unsigned seed, int nodeCount = 2)
+        : random(seed)
+    {
+        for (int i = 0; i < 4; ++i) {
+            all["i-" + std::to_string(i)];
+        }
+        all["i-0"].models = {{"m0", {}}, {"m1", {}}};
+        all["i-1"].models = {{"m2", {}}, {"m3", {}}};
+        for (int i = 0; i < nodeCount; ++i) {
+            nodes.push_back(std::make_unique<controller_node>(context, content, all, configuration, "n" + std::to_string(i), seed + 1 + static_cast<unsigned>(i)));
+        }
+    }
+
+    void run(int ms)
+    {
+        for (int done = 0; done < ms; done += 10) {
+            time.advance(base::milliseconds(10));
+            test::fake_engines::tick(all);
+            if (++ticks % 80 == 0) {
+                ++beat;
+                readRegistrations();
+            }
+        }
+    }
+
+    /// Each node reads the registrations as the engines have written them; a node that is cut off does not.
+    void readRegistrations()
+    {
+        for (const auto &node : nodes) {
+            if (node->store.isCut) {
+                continue;
+            }
+            std::vector<endpoint_change> changes;
+            for (const auto &[id, engine] : all) {
+                endpoint_change &change = changes.emplace_back();
+                change.id = base::endpoint_id(id);
+                change.entry.emplace();
+                change.entry->id = change.id;
+                change.entry->service = chat;
+                change.entry->zone = base::zone_id("z");
+                change.entry->where = {"127.0.0.1", 1};
+                change.entry->slots = 8;
+                change.entry->born = 1;
+                change.entry->beat = beat;
+                change.entry->models = test::fake_engines::statusOf(engine).models;
+            }
+            node->controller.endpointsChanged(node->registry.apply(changes, base::clock::now()));
+        }
+    }
+
+    controller_node *holder()
+    {
+        for (const auto &node : nodes) {
+            if (node->lease.isHolder()) {
+                return node.get();
+            }
+        }
+        return nullptr;
+    }
+
+    /// Starts a wait for an item at the holder.
+    void want(const std::string &model, const std::string &adapter, std::shared_ptr<int> granted = nullptr)
+    {
+        controller_node *const node = holder();
+        if (node == nullptr) {
+            return;
+        }
+        asio::co_spawn(
+            context,
+            [node, model, adapter, granted]() -> asio::awaitable<void> {
+                const wanted_item item{chat, model, adapter};
+                const bool isThere = co_await node->controller.want(item, base::clock::now() + base::milliseconds(1'500));
+                if (granted && isThere) {
+                    ++*granted;
+                }
+            },
+            asio::detached);
+    }
+
+    int overcommitted() const
+    {
+        int count = 0;
+        for (const auto &[id, engine] : all) {
+            count += engine.overcommitted;
+        }
+        return count;
+    }
+
+    std::minstd_rand random;
+    asio::io_context context;
+    fakes::virtual_time time{context};
+    std::shared_ptr<const traffic_configuration> configuration = sampleConfiguration();
+    test::store_content content;
+    std::map<std::string, test::fake_engine> all;
+    std::vector<std::unique_ptr<controller_node>> nodes;
+    int ticks = 0;
+    std::int64_t beat = 1;
+};
+
+} // namespace
+
+/// Guards against engines that are commanded beyond their memory or adapter slots, and against items that nobody brings.
+class engine_controller_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(engine_controller_test);
+    CPPUNIT_TEST(loadsAnAdapterThatARequestNeeds);
+    CPPUNIT_TEST(makesRoomInPlaceOfIdleAdapters);
+    CPPUNIT_TEST(bringsBackAMissingModel);
+    CPPUNIT_TEST(followsDemand);
+    CPPUNIT_TEST(newHolderWaitsForAnUnknownLoad);
+    CPPUNIT_TEST(neverOvercommitsWhateverIsLost);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void loadsAnAdapterThatARequestNeeds()
+    {
+        controller_cluster cluster(1);
+        cluster.run(3'000);
+        const auto granted = std::make_shared<int>(0);
+        cluster.want("m0", "a1", granted);
+        cluster.run(100);
+        CPPUNIT_ASSERT_EQUAL(1, *granted);
+        CPPUNIT_ASSERT(cluster.all["i-0"].models["m0"].contains("a1"));
+    }
+
+    void makesRoomInPlaceOfIdleAdapters()
+    {
+        controller_cluster cluster(2);
+        cluster.run(3'000);
+        for (int i = 1; i <= 6; ++i) {
+            const auto granted = std::make_shared<int>(0);
+            cluster.want("m0", "a" + std::to_string(i), granted);
+            cluster.run(1'600);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("adapter " + std::to_string(i), 1, *granted);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, cluster.overcommitted());
+    }
+
+    void bringsBackAMissingModel()
+    {
+        controller_cluster cluster(3);
+        cluster.run(15'000);
+        CPPUNIT_ASSERT_MESSAGE("m4 was nowhere at the start", std::any_of(cluster.all.begin(), cluster.all.end(), [](const auto &engine) {
+                                   return engine.second.models.contains("m4");
+                               }));
+    }
+
+    void followsDemand()
+    {
+        controller_cluster cluster(4);
+        cluster.run(6'000);
+        for (int step = 0; step < 60; ++step) {
+            node_report report;
+            report.node = base::node_id("n9");
+            report.open["chat/m2"] = 20;
+            cluster.holder()->controller.report(report);
+            cluster.run(100);
+        }
+        int copies = 0;
+        for (const auto &[id, engine] : cluster.all) {
+            copies += engine.models.contains("m2") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(copies), copies >= 3);
+        CPPUNIT_ASSERT_EQUAL(0, cluster.overcommitted());
+    }
+
+    /// The engine shows neither the load that the old holder began nor the room that it takes.
+    void newHolderWaitsForAnUnknownLoad()
+    {
+        controller_cluster cluster(5);
+        cluster.run(3'000);
+        controller_node *const old = cluster.holder();
+        CPPUNIT_ASSERT(old != nullptr);
+        old->store.isCut = old->engines.isCut = true;
+        cluster.all["i-2"].commands += 1;
+        cluster.all["i-2"].models = {{"m0", {}}};
+        cluster.all["i-2"].loading = "m1";
+        cluster.all["i-2"].busyUntil = base::clock::now() + base::milliseconds(7'000);
+        cluster.run(20'000);
+        CPPUNIT_ASSERT(cluster.holder() != nullptr && cluster.holder() != old);
+        CPPUNIT_ASSERT_EQUAL(0, cluster.overcommitted());
+    }
+
+    void neverOvercommitsWhateverIsLost()
+    {
+        constexpr unsigned seeds = 12;
+        constexpr unsigned firstSeed = 100;
+        std::cout << "engine_controller_test seeds " << firstSeed << " to " << firstSeed + seeds - 1 << '\n';
+        for (unsigned seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+            controller_cluster cluster(seed);
+            for (int step = 0; step < 120; ++step) {
+                std::uniform_int_distribution<int> percent(0, 99);
+                for (const auto &node : cluster.nodes) {
+                    node->engines.lost = percent(cluster.random) < 50 ? 0.3 : 0.0;
+                    const bool cut = percent(cluster.random) < 8;
+                    node->store.isCut = cut || (node->store.isCut && percent(cluster.random) < 70);
+                }
+                cluster.want("m" + std::to_string(percent(cluster.random) % 5), "a" + std::to_string(1 + percent(cluster.random) % 6));
+                if (controller_node *const node = cluster.holder()) {
+                    node_report report;
+                    report.node = base::node_id("n9");
+                    report.open["chat/m" + std::to_string(step / 20 % 5)] = 14;
+                    node->controller.report(report);
+                }
+                cluster.run(250);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " step " + std::to_string(step), 0, cluster.overcommitted());
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(engine_controller_test);
--- /dev/null
+++ b/packages/fleet/tests/memory_store.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <chervilbend/fleet/fleet_store.hpp>
+#include <chervilbend/net/sleep.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace chervilbend::fleet::test
+{
+
+/// What stands in the store, shared by the nodes of a test.
+struct store_content {
+    std::optional<lease_record> lease;
+    std::int64_t leaseOffset = 0;
+    std::int64_t leaseEnd = 0;
+    int writes = 0;
+};
+
+/// A node's way to a store in memory, with the faults of the real one.
+class memory_store : public fleet_store
+{
+public:
+    explicit memory_store(store_content &shared)
+        : content(shared)
+    {
+    }
+
+    /// No call reaches the store.
+    bool isCut = false;
+    /// Writes are carried out, but their answers are lost.
+    bool losesAnswers = false;
+    base::milliseconds delay{4};
+
+    boost::asio::awaitable<std::optional<configuration_page>> newestConfiguration() override
+    {
+        co_return fail(base::error_kind::logUnavailable, "not played");
+    }
+
+    boost::asio::awaitable<std::optional<configuration_page>> configurationFrom(std::int64_t /*position*/, base::milliseconds /*wait*/) override
+    {
+        co_return fail(base::error_kind::logUnavailable, "not played");
+    }
+
+    boost::asio::awaitable<std::optional<endpoint_page>> allEndpoints() override
+    {
+        co_return fail(base::error_kind::logUnavailable, "not played");
+    }
+
+    boost::asio::awaitable<std::optional<endpoint_page>> endpointsFrom(std::int64_t /*position*/) override
+    {
+        co_return fail(base::error_kind::logUnavailable, "not played");
+    }
+
+    boost::asio::awaitable<std::optional<lease_page>> lease() override
+    {
+        co_await net::sleepFor(delay);
+        if (isCut) {
+            co_return fail(base::error_kind::logUnavailable, "cut off");
+        }
+        lease_page page;
+        page.record = content.lease;
+        if (page.record && page.record->token == 0) {
+            page.record->token = content.leaseOffset + 1;
+        }
+        page.offset = content.leaseOffset;
+        page.end = content.leaseEnd;
+        co_return page;
+    }
+
+    boost::asio::awaitable<lease_write> writeLease(lease_record record, std::int64_t expected) override
+    {
+        co_await net::sleepFor(delay);
+        ++content.writes;
+        if (isCut) {
+            fail(base::error_kind::logUnavailable, "cut off");
+            co_return lease_write{};
+        }
+        if (expected != content.leaseEnd) {
+            co_return lease_write{lease_write_status::conflict, 0};
+        }
+        content.lease = record;
+        content.leaseOffset = content.leaseEnd++;
+        if (losesAnswers) {
+            fail(base::error_kind::logUnavailable, "the answer was lost");
+            co_return lease_write{};
+        }
+        co_return lease_write{lease_write_status::written, content.leaseOffset};
+    }
+
+    store_content &content;
+};
+
+} // namespace chervilbend::fleet::test
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -77,9 +77,9 @@
     return options;
 }
 
-std::shared_ptr<platform::store_client> storeClient(const config::node_settings &settings, std::shared_ptr<net::http_client> transport)
+std::shared_ptr<platform::store_client> storeClient(const config::node_settings &settings)
 {
-    return std::make_shared<platform::store_client>(net::parseAddress(settings.metadataStore).value_or(net::address{}), std::move(transport));
+    return std::make_shared<platform::store_client>(net::parseAddress(settings.metadataStore).value_or(net::address{}), std::make_shared<net::http_client>());
 }
 
 base::milliseconds readInterval(const config::node_settings &settings)
@@ -99,8 +99,8 @@
     : m_settings(settings)
     , m_file(file)
     , m_context(1)
-    , m_storeTransport(std::make_shared<net::http_client>())
-    , m_store(storeClient(settings, m_storeTransport))
+    , m_storeClient(storeClient(settings))
+    , m_store(m_storeClient)
     , m_configuration(m_store)
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings))
     , m_residency(m_endpoints)
@@ -120,6 +120,8 @@
     , m_readinessHandler([this] { return m_readiness.isReady(); })
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_api, callerLimits(settings)))
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
+    , m_health(m_readiness, m_registry, m_readinessHandler)
+    , m_metricsServer(std::make_shared<net::http_server>(m_context.get_executor(), m_health))
     , m_rpc(m_signer)
     , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_rpc))
     , m_shutdown(m_context.get_executor(),
@@ -161,7 +163,47 @@
     });
     m_rpc.add(std::make_shared<fleet::exchange_method>(m_lease, m_controller));
     m_rpc.addWaiting(std::make_shared<fleet::want_method>(m_lease, m_controller));
+    showMetrics();
+}
+
+void platform_node::showMetrics()
+{
     m_metrics.watch(m_open, m_admission, *m_callerServer);
+    m_storeClient->onCall([this](std::string_view call, int status) {
+        m_registry
+            .counterFor("chervilbend_store_calls_total",
+                        "Calls to the platform's store by call and status, 0 for no answer",
+                        {{"call", std::string(call)}, {"status", std::to_string(status)}})
+            .add();
+    });
+    const auto ageSeconds = [](base::time_point since) {
+        constexpr double perSecond = 1'000;
+        return static_cast<double>((base::clock::now() - since).count()) / perSecond;
+    };
+    m_registry.gaugeFor("chervilbend_configuration_version", "Version of the configuration in force").readFrom([this] {
+        return m_configuration.current() ? static_cast<double>(m_configuration.current()->version) : 0.0;
+    });
+    m_registry.gaugeFor("chervilbend_configuration_age_seconds", "Since the store last confirmed the configuration").readFrom([this, ageSeconds] {
+        return ageSeconds(m_configuration.confirmedAt());
+    });
+    m_registry.gaugeFor("chervilbend_registrations_age_seconds", "Since the endpoints' registrations were last read").readFrom([this, ageSeconds] {
+        return ageSeconds(m_endpointFollower.readAt());
+    });
+    m_registry.gaugeFor("chervilbend_endpoints", "Endpoints that are registered").readFrom([this] {
+        return static_cast<double>(m_endpoints.endpoints().size());
+    });
+    m_registry.gaugeFor("chervilbend_command_lease_held", "1 while this node may command the engines").readFrom([this] {
+        return m_lease.mayCommand() ? 1.0 : 0.0;
+    });
+    m_registry.gaugeFor("chervilbend_engine_commands", "Commands sent to engines since the start").readFrom([this] {
+        return static_cast<double>(m_controller.driver().sent());
+    });
+    m_registry.gaugeFor("chervilbend_model_loads", "Loads of models among the commands").readFrom([this] {
+        return static_cast<double>(m_controller.driver().modelLoads());
+    });
+    m_registry.gaugeFor("chervilbend_endpoint_connections_opened", "Connections opened to endpoints since the start").readFrom([this] {
+        return static_cast<double>(m_client.connectionsOpened());
+    });
 }
 
 std::optional<std::size_t> platform_node::run()
@@ -191,6 +233,11 @@
         fail(base::error_kind::settingInvalid, "listen, readyListen and peerListen must be IP:PORT");
         return false;
     }
+    const std::optional<net::address> metrics = net::parseAddress(m_settings.metricsListen);
+    if (metrics && !m_metricsServer->listen(*metrics)) {
+        fail(m_metricsServer->lastReason());
+        return false;
+    }
     if (!m_peerServer->listen(*peers)) {
         fail(m_peerServer->lastReason());
         return false;
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -19,6 +19,7 @@
 #include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/route_api.hpp>
 #include <chervilbend/node/endpoint_feed.hpp>
+#include <chervilbend/node/health/health_api.hpp>
 #include <chervilbend/node/health/readiness.hpp>
 #include <chervilbend/node/health/shutdown_sequence.hpp>
 #include <chervilbend/node/fleet_supply.hpp>
@@ -60,6 +61,7 @@
 private:
     bool listen();
     void connectParts();
+    void showMetrics();
     void waitForSignal();
     void startShutdown();
     boost::asio::awaitable<void> tellRunning();
@@ -69,7 +71,7 @@
     boost::asio::io_context m_context;
     base::metric_registry m_registry;
 
-    std::shared_ptr<net::http_client> m_storeTransport;
+    std::shared_ptr<platform::store_client> m_storeClient;
     platform::platform_store m_store;
     platform::platform_wire m_wire;
     fleet::configuration_follower m_configuration;
@@ -98,6 +100,8 @@
     platform::readiness_handler m_readinessHandler;
     std::shared_ptr<net::http_server> m_callerServer;
     std::shared_ptr<net::http_server> m_readyServer;
+    health_api m_health;
+    std::shared_ptr<net::http_server> m_metricsServer;
     peers::rpc_server m_rpc;
     std::shared_ptr<net::http_server> m_peerServer;
     shutdown_sequence m_shutdown;
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -56,7 +56,11 @@
         }
         return invalidSettings;
     }
-    base::configureLogging(settings->logLevel);
+    if (settings->jsonLog) {
+        base::configureJsonLogging(settings->logLevel);
+    } else {
+        base::configureLogging(settings->logLevel);
+    }
     if (settings->metadataStore.empty()) {
         return runNode<node::node_process>(*settings, file);
     }
