--- a/packages/base/src/chervilbend/base/log_queue.cpp
+++ b/packages/base/src/chervilbend/base/log_queue.cpp
@@ -42,9 +42,8 @@
 
 void log_queue::dropOne()
 {
-    const auto least = std::min_element(m_lines.begin(), m_lines.end(), [](const waiting_line &left, const waiting_line &right) {
-        return left.importance < right.importance;
-    });
+    const auto least = std::min_element(
+        m_lines.begin(), m_lines.end(), [](const waiting_line &left, const waiting_line &right) { return left.importance < right.importance; });
     m_lines.erase(least);
     ++m_dropped;
 }
--- a/packages/control/src/chervilbend/control/endpoint_driver.hpp
+++ b/packages/control/src/chervilbend/control/endpoint_driver.hpp
@@ -5,8 +5,8 @@
 #include <chervilbend/base/units.hpp>
 #include <chervilbend/control/command_ledger.hpp>
 #include <chervilbend/control/internal/endpoint_reconciler.hpp>
-#include <chervilbend/net/address.hpp>
 #include <chervilbend/external/engine_control.hpp>
+#include <chervilbend/net/address.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
--- a/packages/control/src/chervilbend/control/host_watcher.cpp
+++ b/packages/control/src/chervilbend/control/host_watcher.cpp
@@ -2,8 +2,8 @@
 
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/control/host_listener.hpp>
-#include <chervilbend/net/sleep.hpp>
 #include <chervilbend/external/host_list.hpp>
+#include <chervilbend/net/sleep.hpp>
 
 #include <algorithm>
 #include <optional>
--- a/packages/control/src/chervilbend/control/log_appender.hpp
+++ b/packages/control/src/chervilbend/control/log_appender.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/external/log_service.hpp>
+#include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/state/entries.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
--- a/packages/control/src/chervilbend/control/log_follower.hpp
+++ b/packages/control/src/chervilbend/control/log_follower.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/control/log_follower_options.hpp>
 #include <chervilbend/external/log_service.hpp>
+#include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
--- a/packages/control/src/chervilbend/control/planner_task.hpp
+++ b/packages/control/src/chervilbend/control/planner_task.hpp
@@ -3,9 +3,9 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/control/host_listener.hpp>
+#include <chervilbend/external/weight_store.hpp>
 #include <chervilbend/membership/demand_tree.hpp>
 #include <chervilbend/placement/placement_planner.hpp>
-#include <chervilbend/external/weight_store.hpp>
 #include <chervilbend/state/replicated_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
--- a/packages/control/src/chervilbend/control/report_poller.cpp
+++ b/packages/control/src/chervilbend/control/report_poller.cpp
@@ -1,8 +1,8 @@
 #include <chervilbend/control/report_poller.hpp>
 
 #include <chervilbend/control/report_listener.hpp>
-#include <chervilbend/net/sleep.hpp>
 #include <chervilbend/external/engine_control.hpp>
+#include <chervilbend/net/sleep.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/external/src/chervilbend/external/engine_control.hpp
+++ b/packages/external/src/chervilbend/external/engine_control.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <chervilbend/base/reason_holder.hpp>
-#include <chervilbend/net/address.hpp>
 #include <chervilbend/external/engine_command.hpp>
 #include <chervilbend/external/engine_report.hpp>
+#include <chervilbend/net/address.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
--- a/packages/external/src/chervilbend/external/http/http_host_list.hpp
+++ b/packages/external/src/chervilbend/external/http/http_host_list.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <chervilbend/net/address.hpp>
 #include <chervilbend/external/host_list.hpp>
 #include <chervilbend/external/http/internal/json_client.hpp>
+#include <chervilbend/net/address.hpp>
 
 namespace chervilbend::external
 {
--- a/packages/external/src/chervilbend/external/http/internal/json_client.hpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_client.hpp
@@ -2,10 +2,10 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/reason_holder.hpp>
-#include <chervilbend/net/address.hpp>
-#include <chervilbend/net/http_types.hpp>
 #include <chervilbend/external/http/http_adapter_options.hpp>
 #include <chervilbend/external/http/internal/json_answer.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/http_types.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
--- a/packages/external/tests/http_adapters_test.cpp
+++ b/packages/external/tests/http_adapters_test.cpp
@@ -1,8 +1,8 @@
-#include <chervilbend/net/http_client.hpp>
 #include <chervilbend/external/http/http_engine_control.hpp>
 #include <chervilbend/external/http/http_host_list.hpp>
 #include <chervilbend/external/http/http_log_service.hpp>
 #include <chervilbend/external/http/http_weight_store.hpp>
+#include <chervilbend/net/http_client.hpp>
 
 #include "../../net/tests/raw_peer.hpp"
 
@@ -13,9 +13,9 @@
 
 namespace asio = boost::asio;
 using namespace chervilbend;
-using net::test::raw_peer;
 using external::append_status;
 using external::command_status;
+using net::test::raw_peer;
 
 /// Guards against services that answer wrongly, partly, too much or not at all: an append or command that may have taken effect must never
 /// be reported as refused or not sent, and no answer may end the process or fill its memory.
--- a/packages/fakes/src/chervilbend/fakes/engine_model.hpp
+++ b/packages/fakes/src/chervilbend/fakes/engine_model.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
+#include <chervilbend/external/engine_command.hpp>
+#include <chervilbend/external/engine_report.hpp>
 #include <chervilbend/fakes/engine_options.hpp>
 #include <chervilbend/fakes/lagged_history.hpp>
 #include <chervilbend/fakes/weight_store_model.hpp>
-#include <chervilbend/external/engine_command.hpp>
-#include <chervilbend/external/engine_report.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/fakes/src/chervilbend/fakes/host_directory.hpp
+++ b/packages/fakes/src/chervilbend/fakes/host_directory.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
-#include <chervilbend/fakes/lagged_history.hpp>
 #include <chervilbend/external/host_entry.hpp>
+#include <chervilbend/fakes/lagged_history.hpp>
 
 #include <string>
 #include <vector>
--- a/packages/fakes/src/chervilbend/fakes/in_process_engine_control.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_engine_control.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <chervilbend/external/engine_control.hpp>
 #include <chervilbend/fakes/engine_faults.hpp>
 #include <chervilbend/fakes/engine_model.hpp>
 #include <chervilbend/fakes/seeded_random.hpp>
-#include <chervilbend/external/engine_control.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/fakes/src/chervilbend/fakes/in_process_host_list.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_host_list.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <chervilbend/fakes/host_directory.hpp>
 #include <chervilbend/external/host_list.hpp>
+#include <chervilbend/fakes/host_directory.hpp>
 
 #include <memory>
 
--- a/packages/fakes/src/chervilbend/fakes/in_process_log_service.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_log_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <chervilbend/fakes/log_store.hpp>
 #include <chervilbend/external/log_service.hpp>
+#include <chervilbend/fakes/log_store.hpp>
 
 #include <memory>
 
--- a/packages/fakes/src/chervilbend/fakes/in_process_weight_store.hpp
+++ b/packages/fakes/src/chervilbend/fakes/in_process_weight_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <chervilbend/fakes/weight_store_model.hpp>
 #include <chervilbend/external/weight_store.hpp>
+#include <chervilbend/fakes/weight_store_model.hpp>
 
 #include <memory>
 
--- a/packages/fakes/src/chervilbend/fakes/log_store.hpp
+++ b/packages/fakes/src/chervilbend/fakes/log_store.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
+#include <chervilbend/external/log_service.hpp>
 #include <chervilbend/fakes/log_faults.hpp>
 #include <chervilbend/fakes/log_store_options.hpp>
 #include <chervilbend/fakes/seeded_random.hpp>
-#include <chervilbend/external/log_service.hpp>
 
 #include <cstdint>
 #include <deque>
--- a/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
@@ -2,12 +2,12 @@
 
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/config/model_declaration.hpp>
+#include <chervilbend/external/http/engine_command_json.hpp>
+#include <chervilbend/external/http/engine_report_json.hpp>
 #include <chervilbend/fakes/servers/completion_request.hpp>
 #include <chervilbend/fakes/servers/completion_text.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/sleep.hpp>
-#include <chervilbend/external/http/engine_command_json.hpp>
-#include <chervilbend/external/http/engine_report_json.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/fakes/src/chervilbend/fakes/servers/host_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/host_server.cpp
@@ -1,8 +1,8 @@
 #include <chervilbend/fakes/servers/host_server.hpp>
 
+#include <chervilbend/external/http/host_entry_json.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/sleep.hpp>
-#include <chervilbend/external/http/host_entry_json.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
--- a/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
@@ -1,7 +1,7 @@
 #include <chervilbend/fakes/servers/log_server.hpp>
 
-#include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/external/http/log_page_json.hpp>
+#include <chervilbend/net/http_exchange.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/packages/fakes/src/chervilbend/fakes/servers/store_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/store_server.cpp
@@ -1,7 +1,7 @@
 #include <chervilbend/fakes/servers/store_server.hpp>
 
-#include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/external/http/weight_store_status_json.hpp>
+#include <chervilbend/net/http_exchange.hpp>
 
 #include <utility>
 
--- a/packages/fakes/src/chervilbend/fakes/weight_store_model.hpp
+++ b/packages/fakes/src/chervilbend/fakes/weight_store_model.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
-#include <chervilbend/fakes/seeded_random.hpp>
 #include <chervilbend/external/weight_store.hpp>
+#include <chervilbend/fakes/seeded_random.hpp>
 
 #include <cstdint>
 #include <set>
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -163,15 +163,16 @@
 
 asio::awaitable<bool> engine_driver::execute(base::endpoint_id engine, queued_command command, std::int64_t generation)
 {
-    for (int tried = 0; tried < mostTries && generation == m_generation; ++tried) {
+    // A command that may have been carried out is repeated until an answer settles that: given up, it could still take up room later.
+    for (int tried = 0; (tried < mostTries || isInDoubt(engine)) && generation == m_generation; ++tried) {
         const step result = co_await sendOnce(engine, command, generation);
         if (result == step::done) {
             co_return true;
         }
-        if (result == step::dropped) {
+        if (result == step::dropped && !isInDoubt(engine)) {
             co_return false;
         }
-        co_await net::sleepFor(retryInterval);
+        co_await net::sleepFor(tried < mostTries ? retryInterval : statusLag);
     }
     co_return false;
 }
@@ -189,9 +190,13 @@
         co_await settle(engine, generation);
         co_return isOver(engine, command) ? step::done : step::again;
     }
+    if (isOver(engine, command)) {
+        co_return step::done;
+    }
     // What the engine said since the command was planned may have used its room up.
     const engine_rule *const rule = m_rules(record->entry.service);
-    if (command.action == engine_action::load && (!rule || !m_ledger.fits(engine, *rule))) {
+    const std::optional<item_state> state = stateOf(*record, command.model, command.adapter);
+    if (command.action == engine_action::load && (!rule || state != item_state::loading || !m_ledger.fits(engine, *rule))) {
         co_return step::dropped;
     }
     engine_command message;
@@ -307,16 +312,17 @@
         if (generation != m_generation || isOver(engine, command) || base::clock::now() < nextAsk) {
             continue;
         }
-        const std::optional<engine_status> status = co_await ask(engine, generation);
+        co_await ask(engine, generation);
         nextAsk = base::clock::now() + askInterval;
-        if (status && generation == m_generation && command.action == engine_action::unload && !status->busy) {
-            // Whoever is told of the end may command the same item again at once.
-            finish(engine, command);
-            co_return;
-        }
     }
 }
 
+bool engine_driver::isInDoubt(const base::endpoint_id &engine) const
+{
+    const engine_record *const record = m_ledger.find(engine);
+    return record && record->hasLost;
+}
+
 /// Whether the ledger shows that the command's effect has come about.
 bool engine_driver::isOver(const base::endpoint_id &engine, const queued_command &command) const
 {
@@ -324,18 +330,8 @@
     if (!record) {
         return true;
     }
-    const auto model = record->models.find(command.model);
-    if (command.action == engine_action::unload) {
-        return model == record->models.end() || (!command.adapter.empty() && !model->second.adapters.contains(command.adapter));
-    }
-    if (model == record->models.end()) {
-        return false;
-    }
-    if (command.adapter.empty()) {
-        return model->second.state == item_state::loaded;
-    }
-    const auto adapter = model->second.adapters.find(command.adapter);
-    return adapter != model->second.adapters.end() && adapter->second.state == item_state::loaded;
+    const std::optional<item_state> state = stateOf(*record, command.model, command.adapter);
+    return command.action == engine_action::unload ? !state : state == item_state::loaded;
 }
 
 void engine_driver::finish(const base::endpoint_id &engine, const queued_command &command)
--- a/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.hpp
@@ -79,6 +79,8 @@
     boost::asio::awaitable<step> sendOnce(base::endpoint_id engine, queued_command command, std::int64_t generation);
     boost::asio::awaitable<void> awaitEnd(base::endpoint_id engine, queued_command command, std::int64_t generation);
     boost::asio::awaitable<std::optional<engine_status>> ask(base::endpoint_id engine, std::int64_t generation);
+    /// Whether the answer to the engine's last command was lost.
+    bool isInDoubt(const base::endpoint_id &engine) const;
     bool isOver(const base::endpoint_id &engine, const queued_command &command) const;
     void revert(const base::endpoint_id &engine, const queued_command &command);
     void finish(const base::endpoint_id &engine, const queued_command &command);
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -44,6 +44,19 @@
     return sum;
 }
 
+std::optional<item_state> stateOf(const engine_record &engine, const std::string &model, const std::string &adapter)
+{
+    const auto held = engine.models.find(model);
+    if (held == engine.models.end()) {
+        return std::nullopt;
+    }
+    if (adapter.empty()) {
+        return held->second.state;
+    }
+    const auto part = held->second.adapters.find(adapter);
+    return part == held->second.adapters.end() ? std::nullopt : std::optional(part->second.state);
+}
+
 std::vector<resident_model> loadedModels(const engine_record &engine)
 {
     std::vector<resident_model> loaded;
@@ -118,13 +131,14 @@
     }
     // What the engine has written long enough after the last command is what it holds. An entry may be old when it is read.
     if (engine.pending == 0 && known.writtenAfter - std::max(engine.lastCommand, engine.lastStatus) >= registrationLag) {
-        take(engine, entry.models, {});
+        take(engine, entry.models, {}, true);
         return;
     }
     // A load that has ended shows at once.
     for (auto &[name, model] : engine.models) {
         if (model.state == item_state::loading && holds(entry.models, name, {})) {
             model.state = item_state::loaded;
+            model.since = base::clock::now();
             touch(engine);
         }
     }
@@ -170,6 +184,7 @@
     }
     if (adapter.empty()) {
         held->second.state = item_state::loaded;
+        held->second.since = base::clock::now();
     } else if (const auto part = held->second.adapters.find(adapter); part != held->second.adapters.end()) {
         part->second.state = item_state::loaded;
     }
@@ -178,7 +193,11 @@
 
 void engine_ledger::cancelLoad(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
 {
-    finishUnload(id, model, adapter);
+    engine_record *const engine = get(id);
+    // An item that the engine has shown meanwhile was loaded by somebody else, and stays.
+    if (engine && stateOf(*engine, model, adapter) == item_state::loading) {
+        finishUnload(id, model, adapter);
+    }
 }
 
 bool engine_ledger::startUnload(const base::endpoint_id &id, const std::string &model, const std::string &adapter)
@@ -200,6 +219,7 @@
         return false;
     }
     *state = item_state::unloading;
+    held->second.since = adapter.empty() ? base::clock::now() : held->second.since;
     touch(*engine);
     return true;
 }
@@ -264,7 +284,9 @@
     engine_record *const engine = get(id);
     const bool isOld = engine && engine->commands && status.commands < *engine->commands && base::clock::now() - engine->lastAccepted < statusLag;
     if (engine && !isOld) {
-        take(*engine, status.models, status.coming);
+        // What was loaded within the lag may be missing from the status; so may the effect of a command that is under way.
+        const bool isCurrent = !status.busy && base::clock::now() - engine->lastAccepted >= statusLag;
+        take(*engine, status.models, status.coming, isCurrent);
         settle(*engine, status);
         engine->lastStatus = base::clock::now();
     }
@@ -290,7 +312,7 @@
     }
 }
 
-void engine_ledger::take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming)
+void engine_ledger::take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming, bool mayErase)
 {
     bool changed = false;
     // What the engine has and the ledger lacks.
@@ -312,15 +334,19 @@
     // What the ledger has as loaded and the engine lacks.
     for (auto model = engine.models.begin(); model != engine.models.end();) {
         const bool isThere = holds(models, model->first, {});
-        if (!isThere && model->second.state == item_state::loaded) {
+        const bool isSettled = mayErase && base::clock::now() - model->second.since >= statusLag;
+        if (!isThere && isSettled && model->second.state != item_state::loading) {
             model = engine.models.erase(model);
             changed = true;
             continue;
         }
-        changed = changed || (isThere && model->second.state == item_state::loading);
-        model->second.state = isThere && model->second.state == item_state::loading ? item_state::loaded : model->second.state;
+        if (isThere && model->second.state == item_state::loading) {
+            model->second.state = item_state::loaded;
+            model->second.since = base::clock::now();
+            changed = true;
+        }
         const auto lost = [&](const auto &adapter) {
-            return adapter.second.state == item_state::loaded && !holds(models, model->first, adapter.first)
+            return mayErase && adapter.second.state != item_state::loading && !holds(models, model->first, adapter.first)
                 && !coming.contains(model->first + '/' + adapter.first);
         };
         changed = std::erase_if(model->second.adapters, lost) > 0 || changed;
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.hpp
@@ -3,8 +3,8 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/fleet/endpoint_entry.hpp>
-#include <chervilbend/fleet/engine_commands.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/fleet/engine_commands.hpp>
 #include <chervilbend/fleet/traffic_configuration.hpp>
 
 #include <cstdint>
@@ -34,6 +34,7 @@
 
 struct held_model {
     item_state state = item_state::loading;
+    /// When it came into this state.
     base::time_point since;
     std::map<std::string, held_adapter> adapters;
 };
@@ -121,12 +122,15 @@
     engine_record *get(const base::endpoint_id &engine);
     void touch(engine_record &engine);
     void settle(engine_record &engine, const engine_status &status);
-    void take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming);
+    void take(engine_record &engine, const std::vector<resident_model> &models, const std::set<std::string> &coming, bool mayErase);
 
     std::map<base::endpoint_id, engine_record> m_engines;
     std::int64_t m_version = 0;
 };
 
+/// Where an item stands at an engine; no value when it is not there.
+std::optional<item_state> stateOf(const engine_record &engine, const std::string &model, const std::string &adapter);
+
 /// The loaded items of an engine, as requests may rely on them.
 std::vector<resident_model> loadedModels(const engine_record &engine);
 
--- a/packages/fleet/src/chervilbend/fleet/holder_link.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.hpp
@@ -36,12 +36,8 @@
 {
 public:
     /// References must outlive the link.
-    holder_link(base::node_id node,
-                command_lease &lease,
-                engine_controller &controller,
-                peers::rpc_caller &peers,
-                known_residency &residency,
-                usage_meter &usage);
+    holder_link(
+        base::node_id node, command_lease &lease, engine_controller &controller, peers::rpc_caller &peers, known_residency &residency, usage_meter &usage);
 
     /// Commands.
 
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -59,8 +59,7 @@
     const std::string_view text(field.data(), field.size());
     const std::size_t found = text.find(parameter);
     std::int64_t seconds = 0;
-    if (found == std::string_view::npos
-        || std::from_chars(text.data() + found + parameter.size(), text.data() + text.size(), seconds).ec != std::errc{}) {
+    if (found == std::string_view::npos || std::from_chars(text.data() + found + parameter.size(), text.data() + text.size(), seconds).ec != std::errc{}) {
         return defaultIdleLimit;
     }
     return std::max(base::milliseconds(seconds * millisecondsPerSecond) - idleMargin, base::milliseconds(0));
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -143,7 +143,8 @@
         return;
     }
     // A request that has arrived, or has begun to, is answered before the connection is closed.
-    const bool hasRequest = m_connection->buffer().size() > 0 || (m_connection->socket().is_open() && stateOf(m_connection->socket()) == peer_state::hasSentMore);
+    const bool hasRequest =
+        m_connection->buffer().size() > 0 || (m_connection->socket().is_open() && stateOf(m_connection->socket()) == peer_state::hasSentMore);
     if (!hasRequest) {
         close();
     }
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -127,7 +127,8 @@
         const bool isLast = request->plan.mostAttempts != 0 && counted + 1 >= request->plan.mostAttempts;
         attempt_result result = co_await attempt(request, *where, isLast);
         counted += result.mayHaveRun ? 1 : 0;
-        const bool isUsedUp = request->plan.mostAttempts != 0 && (counted >= request->plan.mostAttempts || attempts >= request->plan.mostAttempts + mostUnrunAttempts);
+        const bool isUsedUp =
+            request->plan.mostAttempts != 0 && (counted >= request->plan.mostAttempts || attempts >= request->plan.mostAttempts + mostUnrunAttempts);
         const bool cancelled = co_await isCancelled();
         outcome = cancelled ? request_outcome::cancelled : result.outcome;
         if (cancelled || result.settled) {
@@ -273,7 +274,8 @@
         if (request->exchange->isStarted()) {
             result.mayHaveRun = true;
             result.outcome = request_outcome::connectionLost;
-            result.why = {base::error_kind::endpointInvalidAnswer, "the endpoint answered " + std::to_string(answer->header().result_int()) + " to a stream's second part"};
+            result.why = {base::error_kind::endpointInvalidAnswer,
+                          "the endpoint answered " + std::to_string(answer->header().result_int()) + " to a stream's second part"};
             co_return result;
         }
         co_return co_await passWhole(request, answer);
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -70,7 +70,8 @@
 
 } // namespace
 
-route_api::route_api(const fleet::request_wire &wire, forwarder &requests, item_supply &supply, fleet::usage_meter &usage, open_requests &open, front_metrics &metrics)
+route_api::route_api(
+    const fleet::request_wire &wire, forwarder &requests, item_supply &supply, fleet::usage_meter &usage, open_requests &open, front_metrics &metrics)
     : m_wire(wire)
     , m_dialect(wire)
     , m_forwarder(requests)
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -31,12 +31,8 @@
 {
 public:
     /// References must outlive the server that uses this handler.
-    route_api(const fleet::request_wire &wire,
-              forwarder &requests,
-              item_supply &supply,
-              fleet::usage_meter &usage,
-              open_requests &open,
-              front_metrics &metrics);
+    route_api(
+        const fleet::request_wire &wire, forwarder &requests, item_supply &supply, fleet::usage_meter &usage, open_requests &open, front_metrics &metrics);
 
     /// Requests that arrive from now on go by this version.
     void setRoutes(std::shared_ptr<const fleet::route_table> routes);
--- a/packages/node/src/chervilbend/node/composition/platform_clients.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_clients.cpp
@@ -1,10 +1,10 @@
 #include <chervilbend/node/composition/platform_clients.hpp>
 
-#include <chervilbend/net/http_client.hpp>
 #include <chervilbend/external/http/http_engine_control.hpp>
 #include <chervilbend/external/http/http_host_list.hpp>
 #include <chervilbend/external/http/http_log_service.hpp>
 #include <chervilbend/external/http/http_weight_store.hpp>
+#include <chervilbend/net/http_client.hpp>
 
 namespace chervilbend::node
 {
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -215,8 +215,7 @@
     if (!listen()) {
         return std::nullopt;
     }
-    LOG4CXX_INFO(nodeLog(),
-                 base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
+    LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
     asio::co_spawn(m_context, m_configuration.run(), asio::detached);
     asio::co_spawn(m_context, m_endpointFollower.run(), asio::detached);
     asio::co_spawn(m_context, tellRunning(), asio::detached);
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -3,10 +3,10 @@
 #include <chervilbend/base/metric_registry.hpp>
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/config/node_settings.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
 #include <chervilbend/fleet/configuration_follower.hpp>
 #include <chervilbend/fleet/endpoint_follower.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
-#include <chervilbend/fleet/command_lease.hpp>
 #include <chervilbend/fleet/engine_controller.hpp>
 #include <chervilbend/fleet/holder_link.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
@@ -19,10 +19,10 @@
 #include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/route_api.hpp>
 #include <chervilbend/node/endpoint_feed.hpp>
+#include <chervilbend/node/fleet_supply.hpp>
 #include <chervilbend/node/health/health_api.hpp>
 #include <chervilbend/node/health/readiness.hpp>
 #include <chervilbend/node/health/shutdown_sequence.hpp>
-#include <chervilbend/node/fleet_supply.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 #include <chervilbend/peers/rpc_server.hpp>
 #include <chervilbend/platform/platform_engines.hpp>
