--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -60,6 +60,8 @@
 
     /// adaptive_director_queue.cpp: from submission to dispatch.
     void predict(request_state &request);
+    /// Sets the time after which the request can no longer meet its deadline, or must not be sent any more.
+    void setLatestStart(request_state &request) const;
     bool admit(request_state &request, base::reason &why);
     void enqueue(request_state &request, bool isRetry);
     void takeFromQueue(request_state &request);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -209,6 +209,9 @@
     }
     const base::time_point now = base::clock::now();
     endAttempt(*request, outcome, now);
+    // The bound on the first dispatch has served its purpose; what counts now is whether the deadline can still be met.
+    request->facts.latestDispatch = base::time_point::max();
+    setLatestStart(*request);
     if (!mayRetry(*request, outcome, now, why)) {
         release(*request);
         return false;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -72,7 +72,13 @@
     request.predictedTokens = pool.predictor.outputTokens(request.facts.urgency, request.facts.maxTokens);
     request.cost = request.inputCost + request.predictedTokens;
     request.lane = {request.facts.urgency, request.cost > pool.longThreshold};
-    const double needed = neededShare * request.cost * pool.msPerCost;
+    setLatestStart(request);
+}
+
+void adaptive_director::setLatestStart(request_state &request) const
+{
+    const double left = std::max(1.0, request.cost - static_cast<double>(request.generated));
+    const double needed = neededShare * left * request.pool->msPerCost;
     request.latestStart = request.facts.deadline - base::milliseconds(static_cast<std::int64_t>(std::min(needed, 1e12)));
     request.latestStart = std::min(request.latestStart, request.facts.latestDispatch);
 }
