--- a/packages/fleet/tests/engine_controller_test.cpp
+++ b/packages/fleet/tests/engine_controller_test.cpp
@@ -57,7 +57,7 @@
     controller_node(asio::io_context &context,
                     test::store_content &content,
                     std::map<std::string, test::fake_engine> &all,
-                    std::shared_ptr<const traffic_configuration> configuration,
+                    const std::shared_ptr<const traffic_configuration> &configuration,
                     const std::string &name,
                     unsigned seed)
         : store(content)
@@ -149,7 +149,7 @@
     }
 
     /// Starts a wait for an item at the holder.
-    void want(const std::string &model, const std::string &adapter, std::shared_ptr<int> granted = nullptr)
+    void want(const std::string &model, const std::string &adapter, const std::shared_ptr<int> &granted = nullptr)
     {
         controller_node *const node = holder();
         if (node == nullptr) {
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -287,7 +287,7 @@
         CPPUNIT_ASSERT_MESSAGE(second, contains(second, "Last-Event-Id: 2"));
         for (int id = 1; id <= 4; ++id) {
             const std::string word = "word" + std::to_string(id);
-            CPPUNIT_ASSERT_MESSAGE(word + " once: " + answer, contains(answer, word) && answer.find(word) == answer.rfind(word));
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, word) && answer.find(word) == answer.rfind(word));
         }
         CPPUNIT_ASSERT(answer.find("HTTP/1.1") == answer.rfind("HTTP/1.1") && answer.ends_with("0\r\n\r\n"));
     }
--- a/packages/routing/tests/adaptive_director_test.cpp
+++ b/packages/routing/tests/adaptive_director_test.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(shedsTheLowestValueFirst);
     CPPUNIT_TEST(refusesWhatCannotMeetItsDeadline);
     CPPUNIT_TEST(letsTooLateWorkThroughOnceASecondToCorrectThePrediction);
+    CPPUNIT_TEST(firstDispatchHasItsOwnBound);
+    CPPUNIT_TEST(retriesAreBoundedPerServiceAndOverAllNodes);
+    CPPUNIT_TEST(knownSlotsSetTheLimit);
     CPPUNIT_TEST(stopsARetryStorm);
     CPPUNIT_TEST(doesNotRetryWhatMayHaveRun);
     CPPUNIT_TEST(sendsNothingToLeavingOrFullEndpoints);
@@ -176,6 +179,70 @@
         CPPUNIT_ASSERT(sent > 200);
     }
 
+    /// A caller that waits for its first byte leaves early, but a stream that broke off may go on until the deadline.
+    void firstDispatchHasItsOwnBound()
+    {
+        director_driver driver(2, fixedLimit(1));
+        request_facts facts = director_driver::request();
+        facts.latestDispatch = base::clock::now() + base::milliseconds(1000);
+        const dispatch sent = driver.send(facts);
+        CPPUNIT_ASSERT(!sent.endpoint.empty());
+        driver.director.firstByte(sent.request);
+        driver.wait(5000);
+        CPPUNIT_ASSERT(driver.director.allowsRetry(sent.request));
+        CPPUNIT_ASSERT_MESSAGE(driver.why.text, driver.director.retry(sent.request, request_outcome::connectionLost, driver.why));
+
+        director_driver full(1, fixedLimit(1));
+        full.send(director_driver::request());
+        facts.latestDispatch = base::clock::now() + base::milliseconds(1000);
+        const ticket waiting = full.submit(facts);
+        full.wait(1500);
+        const std::vector<refusal> refused = full.director.takeRefusals();
+        CPPUNIT_ASSERT(refused.size() == 1 && refused[0].request == waiting);
+    }
+
+    void retriesAreBoundedPerServiceAndOverAllNodes()
+    {
+        director_settings settings;
+        settings.retryShare = 0;
+        settings.retryBurstOfAll = 8;
+        director_driver driver(3, settings);
+        driver.director.setNodeCount(4);
+        const auto retriesOf = [&](const std::string &service) {
+            int granted = 0;
+            for (int index = 0; index < 10; ++index) {
+                request_facts facts = director_driver::request();
+                facts.retryGroup = service;
+                const dispatch sent = driver.send(facts);
+                if (driver.director.retry(sent.request, request_outcome::timedOut, driver.why)) {
+                    ++granted;
+                    driver.director.takeDispatches();
+                }
+            }
+            return granted;
+        };
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a quarter of eight", 2, retriesOf("desk"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("another service has its own", 2, retriesOf("chat"));
+        CPPUNIT_ASSERT_EQUAL(0, retriesOf("desk"));
+    }
+
+    void knownSlotsSetTheLimit()
+    {
+        director_settings settings;
+        settings.slotFactor = 1.5;
+        director_driver driver(0, settings);
+        endpoint_facts facts;
+        facts.endpoint = base::endpoint_id("e0");
+        facts.pools = {"m"};
+        facts.slots = 4;
+        driver.director.setEndpoint(facts);
+        int sent = 0;
+        for (int index = 0; index < 20; ++index) {
+            sent += driver.send(director_driver::request()).endpoint.empty() ? 0 : 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(6, sent);
+    }
+
     void stopsARetryStorm()
     {
         director_driver driver(3);
