Keep adapters that an engine has shown when their own load is given up

Cause: a holder that took the lease again at once built its ledger from registrations older than its earlier life's last loads, and planned the same adapters once more. The engine's word then showed them, but left their entries "to be loaded"; when those loads no longer fitted they were given up, and that erased adapters which the engine holds. The next load went over its adapter slots. Change: an adapter that the engine shows counts as loaded. A repeat that did not reach the engine no longer settles the lost command before it.

--- a/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_driver.cpp
@@ -226,7 +226,8 @@
     if (generation != m_generation) {
         co_return step::dropped;
     }
-    if (result != command_result::unknown && result != command_result::alreadyHolds) {
+    // Only the engine's own answer settles a command that was lost before: a repeat that did not reach it says nothing of the first try.
+    if (result == command_result::accepted || result == command_result::conflict || result == command_result::fenced || result == command_result::invalid) {
         m_ledger.noteCommand(engine, result == command_result::accepted);
     }
     switch (result) {
--- a/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_ledger.cpp
@@ -21,6 +21,17 @@
     });
 }
 
+/// Enters an adapter that the engine has shown. One that is still to be loaded is there already, so that giving its load up frees no room.
+bool noteHeld(held_model &model, const std::string &adapter)
+{
+    const auto [part, isNew] = model.adapters.try_emplace(adapter, held_adapter{item_state::loaded, base::time_point{}});
+    const bool wasLoading = part->second.state == item_state::loading;
+    if (wasLoading) {
+        part->second.state = item_state::loaded;
+    }
+    return isNew || wasLoading;
+}
+
 } // namespace
 
 int engine_record::adapterCount() const
@@ -320,15 +331,14 @@
         auto [model, isNew] = engine.models.try_emplace(shown.name, held_model{item_state::loaded, base::clock::now(), {}});
         changed = changed || isNew;
         for (const std::string &adapter : shown.adapters) {
-            const auto [part, isNewPart] = model->second.adapters.try_emplace(adapter, held_adapter{item_state::loaded, base::time_point{}});
-            changed = changed || isNewPart;
+            changed = noteHeld(model->second, adapter) || changed;
         }
     }
     for (const std::string &item : coming) {
         const std::size_t slash = item.find('/');
         const auto model = engine.models.find(item.substr(0, slash));
         if (slash != std::string::npos && model != engine.models.end()) {
-            changed = model->second.adapters.try_emplace(item.substr(slash + 1), held_adapter{item_state::loaded, base::time_point{}}).second || changed;
+            changed = noteHeld(model->second, item.substr(slash + 1)) || changed;
         }
     }
     // What the ledger has as loaded and the engine lacks.
--- a/packages/fleet/tests/engine_controller_test.cpp
+++ b/packages/fleet/tests/engine_controller_test.cpp
@@ -30,6 +30,10 @@
 /// for done because an older command came late (939).
 constexpr std::array<unsigned, 4> regressionSeeds{258, 329, 180, 939};
 
+/// Seeds that once exceeded an engine's room with restarts and cut ways: a load that was given up although the engine had shown the adapter, which
+/// an earlier life of the node had loaded (2732).
+constexpr std::array<unsigned, 1> restartSeeds{2732};
+
 std::shared_ptr<const traffic_configuration> sampleConfiguration()
 {
     auto configuration = std::make_shared<traffic_configuration>();
@@ -58,11 +62,12 @@
                     test::store_content &content,
                     std::map<std::string, test::fake_engine> &all,
                     const std::shared_ptr<const traffic_configuration> &configuration,
-                    const std::string &name,
+                    const std::string &nodeName,
                     unsigned seed)
-        : store(content)
+        : name(nodeName)
+        , store(content)
         , engines(context.get_executor(), all, *configuration->services.at(chat).engine, seed)
-        , lease(store, optionsFor(name, seed))
+        , lease(store, optionsFor(nodeName, seed))
         , controller(context.get_executor(), engines, lease, registry, [configuration] { return configuration; })
     {
         lease.onChange([this](bool isHolder) { controller.leaseChanged(isHolder); });
@@ -79,6 +84,14 @@
         return options;
     }
 
+    /// Ends the process: what it has sent stays on its way.
+    void kill()
+    {
+        isKilled = store.isCut = engines.isCut = true;
+    }
+
+    std::string name;
+    bool isKilled = false;
     test::memory_store store;
     test::fake_engines engines;
     endpoint_registry registry;
@@ -89,6 +102,7 @@
 struct controller_cluster {
     explicit controller_cluster(unsigned seed, int nodeCount = 2)
         : random(seed)
+        , firstSeed(seed)
     {
         for (int i = 0; i < 4; ++i) {
             all[std::string("i-").append(std::to_string(i))];
@@ -96,9 +110,30 @@
         all["i-0"].models = {{"m0", {}}, {"m1", {}}};
         all["i-1"].models = {{"m2", {}}, {"m3", {}}};
         for (int i = 0; i < nodeCount; ++i) {
-            nodes.push_back(std::make_unique<controller_node>(
-                context, content, all, configuration, std::string("n").append(std::to_string(i)), seed + 1 + static_cast<unsigned>(i)));
+            start(std::string("n").append(std::to_string(i)));
+        }
+    }
+
+    void start(const std::string &name)
+    {
+        ++lives;
+        nodes.push_back(std::make_unique<controller_node>(context, content, all, configuration, name, firstSeed + lives));
+    }
+
+    /// Kills all processes of the nodes, which start anew under their names.
+    void restartNodes()
+    {
+        std::vector<std::string> names;
+        for (const auto &node : nodes) {
+            if (!node->isKilled) {
+                names.push_back(node->name);
+                node->kill();
+            }
+        }
+        for (const std::string &name : names) {
+            start(name);
         }
+        readRegistrations();
     }
 
     void run(int ms)
@@ -130,7 +165,7 @@
                 change.entry->zone = base::zone_id("z");
                 change.entry->where = {"127.0.0.1", 1};
                 change.entry->slots = 8;
-                change.entry->born = 1;
+                change.entry->born = engine.born;
                 change.entry->beat = beat;
                 change.entry->models = test::fake_engines::statusOf(engine).models;
             }
@@ -141,7 +176,7 @@
     controller_node *holder()
     {
         for (const auto &node : nodes) {
-            if (node->lease.isHolder()) {
+            if (!node->isKilled && node->lease.isHolder()) {
                 return node.get();
             }
         }
@@ -177,6 +212,8 @@
     }
 
     std::minstd_rand random;
+    unsigned firstSeed;
+    unsigned lives = 0;
     asio::io_context context;
     fakes::virtual_time time{context};
     std::shared_ptr<const traffic_configuration> configuration = sampleConfiguration();
@@ -199,6 +236,7 @@
     CPPUNIT_TEST(followsDemand);
     CPPUNIT_TEST(newHolderWaitsForAnUnknownLoad);
     CPPUNIT_TEST(neverOvercommitsWhateverIsLost);
+    CPPUNIT_TEST(neverOvercommitsAcrossRestarts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,26 +318,75 @@
             played.push_back(seed);
         }
         for (const unsigned seed : played) {
-            controller_cluster cluster(seed);
-            for (int step = 0; step < 120; ++step) {
-                std::uniform_int_distribution<int> percent(0, 99);
-                for (const auto &node : cluster.nodes) {
-                    node->engines.lost = percent(cluster.random) < 50 ? 0.3 : 0.0;
-                    const bool cut = percent(cluster.random) < 8;
-                    node->store.isCut = cut || (node->store.isCut && percent(cluster.random) < 70);
+            playLosses(seed, 0);
+        }
+    }
+
+    /// The way to an engine is cut between a lost command and its repeat, engines start anew under their ids, and all nodes are killed at once.
+    void neverOvercommitsAcrossRestarts()
+    {
+        constexpr unsigned seeds = 60;
+        constexpr unsigned firstSeed = 2'000;
+        std::cout << "engine_controller_test seeds with restarts " << firstSeed << " to " << firstSeed + seeds - 1 << '\n';
+        std::vector<unsigned> played(restartSeeds.begin(), restartSeeds.end());
+        for (unsigned seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+            played.push_back(seed);
+        }
+        for (const unsigned seed : played) {
+            constexpr int restartPercent = 3;
+            playLosses(seed, restartPercent);
+        }
+    }
+
+private:
+    static void playLosses(unsigned seed, int restartPercent)
+    {
+        controller_cluster cluster(seed);
+        for (int step = 0; step < 120; ++step) {
+            std::uniform_int_distribution<int> percent(0, 99);
+            for (const auto &node : cluster.nodes) {
+                if (node->isKilled) {
+                    continue;
                 }
-                cluster.want(std::string("m").append(std::to_string(percent(cluster.random) % 5)),
-                             std::string("a").append(std::to_string(1 + percent(cluster.random) % 6)));
-                if (controller_node *const node = cluster.holder()) {
-                    node_report report;
-                    report.node = base::node_id("n9");
-                    report.open[std::string("chat/m").append(std::to_string(step / 20 % 5))] = 14;
-                    node->controller.report(report);
+                node->engines.lost = percent(cluster.random) < 50 ? 0.3 : 0.0;
+                const bool cut = percent(cluster.random) < 8;
+                node->store.isCut = cut || (node->store.isCut && percent(cluster.random) < 70);
+            }
+            if (restartPercent > 0) {
+                restartSome(cluster, restartPercent);
+            }
+            cluster.want(std::string("m").append(std::to_string(percent(cluster.random) % 5)),
+                         std::string("a").append(std::to_string(1 + percent(cluster.random) % 6)));
+            if (controller_node *const node = cluster.holder()) {
+                node_report report;
+                report.node = base::node_id("n9");
+                report.open[std::string("chat/m").append(std::to_string(step / 20 % 5))] = 14;
+                node->controller.report(report);
+            }
+            cluster.run(250);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " step " + std::to_string(step), 0, cluster.overcommitted());
+        }
+    }
+
+    static void restartSome(controller_cluster &cluster, int restartPercent)
+    {
+        std::uniform_int_distribution<int> percent(0, 99);
+        for (auto &[id, engine] : cluster.all) {
+            if (percent(cluster.random) < restartPercent) {
+                test::fake_engines::restart(engine);
+            }
+            for (const auto &node : cluster.nodes) {
+                constexpr int cutPercent = 10;
+                constexpr int staysCutPercent = 60;
+                const bool wasCut = node->engines.unreachable.erase(id) > 0;
+                if (percent(cluster.random) < (wasCut ? staysCutPercent : cutPercent)) {
+                    node->engines.unreachable.insert(id);
                 }
-                cluster.run(250);
-                CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " step " + std::to_string(step), 0, cluster.overcommitted());
             }
         }
+        if (percent(cluster.random) < restartPercent) {
+            cluster.restartNodes();
+        }
     }
 };
 
--- a/packages/fleet/tests/fake_engines.hpp
+++ b/packages/fleet/tests/fake_engines.hpp
@@ -22,6 +22,8 @@
 
 /// One engine as it really is, with its statuses of the last half second.
 struct fake_engine {
+    /// Grows when the process starts anew under its id.
+    std::int64_t born = 1;
     std::int64_t commands = 0;
     std::int64_t highestToken = 0;
     std::map<std::string, std::set<std::string>> models;
@@ -48,11 +50,13 @@
     /// Part of the commands whose answers are lost, 0 to 1.
     double lost = 0;
     bool isCut = false;
+    /// Engines that this node cannot reach.
+    std::set<std::string> unreachable;
 
     boost::asio::awaitable<command_result> send(net::address /*engine*/, base::endpoint_id instance, engine_command command) override
     {
         co_await net::sleepFor(base::milliseconds(2));
-        if (isCut) {
+        if (isCut || unreachable.contains(instance.value())) {
             co_return command_result::notSent;
         }
         const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -72,7 +76,7 @@
     boost::asio::awaitable<std::optional<engine_status>> status(net::address /*engine*/, base::endpoint_id instance) override
     {
         co_await net::sleepFor(base::milliseconds(2));
-        if (isCut) {
+        if (isCut || unreachable.contains(instance.value())) {
             co_return fail(base::error_kind::endpointRefused, "cut off");
         }
         const fake_engine &engine = engines.at(instance.value());
@@ -108,9 +112,20 @@
         }
         status.busy = base::clock::now() < engine.busyUntil;
         status.commands = engine.commands;
+        status.born = engine.born;
         return status;
     }
 
+    /// Starts the process anew: it holds nothing, and knows nothing of commands and tokens before.
+    static void restart(fake_engine &engine)
+    {
+        fake_engine fresh;
+        fresh.born = engine.born + 1;
+        fresh.overcommitted = engine.overcommitted;
+        fresh.loads = engine.loads;
+        engine = std::move(fresh);
+    }
+
 private:
     boost::asio::awaitable<void> applyLate(std::string id, engine_command command)
     {
