Make room for a model in demand on several endpoints at once

Change: room is kept per model and endpoint, and counts as a copy to come; no more rooms are made than the store can fill at once. The loss of a drop is only what the drop adds. An endpoint that holds nothing but last copies gets one of them copied elsewhere when a model in demand would be served clearly better there.

--- a/packages/placement/src/chervilbend/placement/internal/cluster_model.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/cluster_model.cpp
@@ -216,6 +216,18 @@
     return !losesLast(model) && std::none_of(adapters.begin(), adapters.end(), losesLast);
 }
 
+std::int64_t cluster_model::evictableBytes(std::size_t endpoint) const
+{
+    std::int64_t bytes = endpoints[endpoint].free + endpoints[endpoint].dropping;
+    for (const std::size_t item : endpoints[endpoint].items) {
+        const item_copy *copy = copyAt(item, endpoint);
+        if (isModel(item) && copy->counts && countedCopies(item) > items[item].copies && mayDrop(item, endpoint)) {
+            bytes += bundleBytes(item);
+        }
+    }
+    return bytes;
+}
+
 int cluster_model::copiesInZone(std::size_t item, const base::zone_id &zone) const
 {
     const auto &where = items[item].where;
--- a/packages/placement/src/chervilbend/placement/internal/cluster_model.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/cluster_model.hpp
@@ -92,6 +92,8 @@
     double levelWithout(const item_record &model, std::size_t without) const;
     /// Whether the item and its adapters at the endpoint may be dropped without losing the last loaded copy of any of them.
     bool mayDrop(std::size_t model, std::size_t endpoint) const;
+    /// What models may take at the endpoint that are held elsewhere often enough, and what is free there.
+    std::int64_t evictableBytes(std::size_t endpoint) const;
     /// Copies of the item per zone that count.
     int copiesInZone(std::size_t item, const base::zone_id &zone) const;
     int zonesOf(std::size_t item) const;
--- a/packages/placement/src/chervilbend/placement/internal/place_finder.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/place_finder.cpp
@@ -47,7 +47,8 @@
             continue;
         }
         const double level = m_cluster.levelWithout(record, place.endpoint);
-        const double overload = std::max(0.0, level - m_settings.keepBelow) * (m_cluster.countedCopies(item) - 1);
+        // Work of other models at the endpoints that keep a copy is no loss of this one: only what its drop adds counts.
+        const double overload = std::max(0.0, level - std::max(m_settings.keepBelow, record.level)) * (m_cluster.countedCopies(item) - 1);
         const double cold = copy->share * static_cast<double>(m_settings.coldCache.count()) / static_cast<double>(m_settings.payback.count());
         const bool breaksZones = bound == eviction::downToDeclared && !keepsZones(item, place.endpoint);
         if (!breaksZones) {
@@ -80,7 +81,6 @@
     constexpr double waitPenalty = 50;
     constexpr double evictionPenalty = 100;
     const item_record &record = m_cluster.items[model];
-    const auto kept = m_planner.m_keptRoom.find(record.id);
     std::optional<candidate_place> best;
     for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
         std::optional<candidate_place> place = placeAt(model, endpoint, bytes, bound);
@@ -90,7 +90,7 @@
         const endpoint_record &target = m_cluster.endpoints[endpoint];
         place->value = -target.load - perCopyInZone * m_cluster.copiesInZone(model, target.zone) - (place->waits ? waitPenalty : 0)
             - (place->victims.empty() ? 0 : evictionPenalty + place->loss);
-        place->value += kept != m_planner.m_keptRoom.end() && kept->second.endpoint == target.id ? keptRoomBonus : 0;
+        place->value += isKeptFor(model, endpoint) ? keptRoomBonus : 0;
         place->value -= m_planner.m_avoidUntil.contains({target.id, record.id}) ? avoidedPenalty : 0;
         if (!best || place->value > best->value) {
             best = std::move(place);
@@ -189,12 +189,24 @@
 
 bool place_finder::isKeptForOther(std::size_t model, std::size_t endpoint) const
 {
-    const auto &kept = m_planner.m_keptRoom;
+    const auto &kept = m_planner.m_keptRooms;
     return std::any_of(kept.begin(), kept.end(), [&](const auto &entry) {
-        return entry.second.endpoint == m_cluster.endpoints[endpoint].id && entry.first != m_cluster.items[model].id;
+        return entry.first != m_cluster.items[model].id && entry.second.contains(m_cluster.endpoints[endpoint].id);
     });
 }
 
+bool place_finder::isKeptFor(std::size_t model, std::size_t endpoint) const
+{
+    const auto kept = m_planner.m_keptRooms.find(m_cluster.items[model].id);
+    return kept != m_planner.m_keptRooms.end() && kept->second.contains(m_cluster.endpoints[endpoint].id);
+}
+
+int place_finder::keptRooms(std::size_t model) const
+{
+    const auto kept = m_planner.m_keptRooms.find(m_cluster.items[model].id);
+    return kept == m_planner.m_keptRooms.end() ? 0 : static_cast<int>(kept->second.size());
+}
+
 bool place_finder::keepsZones(std::size_t model, std::size_t endpoint) const
 {
     const int wanted = std::min(m_cluster.items[model].copies, m_cluster.usableZones);
--- a/packages/placement/src/chervilbend/placement/internal/place_finder.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/place_finder.hpp
@@ -35,6 +35,9 @@
 
     /// Whether room that was made at the endpoint is kept for another model.
     bool isKeptForOther(std::size_t model, std::size_t endpoint) const;
+    bool isKeptFor(std::size_t model, std::size_t endpoint) const;
+    /// Endpoints at which room is kept for the model.
+    int keptRooms(std::size_t model) const;
 
 private:
     bool addRelocations(candidate_place &place, std::int64_t bytes, std::size_t forModel) const;
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -27,6 +27,7 @@
     , m_finder(planner, m_cluster)
     , m_stuck(stuck)
     , m_token(input.plannerToken)
+    , m_storeSlots(input.store.slots)
 {
     m_budget.startPass(input.store, m_cluster.modelsInTransit, m_cluster.adaptersInTransit);
     m_cluster.splitDemand();
@@ -39,7 +40,9 @@
     dropStuck();
     restoreCopies();
     placeAdapters();
+    fillKeptRooms();
     followDemand();
+    freeFullEndpoints();
     dropIdle();
     dropOrphans();
     return std::move(m_changes);
@@ -88,7 +91,7 @@
 void planning_pass::makeRoomByRelocation(std::size_t model, std::int64_t bytes)
 {
     // One attempt at a time: the copies that were moved for it have to be loaded first.
-    if (m_planner.m_keptRoom.contains(m_cluster.items[model].id)) {
+    if (m_finder.keptRooms(model) > 0) {
         return;
     }
     if (const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes)) {
@@ -165,7 +168,7 @@
         }
     }
     if (!place.victims.empty() || place.waits) {
-        m_planner.m_keptRoom[m_cluster.items[model].id] = {m_cluster.endpoints[place.endpoint].id, base::clock::now() + m_settings.roomPatience};
+        keepRoom(model, place.endpoint);
         m_cluster.promise(place.endpoint, bytes);
         return false;
     }
@@ -175,11 +178,32 @@
     }
     m_budget.takeLoad();
     assign(model, place.endpoint, why);
-    m_planner.m_keptRoom.erase(m_cluster.items[model].id);
+    m_planner.m_keptRooms[m_cluster.items[model].id].erase(m_cluster.endpoints[place.endpoint].id);
     assignAdapters(model, place.endpoint);
     return true;
 }
 
+void planning_pass::keepRoom(std::size_t model, std::size_t endpoint)
+{
+    m_planner.m_keptRooms[m_cluster.items[model].id][m_cluster.endpoints[endpoint].id] = base::clock::now() + m_settings.roomPatience;
+}
+
+int planning_pass::roomsInMaking() const
+{
+    int rooms = 0;
+    for (const auto &[item, kept] : m_planner.m_keptRooms) {
+        rooms += static_cast<int>(kept.size());
+    }
+    return rooms;
+}
+
+double planning_pass::expectedLevel(std::size_t model) const
+{
+    const int copies = m_cluster.countedCopies(model);
+    const int expected = copies + m_finder.keptRooms(model);
+    return expected > 0 ? m_cluster.items[model].level * copies / expected : 0;
+}
+
 void planning_pass::assign(std::size_t item, std::size_t endpoint, std::string why)
 {
     const item_record &record = m_cluster.items[item];
@@ -263,8 +287,8 @@
     std::vector<std::pair<double, std::size_t>> hot;
     for (std::size_t model = 0; model < m_cluster.items.size(); ++model) {
         const item_record &record = m_cluster.items[model];
-        if (m_cluster.isModel(model) && record.demand > 0 && record.level > m_settings.upUtilisation && m_cluster.countedCopies(model) > 0) {
-            hot.emplace_back(-record.level * record.importance, model);
+        if (m_cluster.isModel(model) && record.demand > 0 && expectedLevel(model) > m_settings.upUtilisation && m_cluster.countedCopies(model) > 0) {
+            hot.emplace_back(-expectedLevel(model) * record.importance, model);
         }
     }
     std::sort(hot.begin(), hot.end());
@@ -272,7 +296,7 @@
     constexpr int maxSearches = 8;
     int searches = 0;
     for (const auto &[order, model] : hot) {
-        while (searches < maxSearches && m_budget.allowsLoad() && m_budget.allowsMove() && m_cluster.items[model].level > m_settings.upUtilisation) {
+        while (searches < maxSearches && m_budget.allowsLoad() && m_budget.allowsMove() && expectedLevel(model) > m_settings.upUtilisation) {
             ++searches;
             if (!addCopyFor(model)) {
                 break;
@@ -285,32 +309,49 @@
 {
     const item_record &record = m_cluster.items[model];
     const std::int64_t bytes = m_cluster.bundleBytes(model);
-    const int copies = m_cluster.countedCopies(model);
+    // Room that is being made counts as a copy to come, so that several endpoints can make room at the same time.
+    const int copies = m_cluster.countedCopies(model) + m_finder.keptRooms(model);
+    const double level = expectedLevel(model);
     const double loadSeconds = 2.0;
     const double cost = loadSeconds * 1'000 / static_cast<double>(m_settings.payback.count());
-    const auto kept = m_planner.m_keptRoom.find(record.id);
+    const bool mayMakeRoom = roomsInMaking() < m_storeSlots;
+    std::vector<std::size_t> withoutPlace;
     std::optional<candidate_place> best;
     for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
         const endpoint_record &target = m_cluster.endpoints[endpoint];
-        const double levelAfter = (copies * record.level + target.load) / (copies + 1);
-        const double gain = std::min(levelAfter - target.load, copies * (record.level - m_settings.upUtilisation) + cost);
+        const double levelAfter = (copies * level + target.load) / (copies + 1);
+        const double gain = std::min(levelAfter - target.load, copies * (level - m_settings.upUtilisation) + cost);
+        const bool isKept = m_finder.isKeptFor(model, endpoint);
+        if (isKept && target.free < bytes) {
+            continue;
+        }
         if (gain <= cost || m_planner.m_avoidUntil.contains({target.id, record.id}) || m_finder.isKeptForOther(model, endpoint)) {
             continue;
         }
         std::optional<candidate_place> place = m_finder.placeAt(model, endpoint, bytes, eviction::downToDeclared);
         if (!place) {
+            withoutPlace.push_back(endpoint);
+            continue;
+        }
+        // Room that the store could not fill for long would stand empty.
+        if (!place->victims.empty() && !mayMakeRoom) {
             continue;
         }
         place->value = gain - place->loss - cost * static_cast<double>(1 + place->victims.size());
-        place->value += kept != m_planner.m_keptRoom.end() && kept->second.endpoint == target.id ? 1.0 : 0.0;
+        place->value += isKept ? 1.0 : 0.0;
         if (place->value > 0 && (!best || place->value > best->value)) {
             best = std::move(place);
         }
     }
-    if (!best && kept == m_planner.m_keptRoom.end()) {
+    for (const std::size_t endpoint : withoutPlace) {
+        if (!best || m_cluster.endpoints[endpoint].load + m_settings.upUtilisation < m_cluster.endpoints[best->endpoint].load) {
+            m_wantedEndpoints.insert(endpoint);
+        }
+    }
+    if (!best && m_finder.keptRooms(model) == 0) {
         const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes);
-        const double level = relocation ? (copies * record.level + m_cluster.endpoints[relocation->endpoint].load) / (copies + 1) : 0;
-        const double gain = relocation ? level - m_cluster.endpoints[relocation->endpoint].load : 0;
+        const double levelAfter = relocation ? (copies * level + m_cluster.endpoints[relocation->endpoint].load) / (copies + 1) : 0;
+        const double gain = relocation ? levelAfter - m_cluster.endpoints[relocation->endpoint].load : 0;
         // A relocation is a load and a drop more.
         if (relocation && gain > relocation->loss + cost * static_cast<double>(1 + 2 * relocation->relocations.size() + relocation->victims.size())) {
             m_budget.takeMove();
@@ -322,11 +363,93 @@
         return false;
     }
     const std::size_t before = m_changes.size();
-    const bool assigned = carryOut(model, *best, bytes, "expected utilisation " + percent(record.level) + " over " + std::to_string(copies) + " copies");
+    carryOut(model, *best, bytes, "expected utilisation " + percent(record.level) + " over " + std::to_string(m_cluster.countedCopies(model)) + " copies");
     if (m_changes.size() > before) {
         m_budget.takeMove();
     }
-    return assigned;
+    return true;
+}
+
+void planning_pass::fillKeptRooms()
+{
+    const auto kept = m_planner.m_keptRooms;
+    for (const auto &[id, rooms] : kept) {
+        const auto isItem = [&id](const item_record &item) {
+            return item.id == id;
+        };
+        const auto found = std::find_if(m_cluster.items.begin(), m_cluster.items.end(), isItem);
+        if (found == m_cluster.items.end()) {
+            continue;
+        }
+        const auto model = static_cast<std::size_t>(found - m_cluster.items.begin());
+        const std::int64_t bytes = m_cluster.bundleBytes(model);
+        for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
+            const endpoint_record &target = m_cluster.endpoints[endpoint];
+            const bool isReady = rooms.contains(target.id) && target.usable && target.free >= bytes && !m_cluster.copyAt(model, endpoint);
+            if (isReady && m_budget.allowsLoad()) {
+                candidate_place place;
+                place.endpoint = endpoint;
+                carryOut(model, place, bytes, "room was made for it");
+            }
+        }
+    }
+}
+
+void planning_pass::freeFullEndpoints()
+{
+    std::vector<std::pair<double, std::size_t>> byLoad;
+    for (const std::size_t endpoint : m_wantedEndpoints) {
+        if (m_cluster.endpoints[endpoint].usable && m_cluster.evictableBytes(endpoint) < m_cluster.largestBundle) {
+            byLoad.emplace_back(m_cluster.endpoints[endpoint].load, endpoint);
+        }
+    }
+    std::sort(byLoad.begin(), byLoad.end());
+    for (const auto &[load, endpoint] : byLoad) {
+        if (!m_budget.allowsLoad() || !m_budget.allowsMove() || roomsInMaking() >= m_storeSlots) {
+            return;
+        }
+        if (copyAway(endpoint)) {
+            m_budget.takeMove();
+        }
+    }
+}
+
+bool planning_pass::copyAway(std::size_t from)
+{
+    // What is used least here loses the least by the move.
+    const item_copy *least = nullptr;
+    std::size_t model = 0;
+    for (const std::size_t item : m_cluster.endpoints[from].items) {
+        const item_copy *copy = m_cluster.copyAt(item, from);
+        const bool isOnly = m_cluster.isModel(item) && m_cluster.countedCopies(item) <= m_cluster.items[item].copies && m_finder.keptRooms(item) == 0;
+        if (isOnly && copy->counts && copy->state == state::residency::loaded && (!least || copy->share < least->share)) {
+            least = copy;
+            model = item;
+        }
+    }
+    if (!least) {
+        return false;
+    }
+    const std::int64_t bytes = m_cluster.bundleBytes(model);
+    std::optional<candidate_place> best;
+    for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
+        // The other endpoint must still be able to make room afterwards.
+        if (endpoint == from || m_cluster.evictableBytes(endpoint) < bytes + m_cluster.largestBundle || m_finder.isKeptForOther(model, endpoint)) {
+            continue;
+        }
+        std::optional<candidate_place> place = m_finder.placeAt(model, endpoint, bytes, eviction::downToDeclared);
+        if (place) {
+            place->value = m_cluster.endpoints[endpoint].load - place->loss;
+            if (!best || place->value > best->value) {
+                best = std::move(place);
+            }
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    carryOut(model, *best, bytes, "leaves " + m_cluster.endpoints[from].id.value() + " to models in demand");
+    return true;
 }
 
 void planning_pass::relocate(std::size_t model, const candidate_place &place)
@@ -340,7 +463,7 @@
         assign(item, destination, purpose);
         assignAdapters(item, destination);
     }
-    m_planner.m_keptRoom[m_cluster.items[model].id] = {m_cluster.endpoints[place.endpoint].id, base::clock::now() + m_settings.roomPatience};
+    keepRoom(model, place.endpoint);
     m_cluster.promise(place.endpoint, m_cluster.endpoints[place.endpoint].free);
 }
 
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
@@ -4,6 +4,7 @@
 #include <chervilbend/placement/internal/place_finder.hpp>
 #include <chervilbend/placement/placement_planner.hpp>
 
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,7 +26,17 @@
     void restoreCopies();
     void placeAdapters();
     void followDemand();
+    /// Adds a copy, or begins to make room for one. False when no place is worth it.
     bool addCopyFor(std::size_t model);
+    /// Places at which room is kept for an item that is not assigned there yet.
+    int roomsInMaking() const;
+    void keepRoom(std::size_t model, std::size_t endpoint);
+    /// The model's utilisation once the copies are there that room is being made for.
+    double expectedLevel(std::size_t model) const;
+    void fillKeptRooms();
+    /// Where a model in demand found no place because an endpoint holds only last copies: copies one of those to another endpoint.
+    void freeFullEndpoints();
+    bool copyAway(std::size_t from);
     void dropIdle();
     void dropStuck();
     void dropOrphans();
@@ -50,6 +61,10 @@
     place_finder m_finder;
     std::set<placement_planner::place> m_stuck;
     base::log_offset m_token;
+    /// Endpoints that would serve a model in demand clearly better than where it can go, but have nothing that may be dropped.
+    std::set<std::size_t> m_wantedEndpoints;
+    /// Loads that the store serves at once.
+    int m_storeSlots;
     /// A declared model found no room.
     bool m_lacksRoom = false;
     std::vector<planned_change> m_changes;
--- a/packages/placement/src/chervilbend/placement/placement_planner.cpp
+++ b/packages/placement/src/chervilbend/placement/placement_planner.cpp
@@ -17,7 +17,10 @@
     m_demand.update(input.demand);
     const base::time_point now = base::clock::now();
     std::erase_if(m_avoidUntil, [now](const auto &entry) { return entry.second <= now; });
-    std::erase_if(m_keptRoom, [now](const auto &entry) { return entry.second.until <= now; });
+    for (auto &[item, rooms] : m_keptRooms) {
+        std::erase_if(rooms, [now](const auto &room) { return room.second <= now; });
+    }
+    std::erase_if(m_keptRooms, [](const auto &entry) { return entry.second.empty(); });
     planner_input smoothed = input;
     for (auto &[item, demand] : smoothed.demand) {
         demand = m_demand.of(item);
--- a/packages/placement/src/chervilbend/placement/placement_planner.hpp
+++ b/packages/placement/src/chervilbend/placement/placement_planner.hpp
@@ -34,11 +34,6 @@
 
     using place = std::pair<base::endpoint_id, base::item_id>;
 
-    struct kept_room {
-        base::endpoint_id endpoint;
-        base::time_point until;
-    };
-
     /// Assigned items that have waited for longer than the patience.
     std::set<place> updateStuck(const planner_input &input);
 
@@ -49,7 +44,8 @@
     /// Where an item was not loaded in time; another endpoint is tried first.
     std::map<place, base::time_point> m_avoidUntil;
     std::map<base::item_id, base::time_point> m_idleSince;
-    std::map<base::item_id, kept_room> m_keptRoom;
+    /// Until when room that was made for an item is kept for it, by the item and the endpoint.
+    std::map<base::item_id, std::map<base::endpoint_id, base::time_point>> m_keptRooms;
 };
 
 } // namespace chervilbend::placement
--- a/packages/placement/tests/placement_planner_test.cpp
+++ b/packages/placement/tests/placement_planner_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(restoresALostZoneByImportance);
     CPPUNIT_TEST(followsDemandWithHysteresis);
     CPPUNIT_TEST(makesRoomWhenMemoryIsFull);
+    CPPUNIT_TEST(makesRoomOnSeveralEndpointsAtOnce);
     CPPUNIT_TEST(replacesAVersionAfterTheNewOneIsLoaded);
     CPPUNIT_TEST(replacesAnAdapterAfterTheNewOneIsLoaded);
     CPPUNIT_TEST(goesAroundAnEndpointThatNeverLoads);
@@ -139,6 +140,30 @@
         CPPUNIT_ASSERT(cluster.loaded("m0") >= 2);
     }
 
+    /// Guards against a crest that is over before the copies for it are there, because one endpoint after the other makes room.
+    void makesRoomOnSeveralEndpointsAtOnce()
+    {
+        small_cluster cluster;
+        cluster.store = {8, 8, 30, 0};
+        for (int i = 0; i < 8; ++i) {
+            cluster.addEndpoint(i, i % 2, 40);
+        }
+        cluster.declare("m0", 20);
+        cluster.declare("m1", 20);
+        cluster.demand[small_cluster::item("m0")] = 8.0;
+        cluster.demand[small_cluster::item("m1")] = 8.0;
+        cluster.runSeconds(120);
+        CPPUNIT_ASSERT(cluster.loaded("m0") + cluster.loaded("m1") >= 14);
+        cluster.declare("m2", 20);
+        cluster.demand[small_cluster::item("m0")] = 0.1;
+        cluster.runSeconds(300);
+        const int before = cluster.loaded("m2");
+        cluster.demand[small_cluster::item("m2")] = 12.0;
+        cluster.runSeconds(8);
+        const std::string copies = std::to_string(before) + " copies, then " + std::to_string(cluster.loaded("m2"));
+        CPPUNIT_ASSERT_MESSAGE(copies, cluster.loaded("m2") >= before + 3);
+    }
+
     void replacesAVersionAfterTheNewOneIsLoaded()
     {
         small_cluster cluster;
