Let the lease's holder pass on the store's news and the counts of other nodes' requests

Cause: every node read the configuration and the registrations itself. And a node among 69 knows one request in 69 at an engine: its share of the engine's places rounds to nothing, so it sent "one more" whatever was there. Change: the answer to a node's report, every 250 ms, carries the registrations that changed since the node's version, the position up to which the holder has read them and the configuration, and how old that is. A node reads the store itself when that word is older than its own read interval (1.2 s for the configuration), or when the configuration has moved on. Registrations that were relayed lack the models, so a new holder reads them whole before it commands. Word of an older position than the node has read itself is passed over. The holder tells no sums in its first second, when not all have reported. The line of an ended request has the time to its first byte and its longest gap.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/fleet/retry_pause.hpp>
 #include <chervilbend/net/sleep.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -21,6 +22,10 @@
 /// While the store has lately failed or been slow, which is when it forgets a read that waits.
 constexpr base::milliseconds doubtfulPoll{600};
 constexpr base::milliseconds doubtFor{10'000};
+/// The holder's reads wait so long at most, since all nodes go by its word.
+constexpr base::milliseconds holderPoll{400};
+/// The holder's word stands in for a read for so long after the store confirmed it: its poll, an exchange and a lost one.
+constexpr base::milliseconds vouchLife{1'200};
 /// An answer to a read that does not wait takes some ms.
 constexpr base::milliseconds slowAnswer{150};
 
@@ -47,23 +52,17 @@
 {
     retry_pause pause(m_seed);
     while (true) {
-        std::optional<configuration_page> page;
-        const base::time_point asked = base::clock::now();
-        const base::milliseconds wait = asked < m_doubtUntil ? doubtfulPoll : longPoll;
-        if (m_position) {
-            page = co_await m_store.configurationFrom(*m_position, wait);
-        } else {
-            page = co_await m_store.newestConfiguration();
-        }
-        if (!page || base::clock::now() - asked > wait + slowAnswer) {
-            noteDoubt();
+        if (co_await waitForHolder()) {
+            continue;
         }
+        const std::optional<std::int64_t> before = m_position;
+        std::optional<configuration_page> page = co_await read();
         if (page) {
             if (pause.failures() > 0) {
                 LOG4CXX_INFO(configLog(), "The store's configuration can be read again after " << pause.failures() << " failures.");
             }
             pause.reset();
-            m_position = page->next;
+            m_position = before ? std::max(*before, page->next) : page->next;
             m_confirmedAt = base::clock::now();
             take(std::move(page->newest));
             if (!m_current) {
@@ -81,6 +80,53 @@
     }
 }
 
+asio::awaitable<std::optional<configuration_page>> configuration_follower::read()
+{
+    const base::time_point asked = base::clock::now();
+    base::milliseconds wait = asked < m_doubtUntil ? doubtfulPoll : longPoll;
+    if (m_isHolder) {
+        wait = std::min(wait, holderPoll);
+    } else if (m_position && *m_position < m_newestPosition) {
+        wait = base::milliseconds(0);
+    }
+    std::optional<configuration_page> page;
+    if (m_position) {
+        page = co_await m_store.configurationFrom(*m_position, wait);
+    } else {
+        page = co_await m_store.newestConfiguration();
+    }
+    if (!page || base::clock::now() - asked > wait + slowAnswer) {
+        noteDoubt();
+    }
+    co_return page;
+}
+
+asio::awaitable<bool> configuration_follower::waitForHolder()
+{
+    const bool isVouched = !m_isHolder && m_current && m_position && *m_position >= m_newestPosition && base::clock::now() < m_vouchedUntil;
+    if (isVouched) {
+        co_await m_wake.wait(m_vouchedUntil);
+    }
+    co_return isVouched;
+}
+
+void configuration_follower::setHolder(bool isHolder)
+{
+    m_isHolder = isHolder;
+    m_wake.notify();
+}
+
+void configuration_follower::noteNewest(std::int64_t position, base::time_point confirmedAt)
+{
+    m_vouchedUntil = std::max(m_vouchedUntil, confirmedAt + vouchLife);
+    if (m_position && *m_position >= position) {
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+    } else if (position > m_newestPosition) {
+        m_newestPosition = position;
+        m_wake.notify();
+    }
+}
+
 void configuration_follower::noteDoubt()
 {
     m_doubtUntil = base::clock::now() + doubtFor;
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -3,6 +3,8 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/fleet/traffic_configuration.hpp>
 
+#include <chervilbend/net/change_signal.hpp>
+
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
@@ -14,6 +16,7 @@
 {
 
 class fleet_store;
+struct configuration_page;
 
 /// Keeps the operators' configuration up to date from the platform's store. A version once in force is never replaced by an older one.
 class configuration_follower
@@ -26,6 +29,10 @@
 
     /// Follows the store for good.
     boost::asio::awaitable<void> run();
+    /// This node is the holder of the command lease, whose word the others go by, or no longer is.
+    void setHolder(bool isHolder);
+    /// The holder has read up to @p position; the store confirmed at @p confirmedAt that nothing newer was there.
+    void noteNewest(std::int64_t position, base::time_point confirmedAt);
     /// Another read of the store has failed or was slow.
     void noteDoubt();
     /// Called after each change of the version in force.
@@ -39,13 +46,22 @@
         return m_current;
     }
 
-    /// When the store last said that this is the newest version.
+    /// Position in the store up to which the configuration is known.
+    std::optional<std::int64_t> position() const
+    {
+        return m_position;
+    }
+
+    /// When the store last said, to this node or to the holder, that this is the newest version.
     base::time_point confirmedAt() const
     {
         return m_confirmedAt;
     }
 
 private:
+    /// Waits for as long as the holder's word stands in for a read of this node.
+    boost::asio::awaitable<bool> waitForHolder();
+    boost::asio::awaitable<std::optional<configuration_page>> read();
     void take(std::optional<traffic_configuration> newest);
 
     fleet_store &m_store;
@@ -55,6 +71,11 @@
     std::optional<std::int64_t> m_position;
     base::time_point m_confirmedAt;
     base::time_point m_doubtUntil;
+    /// The newest position that the holder has told of, and until when its word stands in for a read.
+    std::int64_t m_newestPosition = -1;
+    base::time_point m_vouchedUntil;
+    bool m_isHolder = false;
+    net::change_signal m_wake;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/endpoint_entry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_entry.hpp
@@ -41,6 +41,8 @@
     std::vector<resident_model> models;
     /// Models whose weights are in its host memory or on its disk.
     std::set<std::string> cached;
+
+    friend bool operator==(const endpoint_entry &, const endpoint_entry &) = default;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -3,8 +3,10 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/fleet/fleet_store.hpp>
 #include <chervilbend/fleet/retry_pause.hpp>
+#include <chervilbend/fleet/store_news.hpp>
 #include <chervilbend/net/sleep.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -17,6 +19,8 @@
 
 /// The store answers within some ms.
 constexpr base::milliseconds slowAnswer{150};
+/// The holder reads so many times as often as a node that follows the store by itself, since its word takes one exchange more.
+constexpr int holderReads = 2;
 
 const log4cxx::LoggerPtr &endpointLog()
 {
@@ -44,12 +48,52 @@
     m_listener = std::move(listener);
 }
 
+void endpoint_follower::setHolder(bool isHolder)
+{
+    m_isHolder = isHolder;
+    m_relayedAt.reset();
+    m_wake.notify();
+}
+
+std::optional<base::time_point> endpoint_follower::relayedUntil() const
+{
+    return m_relayedAt ? std::optional(*m_relayedAt + m_interval) : std::nullopt;
+}
+
+bool endpoint_follower::takeRelayed(const store_news &news, base::time_point readAt)
+{
+    if (m_isHolder || (m_position && news.registrationsPosition < *m_position)) {
+        return false;
+    }
+    m_position = news.registrationsPosition;
+    m_readAt = std::max(m_readAt, readAt);
+    m_relayedAt = readAt;
+    notify(m_registry.applyRelayed(news.registrations, news.isWhole, base::clock::now()));
+    return true;
+}
+
+void endpoint_follower::takeRead(const endpoint_page &page, bool isWhole, base::time_point asked)
+{
+    // The holder's word may have come in the meantime, and may be newer.
+    if (m_position && page.next < *m_position) {
+        return;
+    }
+    m_position = page.next;
+    m_readAt = std::max(m_readAt, asked);
+    const base::time_point now = base::clock::now();
+    notify(isWhole ? m_registry.replace(page.changes, now) : m_registry.apply(page.changes, now));
+}
+
 asio::awaitable<void> endpoint_follower::run()
 {
     retry_pause pause(m_seed);
     while (true) {
         const base::time_point asked = base::clock::now();
-        const bool whole = !m_position;
+        if (const std::optional<base::time_point> until = relayedUntil(); until && asked < *until) {
+            co_await m_wake.wait(*until);
+            continue;
+        }
+        const bool whole = !m_position || m_registry.isRelayed();
         std::optional<endpoint_page> page;
         if (whole) {
             page = co_await m_store.allEndpoints();
@@ -65,11 +109,8 @@
                 LOG4CXX_INFO(endpointLog(), "The endpoints' registrations can be read again after " << pause.failures() << " failures.");
             }
             pause.reset();
-            m_position = page->next;
-            m_readAt = now;
-            m_known = true;
-            notify(whole ? m_registry.replace(page->changes, now) : m_registry.apply(page->changes, now));
-            co_await net::sleepFor(m_interval);
+            takeRead(*page, whole, asked);
+            co_await m_wake.wait(base::clock::now() + (m_isHolder ? m_interval / holderReads : m_interval));
             continue;
         }
         if (m_store.lastReason().kind == base::error_kind::recordInvalid) {
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -41,19 +41,60 @@
             changed.insert(change.id);
         }
     }
-    std::vector<base::endpoint_id> ended;
+    for (const base::endpoint_id &id : missingFrom(registered)) {
+        if (end(id, now)) {
+            changed.insert(id);
+        }
+    }
+    changed.merge(expire(now));
+    m_lastRead = now;
+    m_relayed = false;
+    return changed;
+}
+
+std::vector<base::endpoint_id> endpoint_registry::missingFrom(const std::set<base::endpoint_id> &registered) const
+{
+    std::vector<base::endpoint_id> missing;
     for (const auto &[id, known] : m_endpoints) {
         if (!registered.contains(id)) {
-            ended.push_back(id);
+            missing.push_back(id);
         }
     }
-    for (const base::endpoint_id &id : ended) {
-        if (end(id, now)) {
+    return missing;
+}
+
+std::set<base::endpoint_id> endpoint_registry::applyRelayed(const std::vector<endpoint_change> &changes, bool isWhole, base::time_point now)
+{
+    m_relayed = true;
+    std::set<base::endpoint_id> registered;
+    std::set<base::endpoint_id> changed;
+    for (endpoint_change change : changes) {
+        registered.insert(change.id);
+        const auto known = m_endpoints.find(change.id);
+        const bool isKnown = known != m_endpoints.end();
+        if (!change.entry) {
+            // The node that read it has applied the grace after an outage.
+            if (isKnown) {
+                m_endpoints.erase(known);
+                changed.insert(change.id);
+            }
+            continue;
+        }
+        if (isKnown && known->second.entry.born == change.entry->born) {
+            change.entry->models = known->second.entry.models;
+            change.entry->cached = known->second.entry.cached;
+            change.entry->beat = known->second.entry.beat;
+        }
+        if (take(change, now)) {
+            changed.insert(change.id);
+        }
+    }
+    if (isWhole) {
+        for (const base::endpoint_id &id : missingFrom(registered)) {
+            m_endpoints.erase(id);
             changed.insert(id);
         }
     }
-    changed.merge(expire(now));
-    m_lastRead = now;
     return changed;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
@@ -43,6 +43,8 @@
     std::set<base::endpoint_id> apply(const std::vector<endpoint_change> &changes, base::time_point now);
     /// Takes the registrations as a whole: endpoints that are not among them have ended theirs.
     std::set<base::endpoint_id> replace(const std::vector<endpoint_change> &all, base::time_point now);
+    /// Takes what another node has read, which lacks the models that engines hold. @p isWhole: endpoints that are not among them are gone.
+    std::set<base::endpoint_id> applyRelayed(const std::vector<endpoint_change> &changes, bool isWhole, base::time_point now);
     /// Removes lapsed endpoints that did not come back, and leaving ones that are long gone.
     std::set<base::endpoint_id> expire(base::time_point now);
 
@@ -53,8 +55,15 @@
         return m_endpoints;
     }
 
+    /// Whether entries came from another node since the last replace(), so that they may lack models.
+    bool isRelayed() const
+    {
+        return m_relayed;
+    }
+
 private:
     void noteReturn(base::time_point now);
+    std::vector<base::endpoint_id> missingFrom(const std::set<base::endpoint_id> &registered) const;
     bool take(const endpoint_change &change, base::time_point now);
     bool end(const base::endpoint_id &id, base::time_point now);
 
@@ -62,6 +71,7 @@
     /// The last read before the one that is being taken over.
     base::time_point m_lastRead;
     bool m_away = false;
+    bool m_relayed = false;
     /// End of the grace after the store's last return.
     base::time_point m_graceEnd;
 };
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -22,6 +22,10 @@
 constexpr base::milliseconds planInterval{200};
 /// A node that has not reported for so long is gone.
 constexpr base::milliseconds reportLife{2'000};
+/// So long after a node has taken the lease, all others have found it and reported.
+constexpr base::milliseconds reportsComplete{1'000};
+/// Requests of other nodes are told from one in so many of the engine's slots: fewer hardly slow it.
+constexpr int othersMatterFrom = 6;
 /// An engine takes about so long to load an adapter, and a little more before it serves it.
 constexpr base::milliseconds adapterLoadTime{8};
 /// Room is made once for an item that is waited for, and again only if it did not come about in this time.
@@ -90,8 +94,11 @@
     m_driver.clear();
     m_ledger.clear();
     m_reports.clear();
+    m_running.clear();
+    m_heldSince = base::clock::now();
     m_policies.clear();
-    if (isHolder) {
+    // Registrations that another node relayed lack the models; the holder reads them itself first.
+    if (isHolder && !m_registry.isRelayed()) {
         std::set<base::endpoint_id> all;
         for (const auto &[id, known] : m_registry.endpoints()) {
             all.insert(id);
@@ -103,7 +110,7 @@
 
 void engine_controller::endpointsChanged(const std::set<base::endpoint_id> &changedOnes)
 {
-    if (!m_lease.isHolder()) {
+    if (!m_lease.isHolder() || m_registry.isRelayed()) {
         return;
     }
     for (const base::endpoint_id &id : changedOnes) {
@@ -122,7 +129,8 @@
     while (true) {
         co_await net::sleepFor(planInterval);
         const std::shared_ptr<const traffic_configuration> configuration = m_configuration();
-        if (!configuration || !m_lease.mayCommand()) {
+        forgetSilentNodes();
+        if (!configuration || !m_lease.mayCommand() || m_registry.isRelayed()) {
             continue;
         }
         for (const auto &[id, service] : configuration->services) {
@@ -202,9 +210,46 @@
     return static_cast<int>(std::count_if(m_reports.begin(), m_reports.end(), [&](const auto &report) { return report.second.when >= oldest; }));
 }
 
+void engine_controller::takeDemand(const base::node_id &node, reported_demand demand)
+{
+    reported_demand &known = m_reports[node];
+    for (const auto &[engine, count] : known.running) {
+        m_running[engine] -= count;
+    }
+    for (const auto &[engine, count] : demand.running) {
+        m_running[engine] += count;
+    }
+    known = std::move(demand);
+}
+
+void engine_controller::forgetSilentNodes()
+{
+    const base::time_point oldest = base::clock::now() - reportLife;
+    for (auto &[node, report] : m_reports) {
+        if (report.when < oldest && !report.running.empty()) {
+            takeDemand(node, {{}, {}, report.when});
+        }
+    }
+    std::erase_if(m_running, [](const auto &engine) { return engine.second <= 0; });
+}
+
+std::map<base::endpoint_id, int> engine_controller::othersOf(const std::map<base::endpoint_id, int> &own) const
+{
+    std::map<base::endpoint_id, int> others;
+    for (const auto &[engine, count] : m_running) {
+        const engine_record *const record = m_ledger.find(engine);
+        const auto ownCount = own.find(engine);
+        const int rest = count - (ownCount == own.end() ? 0 : ownCount->second);
+        if (record && rest * othersMatterFrom >= record->entry.slots) {
+            others[engine] = rest;
+        }
+    }
+    return others;
+}
+
 holder_answer engine_controller::report(const node_report &report)
 {
-    m_reports[report.node] = {report.open, base::clock::now()};
+    takeDemand(report.node, {report.open, report.running, base::clock::now()});
     for (const auto &[pool, count] : report.open) {
         noteUse(pool);
     }
@@ -219,6 +264,9 @@
     answer.age = m_lease.age();
     answer.nodes = std::max(1, liveNodes());
     answer.version = m_ledger.version();
+    if (base::clock::now() - m_heldSince >= reportsComplete) {
+        answer.others = othersOf(report.running);
+    }
     answer.news = newsSince(report.token == m_lease.token() ? report.version : 0);
     return answer;
 }
--- a/packages/fleet/src/chervilbend/fleet/engine_news.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_news.hpp
@@ -4,9 +4,11 @@
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/fleet/endpoint_entry.hpp>
 #include <chervilbend/fleet/lease_record.hpp>
+#include <chervilbend/fleet/store_news.hpp>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,9 +34,13 @@
     std::map<std::string, int> open;
     /// Adapters that were asked for since the last report, as "SERVICE/MODEL/ADAPTER".
     std::vector<std::string> used;
+    /// Requests that the node has sent to each endpoint and that have not ended.
+    std::map<base::endpoint_id, int> running;
     /// Token and version of the holder's news that the node has already; 0 for none.
     std::int64_t token = 0;
     std::int64_t version = 0;
+    /// Version of the registrations that the node has from the holder with this token; 0 for none.
+    std::int64_t registrationsVersion = 0;
 };
 
 /// What the holder tells a node.
@@ -48,6 +54,9 @@
     std::int64_t version = 0;
     /// Engines that have changed since the version that the node had.
     std::vector<engine_news> news;
+    /// Requests that the other nodes run on each engine, where they are enough to matter; no value while not all nodes have told theirs.
+    std::optional<std::map<base::endpoint_id, int>> others;
+    store_news store;
 };
 
 /// An item that a request needs.
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/fleet/exchange_json.hpp>
 
+#include <chervilbend/fleet/store_news_json.hpp>
+
 namespace chervilbend::fleet
 {
 
@@ -16,6 +18,26 @@
     return object.isObject() && object[name].isInt64();
 }
 
+Json::Value toJson(const std::map<base::endpoint_id, int> &counts)
+{
+    Json::Value json(Json::objectValue);
+    for (const auto &[id, count] : counts) {
+        json[id.value()] = count;
+    }
+    return json;
+}
+
+std::map<base::endpoint_id, int> readCounts(const Json::Value &json)
+{
+    std::map<base::endpoint_id, int> counts;
+    for (auto item = json.begin(); item != json.end(); ++item) {
+        if (item->isInt()) {
+            counts[base::endpoint_id(item.name())] = item->asInt();
+        }
+    }
+    return counts;
+}
+
 } // namespace
 
 Json::Value toJson(const node_report &report)
@@ -24,10 +46,12 @@
     json["node"] = report.node.value();
     json["token"] = static_cast<Json::Int64>(report.token);
     json["version"] = static_cast<Json::Int64>(report.version);
+    json["registrations"] = static_cast<Json::Int64>(report.registrationsVersion);
     Json::Value &open = json["open"] = Json::Value(Json::objectValue);
     for (const auto &[model, count] : report.open) {
         open[model] = count;
     }
+    json["running"] = toJson(report.running);
     Json::Value &used = json["used"] = Json::Value(Json::arrayValue);
     for (const std::string &adapter : report.used) {
         used.append(adapter);
@@ -37,18 +61,21 @@
 
 std::optional<node_report> readNodeReport(const Json::Value &json)
 {
-    if (!hasText(json, "node") || !hasNumber(json, "token") || !hasNumber(json, "version") || !json["open"].isObject() || !json["used"].isArray()) {
+    if (!hasText(json, "node") || !hasNumber(json, "token") || !hasNumber(json, "version") || !hasNumber(json, "registrations") || !json["open"].isObject()
+        || !json["running"].isObject() || !json["used"].isArray()) {
         return std::nullopt;
     }
     node_report report;
     report.node = base::node_id(json["node"].asString());
     report.token = json["token"].asInt64();
     report.version = json["version"].asInt64();
+    report.registrationsVersion = json["registrations"].asInt64();
     for (const std::string &model : json["open"].getMemberNames()) {
         if (json["open"][model].isInt()) {
             report.open[model] = json["open"][model].asInt();
         }
     }
+    report.running = readCounts(json["running"]);
     for (const Json::Value &adapter : json["used"]) {
         if (adapter.isString()) {
             report.used.push_back(adapter.asString());
@@ -118,6 +145,10 @@
     json["nodes"] = answer.nodes;
     json["version"] = static_cast<Json::Int64>(answer.version);
     json["news"] = toJson(answer.news);
+    if (answer.others) {
+        json["others"] = toJson(*answer.others);
+    }
+    json["store"] = toJson(answer.store);
     return json;
 }
 
@@ -129,7 +160,8 @@
         }
     }
     std::optional<std::vector<engine_news>> news = readNews(json["news"]);
-    if (!hasText(json, "holder") || !hasText(json, "address") || !news) {
+    std::optional<store_news> store = readStoreNews(json["store"]);
+    if (!hasText(json, "holder") || !hasText(json, "address") || !news || !store) {
         return std::nullopt;
     }
     holder_answer answer;
@@ -143,6 +175,10 @@
     answer.nodes = json["nodes"].asInt();
     answer.version = json["version"].asInt64();
     answer.news = std::move(*news);
+    answer.store = std::move(*store);
+    if (json["others"].isObject()) {
+        answer.others = readCounts(json["others"]);
+    }
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
@@ -3,15 +3,17 @@
 #include <chervilbend/fleet/command_lease.hpp>
 #include <chervilbend/fleet/engine_controller.hpp>
 #include <chervilbend/fleet/exchange_json.hpp>
+#include <chervilbend/fleet/store_relay.hpp>
 
 namespace asio = boost::asio;
 
 namespace chervilbend::fleet
 {
 
-exchange_method::exchange_method(const command_lease &lease, engine_controller &controller)
+exchange_method::exchange_method(const command_lease &lease, engine_controller &controller, const store_relay &relay)
     : m_lease(lease)
     , m_controller(controller)
+    , m_relay(relay)
 {
 }
 
@@ -29,7 +31,9 @@
     if (!m_lease.isHolder()) {
         return fail(base::error_kind::peerUnavailable, "this node does not hold the lease");
     }
-    return toJson(m_controller.report(*report));
+    holder_answer answer = m_controller.report(*report);
+    answer.store = m_relay.newsSince(report->token == m_lease.token() ? report->registrationsVersion : 0);
+    return toJson(answer);
 }
 
 want_method::want_method(const command_lease &lease, engine_controller &controller)
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
@@ -8,6 +8,7 @@
 
 class command_lease;
 class engine_controller;
+class store_relay;
 
 inline constexpr const char *exchangeMethodName = "engines.exchange";
 inline constexpr const char *wantMethodName = "engines.want";
@@ -18,7 +19,7 @@
 class exchange_method : public peers::rpc_method
 {
 public:
-    exchange_method(const command_lease &lease, engine_controller &controller);
+    exchange_method(const command_lease &lease, engine_controller &controller, const store_relay &relay);
 
     std::string name() const override;
     std::optional<Json::Value> call(const Json::Value &parameters) override;
@@ -26,6 +27,7 @@
 private:
     const command_lease &m_lease;
     engine_controller &m_controller;
+    const store_relay &m_relay;
 };
 
 /// Has an item loaded and answers when it is there.
--- a/packages/fleet/src/chervilbend/fleet/holder_link.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.cpp
@@ -7,6 +7,7 @@
 #include <chervilbend/fleet/exchange_json.hpp>
 #include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/change_signal.hpp>
@@ -41,14 +42,20 @@
 
 } // namespace
 
-holder_link::holder_link(
-    base::node_id node, command_lease &lease, engine_controller &controller, peers::rpc_caller &peers, known_residency &residency, usage_meter &usage)
+holder_link::holder_link(base::node_id node,
+                         command_lease &lease,
+                         engine_controller &controller,
+                         peers::rpc_caller &peers,
+                         known_residency &residency,
+                         usage_meter &usage,
+                         store_relay &relay)
     : m_node(std::move(node))
     , m_lease(lease)
     , m_controller(controller)
     , m_peers(peers)
     , m_residency(residency)
     , m_usage(usage)
+    , m_relay(relay)
 {
 }
 
@@ -62,6 +69,16 @@
     m_nodesListener = std::move(listener);
 }
 
+void holder_link::setRunningSource(std::function<std::map<base::endpoint_id, int>()> source)
+{
+    m_runningSource = std::move(source);
+}
+
+void holder_link::onOthers(std::function<void(const std::map<base::endpoint_id, int> &)> listener)
+{
+    m_othersListener = std::move(listener);
+}
+
 void holder_link::notify(const std::set<base::endpoint_id> &changed) const
 {
     if (m_listener && !changed.empty()) {
@@ -100,8 +117,12 @@
     report.node = m_node;
     report.open = m_usage.open();
     report.used = m_usage.takeUsed();
+    if (m_runningSource) {
+        report.running = m_runningSource();
+    }
     report.token = m_token;
     report.version = m_version;
+    report.registrationsVersion = m_relay.versionFrom(m_token);
     if (m_lease.isHolder()) {
         take(m_controller.report(report));
         co_return true;
@@ -111,12 +132,14 @@
         co_return false;
     }
     const Json::Value message = toJson(report);
+    const base::time_point asked = base::clock::now();
     const std::optional<Json::Value> json = co_await m_peers.call(*where, exchangeMethodName, message, exchangeTimeout);
     const std::optional<holder_answer> answer = json ? readHolderAnswer(*json) : std::nullopt;
     if (!answer) {
         co_return false;
     }
     m_lease.noteHolder(answer->lease, answer->offset, answer->age);
+    m_relay.take(answer->lease.token, answer->store, asked);
     take(*answer);
     co_return true;
 }
@@ -128,6 +151,9 @@
     if (m_nodesListener) {
         m_nodesListener(answer.nodes);
     }
+    if (m_othersListener && answer.others) {
+        m_othersListener(*answer.others);
+    }
     notify(m_residency.take(answer.news));
 }
 
--- a/packages/fleet/src/chervilbend/fleet/holder_link.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.hpp
@@ -28,6 +28,7 @@
 class command_lease;
 class engine_controller;
 class known_residency;
+class store_relay;
 class usage_meter;
 
 /// A node's side of its exchange with the holder of the command lease, which may be the node itself: tells it the demand, learns what the
@@ -36,8 +37,13 @@
 {
 public:
     /// References must outlive the link.
-    holder_link(
-        base::node_id node, command_lease &lease, engine_controller &controller, peers::rpc_caller &peers, known_residency &residency, usage_meter &usage);
+    holder_link(base::node_id node,
+                command_lease &lease,
+                engine_controller &controller,
+                peers::rpc_caller &peers,
+                known_residency &residency,
+                usage_meter &usage,
+                store_relay &relay);
 
     /// Commands.
 
@@ -49,6 +55,10 @@
     void onChange(std::function<void(const std::set<base::endpoint_id> &)> listener);
     /// Called after each exchange with the number of nodes.
     void onNodes(std::function<void(int)> listener);
+    /// Asked before each exchange for this node's requests on each endpoint.
+    void setRunningSource(std::function<std::map<base::endpoint_id, int>()> source);
+    /// Called after each exchange with the other nodes' requests on each engine, where they matter.
+    void onOthers(std::function<void(const std::map<base::endpoint_id, int> &)> listener);
     /// The controller on this node, when it holds the lease, has changed what engines hold.
     void ownNews();
 
@@ -64,8 +74,11 @@
     peers::rpc_caller &m_peers;
     known_residency &m_residency;
     usage_meter &m_usage;
+    store_relay &m_relay;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void(int)> m_nodesListener;
+    std::function<std::map<base::endpoint_id, int>()> m_runningSource;
+    std::function<void(const std::map<base::endpoint_id, int> &)> m_othersListener;
     /// Signalled when an item that was asked for has been answered, by item.
     std::map<wanted_item, std::shared_ptr<net::change_signal>> m_asking;
     std::int64_t m_token = 0;
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/store_news_json.cpp
@@ -0,0 +1,113 @@
+#include <chervilbend/fleet/store_news_json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+Json::Value toJson(const endpoint_change &change)
+{
+    Json::Value json(Json::objectValue);
+    json["id"] = change.id.value();
+    if (!change.entry) {
+        return json;
+    }
+    const endpoint_entry &entry = *change.entry;
+    json["service"] = entry.service.value();
+    json["ip"] = entry.where.ip;
+    json["port"] = entry.where.port;
+    json["zone"] = entry.zone.value();
+    json["slots"] = entry.slots;
+    json["draining"] = entry.draining;
+    json["born"] = static_cast<Json::Int64>(entry.born);
+    if (entry.remaining) {
+        json["remainingMs"] = static_cast<Json::Int64>(entry.remaining->count());
+    }
+    return json;
+}
+
+bool isEntry(const Json::Value &json)
+{
+    return json["service"].isString() && json["ip"].isString() && json["port"].isUInt() && json["zone"].isString() && json["slots"].isInt()
+        && json["draining"].isBool() && json["born"].isInt64();
+}
+
+std::optional<endpoint_change> readChange(const Json::Value &json)
+{
+    if (!json.isObject() || !json["id"].isString()) {
+        return std::nullopt;
+    }
+    endpoint_change change;
+    change.id = base::endpoint_id(json["id"].asString());
+    if (!json.isMember("service")) {
+        return change;
+    }
+    if (!isEntry(json)) {
+        return std::nullopt;
+    }
+    endpoint_entry &entry = change.entry.emplace();
+    entry.id = change.id;
+    entry.service = base::service_id(json["service"].asString());
+    entry.where = {json["ip"].asString(), static_cast<std::uint16_t>(json["port"].asUInt())};
+    entry.zone = base::zone_id(json["zone"].asString());
+    entry.slots = json["slots"].asInt();
+    entry.draining = json["draining"].asBool();
+    entry.born = json["born"].asInt64();
+    if (json["remainingMs"].isInt64()) {
+        entry.remaining = base::milliseconds(json["remainingMs"].asInt64());
+    }
+    return change;
+}
+
+constexpr std::array numberNames{"position", "ageMs", "version", "configuration", "configurationAgeMs"};
+
+} // namespace
+
+Json::Value toJson(const store_news &news)
+{
+    Json::Value json(Json::objectValue);
+    json["position"] = static_cast<Json::Int64>(news.registrationsPosition);
+    json["ageMs"] = static_cast<Json::Int64>(news.registrationsAge.count());
+    json["version"] = static_cast<Json::Int64>(news.registrationsVersion);
+    json["whole"] = news.isWhole;
+    json["configuration"] = static_cast<Json::Int64>(news.configurationPosition);
+    json["configurationAgeMs"] = static_cast<Json::Int64>(news.configurationAge.count());
+    Json::Value &list = json["registrations"] = Json::Value(Json::arrayValue);
+    for (const endpoint_change &change : news.registrations) {
+        list.append(toJson(change));
+    }
+    return json;
+}
+
+std::optional<store_news> readStoreNews(const Json::Value &json)
+{
+    if (!json.isObject() || !json["whole"].isBool() || !json["registrations"].isArray()) {
+        return std::nullopt;
+    }
+    for (const char *const name : numberNames) {
+        if (!json[name].isInt64()) {
+            return std::nullopt;
+        }
+    }
+    store_news news;
+    news.registrationsPosition = json["position"].asInt64();
+    news.registrationsAge = base::milliseconds(json["ageMs"].asInt64());
+    news.registrationsVersion = json["version"].asInt64();
+    news.isWhole = json["whole"].asBool();
+    news.configurationPosition = json["configuration"].asInt64();
+    news.configurationAge = base::milliseconds(json["configurationAgeMs"].asInt64());
+    for (const Json::Value &item : json["registrations"]) {
+        std::optional<endpoint_change> change = readChange(item);
+        if (!change) {
+            return std::nullopt;
+        }
+        news.registrations.push_back(std::move(*change));
+    }
+    return news;
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/tests/store_relay_test.cpp
@@ -0,0 +1,292 @@
+#include "memory_store.hpp"
+
+#include <chervilbend/fakes/virtual_time.hpp>
+#include <chervilbend/fleet/configuration_follower.hpp>
+#include <chervilbend/fleet/endpoint_follower.hpp>
+#include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/fleet/store_news_json.hpp>
+#include <chervilbend/fleet/store_relay.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace chervilbend;
+using namespace chervilbend::fleet;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr base::milliseconds readInterval{800};
+constexpr base::milliseconds exchangeInterval{250};
+constexpr std::int64_t token = 7;
+
+endpoint_change entryOf(const std::string &id, bool draining = false)
+{
+    endpoint_change change;
+    change.id = base::endpoint_id(id);
+    change.entry.emplace();
+    change.entry->id = change.id;
+    change.entry->service = base::service_id("chat");
+    change.entry->where = {"127.0.0.1", 4000};
+    change.entry->zone = base::zone_id("a");
+    change.entry->slots = 8;
+    change.entry->born = 5;
+    change.entry->draining = draining;
+    change.entry->models = {{"m0", {"a1"}}};
+    return change;
+}
+
+/// Registrations and versions of the configuration, in the store's order.
+struct topics {
+    std::vector<endpoint_change> registrations;
+    std::vector<std::int64_t> versions;
+};
+
+class topic_store : public test::memory_store
+{
+public:
+    topic_store(test::store_content &lease, const topics &shared)
+        : memory_store(lease)
+        , m_topics(shared)
+    {
+    }
+
+    asio::awaitable<std::optional<endpoint_page>> allEndpoints() override
+    {
+        ++wholeReads;
+        co_return co_await registrationsFrom(0);
+    }
+
+    asio::awaitable<std::optional<endpoint_page>> endpointsFrom(std::int64_t position) override
+    {
+        ++reads;
+        co_return co_await registrationsFrom(position);
+    }
+
+    asio::awaitable<std::optional<configuration_page>> newestConfiguration() override
+    {
+        co_return co_await configurationFrom(0, base::milliseconds(0));
+    }
+
+    asio::awaitable<std::optional<configuration_page>> configurationFrom(std::int64_t position, base::milliseconds wait) override
+    {
+        ++configurationReads;
+        const base::time_point until = base::clock::now() + wait;
+        do {
+            co_await net::sleepFor(delay);
+        } while (!isCut && static_cast<std::size_t>(position) >= m_topics.versions.size() && base::clock::now() < until);
+        if (isCut) {
+            co_return fail(base::error_kind::logUnavailable, "cut off");
+        }
+        configuration_page page;
+        page.next = static_cast<std::int64_t>(m_topics.versions.size());
+        if (position < page.next) {
+            page.newest.emplace().version = m_topics.versions.back();
+        }
+        co_return page;
+    }
+
+    int wholeReads = 0;
+    int reads = 0;
+    int configurationReads = 0;
+
+private:
+    asio::awaitable<std::optional<endpoint_page>> registrationsFrom(std::int64_t position)
+    {
+        co_await net::sleepFor(delay);
+        if (isCut) {
+            co_return fail(base::error_kind::logUnavailable, "cut off");
+        }
+        endpoint_page page;
+        page.next = static_cast<std::int64_t>(m_topics.registrations.size());
+        page.changes.assign(m_topics.registrations.begin() + position, m_topics.registrations.end());
+        co_return page;
+    }
+
+    const topics &m_topics;
+};
+
+struct node {
+    node(asio::io_context &context, test::store_content &lease, const topics &shared, bool isHolder)
+        : store(lease, shared)
+        , endpoints(store, registry, readInterval, isHolder ? 1 : 2)
+        , configuration(store, 3)
+        , relay(registry, endpoints, configuration)
+    {
+        endpoints.onChange([this](const std::set<base::endpoint_id> &changed) { relay.noteChanged(changed); });
+        relay.leaseChanged(isHolder);
+        asio::co_spawn(context, endpoints.run(), asio::detached);
+        asio::co_spawn(context, configuration.run(), asio::detached);
+    }
+
+    topic_store store;
+    endpoint_registry registry;
+    endpoint_follower endpoints;
+    configuration_follower configuration;
+    store_relay relay;
+};
+
+struct pair_of_nodes {
+    pair_of_nodes()
+    {
+        shared.registrations = {entryOf("i-1"), entryOf("i-2")};
+        shared.versions = {3};
+        holder = std::make_unique<node>(context, lease, shared, true);
+        other = std::make_unique<node>(context, lease, shared, false);
+    }
+
+    /// Lets time pass, with the exchanges of the other node.
+    void run(int ms, bool exchanges = true)
+    {
+        for (base::milliseconds done{0}; done < base::milliseconds(ms); done += exchangeInterval) {
+            if (exchanges) {
+                exchange();
+            }
+            time.advance(exchangeInterval);
+        }
+    }
+
+    void exchange() const
+    {
+        const store_news news = holder->relay.newsSince(other->relay.versionFrom(token));
+        const std::optional<store_news> read = readStoreNews(toJson(news));
+        CPPUNIT_ASSERT_MESSAGE("the message can be read", read.has_value());
+        other->relay.take(token, *read, base::clock::now());
+    }
+
+    const endpoint_registry::known_endpoint *known(const std::string &id) const
+    {
+        const auto found = other->registry.endpoints().find(base::endpoint_id(id));
+        return found == other->registry.endpoints().end() ? nullptr : &found->second;
+    }
+
+    asio::io_context context;
+    fakes::virtual_time time{context};
+    test::store_content lease;
+    topics shared;
+    std::unique_ptr<node> holder;
+    std::unique_ptr<node> other;
+};
+
+} // namespace
+
+/// Guards against calls to the store that grow with the number of nodes, and against nodes that go by a holder that no longer reads it.
+class store_relay_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(store_relay_test);
+    CPPUNIT_TEST(nodeThatTheHolderTellsReadsNothing);
+    CPPUNIT_TEST(leavingEndpointIsPassedOnWithinTheReadInterval);
+    CPPUNIT_TEST(newConfigurationIsReadAtOnce);
+    CPPUNIT_TEST(silentHolderMeansOwnReads);
+    CPPUNIT_TEST(holderThatIsCutOffDoesNotStandIn);
+    CPPUNIT_TEST(olderWordIsPassedOver);
+    CPPUNIT_TEST(longAbsenceBringsAllRegistrations);
+    CPPUNIT_TEST(modelsOfAKnownProcessStay);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void nodeThatTheHolderTellsReadsNothing()
+    {
+        pair_of_nodes nodes;
+        nodes.run(2'000);
+        const int reads = nodes.other->store.reads + nodes.other->store.wholeReads;
+        const int configurationReads = nodes.other->store.configurationReads;
+        nodes.run(20'000);
+        CPPUNIT_ASSERT_EQUAL(reads, nodes.other->store.reads + nodes.other->store.wholeReads);
+        // A read that waited at the store when the holder's word came may still end.
+        CPPUNIT_ASSERT(nodes.other->store.configurationReads <= configurationReads + 1);
+        CPPUNIT_ASSERT(nodes.holder->store.reads > 0);
+    }
+
+    void leavingEndpointIsPassedOnWithinTheReadInterval()
+    {
+        pair_of_nodes nodes;
+        nodes.run(3'000);
+        nodes.shared.registrations.push_back(entryOf("i-1", true));
+        nodes.shared.registrations.push_back({base::endpoint_id("i-2"), std::nullopt});
+        nodes.run(static_cast<int>(readInterval.count()));
+        CPPUNIT_ASSERT(nodes.known("i-1") != nullptr && nodes.known("i-1")->entry.draining);
+        CPPUNIT_ASSERT(nodes.known("i-2") == nullptr);
+    }
+
+    void newConfigurationIsReadAtOnce()
+    {
+        pair_of_nodes nodes;
+        nodes.run(5'000);
+        nodes.shared.versions.push_back(9);
+        nodes.run(750);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), nodes.other->configuration.current()->version);
+    }
+
+    void silentHolderMeansOwnReads()
+    {
+        pair_of_nodes nodes;
+        nodes.run(3'000);
+        const int wholeReads = nodes.other->store.wholeReads;
+        nodes.shared.registrations.push_back(entryOf("i-3"));
+        nodes.shared.versions.push_back(9);
+        nodes.run(2'000, false);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("what was relayed lacks the models, so all is read", wholeReads + 1, nodes.other->store.wholeReads);
+        CPPUNIT_ASSERT(nodes.known("i-3") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), nodes.other->configuration.current()->version);
+    }
+
+    void holderThatIsCutOffDoesNotStandIn()
+    {
+        pair_of_nodes nodes;
+        nodes.run(3'000);
+        nodes.holder->store.isCut = true;
+        nodes.shared.registrations.push_back(entryOf("i-1", true));
+        nodes.shared.versions.push_back(9);
+        nodes.run(2'000);
+        CPPUNIT_ASSERT(nodes.known("i-1")->entry.draining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), nodes.other->configuration.current()->version);
+    }
+
+    void olderWordIsPassedOver()
+    {
+        pair_of_nodes nodes;
+        nodes.run(3'000);
+        const store_news old = nodes.holder->relay.newsSince(0);
+        nodes.shared.registrations.push_back(entryOf("i-1", true));
+        nodes.run(2'000, false);
+        CPPUNIT_ASSERT(nodes.known("i-1")->entry.draining);
+        nodes.other->relay.take(token, old, base::clock::now());
+        CPPUNIT_ASSERT_MESSAGE("a node that knows of a leaving never forgets it", nodes.known("i-1")->entry.draining);
+    }
+
+    void longAbsenceBringsAllRegistrations()
+    {
+        pair_of_nodes nodes;
+        nodes.run(3'000);
+        nodes.shared.registrations.push_back({base::endpoint_id("i-2"), std::nullopt});
+        const std::int64_t version = nodes.other->relay.versionFrom(token);
+        nodes.run(40'000, false);
+        nodes.shared.registrations.push_back(entryOf("i-4"));
+        nodes.run(1'000, false);
+        const store_news news = nodes.holder->relay.newsSince(version);
+        CPPUNIT_ASSERT_MESSAGE("the end of i-2 is no longer told by itself", news.isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), news.registrations.size());
+    }
+
+    void modelsOfAKnownProcessStay()
+    {
+        pair_of_nodes nodes;
+        nodes.run(3'000);
+        nodes.shared.registrations.push_back(entryOf("i-1", true));
+        nodes.run(1'500);
+        CPPUNIT_ASSERT(nodes.known("i-1")->entry.draining);
+        CPPUNIT_ASSERT_EQUAL(std::string("m0"), nodes.known("i-1")->entry.models.at(0).name);
+        CPPUNIT_ASSERT(nodes.other->registry.isRelayed());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_relay_test);
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -136,6 +136,8 @@
                          eventFor(cancelled ? "callerLeft" : "ended", request->plan)
                              .with("endpoint", where->endpoint.value())
                              .with("tookMs", (base::clock::now() - began).count())
+                             .with("firstByteMs", request->firstByteAfter().value_or(base::milliseconds(-1)).count())
+                             .with("longestGapMs", request->longestGap().count())
                              .with("why", result.why.text)
                              .text());
             request->finish(outcome);
@@ -353,6 +355,7 @@
             break;
         }
         request->firstByte();
+        request->notePiece();
         m_lastBytes[request->endpoint] = base::clock::now();
         ready = events ? scanner.feed(*piece) : *piece;
         if (events && scanner.isOutOfOrder()) {
--- a/packages/node/src/chervilbend/node/callers/passage.cpp
+++ b/packages/node/src/chervilbend/node/callers/passage.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/front_metrics.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilbend::node
@@ -45,11 +46,21 @@
 {
     if (!m_hasFirstByte) {
         m_hasFirstByte = true;
+        m_firstByteAfter = m_firstByteAfter.value_or(base::clock::now() - m_since);
         work.firstByte();
         m_metrics.onFirstByte(plan.facts.urgency, base::clock::now() - m_since);
     }
 }
 
+void passage::notePiece()
+{
+    const base::time_point now = base::clock::now();
+    if (m_lastPiece) {
+        m_longestGap = std::max(m_longestGap, now - *m_lastPiece);
+    }
+    m_lastPiece = now;
+}
+
 void passage::progress(base::token_count generated)
 {
     if (generated.count() > m_tokens) {
--- a/packages/node/src/chervilbend/node/callers/passage.hpp
+++ b/packages/node/src/chervilbend/node/callers/passage.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace chervilbend::net
 {
@@ -31,6 +32,8 @@
     void startAttempt();
     /// Has an effect once per attempt.
     void firstByte();
+    /// A part of a stream has come; the time since the part before it is a gap.
+    void notePiece();
     /// So many tokens of this attempt so far.
     void progress(base::token_count generated);
     /// Has an effect once.
@@ -44,6 +47,18 @@
         return m_hasFirstByte;
     }
 
+    /// From the request's arrival to the first byte of its answer, over all attempts; no value while there is none.
+    std::optional<base::milliseconds> firstByteAfter() const
+    {
+        return m_firstByteAfter;
+    }
+
+    /// The longest time between two parts of the stream, over all attempts.
+    base::milliseconds longestGap() const
+    {
+        return m_longestGap;
+    }
+
     /// The endpoint of the stream that is passed on.
     base::endpoint_id endpoint;
     /// Follows the stream over all attempts.
@@ -56,6 +71,9 @@
     base::time_point m_since = base::clock::now();
     std::int64_t m_tokens = 0;
     bool m_hasFirstByte = false;
+    std::optional<base::milliseconds> m_firstByteAfter;
+    std::optional<base::time_point> m_lastPiece;
+    base::milliseconds m_longestGap{0};
     bool m_finished = false;
 };
 
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -32,6 +32,8 @@
 constexpr double slotFactor = 2.5;
 /// Until the holder of the command lease tells how many nodes there are.
 constexpr int nodesAtStart = 6;
+/// Nodes report their requests every 250 ms, so the holder's sum is half of that old on average.
+constexpr base::milliseconds othersLag{125};
 /// Between the end of the last request and the end of the process.
 constexpr base::milliseconds stopReserve{500};
 /// A leaving endpoint is seen within so much of the time that it still takes requests; the rest is for the store's delay and for requests
@@ -107,13 +109,14 @@
     , m_store(m_storeClient)
     , m_configuration(m_store, seedOf(settings))
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings), seedOf(settings) + 1)
+    , m_relay(m_endpoints, m_endpointFollower, m_configuration)
     , m_residency(m_endpoints)
     , m_engines(std::make_shared<net::http_client>())
     , m_lease(m_store, leaseOptions(settings))
     , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
     , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
     , m_peers(m_signer, std::make_shared<net::http_client>())
-    , m_holder(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage)
+    , m_holder(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay)
     , m_director(seedOf(settings), directorSettings(settings))
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
@@ -153,23 +156,46 @@
     });
     m_endpointFollower.onDoubt([this] { m_configuration.noteDoubt(); });
     m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
+        m_relay.noteChanged(changed);
         m_feed.update(changed);
         m_controller.endpointsChanged(changed);
         m_readiness.setMet("endpoints");
     });
-    m_lease.onChange([this](bool isHolder) { m_controller.leaseChanged(isHolder); });
+    m_lease.onChange([this](bool isHolder) {
+        m_relay.leaseChanged(isHolder);
+        m_controller.leaseChanged(isHolder);
+    });
     m_controller.onChange([this] { m_holder.ownNews(); });
     m_holder.onChange([this](const std::set<base::endpoint_id> &changed) { m_feed.update(changed); });
     m_holder.onNodes([this](int nodes) { m_director.setNodeCount(nodes); });
+    m_holder.setRunningSource([this] { return m_director.running(); });
+    m_holder.onOthers([this](const std::map<base::endpoint_id, int> &others) { setOthers(others); });
     m_forwarder.onMissing([this](const base::endpoint_id &endpoint, const fleet::wanted_item &item) {
         m_supply.noteMissing(endpoint, item);
         m_feed.update({endpoint});
     });
-    m_rpc.add(std::make_shared<fleet::exchange_method>(m_lease, m_controller));
+    m_rpc.add(std::make_shared<fleet::exchange_method>(m_lease, m_controller, m_relay));
     m_rpc.addWaiting(std::make_shared<fleet::want_method>(m_lease, m_controller));
     showMetrics();
 }
 
+void platform_node::setOthers(const std::map<base::endpoint_id, int> &others)
+{
+    const std::shared_ptr<const fleet::traffic_configuration> configuration = m_configuration.current();
+    if (!configuration) {
+        return;
+    }
+    for (const auto &[id, known] : m_endpoints.endpoints()) {
+        const auto service = configuration->services.find(known.entry.service);
+        // Plain services answer within the time that such a count takes to come.
+        if (service != configuration->services.end() && service->second.engine) {
+            const auto count = others.find(id);
+            m_director.setOthers(id, count == others.end() ? 0 : count->second, othersLag);
+        }
+    }
+    m_admission.pump();
+}
+
 void platform_node::showMetrics()
 {
     m_metrics.watch(m_open, m_admission, *m_callerServer);
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -10,6 +10,7 @@
 #include <chervilbend/fleet/engine_controller.hpp>
 #include <chervilbend/fleet/holder_link.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/node/callers/admission.hpp>
@@ -61,6 +62,7 @@
 private:
     bool listen();
     void connectParts();
+    void setOthers(const std::map<base::endpoint_id, int> &others);
     void showMetrics();
     void waitForSignal();
     void startShutdown();
@@ -77,6 +79,7 @@
     fleet::configuration_follower m_configuration;
     fleet::endpoint_registry m_endpoints;
     fleet::endpoint_follower m_endpointFollower;
+    fleet::store_relay m_relay;
     fleet::known_residency m_residency;
     fleet::usage_meter m_usage;
     platform::platform_engines m_engines;
