Take the count of nodes from the lease's record, and remove the counts of other nodes' requests

Change: the holder writes its count of nodes into the lease's record; every node reads that record before it follows a holder, and a new holder goes by it until all have reported. Before any record is there, a node takes itself for one of 24. The planner's steps that follow demand have a file of their own. Test: newProcessesLearnTheCountOfNodesFromTheRecord.

--- a/packages/fleet/src/chervilbend/fleet/command_lease.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.cpp
@@ -51,6 +51,11 @@
     m_listener = std::move(listener);
 }
 
+void command_lease::onNodes(std::function<void(int)> listener)
+{
+    m_nodesListener = std::move(listener);
+}
+
 bool command_lease::mayCommand() const
 {
     const base::time_point now = base::clock::bootNow();
@@ -80,6 +85,7 @@
     record.holder = m_options.node;
     record.life = m_options.life;
     record.peerAddress = m_options.peerAddress;
+    record.nodes = m_nodes;
     if (m_held) {
         record.token = m_held->token;
         record.renewal = m_held->renewal + 1;
@@ -196,6 +202,12 @@
         m_seenAt = base::clock::bootNow();
     }
     m_seen = page.record;
+    if (m_seen && m_seen->nodes > 0) {
+        m_nodes = m_seen->nodes;
+        if (m_nodesListener) {
+            m_nodesListener(m_nodes);
+        }
+    }
 }
 
 void command_lease::adopt(std::int64_t offset, base::time_point sentAt)
--- a/packages/fleet/src/chervilbend/fleet/command_lease.hpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.hpp
@@ -57,6 +57,13 @@
     /// Gives the lease up for a planned stop, and does not take it again.
     boost::asio::awaitable<void> release();
     void onChange(std::function<void(bool isHolder)> listener);
+    /// Called with the count of nodes in the lease's record each time that it is read.
+    void onNodes(std::function<void(int nodes)> listener);
+    /// The holder's own count, for the next renewals.
+    void setNodes(int nodes)
+    {
+        m_nodes = nodes;
+    }
 
     /// Queries.
 
@@ -73,6 +80,12 @@
         return m_held ? m_held->token : 0;
     }
 
+    /// Nodes as last counted or read; 0 when nobody has counted them yet.
+    int nodes() const
+    {
+        return m_nodes;
+    }
+
     /// Who holds the lease, as far as known and not expired.
     std::optional<lease_record> holder() const;
     /// Position of the record that holder() came from, and the time since its renewal was sent or learned of.
@@ -106,6 +119,9 @@
     fleet_store &m_store;
     command_lease_options m_options;
     std::function<void(bool)> m_listener;
+    std::function<void(int)> m_nodesListener;
+    /// As last counted by this node as the holder, or read.
+    int m_nodes = 0;
     std::optional<held_lease> m_held;
     /// The newest token that this process has held.
     std::int64_t m_lastToken = 0;
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -24,8 +24,6 @@
 constexpr base::milliseconds reportLife{2'000};
 /// So long after a node has taken the lease, all others have found it and reported.
 constexpr base::milliseconds reportsComplete{1'000};
-/// Requests of other nodes are told from one in so many of the engine's slots: fewer hardly slow it.
-constexpr int othersMatterFrom = 6;
 /// An engine takes about so long to load an adapter, and a little more before it serves it.
 constexpr base::milliseconds adapterLoadTime{8};
 /// Room is made once for an item that is waited for, and again only if it did not come about in this time.
@@ -94,7 +92,6 @@
     m_driver.clear();
     m_ledger.clear();
     m_reports.clear();
-    m_running.clear();
     m_heldSince = base::clock::now();
     m_policies.clear();
     // Registrations that another node relayed lack the models; the holder reads them itself first.
@@ -129,7 +126,6 @@
     while (true) {
         co_await net::sleepFor(planInterval);
         const std::shared_ptr<const traffic_configuration> configuration = m_configuration();
-        forgetSilentNodes();
         if (!configuration || !m_lease.mayCommand() || m_registry.isRelayed()) {
             continue;
         }
@@ -210,46 +206,14 @@
     return static_cast<int>(std::count_if(m_reports.begin(), m_reports.end(), [&](const auto &report) { return report.second.when >= oldest; }));
 }
 
-void engine_controller::takeDemand(const base::node_id &node, reported_demand demand)
+bool engine_controller::haveAllReported() const
 {
-    reported_demand &known = m_reports[node];
-    for (const auto &[engine, count] : known.running) {
-        m_running[engine] -= count;
-    }
-    for (const auto &[engine, count] : demand.running) {
-        m_running[engine] += count;
-    }
-    known = std::move(demand);
-}
-
-void engine_controller::forgetSilentNodes()
-{
-    const base::time_point oldest = base::clock::now() - reportLife;
-    for (auto &[node, report] : m_reports) {
-        if (report.when < oldest && !report.running.empty()) {
-            takeDemand(node, {{}, {}, report.when});
-        }
-    }
-    std::erase_if(m_running, [](const auto &engine) { return engine.second <= 0; });
-}
-
-std::map<base::endpoint_id, int> engine_controller::othersOf(const std::map<base::endpoint_id, int> &own) const
-{
-    std::map<base::endpoint_id, int> others;
-    for (const auto &[engine, count] : m_running) {
-        const engine_record *const record = m_ledger.find(engine);
-        const auto ownCount = own.find(engine);
-        const int rest = count - (ownCount == own.end() ? 0 : ownCount->second);
-        if (record && rest * othersMatterFrom >= record->entry.slots) {
-            others[engine] = rest;
-        }
-    }
-    return others;
+    return base::clock::now() - m_heldSince >= reportsComplete;
 }
 
 holder_answer engine_controller::report(const node_report &report)
 {
-    takeDemand(report.node, {report.open, report.running, base::clock::now()});
+    m_reports[report.node] = {report.open, base::clock::now()};
     for (const auto &[pool, count] : report.open) {
         noteUse(pool);
     }
@@ -262,11 +226,10 @@
     }
     answer.offset = m_lease.offset();
     answer.age = m_lease.age();
-    answer.nodes = std::max(1, liveNodes());
+    // Until all have reported, the count that stands in the lease's record is nearer to the truth.
+    answer.nodes = std::max({1, liveNodes(), haveAllReported() ? 0 : m_lease.nodes()});
+    m_lease.setNodes(answer.nodes);
     answer.version = m_ledger.version();
-    if (base::clock::now() - m_heldSince >= reportsComplete) {
-        answer.others = othersOf(report.running);
-    }
     answer.news = newsSince(report.token == m_lease.token() ? report.version : 0);
     return answer;
 }
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
@@ -72,7 +72,6 @@
 private:
     struct reported_demand {
         std::map<std::string, int> open;
-        std::map<base::endpoint_id, int> running;
         base::time_point when;
     };
 
@@ -91,9 +90,7 @@
     void noteUse(const std::string &pool);
     model_demand demandFor(const service_rule &service) const;
     int liveNodes() const;
-    /// Replaces what a node has told of its requests.
-    void takeDemand(const base::node_id &node, reported_demand demand);
-    void forgetSilentNodes();
+    bool haveAllReported() const;
     std::map<base::endpoint_id, int> othersOf(const std::map<base::endpoint_id, int> &own) const;
     void changed();
     base::milliseconds loadTime(const engine_record &engine, const model_rule &model) const;
@@ -106,8 +103,6 @@
     engine_driver m_driver;
     std::map<base::service_id, model_policy> m_policies;
     std::map<base::node_id, reported_demand> m_reports;
-    /// Requests on each engine over all reports.
-    std::map<base::endpoint_id, int> m_running;
     /// When the lease was last gained or lost.
     base::time_point m_heldSince;
     /// Items that requests wait for.
--- a/packages/fleet/src/chervilbend/fleet/engine_news.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_news.hpp
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,8 +33,6 @@
     std::map<std::string, int> open;
     /// Adapters that were asked for since the last report, as "SERVICE/MODEL/ADAPTER".
     std::vector<std::string> used;
-    /// Requests that the node has sent to each endpoint and that have not ended.
-    std::map<base::endpoint_id, int> running;
     /// Token and version of the holder's news that the node has already; 0 for none.
     std::int64_t token = 0;
     std::int64_t version = 0;
@@ -54,8 +51,6 @@
     std::int64_t version = 0;
     /// Engines that have changed since the version that the node had.
     std::vector<engine_news> news;
-    /// Requests that the other nodes run on each engine, where they are enough to matter; no value while not all nodes have told theirs.
-    std::optional<std::map<base::endpoint_id, int>> others;
     store_news store;
 };
 
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -18,26 +18,6 @@
     return object.isObject() && object[name].isInt64();
 }
 
-Json::Value toJson(const std::map<base::endpoint_id, int> &counts)
-{
-    Json::Value json(Json::objectValue);
-    for (const auto &[id, count] : counts) {
-        json[id.value()] = count;
-    }
-    return json;
-}
-
-std::map<base::endpoint_id, int> readCounts(const Json::Value &json)
-{
-    std::map<base::endpoint_id, int> counts;
-    for (auto item = json.begin(); item != json.end(); ++item) {
-        if (item->isInt()) {
-            counts[base::endpoint_id(item.name())] = item->asInt();
-        }
-    }
-    return counts;
-}
-
 } // namespace
 
 Json::Value toJson(const node_report &report)
@@ -51,7 +31,6 @@
     for (const auto &[model, count] : report.open) {
         open[model] = count;
     }
-    json["running"] = toJson(report.running);
     Json::Value &used = json["used"] = Json::Value(Json::arrayValue);
     for (const std::string &adapter : report.used) {
         used.append(adapter);
@@ -62,7 +41,7 @@
 std::optional<node_report> readNodeReport(const Json::Value &json)
 {
     if (!hasText(json, "node") || !hasNumber(json, "token") || !hasNumber(json, "version") || !hasNumber(json, "registrations") || !json["open"].isObject()
-        || !json["running"].isObject() || !json["used"].isArray()) {
+        || !json["used"].isArray()) {
         return std::nullopt;
     }
     node_report report;
@@ -75,7 +54,6 @@
             report.open[model] = json["open"][model].asInt();
         }
     }
-    report.running = readCounts(json["running"]);
     for (const Json::Value &adapter : json["used"]) {
         if (adapter.isString()) {
             report.used.push_back(adapter.asString());
@@ -145,9 +123,6 @@
     json["nodes"] = answer.nodes;
     json["version"] = static_cast<Json::Int64>(answer.version);
     json["news"] = toJson(answer.news);
-    if (answer.others) {
-        json["others"] = toJson(*answer.others);
-    }
     json["store"] = toJson(answer.store);
     return json;
 }
@@ -176,9 +151,6 @@
     answer.version = json["version"].asInt64();
     answer.news = std::move(*news);
     answer.store = std::move(*store);
-    if (json["others"].isObject()) {
-        answer.others = readCounts(json["others"]);
-    }
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/holder_link.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.cpp
@@ -69,16 +69,6 @@
     m_nodesListener = std::move(listener);
 }
 
-void holder_link::setRunningSource(std::function<std::map<base::endpoint_id, int>()> source)
-{
-    m_runningSource = std::move(source);
-}
-
-void holder_link::onOthers(std::function<void(const std::map<base::endpoint_id, int> &)> listener)
-{
-    m_othersListener = std::move(listener);
-}
-
 void holder_link::notify(const std::set<base::endpoint_id> &changed) const
 {
     if (m_listener && !changed.empty()) {
@@ -117,9 +107,6 @@
     report.node = m_node;
     report.open = m_usage.open();
     report.used = m_usage.takeUsed();
-    if (m_runningSource) {
-        report.running = m_runningSource();
-    }
     report.token = m_token;
     report.version = m_version;
     report.registrationsVersion = m_relay.versionFrom(m_token);
@@ -151,9 +138,6 @@
     if (m_nodesListener) {
         m_nodesListener(answer.nodes);
     }
-    if (m_othersListener && answer.others) {
-        m_othersListener(*answer.others);
-    }
     notify(m_residency.take(answer.news));
 }
 
--- a/packages/fleet/src/chervilbend/fleet/holder_link.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_link.hpp
@@ -55,10 +55,6 @@
     void onChange(std::function<void(const std::set<base::endpoint_id> &)> listener);
     /// Called after each exchange with the number of nodes.
     void onNodes(std::function<void(int)> listener);
-    /// Asked before each exchange for this node's requests on each endpoint.
-    void setRunningSource(std::function<std::map<base::endpoint_id, int>()> source);
-    /// Called after each exchange with the other nodes' requests on each engine, where they matter.
-    void onOthers(std::function<void(const std::map<base::endpoint_id, int> &)> listener);
     /// The controller on this node, when it holds the lease, has changed what engines hold.
     void ownNews();
 
@@ -77,8 +73,6 @@
     store_relay &m_relay;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void(int)> m_nodesListener;
-    std::function<std::map<base::endpoint_id, int>()> m_runningSource;
-    std::function<void(const std::map<base::endpoint_id, int> &)> m_othersListener;
     /// Signalled when an item that was asked for has been answered, by item.
     std::map<wanted_item, std::shared_ptr<net::change_signal>> m_asking;
     std::int64_t m_token = 0;
--- a/packages/fleet/src/chervilbend/fleet/lease_record.hpp
+++ b/packages/fleet/src/chervilbend/fleet/lease_record.hpp
@@ -19,6 +19,8 @@
     std::int64_t token = 0;
     /// Grows with every renewal.
     std::int64_t renewal = 0;
+    /// Nodes that the holder has counted, for nodes that start before a holder can tell them; 0 when nobody has counted them yet.
+    int nodes = 0;
     /// The holder gives the lease up; no command of it can follow.
     bool released = false;
 
--- a/packages/fleet/tests/command_lease_test.cpp
+++ b/packages/fleet/tests/command_lease_test.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(suspendedHolderGivesUpBeforeItActs);
     CPPUNIT_TEST(releasedLeaseIsTakenAtOnceAndUsedAfterTheGap);
     CPPUNIT_TEST(restartedHolderGoesOnWithAHigherToken);
+    CPPUNIT_TEST(newProcessesLearnTheCountOfNodesFromTheRecord);
     CPPUNIT_TEST(resignsWhenAnEngineKnowsAHigherToken);
     CPPUNIT_TEST(outageOfTheStoreLeavesOneHolder);
     CPPUNIT_TEST_SUITE_END();
@@ -197,6 +198,24 @@
         CPPUNIT_ASSERT(second.lease.token() > token);
     }
 
+    /// Guards against budgets that each process counts anew after all were killed, as if it were one of a few nodes.
+    void newProcessesLearnTheCountOfNodesFromTheRecord()
+    {
+        lease_cluster cluster;
+        lease_node &first = cluster.add("a", 1);
+        cluster.run(1'000);
+        first.lease.setNodes(83);
+        cluster.run(1'000);
+        first.store.isCut = true;
+        first.lease.resign("killed");
+        lease_node &second = cluster.add("b", 2);
+        int told = 0;
+        second.lease.onNodes([&told](int nodes) { told = nodes; });
+        cluster.run(100);
+        CPPUNIT_ASSERT_EQUAL(83, told);
+        CPPUNIT_ASSERT_EQUAL(83, second.lease.nodes());
+    }
+
     void resignsWhenAnEngineKnowsAHigherToken()
     {
         lease_cluster cluster;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -30,10 +30,8 @@
 constexpr double retryMargin = 0.8;
 /// Requests wait at the platform's servers rather than in the nodes: a server orders those of all nodes by urgency, and has a queue for it.
 constexpr double slotFactor = 2.5;
-/// Until the holder of the command lease tells how many nodes there are.
-constexpr int nodesAtStart = 6;
-/// Nodes report their requests every 250 ms, so the holder's sum is half of that old on average.
-constexpr base::milliseconds othersLag{125};
+/// Until the lease's record or its holder tells how many nodes there are.
+constexpr int nodesAtStart = 24;
 /// Between the end of the last request and the end of the process.
 constexpr base::milliseconds stopReserve{500};
 /// A leaving endpoint is seen within so much of the time that it still takes requests; the rest is for the store's delay and for requests
@@ -167,9 +165,8 @@
     });
     m_controller.onChange([this] { m_holder.ownNews(); });
     m_holder.onChange([this](const std::set<base::endpoint_id> &changed) { m_feed.update(changed); });
+    m_lease.onNodes([this](int nodes) { m_director.setNodeCount(nodes); });
     m_holder.onNodes([this](int nodes) { m_director.setNodeCount(nodes); });
-    m_holder.setRunningSource([this] { return m_director.running(); });
-    m_holder.onOthers([this](const std::map<base::endpoint_id, int> &others) { setOthers(others); });
     m_forwarder.onMissing([this](const base::endpoint_id &endpoint, const fleet::wanted_item &item) {
         m_supply.noteMissing(endpoint, item);
         m_feed.update({endpoint});
@@ -179,23 +176,6 @@
     showMetrics();
 }
 
-void platform_node::setOthers(const std::map<base::endpoint_id, int> &others)
-{
-    const std::shared_ptr<const fleet::traffic_configuration> configuration = m_configuration.current();
-    if (!configuration) {
-        return;
-    }
-    for (const auto &[id, known] : m_endpoints.endpoints()) {
-        const auto service = configuration->services.find(known.entry.service);
-        // Plain services answer within the time that such a count takes to come.
-        if (service != configuration->services.end() && service->second.engine) {
-            const auto count = others.find(id);
-            m_director.setOthers(id, count == others.end() ? 0 : count->second, othersLag);
-        }
-    }
-    m_admission.pump();
-}
-
 void platform_node::showMetrics()
 {
     m_metrics.watch(m_open, m_admission, *m_callerServer);
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -62,7 +62,6 @@
 private:
     bool listen();
     void connectParts();
-    void setOthers(const std::map<base::endpoint_id, int> &others);
     void showMetrics();
     void waitForSignal();
     void startShutdown();
--- a/packages/placement/src/chervilbend/placement/internal/cluster_model.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/cluster_model.cpp
@@ -228,6 +228,12 @@
     return bytes;
 }
 
+std::optional<std::size_t> cluster_model::indexOf(const base::item_id &item) const
+{
+    const auto found = m_index.find(item);
+    return found == m_index.end() ? std::nullopt : std::optional(found->second);
+}
+
 int cluster_model::copiesInZone(std::size_t item, const base::zone_id &zone) const
 {
     const auto &where = items[item].where;
--- a/packages/placement/src/chervilbend/placement/internal/cluster_model.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/cluster_model.hpp
@@ -4,6 +4,7 @@
 #include <chervilbend/placement/planner_input.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -83,6 +84,8 @@
         return items[item].base == item;
     }
 
+    /// No value for an item that no service declares.
+    std::optional<std::size_t> indexOf(const base::item_id &item) const;
     const item_copy *copyAt(std::size_t item, std::size_t endpoint) const;
     int countedCopies(std::size_t item) const;
     int loadedCopies(std::size_t item) const;
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
@@ -12,7 +12,8 @@
 namespace chervilbend::placement
 {
 
-/// One pass of the planner, step by step in the order of importance. What a step decides, later steps see.
+/// One pass of the planner, step by step in the order of importance. What a step decides, later steps see. The steps that follow demand are in
+/// planning_pass_demand.cpp.
 class planning_pass
 {
 public:
--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -13,8 +13,6 @@
 
 /// Longest time between two wake-ups, so that learned values and suspicions age without traffic.
 constexpr base::milliseconds idleWakeup{1000};
-/// A node whose share of an endpoint is smaller than so many requests goes by what the other nodes have there.
-constexpr double fewPlaces = 2;
 
 } // namespace
 
@@ -55,27 +53,6 @@
     markDirty(state);
 }
 
-void adaptive_director::setOthers(const base::endpoint_id &endpoint, int count, base::milliseconds lag)
-{
-    const auto found = m_endpoints.find(endpoint);
-    // A node with several places of its own at an endpoint knows enough by its own requests.
-    if (found != m_endpoints.end() && found->second->share(m_nodes) < fewPlaces) {
-        found->second->setOthers(count, base::clock::now() - lag);
-        markDirty(*found->second);
-    }
-}
-
-std::map<base::endpoint_id, int> adaptive_director::running() const
-{
-    std::map<base::endpoint_id, int> counts;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint->inFlight > 0) {
-            counts[id] = endpoint->inFlight;
-        }
-    }
-    return counts;
-}
-
 void adaptive_director::setNodeCount(int nodes)
 {
     m_nodes = std::max(1, nodes);
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -35,8 +35,6 @@
     void removeEndpoint(const base::endpoint_id &endpoint) override;
     void setReport(const base::endpoint_id &endpoint, const load_report &report) override;
     void setNodeCount(int nodes) override;
-    /// The other nodes have so many requests on the endpoint, as told @p lag ago. Says nothing on whether it lives.
-    void setOthers(const base::endpoint_id &endpoint, int count, base::milliseconds lag);
     std::optional<ticket> submit(const request_facts &facts, base::reason &why) override;
     bool retry(ticket request, request_outcome outcome, base::reason &why) override;
     bool allowsRetry(ticket request) const override;
@@ -49,8 +47,6 @@
     void learnSuspicion(std::uint64_t fingerprint, int crashes) override;
     std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
     base::time_point nextWakeup() const override;
-    /// This node's requests on each endpoint that has any.
-    std::map<base::endpoint_id, int> running() const;
 
 private:
     /// adaptive_director_pools.cpp: endpoints and pools.
--- a/packages/routing/src/chervilbend/routing/director_settings.hpp
+++ b/packages/routing/src/chervilbend/routing/director_settings.hpp
@@ -14,8 +14,6 @@
     /// Where an endpoint says how many requests it runs at once, its limit starts at so many times that number, stays above half of it and
     /// does not grow; 0.5 to 4. Above 1, a few requests wait at the endpoint, and no slot stays empty while nodes have unequal work.
     double slotFactor = 1.25;
-    /// The same where other nodes' requests at the endpoint are known: all nodes together send no more than so many times its slots; 0.5 to 4.
-    double sharedSlotFactor = 1.25;
     /// Upper bound of the adaptive limit of an endpoint; 1 to 65536.
     double maximumLimit = 1024;
     /// The limit falls when latency per unit of cost exceeds the best by this factor; 1.5 to 5.
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -46,7 +46,7 @@
 bool endpoint_selector::canTake(const pool_member &member, int nodes, base::time_point now) const
 {
     const endpoint_state &endpoint = *member.endpoint;
-    if (endpoint.facts.leaving || member.ejected || endpoint.inFlight >= endpoint.room(nodes, now)) {
+    if (endpoint.facts.leaving || member.ejected || endpoint.inFlight >= std::max(1.0, endpoint.share(nodes))) {
         return false;
     }
     // A down or doubtful endpoint gets single requests, spaced in time, that show whether it is back.
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -6,7 +6,6 @@
 #include <chervilbend/routing/load_report.hpp>
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace chervilbend::routing
@@ -24,8 +23,6 @@
     std::uint64_t idHash;
     std::vector<pool_state *> pools;
     concurrency_limit limit;
-    /// Requests that all nodes together may have on it; 0 when its slots are not known.
-    double places;
 
     /// This node's requests that run on it.
     int inFlight = 0;
@@ -42,10 +39,6 @@
     double others = 0;
     /// The same after ageing towards the pool's mean.
     double othersNow = 0;
-    /// When the other nodes last told how many requests they run on it.
-    std::optional<base::time_point> othersToldAt;
-    /// This node's requests on it at that time.
-    int inFlightWhenTold = 0;
     /// When the last report was true; epoch when there is none.
     base::time_point reportTime;
     std::int64_t life = 0;
@@ -62,12 +55,6 @@
         return limit.limit() / nodes;
     }
 
-    /// Requests that this node may have on it at once: what other nodes leave of its slots where that is known, otherwise its share of the limit
-    /// and at least one.
-    double room(int nodes, base::time_point now) const;
-
-    /// The other nodes have so many requests on it, as of @p when.
-    void setOthers(double count, base::time_point when);
     /// Takes over a report that arrives at @p now.
     void setReport(const load_report &report, base::time_point now);
     /// Brings othersNow up to date: a report loses its weight against @p mean, the pool's mean of others, as it gets older.
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -43,7 +43,7 @@
         }
         const double share = member.endpoint->share(nodes);
         const double rate = std::max(0.01, member.latency.msPerCost(msPerCost));
-        shares += std::max(share, member.endpoint->room(nodes, now));
+        shares += share;
         costPerMs += share / rate;
         speed += rate;
         ++usable;
