Split the planner's search for a copy's place, and drop a declaration without a body

Cause: addCopyFor did three things in 60 lines, and engine_controller.hpp still declared a function of the removed counts. Change: bestPlaceFor, relocateFor and moveCost have their own bodies; behaviour is the same.

--- a/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
@@ -91,7 +91,6 @@
     model_demand demandFor(const service_rule &service) const;
     int liveNodes() const;
     bool haveAllReported() const;
-    std::map<base::endpoint_id, int> othersOf(const std::map<base::endpoint_id, int> &own) const;
     void changed();
     base::milliseconds loadTime(const engine_record &engine, const model_rule &model) const;
 
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
@@ -4,6 +4,7 @@
 #include <chervilbend/placement/internal/place_finder.hpp>
 #include <chervilbend/placement/placement_planner.hpp>
 
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,6 +32,10 @@
     bool addCopyFor(std::size_t model);
     /// Places at which room is kept for an item that is not assigned there yet.
     int roomsInMaking() const;
+    std::optional<candidate_place> bestPlaceFor(std::size_t model, std::int64_t bytes);
+    void relocateFor(std::size_t model, std::int64_t bytes);
+    /// Of one load, as utilisation over the payback time.
+    double moveCost() const;
     void keepRoom(std::size_t model, std::size_t endpoint);
     /// The model's utilisation once the copies are there that room is being made for.
     double expectedLevel(std::size_t model) const;
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass_demand.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass_demand.cpp
@@ -60,23 +60,43 @@
 {
     const item_record &record = m_cluster.items[model];
     const std::int64_t bytes = m_cluster.bundleBytes(model);
+    const std::optional<candidate_place> place = bestPlaceFor(model, bytes);
+    if (!place) {
+        if (m_finder.keptRooms(model) == 0) {
+            relocateFor(model, bytes);
+        }
+        return false;
+    }
+    const std::size_t before = m_changes.size();
+    carryOut(model, *place, bytes, "expected utilisation " + percent(record.level) + " over " + std::to_string(m_cluster.countedCopies(model)) + " copies");
+    if (m_changes.size() > before) {
+        m_budget.takeMove();
+    }
+    return true;
+}
+
+double planning_pass::moveCost() const
+{
+    constexpr double loadMs = 2'000;
+    return loadMs / static_cast<double>(m_settings.payback.count());
+}
+
+std::optional<candidate_place> planning_pass::bestPlaceFor(std::size_t model, std::int64_t bytes)
+{
     // Room that is being made counts as a copy to come, so that several endpoints can make room at the same time.
     const int copies = m_cluster.countedCopies(model) + m_finder.keptRooms(model);
     const double level = expectedLevel(model);
-    const double loadSeconds = 2.0;
-    const double cost = loadSeconds * 1'000 / static_cast<double>(m_settings.payback.count());
     const bool mayMakeRoom = roomsInMaking() < m_storeSlots;
     std::vector<std::size_t> withoutPlace;
     std::optional<candidate_place> best;
     for (std::size_t endpoint = 0; endpoint < m_cluster.endpoints.size(); ++endpoint) {
         const endpoint_record &target = m_cluster.endpoints[endpoint];
         const double levelAfter = (copies * level + target.load) / (copies + 1);
-        const double gain = std::min(levelAfter - target.load, copies * (level - m_settings.upUtilisation) + cost);
+        const double gain = std::min(levelAfter - target.load, copies * (level - m_settings.upUtilisation) + moveCost());
         const bool isKept = m_finder.isKeptFor(model, endpoint);
-        if (isKept && target.free < bytes) {
-            continue;
-        }
-        if (gain <= cost || m_planner.m_avoidUntil.contains({target.id, record.id}) || m_finder.isKeptForOther(model, endpoint)) {
+        const bool isInMaking = isKept && target.free < bytes;
+        const bool isAvoided = m_planner.m_avoidUntil.contains({target.id, m_cluster.items[model].id});
+        if (isInMaking || gain <= moveCost() || isAvoided || m_finder.isKeptForOther(model, endpoint)) {
             continue;
         }
         std::optional<candidate_place> place = m_finder.placeAt(model, endpoint, bytes, eviction::downToDeclared);
@@ -88,8 +108,8 @@
         if (!place->victims.empty() && !mayMakeRoom) {
             continue;
         }
-        place->value = gain - place->loss - cost * static_cast<double>(1 + place->victims.size());
-        place->value += isKept ? 1.0 : 0.0;
+        constexpr double keptRoomBonus = 1;
+        place->value = gain - place->loss - moveCost() * static_cast<double>(1 + place->victims.size()) + (isKept ? keptRoomBonus : 0);
         if (place->value > 0 && (!best || place->value > best->value)) {
             best = std::move(place);
         }
@@ -99,26 +119,24 @@
             m_wantedEndpoints.insert(endpoint);
         }
     }
-    if (!best && m_finder.keptRooms(model) == 0) {
-        const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes);
-        const double levelAfter = relocation ? (copies * level + m_cluster.endpoints[relocation->endpoint].load) / (copies + 1) : 0;
-        const double gain = relocation ? levelAfter - m_cluster.endpoints[relocation->endpoint].load : 0;
-        // A relocation is a load and a drop more.
-        if (relocation && gain > relocation->loss + cost * static_cast<double>(1 + 2 * relocation->relocations.size() + relocation->victims.size())) {
-            m_budget.takeMove();
-            relocate(model, *relocation);
-        }
-        return false;
-    }
-    if (!best) {
-        return false;
+    return best;
+}
+
+void planning_pass::relocateFor(std::size_t model, std::int64_t bytes)
+{
+    const std::optional<candidate_place> relocation = m_finder.placeByRelocation(model, bytes);
+    if (!relocation) {
+        return;
     }
-    const std::size_t before = m_changes.size();
-    carryOut(model, *best, bytes, "expected utilisation " + percent(record.level) + " over " + std::to_string(m_cluster.countedCopies(model)) + " copies");
-    if (m_changes.size() > before) {
+    const int copies = m_cluster.countedCopies(model);
+    const double load = m_cluster.endpoints[relocation->endpoint].load;
+    const double gain = (copies * expectedLevel(model) + load) / (copies + 1) - load;
+    // A relocation is a load and a drop more.
+    const double moves = 1 + 2 * static_cast<double>(relocation->relocations.size()) + static_cast<double>(relocation->victims.size());
+    if (gain > relocation->loss + moveCost() * moves) {
         m_budget.takeMove();
+        relocate(model, *relocation);
     }
-    return true;
 }
 
 void planning_pass::fillKeptRooms()
