Let hosts with processor time to spare hold the command lease

Change: a host with less than a quarter of a core tries to acquire a free lease half a second later than the others. The new setting processorShare tells a node its share.

--- a/packages/fleet/src/chervilbend/fleet/command_lease.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.cpp
@@ -24,6 +24,10 @@
 constexpr base::milliseconds watchInterval{200};
 /// Upper bound of the random delay before a node tries to acquire a free lease, so that not all nodes try at the same time.
 constexpr int maxAcquireDelayMs = 150;
+/// Share of a processor core that the holder of a large cluster needs besides serving its callers.
+constexpr double holderProcessorShare = 0.25;
+/// How much longer hosts below that share wait: one watch interval, the random delay of the other hosts, and the write.
+constexpr base::milliseconds smallHostDelay{500};
 
 std::uint64_t seedOf(const command_lease_options &options)
 {
@@ -170,13 +174,19 @@
         co_await net::sleepFor(watchInterval);
         co_return;
     }
-    std::uniform_int_distribution<int> acquireDelay(0, maxAcquireDelayMs);
-    co_await net::sleepFor(base::milliseconds(page->record ? acquireDelay(m_random) : 0));
+    co_await net::sleepFor(acquireDelay(page->record.has_value()));
     if (!m_stopping) {
         co_await tryAcquire(*page);
     }
 }
 
+base::milliseconds command_lease::acquireDelay(bool hadHolder)
+{
+    std::uniform_int_distribution<int> randomDelay(0, maxAcquireDelayMs);
+    const base::milliseconds jitter(hadHolder ? randomDelay(m_random) : 0);
+    return m_options.processorShare < holderProcessorShare ? jitter + smallHostDelay : jitter;
+}
+
 asio::awaitable<void> command_lease::tryAcquire(lease_page page)
 {
     m_writeSentAt = base::clock::bootNow();
--- a/packages/fleet/src/chervilbend/fleet/command_lease.hpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.hpp
@@ -25,6 +25,8 @@
     std::int64_t incarnation = 0;
     /// "IP:PORT" at which other nodes reach this one.
     std::string peerAddress;
+    /// This host's share of a processor core. Hosts with a small share leave a free lease to the others for a while.
+    double processorShare = 1;
     /// How long the holder may send commands, counted from the time at which it sent a successful renewal.
     base::milliseconds term{1'500};
     base::milliseconds renewalInterval{500};
@@ -41,6 +43,9 @@
 /// The holder counts its term from the time at which it sent the renewal; all other nodes count the same term from the time at which they
 /// learned of it, so the holder always gives up first. Both use a clock that continues while the host is suspended. A new holder waits for
 /// commandGap after the end of the old holder's term before its first command.
+///
+/// The holder reads the store for all nodes and answers their reports, so it should be a host with some processor time to spare: the others
+/// try to acquire a free lease only if no such host has done so.
 class command_lease
 {
 public:
@@ -110,6 +115,8 @@
 
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> watch();
+    /// Delay before an attempt to acquire a free lease, which had a holder before or has never had one.
+    base::milliseconds acquireDelay(bool hadHolder);
     boost::asio::awaitable<void> tryAcquire(lease_page page);
     lease_record ownRecord() const;
     void observe(const lease_page &page);
--- a/packages/fleet/tests/command_lease_test.cpp
+++ b/packages/fleet/tests/command_lease_test.cpp
@@ -19,18 +19,19 @@
 {
 
 struct lease_node {
-    lease_node(test::store_content &content, const std::string &name, std::int64_t incarnation)
+    lease_node(test::store_content &content, const std::string &name, std::int64_t incarnation, double processorShare)
         : store(content)
-        , lease(store, optionsFor(name, incarnation))
+        , lease(store, optionsFor(name, incarnation, processorShare))
     {
     }
 
-    static command_lease_options optionsFor(const std::string &name, std::int64_t incarnation)
+    static command_lease_options optionsFor(const std::string &name, std::int64_t incarnation, double processorShare)
     {
         command_lease_options options;
         options.node = base::node_id(name);
         options.incarnation = incarnation;
         options.peerAddress = "127.0.0.1:1";
+        options.processorShare = processorShare;
         return options;
     }
 
@@ -39,9 +40,9 @@
 };
 
 struct lease_cluster {
-    lease_node &add(const std::string &name, std::int64_t incarnation = 1)
+    lease_node &add(const std::string &name, std::int64_t incarnation = 1, double processorShare = 1)
     {
-        nodes.push_back(std::make_unique<lease_node>(content, name, incarnation));
+        nodes.push_back(std::make_unique<lease_node>(content, name, incarnation, processorShare));
         asio::co_spawn(context, nodes.back()->lease.run(), asio::detached);
         return *nodes.back();
     }
@@ -106,6 +107,8 @@
     CPPUNIT_TEST(newProcessesReadTheNodeCountFromTheRecord);
     CPPUNIT_TEST(resignedLeaseIsReacquiredWithAHigherToken);
     CPPUNIT_TEST(outageOfTheStoreLeavesOneHolder);
+    CPPUNIT_TEST(smallHostLeavesAFreeLeaseToLargeOnes);
+    CPPUNIT_TEST(smallHostTakesTheLeaseWhenNoLargeOneIsLeft);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -247,6 +250,39 @@
         CPPUNIT_ASSERT_EQUAL(1, cluster.holders());
         CPPUNIT_ASSERT(cluster.holder().lease.mayCommand());
     }
+
+    /// Guards against a holder that lags behind the store because the reports of all nodes exhaust its share of a processor.
+    void smallHostLeavesAFreeLeaseToLargeOnes()
+    {
+        for (std::int64_t incarnation = 1; incarnation <= 20; ++incarnation) {
+            lease_cluster cluster;
+            cluster.add("small-1", incarnation, 0.12);
+            cluster.add("small-2", incarnation, 0.12);
+            lease_node &first = cluster.add("large-1", incarnation, 0.5);
+            lease_node &second = cluster.add("large-2", incarnation, 0.5);
+            cluster.run(1'500);
+            CPPUNIT_ASSERT_EQUAL(1, cluster.holders());
+            CPPUNIT_ASSERT(first.lease.isHolder() || second.lease.isHolder());
+            lease_node &killed = cluster.holder();
+            killed.store.isDisconnected = true;
+            cluster.run(5'000);
+            CPPUNIT_ASSERT_EQUAL(1, cluster.holders());
+            lease_node &remaining = &killed == &first ? second : first;
+            CPPUNIT_ASSERT_MESSAGE("incarnation " + std::to_string(incarnation), remaining.lease.isHolder());
+        }
+    }
+
+    void smallHostTakesTheLeaseWhenNoLargeOneIsLeft()
+    {
+        lease_cluster cluster;
+        lease_node &small = cluster.add("small", 1, 0.12);
+        lease_node &large = cluster.add("large", 1, 0.5);
+        cluster.run(1'500);
+        CPPUNIT_ASSERT(large.lease.isHolder());
+        large.store.isDisconnected = true;
+        cluster.run(6'000);
+        CPPUNIT_ASSERT(small.lease.isHolder() && small.lease.mayCommand());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(command_lease_test);
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -78,6 +78,7 @@
     options.node = base::node_id(settings.node);
     options.incarnation = base::clock::wallNow().count();
     options.peerAddress = settings.peerListen;
+    options.processorShare = settings.processorShare;
     options.commandGap = settings.commandGap;
     options.enginesCheckFencing = settings.enginesCheckFencing;
     return options;
