Give up a running stream only for a silent endpoint and a certain retry

Cause: a stream that received nothing for three target latencies was given up before its first event whatever its endpoint did for others, and allowsRetry() checked less than the retry that followed: not the time left, not whether another endpoint has room. Change: endpoint_silence tells an endpoint that sends none of several begun responses from one response that waits; only the former is left. allowsRetry() now answers whether another endpoint would take the request at once and in time. m_lastReceived, which was never pruned, is gone.

--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -205,12 +205,7 @@
         options.answerTimeout = std::min(options.answerTimeout, plan.silenceTimeout);
         options.keepWaiting = [this, weak = std::weak_ptr(request), endpoint = target.endpoint] {
             const std::shared_ptr<forwarded_request> waiting = weak.lock();
-            if (!waiting || !waiting->admitted.allowsRetry()) {
-                return waiting != nullptr;
-            }
-            // Before the first byte, a silent endpoint is abandoned and another one is tried. Within a stream, a gap is tolerated if the endpoint
-            // still sends data for other requests: it has preempted this one.
-            return waiting->hasFirstByte() && !isSilent(endpoint, waiting->plan.silenceTimeout);
+            return waiting && !(isAbandonable(*waiting, endpoint) && waiting->admitted.allowsRetry());
         };
     }
     const endpoint_protocol &protocol = plan.protocol ? *plan.protocol : m_nativeProtocol;
@@ -226,14 +221,12 @@
         }
         co_return result;
     }
-    m_lastReceived[target.endpoint] = base::clock::now();
     co_return co_await forwardResponse(request, std::move(target), answer);
 }
 
-bool forwarder::isSilent(const base::endpoint_id &endpoint, base::milliseconds silenceTimeout) const
+bool forwarder::isAbandonable(const forwarded_request &request, const base::endpoint_id &endpoint) const
 {
-    const auto last = m_lastReceived.find(endpoint);
-    return last == m_lastReceived.end() || base::clock::now() - last->second >= silenceTimeout;
+    return request.plan.resumable ? m_silence->isSilent(endpoint, request.plan.silenceTimeout) : !request.hasFirstByte();
 }
 
 asio::awaitable<forwarder::attempt_result>
@@ -276,6 +269,7 @@
     case fleet::answer_disposition::mismatched:
         break;
     }
+    request->endpoint = target.endpoint;
     if (!isEventStream(answer->header())) {
         if (request->exchange->isStarted()) {
             result.mayHaveRun = true;
@@ -287,7 +281,6 @@
         co_return co_await forwardCompleteResponse(request, answer);
     }
     const bool requiresDoneEvent = plan.inference && answer->header().result() == http::status::ok;
-    request->endpoint = target.endpoint;
     co_return co_await forwardStream(request, answer, std::string(), requiresDoneEvent);
 }
 
@@ -341,6 +334,7 @@
     attempt_result result;
     result.mayHaveRun = true;
     event_scanner &scanner = request->events;
+    std::optional<endpoint_silence::open_response> openResponse;
     std::string_view ready = bufferedBody;
     bool complete = false;
     while (true) {
@@ -363,7 +357,10 @@
         }
         request->firstByte();
         request->recordStreamPart();
-        m_lastReceived[request->endpoint] = base::clock::now();
+        if (!openResponse) {
+            openResponse.emplace(m_silence, request->endpoint);
+        }
+        openResponse->received();
         ready = events ? scanner.feed(*piece) : *piece;
         if (events && scanner.isOutOfOrder()) {
             result.why = {base::error_kind::endpointInvalidAnswer, "the stream's event ids are not increasing"};
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/reason.hpp>
+#include <chervilbend/node/callers/endpoint_silence.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/native_protocol.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
@@ -11,7 +12,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 namespace chervilbend::net
 {
@@ -59,7 +59,9 @@
     boost::asio::awaitable<attempt_result>
         forwardResponse(std::shared_ptr<forwarded_request> request, routing::dispatch target, std::shared_ptr<net::http_client_stream> answer);
     boost::asio::awaitable<void> refuse(std::shared_ptr<forwarded_request> request, base::reason why, bool mayHaveRun);
-    bool isSilent(const base::endpoint_id &endpoint, base::milliseconds silenceTimeout) const;
+    /// Whether an attempt that has received nothing for its silence timeout may be given up for another endpoint: a stream only if the endpoint
+    /// itself has fallen silent, because a stream may be queued or preempted for seconds.
+    bool isAbandonable(const forwarded_request &request, const base::endpoint_id &endpoint) const;
     boost::asio::awaitable<attempt_result> forwardCompleteResponse(std::shared_ptr<forwarded_request> request, std::shared_ptr<net::http_client_stream> answer);
     /// @p bufferedBody is the part of the body that has already been read from @p answer.
     boost::asio::awaitable<attempt_result> forwardStream(std::shared_ptr<forwarded_request> request,
@@ -73,8 +75,8 @@
     caller_metrics &m_metrics;
     native_protocol m_nativeProtocol;
     missing_item_listener m_missingItemListener;
-    /// Time at which each endpoint last sent any data.
-    std::unordered_map<base::endpoint_id, base::time_point> m_lastReceived;
+    /// Shared with the open responses, which may outlive the forwarder.
+    const std::shared_ptr<endpoint_silence> m_silence = std::make_shared<endpoint_silence>();
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
@@ -35,7 +35,7 @@
     /// Id of the last event that the caller has received.
     std::optional<std::int64_t> lastEvent;
     int tokensPerEvent = 1;
-    /// A repeatable request is sent to another endpoint if the current one has been silent for this long; 0 to wait until the deadline.
+    /// A repeatable request may be sent to another endpoint if it has received nothing for this long; 0 to wait until the deadline.
     base::milliseconds silenceTimeout{0};
     /// Callers of the platform's protocol rely on the status alone: 503 guarantees that the request was not executed, any other failure leaves it
     /// open. The node adds no bytes of its own to an endpoint's response, and a response may be delimited by the end of its connection.
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -29,7 +29,7 @@
 
 /// For callers that send no deadline.
 constexpr base::milliseconds defaultCallerTimeout{30'000};
-/// An endpoint is abandoned after a silence of this many target latencies, clamped to the bounds below.
+/// A silent attempt may be given up after this many target latencies, clamped to the bounds below.
 constexpr int silenceTimeoutFactor = 3;
 constexpr base::milliseconds minSilenceTimeout{400};
 constexpr base::milliseconds maxSilenceTimeout{2'000};
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -155,6 +155,8 @@
     CPPUNIT_TEST(streamResumesAtAnotherEndpoint);
     CPPUNIT_TEST(nonResumableStreamIsNotTerminated);
     CPPUNIT_TEST(silentEndpointIsAbandonedForRepeatableRequest);
+    CPPUNIT_TEST(queuedStreamIsNotAbandoned);
+    CPPUNIT_TEST(preemptedStreamIsNotAbandoned);
     CPPUNIT_TEST(unavailableItemIsRejected);
     CPPUNIT_TEST(engineMissingItemIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -313,6 +315,46 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("from the second"));
     }
 
+    /// Guards against a stream that waits in the queue of a busy engine and is given up for another endpoint, where it starts anew.
+    void queuedStreamIsNotAbandoned()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            co_await net::sleepFor(base::milliseconds(1'200));
+            co_await caller->send(sealedStream + numberedEvent(1) + numberedEvent(2) + lastChunk);
+        });
+        int received = 0;
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            ++received;
+        });
+        const std::string answer = fixture.ask("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(0, received);
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word2") && answer.ends_with("0\r\n\r\n"));
+    }
+
+    void preemptedStreamIsNotAbandoned()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            co_await caller->send(sealedStream + numberedEvent(1));
+            co_await net::sleepFor(base::milliseconds(1'200));
+            co_await caller->send(numberedEvent(2) + lastChunk);
+        });
+        int received = 0;
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            ++received;
+        });
+        const std::string answer = fixture.ask("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(0, received);
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word2") && answer.ends_with("0\r\n\r\n"));
+    }
+
     void unavailableItemIsRejected()
     {
         route_api_fixture fixture;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -13,17 +13,16 @@
 
 /// Gap between two checks above which the process counts as paused. On a busy host a check can be late by a few intervals.
 constexpr base::milliseconds pauseThreshold = 5 * traffic_director::pauseCheckInterval;
-
-} // namespace
-
-namespace
-{
-
 /// No retries are allowed for this long after a pool shed load: a retry would displace first attempts.
 constexpr base::milliseconds shedRetryPause{1000};
 /// Delay until an endpoint is tried again after a failed connection attempt.
 constexpr base::milliseconds downRetryDelay{1000};
 
+bool isShedding(const pool_state &pool, base::time_point now)
+{
+    return pool.hasShed && now - pool.lastShed < shedRetryPause;
+}
+
 } // namespace
 
 void adaptive_director::firstByte(request_handle id)
@@ -211,7 +210,7 @@
     endAttempt(*request, outcome, now);
     // latestDispatch bounds only the first dispatch. For a retry, only the deadline counts.
     request->facts.latestDispatch = base::time_point::max();
-    setLatestStart(*request);
+    request->latestStart = latestStartFor(*request);
     if (!grantRetry(*request, outcome, now, why)) {
         release(*request);
         return false;
@@ -223,17 +222,15 @@
 bool adaptive_director::allowsRetry(request_handle id) const
 {
     const request_state *const request = m_requests.find(id);
-    if (request == nullptr) {
+    if (request == nullptr || request->phase != request_phase::running) {
         return false;
     }
     const pool_state &pool = *request->pool;
-    const bool isShedding = pool.hasShed && base::clock::now() - pool.lastShed < shedRetryPause;
+    const base::time_point now = base::clock::now();
     const auto budget = m_retryBudgets.find(request->facts.retryGroup);
     const bool isExhausted = budget != m_retryBudgets.end() && budget->second.isExhausted();
-    const bool hasOther = std::any_of(pool.members.begin(), pool.members.end(), [&](const pool_member &member) {
-        return member.endpoint != request->endpoint && !member.endpoint->facts.draining && !member.endpoint->isDown;
-    });
-    return hasOther && !isShedding && !isExhausted && pool.queue.size() == 0;
+    const bool isInTime = now <= latestStartFor(*request) && !m_suspects.isRefused(request->facts.fingerprint);
+    return isInTime && !isExhausted && !isShedding(pool, now) && pool.queue.size() == 0 && m_selector.hasRoomElsewhere(pool, *request, m_nodes, now);
 }
 
 bool adaptive_director::grantRetry(const request_state &request, request_outcome outcome, base::time_point now, base::reason &why)
@@ -252,7 +249,7 @@
         why = {base::error_kind::requestRefused, "identical requests crashed " + std::to_string(m_settings.crashesToRefuse) + " endpoints"};
     } else if (now > request.latestStart) {
         why = {failure, "the deadline leaves no time for a retry"};
-    } else if (pool.queue.isCongested() || (pool.hasShed && now - pool.lastShed < shedRetryPause)) {
+    } else if (pool.queue.isCongested() || isShedding(pool, now)) {
         why = {failure, "the pool is overloaded, so no retry is made"};
     } else if (!budget.tryWithdraw()) {
         why = {failure, "the retry budget is exhausted"};
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -74,15 +74,14 @@
     request.predictedTokens = pool.predictor.outputTokens(request.facts.urgency, request.facts.maxTokens);
     request.cost = request.inputCost + request.predictedTokens;
     request.lane = {request.facts.urgency, request.cost > pool.longThreshold};
-    setLatestStart(request);
+    request.latestStart = std::min(latestStartFor(request), request.facts.latestDispatch);
 }
 
-void adaptive_director::setLatestStart(request_state &request) const
+base::time_point adaptive_director::latestStartFor(const request_state &request)
 {
     const double remainingCost = std::max(1.0, request.cost - static_cast<double>(request.generated));
     const double requiredMs = requiredTimeShare * remainingCost * request.pool->msPerCost;
-    request.latestStart = request.facts.deadline - base::milliseconds(static_cast<std::int64_t>(std::min(requiredMs, 1e12)));
-    request.latestStart = std::min(request.latestStart, request.facts.latestDispatch);
+    return request.facts.deadline - base::milliseconds(static_cast<std::int64_t>(std::min(requiredMs, 1e12)));
 }
 
 bool adaptive_director::admit(request_state &request, base::reason &why)
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -64,6 +64,16 @@
     return endpoint.longInFlight < std::max(1.0, pool.longShare * endpoint.share(nodes));
 }
 
+bool endpoint_selector::hasRoomElsewhere(const pool_state &pool, const request_state &request, int nodes, base::time_point now) const
+{
+    return std::any_of(pool.members.begin(), pool.members.end(), [&](const pool_member &member) {
+        const endpoint_state &endpoint = *member.endpoint;
+        const bool isReachable = !endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial);
+        return member.endpoint != request.endpoint && isReachable && canAccept(member, nodes, now)
+            && (!request.lane.isLong || canAcceptLong(pool, member, nodes, now));
+    });
+}
+
 void endpoint_selector::refreshCandidates(pool_state &pool, int nodes, base::time_point now)
 {
     m_candidates.clear();
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -33,7 +33,12 @@
     /// one is not free.
     pool_member *pickForSuspect(const pool_state &pool, const request_state &request, bool allowFallback);
 
-    /// Queries. They refer to the last call of refreshCandidates().
+    /// Queries.
+
+    /// Whether an endpoint other than the one that has the request could accept it now.
+    bool hasRoomElsewhere(const pool_state &pool, const request_state &request, int nodes, base::time_point now) const;
+
+    /// The following queries refer to the last call of refreshCandidates().
 
     bool hasRoom() const
     {
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -58,7 +58,7 @@
     /// is allowed; the request is then finished and its handle invalid.
     virtual bool retry(request_handle request, request_outcome outcome, base::reason &why) = 0;
 
-    /// Whether the state of the pool and the retry budget would allow a retry now. retry() also checks the request itself.
+    /// Whether a running request that may be repeated would be sent to another endpoint at once if its attempt were given up now.
     virtual bool allowsRetry(request_handle /*request*/) const
     {
         return true;
--- a/packages/routing/tests/adaptive_director_test.cpp
+++ b/packages/routing/tests/adaptive_director_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(refusesWhatCannotMeetItsDeadline);
     CPPUNIT_TEST(admitsLateWorkOnceASecondToCorrectThePrediction);
     CPPUNIT_TEST(firstDispatchHasItsOwnBound);
+    CPPUNIT_TEST(retryIsOfferedOnlyWithRoomAndTimeElsewhere);
     CPPUNIT_TEST(retriesAreBoundedPerServiceAndOverAllNodes);
     CPPUNIT_TEST(knownSlotsSetTheLimit);
     CPPUNIT_TEST(stopsARetryStorm);
@@ -202,6 +203,22 @@
         CPPUNIT_ASSERT(refused.size() == 1 && refused[0].request == waiting);
     }
 
+    /// Guards against running work that is given up although no other endpoint can take it over, or not in time.
+    void retryIsOfferedOnlyWithRoomAndTimeElsewhere()
+    {
+        director_driver driver(2, fixedLimit(1));
+        request_facts facts = director_driver::request();
+        facts.deadline = base::clock::now() + base::milliseconds(4000);
+        const dispatch first = driver.send(facts);
+        const dispatch second = driver.send(director_driver::request());
+        CPPUNIT_ASSERT(!first.endpoint.empty() && !second.endpoint.empty() && first.endpoint != second.endpoint);
+        CPPUNIT_ASSERT_MESSAGE("the other endpoint has no room", !driver.director.allowsRetry(first.request));
+        driver.answer(second.request);
+        CPPUNIT_ASSERT_MESSAGE("the other endpoint has room", driver.director.allowsRetry(first.request));
+        driver.wait(3900);
+        CPPUNIT_ASSERT_MESSAGE("the deadline leaves no time", !driver.director.allowsRetry(first.request));
+    }
+
     void retriesAreBoundedPerServiceAndOverAllNodes()
     {
         director_settings settings;
