End responses with endless interim answers or an endless event at once

Cause: bytes without end from an endpoint were bounded in memory but not in time. Interim answers (100 Continue) were read until the request's deadline, which occupies the event loop; an event without end was passed on to the caller in parts of 256 KiB until the deadline, as a 200. Change: more than 16 interim answers, or on routes with the platform's statuses an event beyond 256 KiB, make the answer invalid: the connection is closed and the caller gets 502, or a broken stream if a part was sent. Looked for and not found: an endless header is refused at 32 KiB (new test, green before), an endless body never looks complete and its connection is closed at the deadline (new test, green before). Tests: endlessInterimResponsesAreRefusedAtOnce and endlessEventIsRefusedAtOnce failed before the change.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -28,6 +28,8 @@
 constexpr base::milliseconds defaultIdleLimit{4'000};
 /// Subtracted from the peer's Keep-Alive timeout, to allow for the time that a request is in transit.
 constexpr base::milliseconds idleMargin{700};
+/// Maximum number of interim answers to one request. A peer that sends them without end would occupy the event loop until the deadline.
+constexpr int maxInterimAnswers = 16;
 } // namespace
 
 http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, release_callback release)
@@ -111,7 +113,7 @@
 
 asio::awaitable<bool> http_client_stream::readHeader()
 {
-    while (true) {
+    for (int interimAnswers = 0; interimAnswers <= maxInterimAnswers;) {
         armReadDeadline();
         const auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, awaitTuple);
         if (shouldKeepWaiting(error)) {
@@ -131,8 +133,12 @@
             co_return true;
         }
         // An interim answer (RFC 9110, section 15.2); the final one follows.
+        ++interimAnswers;
         resetParser();
     }
+    m_connection->close();
+    fail(base::error_kind::endpointInvalidAnswer, "the endpoint sent more than " + std::to_string(maxInterimAnswers) + " interim answers");
+    co_return false;
 }
 
 asio::awaitable<bool> http_client_stream::skipToNextAnswer()
--- a/packages/node/src/chervilbend/node/callers/event_scanner.cpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.cpp
@@ -50,6 +50,7 @@
     std::size_t end = endOfLastEvent(m_pending);
     if (end == 0 && m_pending.size() > maxPendingEvent) {
         end = m_pending.size();
+        m_isOverlong = true;
     }
     m_ready.assign(m_pending, 0, end);
     m_pending.erase(0, end);
--- a/packages/node/src/chervilbend/node/callers/event_scanner.hpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.hpp
@@ -47,6 +47,12 @@
         return m_lastEvent;
     }
 
+    /// Whether an event exceeded the size up to which events are kept together.
+    bool isOverlong() const
+    {
+        return m_isOverlong;
+    }
+
     /// Whether an event id was not greater than the preceding one.
     bool isOutOfOrder() const
     {
@@ -75,6 +81,7 @@
     std::int64_t m_tokens = 0;
     bool m_done = false;
     std::optional<std::int64_t> m_lastEvent;
+    bool m_isOverlong = false;
     bool m_outOfOrder = false;
 };
 
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -366,6 +366,10 @@
             result.why = {base::error_kind::endpointInvalidAnswer, "the stream's event ids are not increasing"};
             break;
         }
+        if (plan.hasStrictStatus && scanner.isOverlong()) {
+            result.why = {base::error_kind::endpointInvalidAnswer, "the stream contains bytes without end that are no event"};
+            break;
+        }
         request->progress(base::token_count(scanner.tokens().count() * plan.tokensPerEvent));
     }
     if (complete) {
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -157,6 +157,10 @@
     CPPUNIT_TEST(silentEndpointIsAbandonedForRepeatableRequest);
     CPPUNIT_TEST(queuedStreamIsNotAbandoned);
     CPPUNIT_TEST(preemptedStreamIsNotAbandoned);
+    CPPUNIT_TEST(endlessHeaderIsRefusedAtOnce);
+    CPPUNIT_TEST(endlessInterimResponsesAreRefusedAtOnce);
+    CPPUNIT_TEST(endlessEventIsRefusedAtOnce);
+    CPPUNIT_TEST(endlessBodyIsNotComplete);
     CPPUNIT_TEST(unavailableItemIsRejected);
     CPPUNIT_TEST(engineMissingItemIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -355,6 +359,32 @@
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word2") && answer.ends_with("0\r\n\r\n"));
     }
 
+    void endlessHeaderIsRefusedAtOnce()
+    {
+        checkEndlessResponse("/order/x", "HTTP/1.1 200 OK\r\n", "X-Field: " + std::string(1'000, 'a') + "\r\n");
+    }
+
+    void endlessInterimResponsesAreRefusedAtOnce()
+    {
+        checkEndlessResponse("/order/x", {}, "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    void endlessEventIsRefusedAtOnce()
+    {
+        checkEndlessResponse("/report/x", sealedStream, chunk(std::string(1'000, 'a')));
+    }
+
+    void endlessBodyIsNotComplete()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        bool isClosed = false;
+        fixture.addEndpoint(sendEndlessly("HTTP/1.1 200 OK\r\nChervilbend-Attempt-Id: own1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk("garbage"), isClosed));
+        const std::string answer = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE("the response has no end", !answer.ends_with("0\r\n\r\n"));
+        net::test::runUntilDone(fixture.context, [&]() -> asio::awaitable<void> { co_await net::test::waitUntil([&] { return isClosed; }); });
+    }
+
     void unavailableItemIsRejected()
     {
         route_api_fixture fixture;
@@ -375,6 +405,34 @@
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word1"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.itemProvider.missing.size());
     }
+
+private:
+    /// The endpoint sends @p start, and then @p part again and again until the node closes the connection.
+    static raw_server::script sendEndlessly(std::string start, std::string part, bool &isClosed)
+    {
+        return [start = std::move(start), part = std::move(part), &isClosed](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            bool isOpen = co_await caller->send(start);
+            while (isOpen) {
+                isOpen = co_await caller->send(part);
+            }
+            isClosed = true;
+        };
+    }
+
+    /// Guards against bytes without end that occupy the node's processor and memory, or the caller, until the request's deadline.
+    static void checkEndlessResponse(const std::string &path, const std::string &start, const std::string &part)
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        bool isClosed = false;
+        fixture.addEndpoint(sendEndlessly(start, part, isClosed));
+        const base::time_point askedAt = base::clock::now();
+        const std::string answer = fixture.ask(path);
+        CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 500), contains(answer, " 502 "));
+        CPPUNIT_ASSERT_MESSAGE("the deadline is 3 s", base::clock::now() - askedAt < base::milliseconds(2'000));
+        net::test::runUntilDone(fixture.context, [&]() -> asio::awaitable<void> { co_await net::test::waitUntil([&] { return isClosed; }); });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(route_api_test);
