Release the command lease at the start of a planned stop

A renewal that was on its way when the release began moved the record, and the release was written in vain. Change: the lease is released at SIGTERM, so the next holder's command gap coincides with the open requests; a release without effect is tried again behind the renewal, three times at most.

--- a/packages/fleet/src/chervilbend/fleet/command_lease.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.cpp
@@ -28,6 +28,7 @@
 constexpr double holderProcessorShare = 0.25;
 /// How much longer hosts below that share wait: one watch interval, the random delay of the other hosts, and the write.
 constexpr base::milliseconds smallHostDelay{500};
+constexpr int maxReleaseAttempts = 3;
 
 std::uint64_t seedOf(const command_lease_options &options)
 {
@@ -292,15 +293,33 @@
 asio::awaitable<void> command_lease::release()
 {
     m_stopping = true;
-    if (!m_held) {
-        co_return;
+    bool isReleased = false;
+    for (int attempt = 0; attempt < maxReleaseAttempts && m_held && !isReleased; ++attempt) {
+        lease_record record = ownRecord();
+        record.released = true;
+        const lease_write written = co_await m_store.writeLease(record, m_latestOffset + 1);
+        isReleased = written.status == lease_write_status::written;
+        if (isReleased) {
+            LOG4CXX_INFO(leaseLog(), base::log_event("leaseReleased").with("token", record.token).text());
+        } else if (!co_await isStillOwnRecord()) {
+            break;
+        }
+    }
+    if (m_held && !isReleased) {
+        LOG4CXX_WARN(leaseLog(), base::log_event("releaseFailed").with("token", m_held->token).with("why", m_store.lastReason().text).text());
     }
-    lease_record record = ownRecord();
-    record.released = true;
-    const lease_write written = co_await m_store.writeLease(record, m_latestOffset + 1);
-    LOG4CXX_INFO(leaseLog(),
-                 base::log_event("leaseReleased").with("token", record.token).with("written", written.status == lease_write_status::written).text());
     m_held.reset();
 }
 
+/// A renewal that was on its way when the release began moves the record, so the release has to be written after it.
+asio::awaitable<bool> command_lease::isStillOwnRecord()
+{
+    const std::optional<lease_page> page = co_await m_store.lease();
+    const bool isOwn = page && page->record && m_held && page->record->token == m_held->token && !page->record->released;
+    if (isOwn) {
+        m_latestOffset = page->end - 1;
+    }
+    co_return isOwn || !page;
+}
+
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/command_lease.hpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.hpp
@@ -119,6 +119,8 @@
     base::milliseconds acquireDelay(bool hadHolder);
     boost::asio::awaitable<void> tryAcquire(lease_page page);
     lease_record ownRecord() const;
+    /// Reads the record after a release without effect. False when another release or holder has replaced it.
+    boost::asio::awaitable<bool> isStillOwnRecord();
     void observe(const lease_page &page);
     void startHolding(std::int64_t offset, base::time_point sentAt);
     bool isFree(const lease_page &page) const;
--- a/packages/fleet/tests/command_lease_test.cpp
+++ b/packages/fleet/tests/command_lease_test.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(lostAnswersDoNotLoseTheLease);
     CPPUNIT_TEST(suspendedHolderSendsNoCommands);
     CPPUNIT_TEST(releasedLeaseIsTakenAtOnceAndUsedAfterTheGap);
+    CPPUNIT_TEST(releaseDuringARenewalIsWritten);
     CPPUNIT_TEST(restartedHolderGetsAHigherToken);
     CPPUNIT_TEST(newProcessesReadTheNodeCountFromTheRecord);
     CPPUNIT_TEST(resignedLeaseIsReacquiredWithAHigherToken);
@@ -186,6 +187,20 @@
         CPPUNIT_ASSERT(cluster.holder().lease.mayCommand());
     }
 
+    /// Guards against a planned stop that leaves the lease to expire because a renewal was on its way to the store.
+    void releaseDuringARenewalIsWritten()
+    {
+        for (int offsetMs = 0; offsetMs < 600; offsetMs += 10) {
+            lease_cluster cluster;
+            lease_node &node = cluster.add("a");
+            node.store.delay = base::milliseconds(30);
+            cluster.run(1'000 + offsetMs);
+            asio::co_spawn(cluster.context, node.lease.release(), asio::detached);
+            cluster.run(300);
+            CPPUNIT_ASSERT_MESSAGE("after " + std::to_string(offsetMs) + " ms", cluster.content.lease && cluster.content.lease->released);
+        }
+    }
+
     void restartedHolderGetsAHigherToken()
     {
         lease_cluster cluster;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -137,7 +137,7 @@
                  *m_callerServer,
                  m_openRequests,
                  {settings.balancerWait, settings.shutdownBound - shutdownReserve, base::milliseconds(0)},
-                 [this] { return m_lease.release(); })
+                 {})
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
     connectComponents();
@@ -285,6 +285,8 @@
 
 void platform_node::startShutdown()
 {
+    // Released before the open requests end, so that the next holder's wait for the command gap coincides with them.
+    asio::co_spawn(m_context, m_lease.release(), asio::detached);
     asio::co_spawn(m_context, m_shutdown.run(), [this](const std::exception_ptr &, std::size_t abortedRequests) {
         m_abortedRequests = abortedRequests;
         LOG4CXX_INFO(nodeLog(), base::log_event("stopped").with("cutOff", abortedRequests).text());
