Let one task of a node retry the store during an outage, for all of them

Cause: the followers of the configuration and of the registrations and the lease each retried an unavailable store by themselves, 95 nodes with three tasks each about 500 times a second. Change: store_recovery lets one task retry; the others wait for its success, and go on at once when it comes.

--- a/packages/fleet/src/chervilbend/fleet/command_lease.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.cpp
@@ -157,10 +157,11 @@
         co_return;
     }
     if (!page) {
-        co_await net::sleepFor(m_backoff.next());
+        co_await m_store.recovery().waitForRetry(store_task::lease, m_backoff.next());
         co_return;
     }
     m_backoff.reset();
+    m_store.recovery().noteSuccess();
     observe(*page);
     if (page->record && page->record->holder == m_options.node && page->record->incarnation == m_options.incarnation && !page->record->released) {
         // An attempt without an answer has succeeded after all. A token that was held before is not reused, because an engine may have refused it.
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -62,6 +62,7 @@
                 LOG4CXX_INFO(configLog(), "Configuration is readable again after " << backoff.failures() << " failed reads.");
             }
             backoff.reset();
+            m_store.recovery().noteSuccess();
             m_position = before ? std::max(*before, page->next) : page->next;
             m_confirmedAt = base::clock::now();
             applyConfiguration(std::move(page->newest));
@@ -76,7 +77,7 @@
         if (backoff.failures() == 0) {
             LOG4CXX_WARN(configLog(), "Cannot read the configuration, keeping the version in force: " << m_store.lastReason().text);
         }
-        co_await net::sleepFor(backoff.next());
+        co_await m_store.recovery().waitForRetry(store_task::configuration, backoff.next());
     }
 }
 
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -109,6 +109,7 @@
                 LOG4CXX_INFO(endpointLog(), "Endpoint registrations are readable again after " << backoff.failures() << " failed reads.");
             }
             backoff.reset();
+            m_store.recovery().noteSuccess();
             applyRead(*page, isSnapshot, requestedAt);
             co_await m_wake.wait(base::clock::now() + (m_isHolder ? m_interval / holderReadFactor : m_interval));
             continue;
@@ -122,7 +123,7 @@
             LOG4CXX_WARN(endpointLog(), "Cannot read endpoint registrations, keeping the known ones: " << m_store.lastReason().text);
         }
         notify(m_registry.expire(now));
-        co_await net::sleepFor(backoff.next());
+        co_await m_store.recovery().waitForRetry(store_task::endpoints, backoff.next());
     }
 }
 
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/fleet/endpoint_entry.hpp>
 #include <chervilbend/fleet/lease_record.hpp>
+#include <chervilbend/fleet/store_recovery.hpp>
 #include <chervilbend/fleet/traffic_configuration.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -71,6 +72,12 @@
 public:
     virtual ~fleet_store() = default;
 
+    /// Shared by the tasks that call the store.
+    store_recovery &recovery()
+    {
+        return m_recovery;
+    }
+
     virtual boost::asio::awaitable<std::optional<configuration_page>> newestConfiguration() = 0;
     /// The records at or after @p position; waits up to @p wait for the first one.
     virtual boost::asio::awaitable<std::optional<configuration_page>> configurationFrom(std::int64_t position, base::milliseconds wait) = 0;
@@ -81,6 +88,9 @@
     virtual boost::asio::awaitable<std::optional<lease_page>> lease() = 0;
     /// Writes @p record if its position will be @p expected (compare-and-set).
     virtual boost::asio::awaitable<lease_write> writeLease(lease_record record, std::int64_t expected) = 0;
+
+private:
+    store_recovery m_recovery;
 };
 
 } // namespace chervilbend::fleet
