--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.cpp
@@ -8,12 +8,6 @@
 namespace chervilbend::placement
 {
 
-namespace
-{
-/// All slots of a model's copies are in use.
-constexpr double fullUtilisation = 1;
-} // namespace
-
 planning_pass::planning_pass(placement_planner &planner, const planner_input &input, const std::set<placement_planner::endpoint_item> &stuck)
     : m_planner(planner)
     , m_settings(planner.m_settings)
@@ -30,16 +24,13 @@
 
 std::vector<planned_change> planning_pass::run()
 {
-    restoreMissing(true);
-    // Requests for a model whose copies are full are refused now, while a model that nobody asks for can be loaded when it is asked for.
-    followDemand(fullUtilisation);
-    restoreMissing(false);
+    restoreMissing();
     dropUndeclared();
     dropStuck();
     restoreCopies();
     placeAdapters();
     fillReservations();
-    followDemand(m_settings.scaleUpUtilisation);
+    followDemand();
     freeFullEndpoints();
     dropIdle();
     dropOrphanedAdapters();
@@ -60,11 +51,10 @@
     return models;
 }
 
-void planning_pass::restoreMissing(bool haveDemand)
+void planning_pass::restoreMissing()
 {
     for (const std::size_t model : modelsByImportance()) {
-        const bool hasDemand = m_cluster.items[model].demand > 0;
-        if (hasDemand != haveDemand || m_cluster.countedCopies(model) > 0) {
+        if (m_cluster.countedCopies(model) > 0) {
             continue;
         }
         // Less important models have to wait, too, so a search for them would be wasted.
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass.hpp
@@ -23,13 +23,11 @@
     std::vector<planned_change> run();
 
 private:
-    /// Loads models of which no copy is left, those with demand or those without.
-    void restoreMissing(bool haveDemand);
+    void restoreMissing();
     void dropUndeclared();
     void restoreCopies();
     void placeAdapters();
-    /// Adds copies of the models whose expected utilisation exceeds @p threshold.
-    void followDemand(double threshold);
+    void followDemand();
     /// Adds a copy, or starts to free memory for one. Returns false if no place is worth the cost.
     bool addCopyFor(std::size_t model);
     /// Number of memory reservations for items that are not yet assigned.
--- a/packages/placement/src/chervilbend/placement/internal/planning_pass_demand.cpp
+++ b/packages/placement/src/chervilbend/placement/internal/planning_pass_demand.cpp
@@ -17,12 +17,12 @@
 
 } // namespace
 
-void planning_pass::followDemand(double threshold)
+void planning_pass::followDemand()
 {
     std::vector<std::pair<double, std::size_t>> overloaded;
     for (std::size_t model = 0; model < m_cluster.items.size(); ++model) {
         const item_record &record = m_cluster.items[model];
-        if (m_cluster.isModel(model) && record.demand > 0 && expectedUtilisation(model) > threshold && m_cluster.countedCopies(model) > 0) {
+        if (m_cluster.isModel(model) && record.demand > 0 && expectedUtilisation(model) > m_settings.scaleUpUtilisation && m_cluster.countedCopies(model) > 0) {
             overloaded.emplace_back(-expectedUtilisation(model) * record.importance, model);
         }
     }
@@ -31,7 +31,7 @@
     constexpr int maxSearches = 8;
     int searches = 0;
     for (const auto &[order, model] : overloaded) {
-        while (searches < maxSearches && m_budget.allowsLoad() && m_budget.allowsMove() && expectedUtilisation(model) > threshold) {
+        while (searches < maxSearches && m_budget.allowsLoad() && m_budget.allowsMove() && expectedUtilisation(model) > m_settings.scaleUpUtilisation) {
             ++searches;
             if (!addCopyFor(model)) {
                 break;
