Let the two tests of paused streams share their script

Found on reading the change again: queuedStreamIsNotAbandoned and preemptedStreamIsNotAbandoned were the same twenty lines but for where the endpoint pauses; checkPausedStream now plays both, with the same assertions. latestStartFor() carried the comment of the function that it replaced besides its own.

--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -319,44 +319,14 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("from the second"));
     }
 
-    /// Guards against a stream that waits in the queue of a busy engine and is given up for another endpoint, where it starts anew.
     void queuedStreamIsNotAbandoned()
     {
-        route_api_fixture fixture;
-        fixture.configure();
-        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
-            co_await caller->readUntil("{}");
-            co_await net::sleepFor(base::milliseconds(1'200));
-            co_await caller->send(sealedStream + numberedEvent(1) + numberedEvent(2) + lastChunk);
-        });
-        int received = 0;
-        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
-            co_await caller->readUntil("{}");
-            ++received;
-        });
-        const std::string answer = fixture.ask("/chat/x");
-        CPPUNIT_ASSERT_EQUAL(0, received);
-        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word2") && answer.ends_with("0\r\n\r\n"));
+        checkPausedStream({}, sealedStream + numberedEvent(1) + numberedEvent(2) + lastChunk);
     }
 
     void preemptedStreamIsNotAbandoned()
     {
-        route_api_fixture fixture;
-        fixture.configure();
-        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
-            co_await caller->readUntil("{}");
-            co_await caller->send(sealedStream + numberedEvent(1));
-            co_await net::sleepFor(base::milliseconds(1'200));
-            co_await caller->send(numberedEvent(2) + lastChunk);
-        });
-        int received = 0;
-        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
-            co_await caller->readUntil("{}");
-            ++received;
-        });
-        const std::string answer = fixture.ask("/chat/x");
-        CPPUNIT_ASSERT_EQUAL(0, received);
-        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word2") && answer.ends_with("0\r\n\r\n"));
+        checkPausedStream(sealedStream + numberedEvent(1), numberedEvent(2) + lastChunk);
     }
 
     void endlessHeaderIsRefusedAtOnce()
@@ -407,6 +377,28 @@
     }
 
 private:
+    /// The endpoint sends @p start, nothing for longer than the silence timeout, and then @p rest. Guards against a stream that a busy engine has
+    /// queued or preempted and that is given up for another endpoint, where it starts anew.
+    static void checkPausedStream(const std::string &start, const std::string &rest)
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            co_await caller->send(start);
+            co_await net::sleepFor(base::milliseconds(1'200));
+            co_await caller->send(rest);
+        });
+        int received = 0;
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            ++received;
+        });
+        const std::string answer = fixture.ask("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(0, received);
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word2") && answer.ends_with("0\r\n\r\n"));
+    }
+
     /// The endpoint sends @p start, and then @p part again and again until the node closes the connection.
     static raw_server::script sendEndlessly(std::string start, std::string part, bool &isClosed)
     {
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -60,7 +60,6 @@
 
     /// Implemented in adaptive_director_queue.cpp: from submission to dispatch.
     void predict(request_state &request);
-    /// Computes the time after which the request can no longer meet its deadline or must no longer be sent.
     /// When the remainder of the request must be sent for its response to be complete by its deadline.
     static base::time_point latestStartFor(const request_state &request);
     bool admit(request_state &request, base::reason &why);
