Construct net::timer from executors only

Change: the two constructors that callers use, from an executor. Two callers pass context.get_executor() now.

--- a/packages/fakes/src/chervilbend/fakes/virtual_scheduler.cpp
+++ b/packages/fakes/src/chervilbend/fakes/virtual_scheduler.cpp
@@ -23,7 +23,7 @@
 bool releaseDueTimers(base::manual_time_source &source, boost::asio::io_context &context)
 {
     // An overdue timer makes the timerfd fire at once. Being the earliest, it runs first of all that are due.
-    net::timer overdue(context);
+    net::timer overdue(context.get_executor());
     overdue.expires_at(base::time_point::min());
     bool overdueFired = false;
     overdue.async_wait([&](const boost::system::error_code &) {
--- a/packages/net/src/chervilbend/net/timer.hpp
+++ b/packages/net/src/chervilbend/net/timer.hpp
@@ -5,8 +5,6 @@
 
 #include <boost/asio/basic_waitable_timer.hpp>
 
-#include <utility>
-
 namespace chervilbend::net
 {
 
@@ -14,16 +12,13 @@
 class timer : public boost::asio::basic_waitable_timer<timer_clock>
 {
 public:
-    /// @p context is an executor or an execution context.
-    template<typename Context>
-    explicit timer(Context &&context)
-        : basic_waitable_timer(std::forward<Context>(context))
+    explicit timer(const executor_type &executor)
+        : basic_waitable_timer(executor)
     {
     }
 
-    template<typename Context>
-    timer(Context &&context, base::time_point expiry)
-        : basic_waitable_timer(std::forward<Context>(context), expiry)
+    timer(const executor_type &executor, base::time_point expiry)
+        : basic_waitable_timer(executor, expiry)
     {
     }
 
--- a/packages/node/tests/shutdown_sequence_test.cpp
+++ b/packages/node/tests/shutdown_sequence_test.cpp
@@ -116,7 +116,7 @@
     static void stopWithHangingRequest(caller_api_fixture &front, shutdown_settings settings, bool secondSignal)
     {
         front.addEndpoint("service/shop", [](std::shared_ptr<raw_peer> caller) -> boost::asio::awaitable<void> { co_await caller->readToEnd(); });
-        net::timer never(front.context, base::time_point::max());
+        net::timer never(front.context.get_executor(), base::time_point::max());
         const auto hang = [&]() -> boost::asio::awaitable<void> {
             if (!secondSignal) {
                 co_await never.async_wait(net::test::awaitTuple);
