Divide the request rate that an endpoint allows among the nodes

Cause: nothing bounded requests per second to one endpoint, for a node or for all; what an answer says of its endpoint was not read at all. Class of fault: a limit on a sum with no owner of the sum.

Change: the adapter reads the header into endpoint_notice. The director sends to a limited endpoint only against a grant. Each node reports what its endpoints have named and what it would have sent; the holder of the command lease grants whole requests where the demand is (rate_limit_allocator) and tells all nodes of the limits. A request that only limited endpoints could take is asked for at once, and is refused when the allocator has none, not queued. Equal shares were weighed and not taken: 83 nodes and 1 request/s make 0.012/s each, which lies unused or adds up to bursts.

--- a/packages/fleet/src/chervilbend/fleet/engine_update.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_update.hpp
@@ -6,6 +6,7 @@
 #include <chervilbend/fleet/lease_record.hpp>
 #include <chervilbend/fleet/store_update.hpp>
 #include <chervilbend/routing/prompt_evidence.hpp>
+#include <chervilbend/routing/rate_limit_messages.hpp>
 
 #include <cstdint>
 #include <map>
@@ -39,6 +40,8 @@
     std::int64_t version = 0;
     /// What the node has seen of the parts of prompts.
     routing::prompt_evidence prompts;
+    /// What the node knows and wants of the request rates that endpoints allow.
+    routing::rate_limit_report rateLimits;
     /// Version of the registrations that the node has from the holder with this token; 0 for none.
     std::int64_t registrationsVersion = 0;
 };
@@ -59,6 +62,7 @@
     store_update store;
     /// What the holder knows of the parts of prompts.
     routing::prompt_evidence prompts;
+    routing::rate_limit_answer rateLimits;
 };
 
 /// A model or adapter that a request needs.
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/fleet/exchange_json.hpp>
 
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
+#include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/store_update_json.hpp>
 
 namespace chervilbend::fleet
@@ -19,12 +20,22 @@
     return object.isObject() && object[name].isInt64();
 }
 
-/// The member is missing in messages of nodes that still run the version before it.
+/// These members are missing in messages of nodes that still run the version before them.
 std::optional<routing::prompt_evidence> readPromptsMember(const Json::Value &json)
 {
     return json.isMember("prompts") ? readPromptEvidence(json["prompts"]) : routing::prompt_evidence{};
 }
 
+std::optional<routing::rate_limit_report> readRateLimitReportMember(const Json::Value &json)
+{
+    return json.isMember("limits") ? readRateLimitReport(json["limits"]) : routing::rate_limit_report{};
+}
+
+std::optional<routing::rate_limit_answer> readRateLimitAnswerMember(const Json::Value &json)
+{
+    return json.isMember("limits") ? readRateLimitAnswer(json["limits"]) : routing::rate_limit_answer{};
+}
+
 } // namespace
 
 Json::Value toJson(const node_report &report)
@@ -35,6 +46,7 @@
     json["version"] = static_cast<Json::Int64>(report.version);
     json["registrations"] = static_cast<Json::Int64>(report.registrationsVersion);
     json["prompts"] = toJson(report.prompts);
+    json["limits"] = toJson(report.rateLimits);
     Json::Value &open = json["open"] = Json::Value(Json::objectValue);
     for (const auto &[model, count] : report.open) {
         open[model] = count;
@@ -53,11 +65,13 @@
         return std::nullopt;
     }
     std::optional<routing::prompt_evidence> prompts = readPromptsMember(json);
-    if (!prompts) {
+    std::optional<routing::rate_limit_report> rateLimits = readRateLimitReportMember(json);
+    if (!prompts || !rateLimits) {
         return std::nullopt;
     }
     node_report report;
     report.prompts = std::move(*prompts);
+    report.rateLimits = std::move(*rateLimits);
     report.node = base::node_id(json["node"].asString());
     report.token = json["token"].asInt64();
     report.version = json["version"].asInt64();
@@ -139,6 +153,7 @@
     json["news"] = toJson(answer.updates);
     json["store"] = toJson(answer.store);
     json["prompts"] = toJson(answer.prompts);
+    json["limits"] = toJson(answer.rateLimits);
     return json;
 }
 
@@ -152,7 +167,8 @@
     std::optional<std::vector<engine_update>> updates = readEngineUpdates(json["news"]);
     std::optional<store_update> store = readStoreUpdate(json["store"]);
     std::optional<routing::prompt_evidence> prompts = readPromptsMember(json);
-    if (!hasText(json, "holder") || !hasText(json, "address") || !updates || !store || !prompts) {
+    std::optional<routing::rate_limit_answer> rateLimits = readRateLimitAnswerMember(json);
+    if (!hasText(json, "holder") || !hasText(json, "address") || !updates || !store || !prompts || !rateLimits) {
         return std::nullopt;
     }
     holder_response answer;
@@ -171,6 +187,7 @@
     answer.updates = std::move(*updates);
     answer.store = std::move(*store);
     answer.prompts = std::move(*prompts);
+    answer.rateLimits = std::move(*rateLimits);
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/fleet/engine_controller.hpp>
 #include <chervilbend/fleet/exchange_json.hpp>
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
+#include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/routing/prompt_part_tracker.hpp>
 
@@ -21,12 +22,17 @@
 constexpr std::size_t registrationBytes = 160;
 } // namespace
 
-exchange_method::exchange_method(
-    const command_lease &lease, engine_controller &controller, const store_relay &relay, routing::prompt_part_tracker &prompts, double linkMegabits)
+exchange_method::exchange_method(const command_lease &lease,
+                                 engine_controller &controller,
+                                 const store_relay &relay,
+                                 routing::prompt_part_tracker &prompts,
+                                 rate_limit_exchange &rateLimits,
+                                 double linkMegabits)
     : m_lease(lease)
     , m_controller(controller)
     , m_relay(relay)
     , m_prompts(prompts)
+    , m_rateLimits(rateLimits)
     , m_budget(linkMegabits)
 {
 }
@@ -51,6 +57,7 @@
     answer.reportInterval = m_pacer.interval();
     m_prompts.merge(report->prompts);
     answer.prompts = m_prompts.responseTo(report->prompts);
+    answer.rateLimits = m_rateLimits.answer(report->rateLimits);
     const std::int64_t version = isSameHolder ? report->version : 0;
     answer.version = version;
     if (mayContainUpdates) {
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
@@ -17,6 +17,7 @@
 
 class command_lease;
 class engine_controller;
+class rate_limit_exchange;
 class store_relay;
 struct holder_response;
 
@@ -44,8 +45,12 @@
 {
 public:
     /// @p linkMegabits is the rate of this host's link in Mbit/s.
-    exchange_method(
-        const command_lease &lease, engine_controller &controller, const store_relay &relay, routing::prompt_part_tracker &prompts, double linkMegabits);
+    exchange_method(const command_lease &lease,
+                    engine_controller &controller,
+                    const store_relay &relay,
+                    routing::prompt_part_tracker &prompts,
+                    rate_limit_exchange &rateLimits,
+                    double linkMegabits);
 
     std::string name() const override;
     std::optional<Json::Value> call(const Json::Value &parameters) override;
@@ -66,6 +71,7 @@
     engine_controller &m_controller;
     const store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
+    rate_limit_exchange &m_rateLimits;
     answer_budget m_budget;
     report_pacer m_pacer;
     exchange_counts m_counts;
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -8,6 +8,7 @@
 #include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
+#include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/address.hpp>
@@ -56,7 +57,8 @@
                              known_residency &residency,
                              usage_meter &usage,
                              store_relay &relay,
-                             routing::prompt_part_tracker &prompts)
+                             routing::prompt_part_tracker &prompts,
+                             rate_limit_exchange &rateLimits)
     : m_node(std::move(node))
     , m_lease(lease)
     , m_controller(controller)
@@ -65,6 +67,7 @@
     , m_usage(usage)
     , m_relay(relay)
     , m_prompts(prompts)
+    , m_rateLimits(rateLimits)
 {
     m_prompts.onLoss([this] { m_lossSeen.notify(); });
 }
@@ -153,6 +156,7 @@
         }
         applyLocalUpdates();
         m_prompts.merge(m_prompts.responseTo(m_prompts.takeNews()));
+        m_rateLimits.exchangeLocally();
         m_interval = report_pacer::shortestInterval;
         co_return true;
     }
@@ -161,15 +165,18 @@
         co_return false;
     }
     report.prompts = m_prompts.takeNews();
+    report.rateLimits = m_rateLimits.takeReport();
     const Json::Value message = toJson(report);
     const base::time_point requestedAt = base::clock::now();
     const std::optional<Json::Value> json = co_await m_peers.call(*address, exchangeMethodName, message, exchangeTimeout);
     const std::optional<holder_response> answer = json ? readHolderResponse(*json) : std::nullopt;
     if (!answer) {
         m_prompts.announceAgain(report.prompts.answered);
+        m_rateLimits.noteUnanswered(report.rateLimits);
         co_return false;
     }
     m_prompts.merge(answer->prompts);
+    m_rateLimits.apply(report.rateLimits, answer->rateLimits, requestedAt);
     if (answer->lease.token != m_token) {
         m_prompts.announceAgain();
     }
--- a/packages/fleet/src/chervilbend/fleet/holder_client.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.hpp
@@ -30,6 +30,7 @@
 class command_lease;
 class engine_controller;
 class known_residency;
+class rate_limit_exchange;
 class store_relay;
 class usage_meter;
 
@@ -46,7 +47,8 @@
                   known_residency &residency,
                   usage_meter &usage,
                   store_relay &relay,
-                  routing::prompt_part_tracker &prompts);
+                  routing::prompt_part_tracker &prompts,
+                  rate_limit_exchange &rateLimits);
 
     /// Commands.
 
@@ -82,6 +84,7 @@
     usage_meter &m_usage;
     store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
+    rate_limit_exchange &m_rateLimits;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void(int)> m_nodesListener;
     std::function<void()> m_firstAnswerListener;
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
@@ -0,0 +1,147 @@
+#include <chervilbend/fleet/rate_limit_exchange.hpp>
+
+#include <chervilbend/base/hash.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/rate_limit_json.hpp>
+#include <chervilbend/net/address.hpp>
+#include <chervilbend/net/sleep.hpp>
+#include <chervilbend/peers/rpc_caller.hpp>
+#include <chervilbend/routing/endpoint_rate_limits.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+/// Interval of reports while no node holds the lease.
+constexpr base::milliseconds reportInterval{250};
+/// Requests that need a grant within this time share a report.
+constexpr base::milliseconds leastInterval{50};
+/// A request that waits for a grant is better refused than kept waiting for an allocator that does not answer.
+constexpr base::milliseconds answerTimeout{300};
+
+std::int64_t allocatorId(const base::node_id &node, std::int64_t incarnation)
+{
+    // Positive, so that it is never 0, and exact in every JSON implementation.
+    constexpr std::uint64_t mask = (std::uint64_t{1} << 52U) - 1;
+    return static_cast<std::int64_t>(base::hash64(node.value(), static_cast<std::uint64_t>(incarnation)) & mask) + 1;
+}
+
+} // namespace
+
+rate_limit_exchange::rate_limit_exchange(
+    base::node_id node, std::int64_t incarnation, const command_lease &lease, peers::rpc_caller &peers, routing::endpoint_rate_limits &limits)
+    : m_node(std::move(node))
+    , m_lease(lease)
+    , m_peers(peers)
+    , m_limits(limits)
+    , m_allocator(allocatorId(m_node, incarnation))
+{
+    m_limits.onGrantsWanted([this] {
+        m_isUrgent = true;
+        m_grantsWanted.notify();
+    });
+}
+
+void rate_limit_exchange::onDecision(std::function<void()> listener)
+{
+    m_listener = std::move(listener);
+}
+
+void rate_limit_exchange::notify() const
+{
+    if (m_listener) {
+        m_listener();
+    }
+}
+
+asio::awaitable<void> rate_limit_exchange::run()
+{
+    while (true) {
+        if (!m_isUrgent) {
+            co_await m_grantsWanted.wait(base::clock::now() + reportInterval);
+        }
+        const bool isPeriodic = !m_lease.holder() && m_limits.hasNews();
+        if (std::exchange(m_isUrgent, false) || isPeriodic) {
+            co_await exchange();
+            co_await net::sleepFor(leastInterval);
+        }
+    }
+}
+
+asio::awaitable<void> rate_limit_exchange::exchange()
+{
+    const std::optional<lease_record> holder = m_lease.lastHolder();
+    if (m_lease.isHolder() || (holder && holder->holder == m_node)) {
+        exchangeLocally();
+        co_return;
+    }
+    const routing::rate_limit_report report = takeReport();
+    const std::optional<net::address> address = holder ? net::parseAddress(holder->peerAddress) : std::nullopt;
+    std::optional<routing::rate_limit_answer> answer;
+    const base::time_point requestedAt = base::clock::now();
+    if (address) {
+        const Json::Value message = toJson(report);
+        const std::optional<Json::Value> json = co_await m_peers.call(*address, rateLimitMethodName, message, answerTimeout);
+        answer = json ? readRateLimitAnswer(*json) : std::nullopt;
+    }
+    if (answer) {
+        apply(report, *answer, requestedAt);
+    } else {
+        noteUnanswered(report);
+    }
+}
+
+routing::rate_limit_report rate_limit_exchange::takeReport()
+{
+    return m_limits.takeReport();
+}
+
+void rate_limit_exchange::apply(const routing::rate_limit_report &report, const routing::rate_limit_answer &answer, base::time_point requestedAt)
+{
+    m_limits.apply(report, answer, requestedAt);
+    notify();
+}
+
+void rate_limit_exchange::noteUnanswered(const routing::rate_limit_report &report)
+{
+    m_limits.noteUnanswered(report);
+    notify();
+}
+
+void rate_limit_exchange::exchangeLocally()
+{
+    const routing::rate_limit_report report = takeReport();
+    apply(report, answer(report), base::clock::now());
+}
+
+routing::rate_limit_answer rate_limit_exchange::answer(const routing::rate_limit_report &report)
+{
+    return m_allocator.answer(report, m_lease.isHolder());
+}
+
+rate_limit_method::rate_limit_method(rate_limit_exchange &exchange)
+    : m_exchange(exchange)
+{
+}
+
+std::string rate_limit_method::name() const
+{
+    return rateLimitMethodName;
+}
+
+std::optional<Json::Value> rate_limit_method::call(const Json::Value &parameters)
+{
+    const std::optional<routing::rate_limit_report> report = readRateLimitReport(parameters);
+    if (!report) {
+        return fail(base::error_kind::badRequest, "invalid report of rate limits: a member is missing or has the wrong type");
+    }
+    return toJson(m_exchange.answer(*report));
+}
+
+} // namespace chervilbend::fleet
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
+#include <chervilbend/net/change_signal.hpp>
+#include <chervilbend/peers/rpc_method.hpp>
+#include <chervilbend/routing/rate_limit_allocator.hpp>
+#include <chervilbend/routing/rate_limit_messages.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+
+namespace chervilbend::peers
+{
+class rpc_caller;
+}
+
+namespace chervilbend::routing
+{
+class endpoint_rate_limits;
+}
+
+namespace chervilbend::fleet
+{
+
+class command_lease;
+
+inline constexpr const char *rateLimitMethodName = "limits.exchange";
+
+/// A node's part in dividing the request rates that endpoints allow: it asks the allocator for grants, and is the allocator itself while it holds the
+/// command lease, or while the others know of no later holder.
+///
+/// Reports travel with the periodic exchange of holder_client. A request that waits for a grant is asked for at once, and while no node holds the lease
+/// its last holder is asked.
+class rate_limit_exchange
+{
+public:
+    /// References must outlive the object. @p incarnation distinguishes successive processes of @p node.
+    rate_limit_exchange(
+        base::node_id node, std::int64_t incarnation, const command_lease &lease, peers::rpc_caller &peers, routing::endpoint_rate_limits &limits);
+
+    /// Commands.
+
+    /// Asks for grants outside of the periodic exchange. Does not return.
+    boost::asio::awaitable<void> run();
+    /// The listener is called when the allocator has answered, or has failed to.
+    void onDecision(std::function<void()> listener);
+
+    /// The part of the periodic exchange.
+    routing::rate_limit_report takeReport();
+    void apply(const routing::rate_limit_report &report, const routing::rate_limit_answer &answer, base::time_point requestedAt);
+    void noteUnanswered(const routing::rate_limit_report &report);
+    /// Exchanges a report with this node's own allocator.
+    void exchangeLocally();
+
+    /// Answers a report as the allocator.
+    routing::rate_limit_answer answer(const routing::rate_limit_report &report);
+
+private:
+    boost::asio::awaitable<void> exchange();
+    void notify() const;
+
+    base::node_id m_node;
+    const command_lease &m_lease;
+    peers::rpc_caller &m_peers;
+    routing::endpoint_rate_limits &m_limits;
+    routing::rate_limit_allocator m_allocator;
+    net::change_signal m_grantsWanted;
+    bool m_isUrgent = false;
+    std::function<void()> m_listener;
+};
+
+/// Answers another node's report of its demand for endpoints with a rate limit. Any node answers it, so that grants go on while the store is unavailable.
+class rate_limit_method : public peers::rpc_method
+{
+public:
+    explicit rate_limit_method(rate_limit_exchange &exchange);
+
+    std::string name() const override;
+    std::optional<Json::Value> call(const Json::Value &parameters) override;
+
+private:
+    rate_limit_exchange &m_exchange;
+};
+
+} // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/request_codec.hpp
+++ b/packages/fleet/src/chervilbend/fleet/request_codec.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/base/reason.hpp>
 #include <chervilbend/fleet/caller_request.hpp>
 #include <chervilbend/net/http_types.hpp>
+#include <chervilbend/routing/endpoint_notice.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -53,6 +54,8 @@
     virtual net::http_request forEndpoint(const net::http_request &request, const attempt_metadata &terms) const = 0;
     /// @p attempt is the attempt ID of the request that was sent.
     virtual answer_disposition classifyAnswer(const net::http::response_header<> &answer, const std::string &attempt) const = 0;
+    /// What the endpoint says of itself in the header of an answer. Fields that cannot be read count as absent.
+    virtual routing::endpoint_notice readNotice(const net::http::response_header<> &answer) const = 0;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/tests/exchange_method_test.cpp
+++ b/packages/fleet/tests/exchange_method_test.cpp
@@ -9,7 +9,10 @@
 #include <chervilbend/fleet/exchange_json.hpp>
 #include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
+#include <chervilbend/peers/rpc_caller.hpp>
+#include <chervilbend/routing/endpoint_rate_limits.hpp>
 #include <chervilbend/routing/prompt_part_tracker.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -51,6 +54,16 @@
     return configuration;
 }
 
+/// No peer can be reached.
+class silent_peers : public peers::rpc_caller
+{
+public:
+    asio::awaitable<std::optional<Json::Value>> call(net::address, std::string, Json::Value, base::milliseconds) override
+    {
+        co_return std::nullopt;
+    }
+};
+
 std::size_t sizeOf(const Json::Value &value)
 {
     Json::StreamWriterBuilder builder;
@@ -172,7 +185,10 @@
                                      return rules;
                                  }};
     routing::prompt_part_tracker prompts;
-    exchange_method method{lease, controller, relay, prompts, linkMegabits};
+    silent_peers peers;
+    routing::endpoint_rate_limits limits;
+    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, peers, limits};
+    exchange_method method{lease, controller, relay, prompts, rateLimits, linkMegabits};
     std::vector<reporting_node> nodes;
 
     static command_lease_options leaseOptions()
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -11,10 +11,12 @@
 #include <chervilbend/fleet/holder_client.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
+#include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/report_pacer.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/peers/rpc_caller.hpp>
+#include <chervilbend/routing/endpoint_rate_limits.hpp>
 #include <chervilbend/routing/prompt_part_tracker.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -108,7 +110,9 @@
                                  }};
     fake_holder holder;
     routing::prompt_part_tracker prompts;
-    holder_client client{base::node_id("a"), lease, controller, holder, residency, usage, relay, prompts};
+    routing::endpoint_rate_limits limits;
+    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, holder, limits};
+    holder_client client{base::node_id("a"), lease, controller, holder, residency, usage, relay, prompts, rateLimits};
     std::int64_t offset = 0;
 };
 
--- a/packages/node/src/chervilbend/node/callers/admitted_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.cpp
@@ -52,6 +52,13 @@
     return m_handle != 0 && m_admission.m_director.allowsRetry(m_handle);
 }
 
+void admitted_request::noteAnswer(const routing::endpoint_notice &notice)
+{
+    if (m_handle != 0) {
+        m_admission.m_director.noteAnswer(m_handle, notice);
+    }
+}
+
 void admitted_request::firstByte()
 {
     if (m_handle != 0) {
--- a/packages/node/src/chervilbend/node/callers/admitted_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.hpp
@@ -35,6 +35,8 @@
     /// Whether the director would grant a retry() now.
     bool allowsRetry() const;
 
+    /// Reports what the endpoint says of itself in its answer.
+    void noteAnswer(const routing::endpoint_notice &notice);
     void firstByte();
     /// @p generated is the total number of tokens generated so far.
     void progress(base::token_count generated);
--- a/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
@@ -25,6 +25,12 @@
                                       std::optional<std::int64_t> lastEvent) const = 0;
 
     virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const = 0;
+
+    /// What the endpoint says of itself in the header of an answer.
+    virtual routing::endpoint_notice readNotice(const net::http::response_header<> & /*answer*/) const
+    {
+        return {};
+    }
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -66,6 +66,9 @@
         }
         verdict = protocol.classify(answer->header(), plan);
     }
+    if (verdict != fleet::answer_disposition::notExecutedMisdirected && verdict != fleet::answer_disposition::invalid) {
+        request->admitted.noteAnswer(protocol.readNotice(answer->header()));
+    }
     switch (verdict) {
     case fleet::answer_disposition::notExecutedOverloaded:
         result.outcome = request_outcome::refused;
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -30,4 +30,9 @@
     return m_codec.classifyAnswer(answer, plan.attemptId);
 }
 
+routing::endpoint_notice platform_protocol::readNotice(const net::http::response_header<> &answer) const
+{
+    return m_codec.readNotice(answer);
+}
+
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.hpp
@@ -17,6 +17,7 @@
                               const base::endpoint_id &endpoint,
                               std::optional<std::int64_t> lastEvent) const override;
     fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const override;
+    routing::endpoint_notice readNotice(const net::http::response_header<> &answer) const override;
 
 private:
     const fleet::request_codec &m_codec;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -118,8 +118,9 @@
     , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
     , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
     , m_peers(m_signer, std::make_shared<net::http_client>())
-    , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, *m_promptParts)
-    , m_director(seedOf(settings), directorSettings(settings), m_promptParts)
+    , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_rateLimits)
+    , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, *m_promptParts, m_rateLimitExchange)
+    , m_director(seedOf(settings), directorSettings(settings), m_promptParts, m_rateLimits)
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
     , m_endpointFeed(m_director, m_directory, m_endpoints, m_residency, base::zone_id(settings.zone), crossZoneRoundTripMs)
@@ -131,7 +132,7 @@
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
     , m_health(m_readiness, m_registry, m_readinessHandler)
     , m_metricsServer(std::make_shared<net::http_server>(m_context.get_executor(), m_health))
-    , m_exchangeMethod(std::make_shared<fleet::exchange_method>(m_lease, m_controller, m_relay, *m_promptParts, settings.linkRate))
+    , m_exchangeMethod(std::make_shared<fleet::exchange_method>(m_lease, m_controller, m_relay, *m_promptParts, m_rateLimitExchange, settings.linkRate))
     , m_rpc(m_signer)
     , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_rpc))
     , m_shutdown(m_context.get_executor(),
@@ -185,6 +186,19 @@
     m_promptParts->onRefusal([](std::uint64_t part, std::size_t losses) {
         LOG4CXX_WARN(nodeLog(), base::log_event("promptPartRefused").with("part", part).with("lostEndpoints", losses).text());
     });
+    m_rpc.add(std::make_shared<fleet::rate_limit_method>(m_rateLimitExchange));
+    m_rateLimits->onChange([](const routing::endpoint_process &process, std::optional<double> requestRate) {
+        base::log_event event(requestRate ? "endpointLimited" : "endpointLimitEnded");
+        event.with("endpoint", process.endpoint.value());
+        if (requestRate) {
+            event.with("requestsPerSecond", std::to_string(*requestRate));
+        }
+        LOG4CXX_INFO(nodeLog(), event.text());
+    });
+    m_rateLimitExchange.onDecision([this] {
+        m_director.rateLimitsChanged();
+        m_admission.deliverDecisions();
+    });
     m_rpc.addSuspending(std::make_shared<fleet::ensure_loaded_method>(m_lease, m_controller));
     registerMetrics();
 }
@@ -202,6 +216,7 @@
     asio::co_spawn(m_context, reportLoad(), asio::detached);
     asio::co_spawn(m_context, limitWaitForHolder(), asio::detached);
     asio::co_spawn(m_context, m_lease.run(), asio::detached);
+    asio::co_spawn(m_context, m_rateLimitExchange.run(), asio::detached);
     asio::co_spawn(m_context, m_controller.run(), asio::detached);
     asio::co_spawn(m_context, m_holderClient.run(), asio::detached);
     waitForSignal();
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -11,6 +11,7 @@
 #include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/fleet/holder_client.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/event_loop_monitor.hpp>
@@ -96,6 +97,8 @@
     std::shared_ptr<membership::message_signer> m_signer;
     peers::rpc_client m_peers;
     const std::shared_ptr<routing::prompt_part_tracker> m_promptParts = std::make_shared<routing::prompt_part_tracker>();
+    const std::shared_ptr<routing::endpoint_rate_limits> m_rateLimits = std::make_shared<routing::endpoint_rate_limits>();
+    fleet::rate_limit_exchange m_rateLimitExchange;
     fleet::holder_client m_holderClient;
 
     routing::adaptive_director m_director;
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -67,6 +67,9 @@
     m_registry.gaugeFor("chervilbend_refused_prompt_parts", "Prompt parts that are refused because endpoints were lost on them").readFrom([this] {
         return static_cast<double>(m_promptParts->refusedParts());
     });
+    m_registry.gaugeFor("chervilbend_rate_limited_endpoints", "Endpoints that allow only a limited rate of requests").readFrom([this] {
+        return static_cast<double>(m_rateLimits->limitedEndpoints());
+    });
     m_registry.gaugeFor("chervilbend_command_lease_held", "1 while this node may command the engines").readFrom([this] {
         return m_lease.mayCommand() ? 1.0 : 0.0;
     });
--- a/packages/node/src/chervilbend/node/metered_director.cpp
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -134,6 +134,11 @@
     m_inner.checkForPause();
 }
 
+void metered_director::noteAnswer(routing::request_handle request, const routing::endpoint_notice &notice)
+{
+    m_inner.noteAnswer(request, notice);
+}
+
 void metered_director::firstByte(routing::request_handle request)
 {
     m_inner.firstByte(request);
--- a/packages/node/tests/test_director.hpp
+++ b/packages/node/tests/test_director.hpp
@@ -73,6 +73,11 @@
         return std::move(refusals);
     }
 
+    void noteAnswer(routing::request_handle /*handle*/, const routing::endpoint_notice &notice) override
+    {
+        notices.push_back(notice);
+    }
+
     void firstByte(routing::request_handle /*handle*/) override
     {
         ++firstBytes;
@@ -110,6 +115,7 @@
     std::vector<routing::refusal> refusals;
     std::vector<routing::request_facts> submitted;
     std::vector<routing::request_outcome> outcomes;
+    std::vector<routing::endpoint_notice> notices;
     base::time_point wakeup = base::time_point::max();
     routing::request_handle lastHandle = 0;
     std::size_t nextEndpoint = 0;
--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -17,11 +17,15 @@
 
 } // namespace
 
-adaptive_director::adaptive_director(std::uint64_t seed, const director_settings &settings, std::shared_ptr<prompt_part_tracker> promptParts)
+adaptive_director::adaptive_director(std::uint64_t seed,
+                                     const director_settings &settings,
+                                     std::shared_ptr<prompt_part_tracker> promptParts,
+                                     std::shared_ptr<endpoint_rate_limits> rateLimits)
     : m_settings(settings)
     , m_suspects(m_settings)
     , m_promptParts(promptParts ? std::move(promptParts) : std::make_shared<prompt_part_tracker>())
-    , m_selector(seed, m_settings, m_suspects)
+    , m_rateLimits(rateLimits ? std::move(rateLimits) : std::make_shared<endpoint_rate_limits>())
+    , m_selector(seed, m_settings, m_suspects, *m_rateLimits)
     , m_outliers(m_settings)
 {
 }
@@ -90,6 +94,7 @@
             while (dispatchNext(*pool, leastUrgent, now, dispatches)) { }
         }
     }
+    refuseRateLimited();
     for (pool_state *pool : m_dirty) {
         pool->isDirty = false;
     }
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/routing/director_settings.hpp>
+#include <chervilbend/routing/endpoint_rate_limits.hpp>
 #include <chervilbend/routing/internal/crash_suspect_tracker.hpp>
 #include <chervilbend/routing/internal/endpoint_selector.hpp>
 #include <chervilbend/routing/internal/outlier_detector.hpp>
@@ -29,8 +30,11 @@
 class adaptive_director : public traffic_director
 {
 public:
-    /// @p promptParts may be shared with what exchanges evidence with the other nodes; nullptr for a tracker of this director's own.
-    explicit adaptive_director(std::uint64_t seed, const director_settings &settings = {}, std::shared_ptr<prompt_part_tracker> promptParts = nullptr);
+    /// @p promptParts and @p rateLimits may be shared with what exchanges them with the other nodes; nullptr for objects of this director's own.
+    explicit adaptive_director(std::uint64_t seed,
+                               const director_settings &settings = {},
+                               std::shared_ptr<prompt_part_tracker> promptParts = nullptr,
+                               std::shared_ptr<endpoint_rate_limits> rateLimits = nullptr);
     ~adaptive_director() override;
 
     void setEndpoint(const endpoint_facts &facts) override;
@@ -43,6 +47,7 @@
     std::vector<dispatch> takeDispatches() override;
     std::vector<refusal> takeRefusals() override;
     void checkForPause() override;
+    void noteAnswer(request_handle request, const endpoint_notice &notice) override;
     void firstByte(request_handle request) override;
     void progress(request_handle request, base::token_count generated) override;
     void finish(request_handle request, request_outcome outcome) override;
@@ -50,6 +55,9 @@
     std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
     base::time_point nextWakeup() const override;
 
+    /// Grants of requests to endpoints with a rate limit have arrived, or have been refused.
+    void rateLimitsChanged();
+
 private:
     /// Implemented in adaptive_director_pools.cpp: endpoints and pools.
     void joinPool(const std::shared_ptr<endpoint_state> &endpoint, const std::string &name);
@@ -79,6 +87,12 @@
     bool dispatchNext(pool_state &pool, base::work_class leastUrgent, base::time_point now, std::vector<dispatch> &dispatches);
     void startAttempt(request_state &request, pool_member &member, base::time_point now);
 
+    /// Implemented in adaptive_director_limits.cpp: request rates that endpoints have named.
+    /// Counts a request of the pool as wanted by its limited endpoints.
+    void noteWanted(const pool_state &pool);
+    /// Refuses the waiting requests of pools that could be sent only to endpoints whose rate is used up, once the allocator has answered.
+    void refuseRateLimited();
+
     /// Implemented in adaptive_director_outcome.cpp: from dispatch to the end of the request.
     void takeFirstByteSample(request_state &request, double cost);
     /// Whether this process was paused at some time between @p since and @p now.
@@ -106,6 +120,7 @@
     std::vector<refusal> m_refusals;
     crash_suspect_tracker m_suspects;
     std::shared_ptr<prompt_part_tracker> m_promptParts;
+    std::shared_ptr<endpoint_rate_limits> m_rateLimits;
     endpoint_selector m_selector;
     outlier_detector m_outliers;
     /// The retry budget of the request's retry group.
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -0,0 +1,73 @@
+#include <chervilbend/routing/adaptive_director.hpp>
+
+#include <chervilbend/routing/internal/endpoint_state.hpp>
+#include <chervilbend/routing/internal/pool_state.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace chervilbend::routing
+{
+
+void adaptive_director::noteAnswer(request_handle id, const endpoint_notice &notice)
+{
+    const request_state *const request = m_requests.find(id);
+    if (request != nullptr && request->phase == request_phase::running) {
+        m_rateLimits->noteAnswer(request->endpoint->process(), notice.requestRate);
+    }
+}
+
+void adaptive_director::rateLimitsChanged()
+{
+    if (m_rateLimits->hasLimits()) {
+        for (pool_state *pool : m_poolOrder) {
+            markDirty(*pool);
+        }
+    }
+}
+
+void adaptive_director::noteWanted(const pool_state &pool)
+{
+    if (!m_rateLimits->hasLimits()) {
+        return;
+    }
+    const auto isUsable = [](const pool_member &member) {
+        return !member.endpoint->facts.draining && !member.endpoint->isDown && !member.ejected;
+    };
+    const auto usable = std::count_if(pool.members.begin(), pool.members.end(), isUsable);
+    for (const pool_member &member : pool.members) {
+        if (isUsable(member)) {
+            m_rateLimits->noteWanted(member.endpoint->process(), 1.0 / static_cast<double>(usable));
+        }
+    }
+}
+
+void adaptive_director::refuseRateLimited()
+{
+    if (!m_rateLimits->hasLimits()) {
+        return;
+    }
+    const base::time_point now = base::clock::now();
+    bool isGrantWanted = false;
+    std::vector<request_state *> refused;
+    for (const auto &[latestStart, id] : m_latestStarts) {
+        request_state &request = *m_requests.find(id);
+        if (!request.pool->isDirty || !m_selector.isRateLimited(*request.pool, m_nodes, now)) {
+            continue;
+        }
+        if (m_rateLimits->lastDecided() > request.lastRateReport) {
+            refused.push_back(&request);
+        } else {
+            isGrantWanted = true;
+        }
+    }
+    for (request_state *request : refused) {
+        removeFromQueue(*request);
+        refuse(*request, base::error_kind::overloaded, "the endpoints that serve it take no more requests for now");
+    }
+    if (isGrantWanted) {
+        m_rateLimits->requestGrants();
+    }
+}
+
+} // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -28,6 +28,9 @@
     if (!endpoint) {
         endpoint = std::make_shared<endpoint_state>(facts, m_nextSerial++, m_settings);
     }
+    if (endpoint->facts.startedAt != facts.startedAt) {
+        m_rateLimits->remove(endpoint->process());
+    }
     endpoint->facts = facts;
     for (const std::string &name : facts.pools) {
         const auto found = m_pools.find(name);
@@ -53,6 +56,7 @@
     // Requests that are still running on the endpoint keep its state alive until they end.
     const std::shared_ptr<endpoint_state> removed = found->second;
     m_endpoints.erase(found);
+    m_rateLimits->remove(removed->process());
     m_suspects.confirmCrash(removed->serial);
     const std::vector<pool_state *> pools = removed->pools;
     for (pool_state *pool : pools) {
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -66,6 +66,7 @@
     }
     ++request.pool->requests;
     request.pool->meanCost += (request.cost - request.pool->meanCost) * 0.01;
+    noteWanted(*request.pool);
     enqueue(request, false);
     return request.id;
 }
@@ -131,6 +132,7 @@
 {
     pool_state &pool = *request.pool;
     request.queuedSince = base::clock::now();
+    request.lastRateReport = m_rateLimits->lastReport();
     m_latestStarts.insert({request.latestStart, request.id});
     if (m_settings.isolateSuspects && m_suspects.isSuspect(request.facts.fingerprint)) {
         request.isSuspect = true;
@@ -224,7 +226,7 @@
 bool adaptive_director::dispatchProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &dispatches)
 {
     pool_member *member = m_outliers.dueProbe(pool.members, pool.requests, now);
-    if (member == nullptr || member->endpoint->facts.draining || member->endpoint->isDown) {
+    if (member == nullptr || member->endpoint->facts.draining || member->endpoint->isDown || !m_rateLimits->maySend(member->endpoint->process())) {
         return false;
     }
     // Long and urgent requests are not sent to a slow endpoint unless there have been no other requests to probe with.
@@ -282,6 +284,7 @@
     request.sent = request.lastSample = now;
     request.generated = 0;
     request.hasFirstByte = request.isFirstByteSamplePending = false;
+    m_rateLimits->noteSent(endpoint.process());
     ++endpoint.inFlight;
     ++request.pool->inFlight;
     if (request.isSuspect) {
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <optional>
+
+namespace chervilbend::routing
+{
+
+/// What an endpoint says of itself in the header of an answer.
+struct endpoint_notice {
+    /// Requests per second that it takes from all nodes together; no value if it names no limit.
+    std::optional<double> requestRate;
+};
+
+} // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/routing/internal/endpoint_selector.hpp>
 
+#include <chervilbend/routing/endpoint_rate_limits.hpp>
 #include <chervilbend/routing/internal/crash_suspect_tracker.hpp>
 #include <chervilbend/routing/internal/endpoint_state.hpp>
 #include <chervilbend/routing/internal/pool_state.hpp>
@@ -38,10 +39,14 @@
 
 } // namespace
 
-endpoint_selector::endpoint_selector(std::uint64_t seed, const director_settings &settings, const crash_suspect_tracker &suspects)
+endpoint_selector::endpoint_selector(std::uint64_t seed,
+                                     const director_settings &settings,
+                                     const crash_suspect_tracker &suspects,
+                                     const endpoint_rate_limits &rateLimits)
     : m_random(seed)
     , m_settings(settings)
     , m_suspects(suspects)
+    , m_rateLimits(rateLimits)
 {
 }
 
@@ -55,6 +60,27 @@
     return now >= endpoint.nextTry || (!endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial));
 }
 
+bool endpoint_selector::canAcceptWithinRate(const pool_member &member, int nodes, base::time_point now) const
+{
+    return canAccept(member, nodes, now) && (!m_rateLimits.hasLimits() || m_rateLimits.maySend(member.endpoint->process()));
+}
+
+bool endpoint_selector::isRateLimited(const pool_state &pool, int nodes, base::time_point now) const
+{
+    bool hasLimitedMember = false;
+    for (const pool_member &member : pool.members) {
+        const endpoint_state &endpoint = *member.endpoint;
+        if (endpoint.facts.draining || endpoint.isDown || member.ejected) {
+            continue;
+        }
+        if (!m_rateLimits.isLimited(endpoint.process())) {
+            return false;
+        }
+        hasLimitedMember = hasLimitedMember || (canAccept(member, nodes, now) && !m_rateLimits.maySend(endpoint.process()));
+    }
+    return hasLimitedMember;
+}
+
 bool endpoint_selector::canAcceptLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now)
 {
     const endpoint_state &endpoint = *member.endpoint;
@@ -69,7 +95,7 @@
     return std::any_of(pool.members.begin(), pool.members.end(), [&](const pool_member &member) {
         const endpoint_state &endpoint = *member.endpoint;
         const bool isReachable = !endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial);
-        return member.endpoint != request.endpoint && isReachable && canAccept(member, nodes, now)
+        return member.endpoint != request.endpoint && isReachable && canAcceptWithinRate(member, nodes, now)
             && (!request.lane.isLong || canAcceptLong(pool, member, nodes, now));
     });
 }
@@ -83,7 +109,7 @@
     bool hasRecentShortWork = false;
     for (pool_member &member : pool.members) {
         hasRecentShortWork = hasRecentShortWork || now - member.endpoint->lastShortWork <= longHoldback;
-        if (canAccept(member, nodes, now)) {
+        if (canAcceptWithinRate(member, nodes, now)) {
             m_candidates.push_back({&member, canAcceptLong(pool, member, nodes, now)});
             m_acceptsLong = m_acceptsLong || m_candidates.back().acceptsLong;
         } else if (member.endpoint->inFlight >= member.endpoint->share(nodes)) {
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -12,6 +12,7 @@
 {
 
 class crash_suspect_tracker;
+class endpoint_rate_limits;
 struct pool_member;
 struct pool_state;
 struct request_state;
@@ -20,7 +21,7 @@
 class endpoint_selector
 {
 public:
-    endpoint_selector(std::uint64_t seed, const director_settings &settings, const crash_suspect_tracker &suspects);
+    endpoint_selector(std::uint64_t seed, const director_settings &settings, const crash_suspect_tracker &suspects, const endpoint_rate_limits &rateLimits);
 
     /// Commands.
 
@@ -35,6 +36,9 @@
 
     /// Queries.
 
+    /// Whether endpoints of the pool could accept a request now but for their rate limits, and no other endpoint could do so now or later.
+    bool isRateLimited(const pool_state &pool, int nodes, base::time_point now) const;
+
     /// Whether an endpoint other than the one that has the request could accept it now.
     bool hasRoomElsewhere(const pool_state &pool, const request_state &request, int nodes, base::time_point now) const;
 
@@ -56,6 +60,7 @@
     };
 
     bool canAccept(const pool_member &member, int nodes, base::time_point now) const;
+    bool canAcceptWithinRate(const pool_member &member, int nodes, base::time_point now) const;
     static bool canAcceptLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now);
     double weightOf(const pool_member &member, const request_state &request) const;
     pool_member *draw(const request_state &request, bool avoidLast);
@@ -65,6 +70,7 @@
     std::mt19937_64 m_random;
     const director_settings &m_settings;
     const crash_suspect_tracker &m_suspects;
+    const endpoint_rate_limits &m_rateLimits;
     std::vector<candidate> m_candidates;
     std::vector<double> m_cumulativeWeights;
     std::vector<std::uint64_t> m_endpointOrder;
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/routing/endpoint_facts.hpp>
+#include <chervilbend/routing/endpoint_process.hpp>
 #include <chervilbend/routing/internal/concurrency_limit.hpp>
 #include <chervilbend/routing/load_report.hpp>
 
@@ -55,6 +56,11 @@
         return limit.limit() / nodes;
     }
 
+    endpoint_process process() const
+    {
+        return {facts.endpoint, facts.startedAt};
+    }
+
     /// Identifies the endpoint's process among all nodes.
     std::uint64_t processHash() const;
 
--- a/packages/routing/src/chervilbend/routing/internal/request_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_state.hpp
@@ -48,6 +48,8 @@
 
     base::time_point submitted;
     base::time_point queuedSince;
+    /// The node's last report of its demand for endpoints with a rate limit before the request was queued.
+    std::uint64_t lastRateReport = 0;
     /// Time after which the request can no longer meet its deadline or must no longer be sent.
     base::time_point latestStart;
     base::time_point sent;
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/base/units.hpp>
 #include <chervilbend/routing/endpoint_facts.hpp>
+#include <chervilbend/routing/endpoint_notice.hpp>
 #include <chervilbend/routing/load_report.hpp>
 #include <chervilbend/routing/request_facts.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
@@ -75,6 +76,10 @@
     {
     }
 
+    /// Reports what the endpoint of a running request says of itself in its answer. Call it for each answer, before the request ends or is retried.
+    virtual void noteAnswer(request_handle /*request*/, const endpoint_notice & /*notice*/)
+    {
+    }
     /// Reports that the first byte of the answer has arrived.
     virtual void firstByte(request_handle request) = 0;
     /// Reports the number of tokens that were generated so far.
