Order the store's positions across restorations

Cause: offsets go back and are given out again, while every place that keeps a position keeps the greater one: a sound answer looked old, an old state looked confirmed, and a read from an offset that exists again went on in the middle of another history. The lease holder's registrations were refused by the other nodes, so that it sent them in full 8 to 16 times a second. Class of fault: a number compared beyond the sequence that it belongs to.

Both followers read everything again at once. After a change of the era the registrations get the time to be written again that they have after an outage.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -71,8 +71,10 @@
             }
             continue;
         }
-        if (m_store.lastReason().kind == base::error_kind::recordInvalid) {
+        if (m_store.lastReason().kind == base::error_kind::recordInvalid && m_position) {
+            LOG4CXX_INFO(configLog(), "Reading the newest configuration, because " << m_store.lastReason().text << '.');
             m_position.reset();
+            continue;
         }
         if (backoff.failures() == 0) {
             LOG4CXX_WARN(configLog(), "Cannot read the configuration, keeping the version in force: " << m_store.lastReason().text);
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -84,6 +84,16 @@
     notify(isSnapshot ? m_registry.replace(page.changes, now) : m_registry.apply(page.changes, now));
 }
 
+void endpoint_follower::noteEra(base::time_point now)
+{
+    const std::int64_t era = m_store.era();
+    if (m_era && *m_era != era) {
+        // A registration that is missing in the older copy is written again by an endpoint that lives, as after an outage.
+        m_registry.noteStoreUnavailable(now);
+    }
+    m_era = era;
+}
+
 asio::awaitable<void> endpoint_follower::run()
 {
     retry_backoff backoff(m_seed);
@@ -112,13 +122,17 @@
             }
             backoff.reset();
             m_store.recovery().noteSuccess();
+            noteEra(now);
             applyRead(*page, isSnapshot, requestedAt);
             co_await m_wake.wait(base::clock::now() + (m_isHolder ? m_interval / holderReadFactor : m_interval));
             continue;
         }
-        if (m_store.lastReason().kind == base::error_kind::recordInvalid) {
+        if (m_store.lastReason().kind == base::error_kind::recordInvalid && m_position) {
+            LOG4CXX_INFO(endpointLog(), "Reading all registrations, because " << m_store.lastReason().text << '.');
             m_position.reset();
-        } else {
+            continue;
+        }
+        if (m_store.lastReason().kind != base::error_kind::recordInvalid) {
             m_registry.noteStoreUnavailable(now);
         }
         if (backoff.failures() == 0) {
--- /dev/null
+++ b/packages/fleet/tests/restorable_store.hpp
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <chervilbend/fleet/fleet_store.hpp>
+#include <chervilbend/net/sleep.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace chervilbend::fleet::test
+{
+
+/// The content of a store that can come back from an older copy of itself: the newest records are lost, and their offsets are given out again.
+struct restorable_content {
+    std::vector<std::int64_t> versions;
+    std::vector<endpoint_change> registrations;
+    std::vector<lease_record> leases;
+    std::int64_t era = 0;
+    bool isDown = false;
+
+    /// A copy to come back from; @c era stays.
+    struct copy {
+        std::size_t versions = 0;
+        std::size_t registrations = 0;
+        std::size_t leases = 0;
+    };
+
+    copy makeCopy() const
+    {
+        return {versions.size(), registrations.size(), leases.size()};
+    }
+
+    void restore(const copy &older)
+    {
+        versions.resize(older.versions);
+        registrations.resize(older.registrations);
+        leases.resize(older.leases);
+        ++era;
+    }
+};
+
+/// A node's connection to the store.
+class restorable_store : public fleet_store
+{
+public:
+    explicit restorable_store(restorable_content &shared)
+        : m_content(shared)
+    {
+    }
+
+    std::int64_t era() const override
+    {
+        return m_seenEra;
+    }
+
+    boost::asio::awaitable<std::optional<configuration_page>> newestConfiguration() override
+    {
+        const bool isAnswered = co_await answer();
+        co_return isAnswered ? std::optional(versionsFrom(0)) : std::nullopt;
+    }
+
+    boost::asio::awaitable<std::optional<configuration_page>> configurationFrom(std::int64_t position, base::milliseconds wait) override
+    {
+        const base::time_point until = base::clock::now() + wait;
+        bool isAnswered = co_await answer();
+        while (isAnswered && isCurrent(position) && offsetOf(position) >= m_content.versions.size() && base::clock::now() < until) {
+            isAnswered = co_await answer();
+        }
+        if (isAnswered && !isCurrent(position)) {
+            co_return fail(base::error_kind::recordInvalid, "the position is void");
+        }
+        co_return isAnswered ? std::optional(versionsFrom(offsetOf(position))) : std::nullopt;
+    }
+
+    boost::asio::awaitable<std::optional<endpoint_page>> allEndpoints() override
+    {
+        const bool isAnswered = co_await answer();
+        if (!isAnswered) {
+            co_return std::nullopt;
+        }
+        std::map<base::endpoint_id, endpoint_change> newest;
+        for (const endpoint_change &change : m_content.registrations) {
+            newest[change.id] = change;
+        }
+        endpoint_page page;
+        page.next = positionAt(m_content.registrations.size());
+        for (const auto &[id, change] : newest) {
+            if (change.entry) {
+                page.changes.push_back(change);
+            }
+        }
+        co_return page;
+    }
+
+    boost::asio::awaitable<std::optional<endpoint_page>> endpointsFrom(std::int64_t position) override
+    {
+        const bool isAnswered = co_await answer();
+        if (!isAnswered) {
+            co_return std::nullopt;
+        }
+        if (!isCurrent(position)) {
+            co_return fail(base::error_kind::recordInvalid, "the position is void");
+        }
+        endpoint_page page;
+        page.next = positionAt(m_content.registrations.size());
+        page.changes.assign(m_content.registrations.begin() + static_cast<std::ptrdiff_t>(offsetOf(position)), m_content.registrations.end());
+        co_return page;
+    }
+
+    boost::asio::awaitable<std::optional<lease_page>> lease() override
+    {
+        const bool isAnswered = co_await answer();
+        if (!isAnswered) {
+            co_return std::nullopt;
+        }
+        lease_page page;
+        page.end = positionAt(m_content.leases.size());
+        if (!m_content.leases.empty()) {
+            page.record = m_content.leases.back();
+            page.offset = page.end - 1;
+            page.record->token = page.record->token == 0 ? page.offset + 1 : page.record->token;
+        }
+        co_return page;
+    }
+
+    boost::asio::awaitable<lease_write> writeLease(lease_record record, std::int64_t expected) override
+    {
+        const bool isAnswered = co_await answer();
+        if (!isAnswered) {
+            co_return lease_write{};
+        }
+        if (expected != positionAt(m_content.leases.size())) {
+            co_return lease_write{lease_write_status::conflict, 0};
+        }
+        m_content.leases.push_back(record);
+        co_return lease_write{lease_write_status::written, expected};
+    }
+
+private:
+    static constexpr std::int64_t offsetsPerEra = 1'000'000;
+    static constexpr base::milliseconds delay{4};
+
+    /// False when the store is down.
+    boost::asio::awaitable<bool> answer()
+    {
+        co_await net::sleepFor(delay);
+        if (m_content.isDown) {
+            fail(base::error_kind::logUnavailable, "down");
+            co_return false;
+        }
+        m_seenEra = m_content.era;
+        co_return true;
+    }
+
+    std::int64_t positionAt(std::size_t offset) const
+    {
+        return m_content.era * offsetsPerEra + static_cast<std::int64_t>(offset);
+    }
+
+    bool isCurrent(std::int64_t position) const
+    {
+        return position / offsetsPerEra == m_content.era;
+    }
+
+    static std::size_t offsetOf(std::int64_t position)
+    {
+        return static_cast<std::size_t>(position % offsetsPerEra);
+    }
+
+    configuration_page versionsFrom(std::size_t offset) const
+    {
+        configuration_page page;
+        page.next = positionAt(m_content.versions.size());
+        if (offset < m_content.versions.size()) {
+            page.newest.emplace().version = m_content.versions.back();
+        }
+        return page;
+    }
+
+    restorable_content &m_content;
+    std::int64_t m_seenEra = 0;
+};
+
+} // namespace chervilbend::fleet::test
