Don't let an older copy of the store revive an endpoint that leaves

What callers would see: requests cut off or refused at endpoints that had reported that they drain, or had ended their registration, before the store came back from an older copy that shows them ready.

Cause: an entry was taken as the newest state because it was read last.

Change: an entry with a lower heartbeat than the known one of the same process is an older one and changes nothing; a process that drains stays so; the end of a registration is remembered for a minute, with the heartbeat up to which it covers entries. Relayed entries carry their heartbeat.

--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -1,8 +1,19 @@
 #include <chervilbend/fleet/endpoint_registry.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace chervilbend::fleet
 {
 
+namespace
+{
+
+/// How long the end of a registration is remembered. The copy from which the store comes back is some seconds old.
+constexpr base::milliseconds endRetention{60'000};
+
+} // namespace
+
 void endpoint_registry::noteStoreUnavailable(base::time_point /*now*/)
 {
     m_storeUnavailable = true;
@@ -75,7 +86,7 @@
         if (!change.entry) {
             // The node that read the change has already applied the grace period.
             if (isKnown) {
-                m_endpoints.erase(known);
+                erase(change.id, now);
                 changed.insert(change.id);
             }
             continue;
@@ -83,7 +94,7 @@
         if (isKnown && known->second.entry.startedAt == change.entry->startedAt) {
             change.entry->models = known->second.entry.models;
             change.entry->cached = known->second.entry.cached;
-            change.entry->heartbeat = known->second.entry.heartbeat;
+            change.entry->heartbeat = std::max(change.entry->heartbeat, known->second.entry.heartbeat);
         }
         if (applyChange(change, now)) {
             changed.insert(change.id);
@@ -91,7 +102,7 @@
     }
     if (isSnapshot) {
         for (const base::endpoint_id &id : missingFrom(registered)) {
-            m_endpoints.erase(id);
+            erase(id, now);
             changed.insert(id);
         }
     }
@@ -101,14 +112,14 @@
 std::set<base::endpoint_id> endpoint_registry::expire(base::time_point now)
 {
     std::set<base::endpoint_id> gone;
-    for (auto known = m_endpoints.begin(); known != m_endpoints.end();) {
-        if (known->second.expiresAt && *known->second.expiresAt <= now) {
-            gone.insert(known->first);
-            known = m_endpoints.erase(known);
-        } else {
-            ++known;
+    for (const auto &[id, known] : m_endpoints) {
+        if (known.expiresAt && *known.expiresAt <= now) {
+            gone.insert(id);
         }
     }
+    for (const base::endpoint_id &id : gone) {
+        erase(id, now);
+    }
     return gone;
 }
 
@@ -117,13 +128,22 @@
     if (!change.entry) {
         return endRegistration(change.id, now);
     }
-    const endpoint_entry &entry = *change.entry;
+    endpoint_entry entry = *change.entry;
+    if (hasEnded(entry)) {
+        return false;
+    }
     known_endpoint &known = m_endpoints[change.id];
     // A late entry of an earlier process with the same ID.
     if (entry.startedAt < known.entry.startedAt) {
         return false;
     }
     const bool isNewProcess = entry.startedAt != known.entry.startedAt;
+    if (!isNewProcess && entry.heartbeat < known.entry.heartbeat) {
+        // An older copy of the store has an older entry.
+        known.readAt = now;
+        return std::exchange(known.expiresAt, std::nullopt).has_value();
+    }
+    entry.draining = entry.draining || (!isNewProcess && known.entry.draining);
     const bool differs = isNewProcess || known.expiresAt || entry.draining != known.entry.draining || entry.address != known.entry.address
         || entry.slots != known.entry.slots || entry.models != known.entry.models;
     if (isNewProcess) {
@@ -154,8 +174,24 @@
         }
         return false;
     }
-    m_endpoints.erase(known);
+    erase(id, now);
     return true;
 }
 
+void endpoint_registry::erase(const base::endpoint_id &id, base::time_point now)
+{
+    std::erase_if(m_ended, [&](const auto &ended) { return now - ended.second.endedAt > endRetention; });
+    const auto known = m_endpoints.find(id);
+    if (known != m_endpoints.end()) {
+        m_ended[id] = {known->second.entry.startedAt, known->second.entry.heartbeat, now};
+        m_endpoints.erase(known);
+    }
+}
+
+bool endpoint_registry::hasEnded(const endpoint_entry &entry) const
+{
+    const auto ended = m_ended.find(entry.id);
+    return ended != m_ended.end() && entry.startedAt == ended->second.startedAt && entry.heartbeat > 0 && entry.heartbeat <= ended->second.heartbeat;
+}
+
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/fleet/endpoint_entry.hpp>
 #include <chervilbend/fleet/fleet_store.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,6 +18,9 @@
 ///
 /// A registration that ends while the store is available means that the endpoint leaves. One that ended during an outage of the store may just
 /// have expired: a live endpoint registers again within reregistrationGrace of the end of the outage, and is used until then.
+///
+/// The store may come back from an older copy of itself. A process that was seen draining stays so, and a registration that was seen to end stays ended
+/// until its endpoint writes again.
 class endpoint_registry
 {
 public:
@@ -66,8 +70,20 @@
     std::vector<base::endpoint_id> missingFrom(const std::set<base::endpoint_id> &registered) const;
     bool applyChange(const endpoint_change &change, base::time_point now);
     bool endRegistration(const base::endpoint_id &id, base::time_point now);
+    void erase(const base::endpoint_id &id, base::time_point now);
+    /// Whether the entry was written before the end of its registration was seen.
+    bool hasEnded(const endpoint_entry &entry) const;
+
+    struct ended_registration {
+        std::int64_t startedAt = 0;
+        /// The last one that was seen.
+        std::int64_t heartbeat = 0;
+        base::time_point endedAt;
+    };
 
     std::map<base::endpoint_id, known_endpoint> m_endpoints;
+    /// Registrations that ended recently.
+    std::map<base::endpoint_id, ended_registration> m_ended;
     /// Time of the last read before the one that is being applied.
     base::time_point m_lastRead;
     bool m_storeUnavailable = false;
--- a/packages/fleet/src/chervilbend/fleet/store_relay.cpp
+++ b/packages/fleet/src/chervilbend/fleet/store_relay.cpp
@@ -17,7 +17,7 @@
 /// How long ended registrations are kept for incremental updates; a node whose version is older gets a full snapshot.
 constexpr base::milliseconds removalRetention{30'000};
 
-/// The part of an entry that nodes need. Models and the heartbeat change too often to be relayed.
+/// The part of an entry whose changes nodes need. Models and the heartbeat change too often to be relayed.
 endpoint_entry relayedEntry(const endpoint_entry &entry)
 {
     endpoint_entry relayed = entry;
@@ -53,7 +53,7 @@
         if (change != m_changes.end() && change->second.entry == entry) {
             continue;
         }
-        m_changes[id] = {++m_version, std::move(entry), now};
+        m_changes[id] = {++m_version, std::move(entry), hasEnded ? 0 : known->second.entry.heartbeat, now};
     }
     std::erase_if(m_changes, [&](const auto &change) {
         const bool isOld = !change.second.entry && now - change.second.endedAt > removalRetention;
@@ -82,7 +82,10 @@
     update.registrationsVersion = m_version;
     for (const auto &[id, change] : m_changes) {
         if (update.isSnapshot ? change.entry.has_value() : change.version > version) {
-            update.registrations.push_back({id, change.entry});
+            endpoint_change &relayed = update.registrations.emplace_back(endpoint_change{id, change.entry});
+            if (relayed.entry) {
+                relayed.entry->heartbeat = change.heartbeat;
+            }
         }
     }
     return update;
--- a/packages/fleet/src/chervilbend/fleet/store_relay.hpp
+++ b/packages/fleet/src/chervilbend/fleet/store_relay.hpp
@@ -48,8 +48,9 @@
 private:
     struct change_record {
         std::int64_t version = 0;
-        /// The entry as relayed, without its models; no value when the registration has ended.
+        /// The entry as relayed, without its models and heartbeat; no value when the registration has ended.
         std::optional<endpoint_entry> entry;
+        std::int64_t heartbeat = 0;
         /// When the registration ended.
         base::time_point endedAt;
     };
--- a/packages/fleet/src/chervilbend/fleet/store_update_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/store_update_json.cpp
@@ -24,6 +24,7 @@
     json["slots"] = entry.slots;
     json["draining"] = entry.draining;
     json["born"] = static_cast<Json::Int64>(entry.startedAt);
+    json["heartbeat"] = static_cast<Json::Int64>(entry.heartbeat);
     if (entry.remaining) {
         json["remainingMs"] = static_cast<Json::Int64>(entry.remaining->count());
     }
@@ -57,6 +58,9 @@
     entry.slots = json["slots"].asInt();
     entry.draining = json["draining"].asBool();
     entry.startedAt = json["born"].asInt64();
+    if (json["heartbeat"].isInt64()) {
+        entry.heartbeat = json["heartbeat"].asInt64();
+    }
     if (json["remainingMs"].isInt64()) {
         entry.remaining = base::milliseconds(json["remainingMs"].asInt64());
     }
--- a/packages/fleet/tests/restored_store_test.cpp
+++ b/packages/fleet/tests/restored_store_test.cpp
@@ -201,6 +201,10 @@
     CPPUNIT_TEST(versionsAfterTheRestorationAreRead);
     CPPUNIT_TEST(olderVersionIsNotAppliedAgain);
     CPPUNIT_TEST(endpointThatDrainsAfterTheRestorationIsLeft);
+    CPPUNIT_TEST(drainingEndpointStaysSo);
+    CPPUNIT_TEST(endedRegistrationStaysEnded);
+    CPPUNIT_TEST(endpointThatWritesAgainIsUsedAgain);
+    CPPUNIT_TEST(lostRegistrationIsKeptUntilItIsWrittenAgain);
     CPPUNIT_TEST(registrationsAreNotRelayedAgainAndAgain);
     CPPUNIT_TEST_SUITE_END();
 
