Keep one commander when the store comes back from an older copy

What could happen: the copy names a holder of the command lease of long ago, or none, while the present holder is in its term; two nodes then command the same engines within the gap that the users ask for.

Cause: the record was trusted as the newest one; a node whose own record from earlier was in the copy even took the lease without any gap.

Change: the holder writes its record again when the copy shows an earlier token or none. A node that notices a new era and did not hold the lease waits until a holder that it cannot see has ended its term, and counts the gap from then. A node that held the lease until the outage takes it at once.

--- a/packages/fleet/src/chervilbend/fleet/command_lease.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.cpp
@@ -127,25 +127,53 @@
     if (!m_held || m_stopping) {
         co_return;
     }
-    if (!page || !page->record) {
+    if (!page) {
         co_await net::sleepFor(m_backoff.next());
         co_return;
     }
-    if (page->record->incarnation != m_options.incarnation || page->record->holder != m_options.node || page->record->token != m_held->token) {
+    noteEra();
+    if (isSuperseded(*page)) {
         observe(*page);
         lose("another node has acquired the lease");
         co_return;
     }
-    if (page->record->renewal == record.renewal) {
+    const bool isOwn = page->record && page->record->token == m_held->token;
+    if (isOwn && page->record->renewal == record.renewal) {
         m_held->renewal = record.renewal;
         m_held->validUntil = sentAt + m_options.term;
         m_latestAt = sentAt;
     }
-    m_latest = page->record;
+    // In an older copy the record is an earlier one. The next renewal is written after it.
+    m_latest = isOwn ? *page->record : record;
     m_latestOffset = page->end - 1;
     co_await net::sleepFor(retry_backoff::minimum());
 }
 
+bool command_lease::isSuperseded(const lease_page &page) const
+{
+    if (!page.record) {
+        return false;
+    }
+    const bool isOwnProcess = page.record->holder == m_options.node && page.record->incarnation == m_options.incarnation;
+    return !isOwnProcess && page.record->token > m_held->token;
+}
+
+void command_lease::noteEra()
+{
+    const std::int64_t era = m_store.era();
+    if (m_era && era > *m_era) {
+        const bool wasOwn = m_latest && m_latest->holder == m_options.node && m_latest->incarnation == m_options.incarnation;
+        m_restoredAt = wasOwn ? std::nullopt : std::optional(base::clock::bootNow());
+        LOG4CXX_INFO(leaseLog(), base::log_event("storeRestored").with("era", era).with("held", m_held.has_value()).text());
+    }
+    m_era = era;
+}
+
+std::optional<base::time_point> command_lease::unseenTermEnd() const
+{
+    return m_restoredAt ? std::optional(*m_restoredAt + m_options.term + clockSkewMargin) : std::nullopt;
+}
+
 asio::awaitable<void> command_lease::watch()
 {
     const bool isOtherHolder = m_latest && (m_latest->holder != m_options.node || m_latest->incarnation != m_options.incarnation);
@@ -163,6 +191,7 @@
     }
     m_backoff.reset();
     m_store.recovery().noteSuccess();
+    noteEra();
     observe(*page);
     if (page->record && page->record->holder == m_options.node && page->record->incarnation == m_options.incarnation && !page->record->released) {
         // An attempt without an answer has succeeded after all. A token that was held before is not reused, because an engine may have refused it.
@@ -239,6 +268,9 @@
         const base::time_point lastCommand = commandsEndAtRenewal ? m_latestAt : m_latestAt + m_options.term;
         held.commandsFrom = std::max(now, lastCommand + m_options.commandGap);
     }
+    if (const std::optional<base::time_point> termEnd = unseenTermEnd()) {
+        held.commandsFrom = std::max(held.commandsFrom, *termEnd + m_options.commandGap);
+    }
     LOG4CXX_INFO(leaseLog(),
                  base::log_event("leaseTaken")
                      .with("token", held.token)
@@ -260,6 +292,9 @@
 
 bool command_lease::isFree(const lease_page &page) const
 {
+    if (const std::optional<base::time_point> termEnd = unseenTermEnd(); termEnd && base::clock::bootNow() < *termEnd) {
+        return false;
+    }
     if (!page.record || page.record->released || page.record->holder == m_options.node) {
         return true;
     }
--- a/packages/fleet/src/chervilbend/fleet/command_lease.hpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.hpp
@@ -46,6 +46,10 @@
 ///
 /// The holder reads the store for all nodes and answers their reports, so it should be a host with some processor time to spare: the others
 /// try to acquire a free lease only if no such host has done so.
+///
+/// The store may come back from an older copy of itself, in which the record is missing or names an earlier holder. The present holder then writes its
+/// record again. The other nodes, which do not know whether its term has ended, wait for that long before they acquire the lease, and count the gap
+/// from then.
 class command_lease
 {
 public:
@@ -127,6 +131,12 @@
     /// Reads the record after a release without effect. False when another release or holder has replaced it.
     boost::asio::awaitable<bool> isStillOwnRecord();
     void observe(const lease_page &page);
+    /// Whether another node has acquired the lease after this one, which holds it.
+    bool isSuperseded(const lease_page &page) const;
+    /// To be called after each read of the lease, before the record is used.
+    void noteEra();
+    /// Until when a holder may be in its term that an older copy of the store does not show; no value if there is none.
+    std::optional<base::time_point> unseenTermEnd() const;
     void startHolding(std::int64_t offset, base::time_point sentAt);
     bool isFree(const lease_page &page) const;
     void lose(const std::string &reason);
@@ -146,6 +156,10 @@
     base::time_point m_latestAt;
     /// When the last attempt to acquire the lease was sent; without an answer, it may still have been written.
     base::time_point m_writeSentAt;
+    /// The store's era at the last read of the lease.
+    std::optional<std::int64_t> m_era;
+    /// When this node noticed that the store had come back from an older copy, by the boot clock, if another node held the lease before.
+    std::optional<base::time_point> m_restoredAt;
     retry_backoff m_backoff;
     std::minstd_rand m_random;
     bool m_stopping = false;
--- a/packages/fleet/tests/restored_store_test.cpp
+++ b/packages/fleet/tests/restored_store_test.cpp
@@ -206,6 +206,10 @@
     CPPUNIT_TEST(endpointThatWritesAgainIsUsedAgain);
     CPPUNIT_TEST(lostRegistrationIsKeptUntilItIsWrittenAgain);
     CPPUNIT_TEST(registrationsAreNotRelayedAgainAndAgain);
+    CPPUNIT_TEST(holderKeepsItsLease);
+    CPPUNIT_TEST(holderSurvivesTheLossOfItsRecord);
+    CPPUNIT_TEST(formerHolderInTheCopyDoesNotCommand);
+    CPPUNIT_TEST(randomRestorationsLeaveOneCommander);
     CPPUNIT_TEST_SUITE_END();
 
 public:
