Stop sending to an endpoint that says in an answer that it leaves

What callers would see: requests that are cut off at an endpoint that is about to stop, between its first answer that says so and its registration, or for good where the store is away.

Change: endpoint_notice has isLeaving. The director treats the process like one whose registration says that it drains; nothing but a new process takes it back. What the nodes share with the director is one struct, cluster_knowledge, in place of a pointer each.

The exchange is tested in holder_client_test, with messages of the version before, which lack the member. The same tests now cover how grants for limited endpoints travel.

--- a/packages/fleet/src/chervilbend/fleet/engine_update.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_update.hpp
@@ -42,6 +42,8 @@
     routing::prompt_evidence prompts;
     /// What the node knows and wants of the request rates that endpoints allow.
     routing::rate_limit_report rateLimits;
+    /// Endpoints that have recently said in an answer that they are about to stop.
+    std::vector<routing::endpoint_process> leaving;
     /// Version of the registrations that the node has from the holder with this token; 0 for none.
     std::int64_t registrationsVersion = 0;
 };
@@ -63,6 +65,7 @@
     /// What the holder knows of the parts of prompts.
     routing::prompt_evidence prompts;
     routing::rate_limit_answer rateLimits;
+    std::vector<routing::endpoint_process> leaving;
 };
 
 /// A model or adapter that a request needs.
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -36,6 +36,30 @@
     return json.isMember("limits") ? readRateLimitAnswer(json["limits"]) : routing::rate_limit_answer{};
 }
 
+Json::Value toJson(const std::vector<routing::endpoint_process> &processes)
+{
+    Json::Value list(Json::arrayValue);
+    for (const routing::endpoint_process &process : processes) {
+        Json::Value &item = list.append(Json::Value(Json::objectValue));
+        item["endpoint"] = process.endpoint.value();
+        item["born"] = static_cast<Json::Int64>(process.startedAt);
+    }
+    return list;
+}
+
+/// Items that cannot be read are skipped.
+std::vector<routing::endpoint_process> readLeavingMember(const Json::Value &json)
+{
+    std::vector<routing::endpoint_process> processes;
+    const Json::Value &list = json["leaving"];
+    for (Json::ArrayIndex i = 0; list.isArray() && i < list.size(); ++i) {
+        if (hasText(list[i], "endpoint") && hasNumber(list[i], "born")) {
+            processes.push_back({base::endpoint_id(list[i]["endpoint"].asString()), list[i]["born"].asInt64()});
+        }
+    }
+    return processes;
+}
+
 } // namespace
 
 Json::Value toJson(const node_report &report)
@@ -47,6 +71,7 @@
     json["registrations"] = static_cast<Json::Int64>(report.registrationsVersion);
     json["prompts"] = toJson(report.prompts);
     json["limits"] = toJson(report.rateLimits);
+    json["leaving"] = toJson(report.leaving);
     Json::Value &open = json["open"] = Json::Value(Json::objectValue);
     for (const auto &[model, count] : report.open) {
         open[model] = count;
@@ -72,6 +97,7 @@
     node_report report;
     report.prompts = std::move(*prompts);
     report.rateLimits = std::move(*rateLimits);
+    report.leaving = readLeavingMember(json);
     report.node = base::node_id(json["node"].asString());
     report.token = json["token"].asInt64();
     report.version = json["version"].asInt64();
@@ -154,6 +180,7 @@
     json["store"] = toJson(answer.store);
     json["prompts"] = toJson(answer.prompts);
     json["limits"] = toJson(answer.rateLimits);
+    json["leaving"] = toJson(answer.leaving);
     return json;
 }
 
@@ -188,6 +215,7 @@
     answer.store = std::move(*store);
     answer.prompts = std::move(*prompts);
     answer.rateLimits = std::move(*rateLimits);
+    answer.leaving = readLeavingMember(json);
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
@@ -6,7 +6,7 @@
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
-#include <chervilbend/routing/prompt_part_tracker.hpp>
+#include <chervilbend/routing/cluster_knowledge.hpp>
 
 #include <utility>
 
@@ -25,13 +25,14 @@
 exchange_method::exchange_method(const command_lease &lease,
                                  engine_controller &controller,
                                  const store_relay &relay,
-                                 routing::prompt_part_tracker &prompts,
+                                 const routing::cluster_knowledge &knowledge,
                                  rate_limit_exchange &rateLimits,
                                  double linkMegabits)
     : m_lease(lease)
     , m_controller(controller)
     , m_relay(relay)
-    , m_prompts(prompts)
+    , m_prompts(*knowledge.promptParts)
+    , m_leaving(*knowledge.leaving)
     , m_rateLimits(rateLimits)
     , m_budget(linkMegabits)
 {
@@ -58,6 +59,10 @@
     m_prompts.merge(report->prompts);
     answer.prompts = m_prompts.responseTo(report->prompts);
     answer.rateLimits = m_rateLimits.answer(report->rateLimits);
+    for (const routing::endpoint_process &process : report->leaving) {
+        m_leaving.note(process);
+    }
+    answer.leaving = m_leaving.recent();
     const std::int64_t version = isSameHolder ? report->version : 0;
     answer.version = version;
     if (mayContainUpdates) {
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
@@ -9,8 +9,10 @@
 
 namespace chervilbend::routing
 {
+class leaving_endpoints;
 class prompt_part_tracker;
-}
+struct cluster_knowledge;
+} // namespace chervilbend::routing
 
 namespace chervilbend::fleet
 {
@@ -48,7 +50,7 @@
     exchange_method(const command_lease &lease,
                     engine_controller &controller,
                     const store_relay &relay,
-                    routing::prompt_part_tracker &prompts,
+                    const routing::cluster_knowledge &knowledge,
                     rate_limit_exchange &rateLimits,
                     double linkMegabits);
 
@@ -71,6 +73,7 @@
     engine_controller &m_controller;
     const store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
+    routing::leaving_endpoints &m_leaving;
     rate_limit_exchange &m_rateLimits;
     answer_budget m_budget;
     report_pacer m_pacer;
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -15,7 +15,7 @@
 #include <chervilbend/net/change_signal.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/peers/rpc_caller.hpp>
-#include <chervilbend/routing/prompt_part_tracker.hpp>
+#include <chervilbend/routing/cluster_knowledge.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -57,7 +57,7 @@
                              known_residency &residency,
                              usage_meter &usage,
                              store_relay &relay,
-                             routing::prompt_part_tracker &prompts,
+                             const routing::cluster_knowledge &knowledge,
                              rate_limit_exchange &rateLimits)
     : m_node(std::move(node))
     , m_lease(lease)
@@ -66,7 +66,8 @@
     , m_residency(residency)
     , m_usage(usage)
     , m_relay(relay)
-    , m_prompts(prompts)
+    , m_prompts(*knowledge.promptParts)
+    , m_leaving(*knowledge.leaving)
     , m_rateLimits(rateLimits)
 {
     m_prompts.onLoss([this] { m_lossSeen.notify(); });
@@ -166,6 +167,7 @@
     }
     report.prompts = m_prompts.takeNews();
     report.rateLimits = m_rateLimits.takeReport();
+    report.leaving = m_leaving.recent();
     const Json::Value message = toJson(report);
     const base::time_point requestedAt = base::clock::now();
     const std::optional<Json::Value> json = co_await m_peers.call(*address, exchangeMethodName, message, exchangeTimeout);
@@ -177,6 +179,9 @@
     }
     m_prompts.merge(answer->prompts);
     m_rateLimits.apply(report.rateLimits, answer->rateLimits, requestedAt);
+    for (const routing::endpoint_process &process : answer->leaving) {
+        m_leaving.note(process);
+    }
     if (answer->lease.token != m_token) {
         m_prompts.announceAgain();
     }
--- a/packages/fleet/src/chervilbend/fleet/holder_client.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.hpp
@@ -21,8 +21,10 @@
 
 namespace chervilbend::routing
 {
+class leaving_endpoints;
 class prompt_part_tracker;
-}
+struct cluster_knowledge;
+} // namespace chervilbend::routing
 
 namespace chervilbend::fleet
 {
@@ -39,7 +41,7 @@
 class holder_client
 {
 public:
-    /// References must outlive the client.
+    /// References, and what @p knowledge refers to, must outlive the client.
     holder_client(base::node_id node,
                   command_lease &lease,
                   engine_controller &controller,
@@ -47,7 +49,7 @@
                   known_residency &residency,
                   usage_meter &usage,
                   store_relay &relay,
-                  routing::prompt_part_tracker &prompts,
+                  const routing::cluster_knowledge &knowledge,
                   rate_limit_exchange &rateLimits);
 
     /// Commands.
@@ -84,6 +86,7 @@
     usage_meter &m_usage;
     store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
+    routing::leaving_endpoints &m_leaving;
     rate_limit_exchange &m_rateLimits;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void(int)> m_nodesListener;
--- a/packages/fleet/tests/exchange_method_test.cpp
+++ b/packages/fleet/tests/exchange_method_test.cpp
@@ -12,8 +12,7 @@
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/peers/rpc_caller.hpp>
-#include <chervilbend/routing/endpoint_rate_limits.hpp>
-#include <chervilbend/routing/prompt_part_tracker.hpp>
+#include <chervilbend/routing/cluster_knowledge.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -184,11 +183,11 @@
     engine_controller controller{context.get_executor(), engines, lease, registry, [this] {
                                      return rules;
                                  }};
-    routing::prompt_part_tracker prompts;
+    routing::cluster_knowledge knowledge;
+    routing::prompt_part_tracker &prompts = *knowledge.promptParts;
     silent_peers peers;
-    routing::endpoint_rate_limits limits;
-    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, peers, limits};
-    exchange_method method{lease, controller, relay, prompts, rateLimits, linkMegabits};
+    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, peers, *knowledge.rateLimits};
+    exchange_method method{lease, controller, relay, knowledge, rateLimits, linkMegabits};
     std::vector<reporting_node> nodes;
 
     static command_lease_options leaseOptions()
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -12,12 +12,12 @@
 #include <chervilbend/fleet/known_residency.hpp>
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
+#include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/report_pacer.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/peers/rpc_caller.hpp>
-#include <chervilbend/routing/endpoint_rate_limits.hpp>
-#include <chervilbend/routing/prompt_part_tracker.hpp>
+#include <chervilbend/routing/cluster_knowledge.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -42,6 +42,12 @@
     asio::awaitable<std::optional<Json::Value>> call(net::address /*peer*/, std::string method, Json::Value parameters, base::milliseconds timeout) override
     {
         ++calls;
+        if (method == rateLimitMethodName) {
+            ++grantCalls;
+            const routing::rate_limit_report report = readRateLimitReport(parameters).value();
+            co_await net::sleepFor(base::milliseconds(4));
+            co_return toJson(allocator.answer(report, false));
+        }
         const bool isReport = method == exchangeMethodName;
         lastEvidence = readPromptEvidence(isReport ? parameters["prompts"] : parameters).value();
         if (!isAnswering) {
@@ -55,6 +61,9 @@
         }
         holder_response answer;
         answer.prompts = tracker.responseTo(lastEvidence);
+        lastReport = readNodeReport(parameters).value();
+        answer.rateLimits = allocator.answer(lastReport.rateLimits, true);
+        answer.leaving = leaving;
         answer.lease.holder = base::node_id("holder");
         answer.lease.peerAddress = "127.0.0.1:1";
         answer.lease.token = 7;
@@ -67,6 +76,10 @@
     int calls = 0;
     routing::prompt_evidence lastEvidence;
     routing::prompt_part_tracker tracker;
+    int grantCalls = 0;
+    node_report lastReport;
+    routing::rate_limit_allocator allocator{11};
+    std::vector<routing::endpoint_process> leaving;
 };
 
 /// A node that reports to a fake holder.
@@ -74,6 +87,7 @@
     reporting_node()
     {
         asio::co_spawn(context, client.run(), asio::detached);
+        asio::co_spawn(context, rateLimits.run(), asio::detached);
     }
 
     /// Calls to the holder within @p ms, throughout which its lease is valid.
@@ -109,10 +123,10 @@
                                      return nullptr;
                                  }};
     fake_holder holder;
-    routing::prompt_part_tracker prompts;
-    routing::endpoint_rate_limits limits;
-    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, holder, limits};
-    holder_client client{base::node_id("a"), lease, controller, holder, residency, usage, relay, prompts, rateLimits};
+    routing::cluster_knowledge knowledge;
+    routing::prompt_part_tracker &prompts = *knowledge.promptParts;
+    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, holder, *knowledge.rateLimits};
+    holder_client client{base::node_id("a"), lease, controller, holder, residency, usage, relay, knowledge, rateLimits};
     std::int64_t offset = 0;
 };
 
@@ -132,6 +146,10 @@
     CPPUNIT_TEST(unansweredReportIsRepeated);
     CPPUNIT_TEST(malformedEvidenceIsRejected);
     CPPUNIT_TEST(messagesOfTheVersionBeforeAreRead);
+    CPPUNIT_TEST(leavingEndpointsAreShared);
+    CPPUNIT_TEST(grantsComeWithTheExchange);
+    CPPUNIT_TEST(waitingRequestIsAskedForAtOnce);
+    CPPUNIT_TEST(lastHolderGrantsAfterTheEndOfTheLease);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -268,11 +286,67 @@
         oldResponse.removeMember("intervalMs");
         const std::optional<holder_response> response = readHolderResponse(oldResponse);
         CPPUNIT_ASSERT(response && response->reportInterval == report_pacer::shortestInterval);
+        for (const char *member : {"limits", "leaving"}) {
+            oldReport.removeMember(member);
+            oldResponse.removeMember(member);
+        }
+        CPPUNIT_ASSERT(readNodeReport(oldReport));
+        CPPUNIT_ASSERT(readHolderResponse(oldResponse));
         oldReport["prompts"] = "text";
         CPPUNIT_ASSERT(!readNodeReport(oldReport));
     }
 
+    void leavingEndpointsAreShared()
+    {
+        reporting_node node;
+        node.knowledge.leaving->note(m_process);
+        const routing::endpoint_process other{base::endpoint_id("i-2"), 4};
+        node.holder.leaving = {other};
+        node.callsWithin(1'000);
+        CPPUNIT_ASSERT(node.holder.lastReport.leaving.size() == 2);
+        CPPUNIT_ASSERT(node.knowledge.leaving->contains(other));
+    }
+
+    void grantsComeWithTheExchange()
+    {
+        reporting_node node;
+        node.callsWithin(1'000);
+        node.knowledge.rateLimits->noteAnswer(m_process, 2.5);
+        node.knowledge.rateLimits->noteWanted(m_process, 0.5);
+        CPPUNIT_ASSERT(!node.knowledge.rateLimits->maySend(m_process));
+        node.callsWithin(300);
+        CPPUNIT_ASSERT(node.knowledge.rateLimits->maySend(m_process));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), node.holder.allocator.limitedEndpoints());
+        CPPUNIT_ASSERT_EQUAL(0, node.holder.grantCalls);
+    }
+
+    void waitingRequestIsAskedForAtOnce()
+    {
+        reporting_node node;
+        node.holder.reportInterval = report_pacer::longestInterval;
+        node.callsWithin(2'000);
+        node.knowledge.rateLimits->noteAnswer(m_process, 2.5);
+        node.knowledge.rateLimits->noteWanted(m_process, 1);
+        node.knowledge.rateLimits->requestGrants();
+        node.time.advance(base::milliseconds(20));
+        CPPUNIT_ASSERT(node.knowledge.rateLimits->maySend(m_process));
+    }
+
+    void lastHolderGrantsAfterTheEndOfTheLease()
+    {
+        reporting_node node;
+        node.callsWithin(1'000);
+        node.time.advance(base::milliseconds(3'000));
+        CPPUNIT_ASSERT(!node.lease.holder());
+        node.knowledge.rateLimits->noteAnswer(m_process, 2.5);
+        node.knowledge.rateLimits->noteWanted(m_process, 1);
+        node.time.advance(base::milliseconds(300));
+        CPPUNIT_ASSERT(node.knowledge.rateLimits->maySend(m_process));
+    }
+
 private:
+    const routing::endpoint_process m_process{base::endpoint_id("i-1"), 3};
+
     static constexpr std::uint64_t crashingPart = 77;
 
     static void recordLosses(routing::prompt_part_tracker &tracker)
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -118,9 +118,9 @@
     , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
     , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
     , m_peers(m_signer, std::make_shared<net::http_client>())
-    , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_rateLimits)
-    , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, *m_promptParts, m_rateLimitExchange)
-    , m_director(seedOf(settings), directorSettings(settings), m_promptParts, m_rateLimits)
+    , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_knowledge.rateLimits)
+    , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, m_knowledge, m_rateLimitExchange)
+    , m_director(seedOf(settings), directorSettings(settings), m_knowledge)
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
     , m_endpointFeed(m_director, m_directory, m_endpoints, m_residency, base::zone_id(settings.zone), crossZoneRoundTripMs)
@@ -132,7 +132,7 @@
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
     , m_health(m_readiness, m_registry, m_readinessHandler)
     , m_metricsServer(std::make_shared<net::http_server>(m_context.get_executor(), m_health))
-    , m_exchangeMethod(std::make_shared<fleet::exchange_method>(m_lease, m_controller, m_relay, *m_promptParts, m_rateLimitExchange, settings.linkRate))
+    , m_exchangeMethod(std::make_shared<fleet::exchange_method>(m_lease, m_controller, m_relay, m_knowledge, m_rateLimitExchange, settings.linkRate))
     , m_rpc(m_signer)
     , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_rpc))
     , m_shutdown(m_context.get_executor(),
@@ -182,12 +182,12 @@
     });
     m_loopMonitor.onMeasurement([this](base::milliseconds lag) { m_exchangeMethod->noteLoopLag(lag); });
     m_rpc.add(m_exchangeMethod);
-    m_rpc.add(std::make_shared<fleet::prompt_exchange_method>(*m_promptParts));
-    m_promptParts->onRefusal([](std::uint64_t part, std::size_t losses) {
+    m_rpc.add(std::make_shared<fleet::prompt_exchange_method>(*m_knowledge.promptParts));
+    m_knowledge.promptParts->onRefusal([](std::uint64_t part, std::size_t losses) {
         LOG4CXX_WARN(nodeLog(), base::log_event("promptPartRefused").with("part", part).with("lostEndpoints", losses).text());
     });
     m_rpc.add(std::make_shared<fleet::rate_limit_method>(m_rateLimitExchange));
-    m_rateLimits->onChange([](const routing::endpoint_process &process, std::optional<double> requestRate) {
+    m_knowledge.rateLimits->onChange([](const routing::endpoint_process &process, std::optional<double> requestRate) {
         base::log_event event(requestRate ? "endpointLimited" : "endpointLimitEnded");
         event.with("endpoint", process.endpoint.value());
         if (requestRate) {
@@ -195,6 +195,10 @@
         }
         LOG4CXX_INFO(nodeLog(), event.text());
     });
+    m_knowledge.leaving->onNote([this](const routing::endpoint_process &process) {
+        LOG4CXX_INFO(nodeLog(), base::log_event("endpointLeaves").with("endpoint", process.endpoint.value()).text());
+        m_director.endpointLeaves(process);
+    });
     m_rateLimitExchange.onDecision([this] {
         m_director.rateLimitsChanged();
         m_admission.deliverDecisions();
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -96,8 +96,7 @@
     fleet::engine_controller m_controller;
     std::shared_ptr<membership::message_signer> m_signer;
     peers::rpc_client m_peers;
-    const std::shared_ptr<routing::prompt_part_tracker> m_promptParts = std::make_shared<routing::prompt_part_tracker>();
-    const std::shared_ptr<routing::endpoint_rate_limits> m_rateLimits = std::make_shared<routing::endpoint_rate_limits>();
+    const routing::cluster_knowledge m_knowledge;
     fleet::rate_limit_exchange m_rateLimitExchange;
     fleet::holder_client m_holderClient;
 
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -65,10 +65,10 @@
         return static_cast<double>(m_endpoints.endpoints().size());
     });
     m_registry.gaugeFor("chervilbend_refused_prompt_parts", "Prompt parts that are refused because endpoints were lost on them").readFrom([this] {
-        return static_cast<double>(m_promptParts->refusedParts());
+        return static_cast<double>(m_knowledge.promptParts->refusedParts());
     });
     m_registry.gaugeFor("chervilbend_rate_limited_endpoints", "Endpoints that allow only a limited rate of requests").readFrom([this] {
-        return static_cast<double>(m_rateLimits->limitedEndpoints());
+        return static_cast<double>(m_knowledge.rateLimits->limitedEndpoints());
     });
     m_registry.gaugeFor("chervilbend_command_lease_held", "1 while this node may command the engines").readFrom([this] {
         return m_lease.mayCommand() ? 1.0 : 0.0;
--- a/packages/node/tests/endpoint_notice_test.cpp
+++ b/packages/node/tests/endpoint_notice_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(endpoint_notice_test);
     CPPUNIT_TEST(rateLimitOfAnAnswerIsReported);
     CPPUNIT_TEST(rateLimitOfARefusalIsReported);
+    CPPUNIT_TEST(leavingEndpointIsReported);
     CPPUNIT_TEST(answersOfOtherProcessesSayNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -38,6 +39,16 @@
         CPPUNIT_ASSERT(fixture.director.notices[0].requestRate == 1.0);
     }
 
+    void leavingEndpointIsReported()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.addEndpoint(answerAndClose(sealedResponse("fine", "own1", "200 OK", "Server-Leaving: 1\r\n")));
+        fixture.ask("/status/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.director.notices.size());
+        CPPUNIT_ASSERT(fixture.director.notices[0].isLeaving);
+    }
+
     /// Neither an answer of the process that now has the address, nor bytes without a seal, nor the answer to another request tell that a limit has ended.
     void answersOfOtherProcessesSayNothing()
     {
--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -17,14 +17,12 @@
 
 } // namespace
 
-adaptive_director::adaptive_director(std::uint64_t seed,
-                                     const director_settings &settings,
-                                     std::shared_ptr<prompt_part_tracker> promptParts,
-                                     std::shared_ptr<endpoint_rate_limits> rateLimits)
+adaptive_director::adaptive_director(std::uint64_t seed, const director_settings &settings, cluster_knowledge knowledge)
     : m_settings(settings)
     , m_suspects(m_settings)
-    , m_promptParts(promptParts ? std::move(promptParts) : std::make_shared<prompt_part_tracker>())
-    , m_rateLimits(rateLimits ? std::move(rateLimits) : std::make_shared<endpoint_rate_limits>())
+    , m_promptParts(std::move(knowledge.promptParts))
+    , m_rateLimits(std::move(knowledge.rateLimits))
+    , m_leaving(std::move(knowledge.leaving))
     , m_selector(seed, m_settings, m_suspects, *m_rateLimits)
     , m_outliers(m_settings)
 {
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
+#include <chervilbend/routing/cluster_knowledge.hpp>
 #include <chervilbend/routing/director_settings.hpp>
-#include <chervilbend/routing/endpoint_rate_limits.hpp>
 #include <chervilbend/routing/internal/crash_suspect_tracker.hpp>
 #include <chervilbend/routing/internal/endpoint_selector.hpp>
 #include <chervilbend/routing/internal/outlier_detector.hpp>
 #include <chervilbend/routing/internal/request_table.hpp>
-#include <chervilbend/routing/prompt_part_tracker.hpp>
 #include <chervilbend/routing/retry_budget.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 
@@ -30,11 +29,7 @@
 class adaptive_director : public traffic_director
 {
 public:
-    /// @p promptParts and @p rateLimits may be shared with what exchanges them with the other nodes; nullptr for objects of this director's own.
-    explicit adaptive_director(std::uint64_t seed,
-                               const director_settings &settings = {},
-                               std::shared_ptr<prompt_part_tracker> promptParts = nullptr,
-                               std::shared_ptr<endpoint_rate_limits> rateLimits = nullptr);
+    explicit adaptive_director(std::uint64_t seed, const director_settings &settings = {}, cluster_knowledge knowledge = {});
     ~adaptive_director() override;
 
     void setEndpoint(const endpoint_facts &facts) override;
@@ -57,6 +52,8 @@
 
     /// Grants of requests to endpoints with a rate limit have arrived, or have been refused.
     void rateLimitsChanged();
+    /// The nodes have learned from an answer that the endpoint is about to stop.
+    void endpointLeaves(const endpoint_process &process);
 
 private:
     /// Implemented in adaptive_director_pools.cpp: endpoints and pools.
@@ -121,6 +118,7 @@
     crash_suspect_tracker m_suspects;
     std::shared_ptr<prompt_part_tracker> m_promptParts;
     std::shared_ptr<endpoint_rate_limits> m_rateLimits;
+    std::shared_ptr<leaving_endpoints> m_leaving;
     endpoint_selector m_selector;
     outlier_detector m_outliers;
     /// The retry budget of the request's retry group.
--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -14,6 +14,19 @@
     const request_state *const request = m_requests.find(id);
     if (request != nullptr && request->phase == request_phase::running) {
         m_rateLimits->noteAnswer(request->endpoint->process(), notice.requestRate);
+        if (notice.isLeaving) {
+            m_leaving->note(request->endpoint->process());
+            request->endpoint->hasSaidLeaving = true;
+        }
+    }
+}
+
+void adaptive_director::endpointLeaves(const endpoint_process &process)
+{
+    const auto found = m_endpoints.find(process.endpoint);
+    if (found != m_endpoints.end() && found->second->process() == process) {
+        found->second->hasSaidLeaving = true;
+        m_nextTick = base::time_point{};
     }
 }
 
@@ -32,7 +45,7 @@
         return;
     }
     const auto isUsable = [](const pool_member &member) {
-        return !member.endpoint->facts.draining && !member.endpoint->isDown && !member.ejected;
+        return !member.endpoint->isLeaving() && !member.endpoint->isDown && !member.ejected;
     };
     const auto usable = std::count_if(pool.members.begin(), pool.members.end(), isUsable);
     for (const pool_member &member : pool.members) {
--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -32,6 +32,7 @@
         m_rateLimits->remove(endpoint->process());
     }
     endpoint->facts = facts;
+    endpoint->hasSaidLeaving = m_leaving->contains(endpoint->process());
     for (const std::string &name : facts.pools) {
         const auto found = m_pools.find(name);
         if (found == m_pools.end() || found->second->memberOf(endpoint.get()) == nullptr) {
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -39,9 +39,8 @@
 std::optional<request_handle> adaptive_director::submit(const request_facts &facts, base::reason &why)
 {
     const auto found = m_pools.find(facts.pool);
-    const bool served = found != m_pools.end() && std::any_of(found->second->members.begin(), found->second->members.end(), [](const pool_member &member) {
-                            return !member.endpoint->facts.draining;
-                        });
+    const bool served = found != m_pools.end()
+        && std::any_of(found->second->members.begin(), found->second->members.end(), [](const pool_member &member) { return !member.endpoint->isLeaving(); });
     if (!served) {
         why = {base::error_kind::noEndpoint, "no endpoint serves " + facts.pool};
         return std::nullopt;
@@ -226,7 +225,7 @@
 bool adaptive_director::dispatchProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &dispatches)
 {
     pool_member *member = m_outliers.dueProbe(pool.members, pool.requests, now);
-    if (member == nullptr || member->endpoint->facts.draining || member->endpoint->isDown || !m_rateLimits->maySend(member->endpoint->process())) {
+    if (member == nullptr || member->endpoint->isLeaving() || member->endpoint->isDown || !m_rateLimits->maySend(member->endpoint->process())) {
         return false;
     }
     // Long and urgent requests are not sent to a slow endpoint unless there have been no other requests to probe with.
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/cluster_knowledge.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chervilbend/routing/endpoint_rate_limits.hpp>
+#include <chervilbend/routing/leaving_endpoints.hpp>
+#include <chervilbend/routing/prompt_part_tracker.hpp>
+
+#include <memory>
+
+namespace chervilbend::routing
+{
+
+/// What the nodes tell each other, shared between a director, which acts on it, and the tasks that exchange it.
+struct cluster_knowledge {
+    std::shared_ptr<prompt_part_tracker> promptParts = std::make_shared<prompt_part_tracker>();
+    std::shared_ptr<endpoint_rate_limits> rateLimits = std::make_shared<endpoint_rate_limits>();
+    std::shared_ptr<leaving_endpoints> leaving = std::make_shared<leaving_endpoints>();
+};
+
+} // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
@@ -9,6 +9,8 @@
 struct endpoint_notice {
     /// Requests per second that it takes from all nodes together; no value if it names no limit.
     std::optional<double> requestRate;
+    /// It is about to stop and takes no new requests.
+    bool isLeaving = false;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -53,7 +53,7 @@
 bool endpoint_selector::canAccept(const pool_member &member, int nodes, base::time_point now) const
 {
     const endpoint_state &endpoint = *member.endpoint;
-    if (endpoint.facts.draining || member.ejected || endpoint.inFlight >= std::max(1.0, endpoint.share(nodes))) {
+    if (endpoint.isLeaving() || member.ejected || endpoint.inFlight >= std::max(1.0, endpoint.share(nodes))) {
         return false;
     }
     // An endpoint that is down, or lost a connection recently, gets single requests spaced in time, which show whether it has recovered.
@@ -70,7 +70,7 @@
     bool hasLimitedMember = false;
     for (const pool_member &member : pool.members) {
         const endpoint_state &endpoint = *member.endpoint;
-        if (endpoint.facts.draining || endpoint.isDown || member.ejected) {
+        if (endpoint.isLeaving() || endpoint.isDown || member.ejected) {
             continue;
         }
         if (!m_rateLimits.isLimited(endpoint.process())) {
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -44,6 +44,8 @@
     base::time_point reportTime;
     std::int64_t incarnation = 0;
 
+    /// The endpoint has said in an answer that it is about to stop.
+    bool hasSaidLeaving = false;
     /// The endpoint refuses connections and is tried again at nextTry.
     bool isDown = false;
     base::time_point downSince;
@@ -56,6 +58,12 @@
         return limit.limit() / nodes;
     }
 
+    /// Whether it takes no new requests because it is about to stop.
+    bool isLeaving() const
+    {
+        return facts.draining || hasSaidLeaving;
+    }
+
     endpoint_process process() const
     {
         return {facts.endpoint, facts.startedAt};
--- a/packages/routing/tests/crashing_prompt_test.cpp
+++ b/packages/routing/tests/crashing_prompt_test.cpp
@@ -128,7 +128,7 @@
         started.parts = std::make_shared<prompt_part_tracker>();
         director_settings settings;
         settings.isolateSuspects = false;
-        started.director = std::make_unique<adaptive_director>(m_random(), settings, started.parts);
+        started.director = std::make_unique<adaptive_director>(m_random(), settings, cluster_knowledge{.promptParts = started.parts});
         started.director->setNodeCount(m_size.nodes);
         for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
             started.director->setEndpoint(factsOf(i));
--- a/packages/routing/tests/rate_limit_test.cpp
+++ b/packages/routing/tests/rate_limit_test.cpp
@@ -75,7 +75,7 @@
         for (std::size_t i = 0; i < nodeCount; ++i) {
             simulated_node &node = m_nodes.emplace_back();
             node.limits = std::make_shared<endpoint_rate_limits>();
-            node.director = std::make_unique<adaptive_director>(i + 1, director_settings{}, nullptr, node.limits);
+            node.director = std::make_unique<adaptive_director>(i + 1, director_settings{}, cluster_knowledge{.rateLimits = node.limits});
             node.director->setNodeCount(static_cast<int>(nodeCount));
             node.reportsAt = base::clock::now() + reportInterval * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(nodeCount);
             node.limits->onGrantsWanted([&node] { node.isUrgent = true; });
@@ -206,7 +206,7 @@
             }
             later(serviceTime, [this, index, server, request = sent.request] {
                 adaptive_director &director = *m_nodes[index].director;
-                director.noteAnswer(request, {servers[server].requestRate});
+                director.noteAnswer(request, {.requestRate = servers[server].requestRate});
                 director.firstByte(request);
                 director.finish(request, request_outcome::answered);
             });
