Leave an endpoint alone for as long as its refusal asks

What callers would see: an endpoint that turns requests away and asks for a pause got more of them all the while, and their callers further refusals.

Change: endpoint_notice has the pause of a 503; the director sends nothing to that process until it ends. A request that only paused endpoints serve is refused at once: another node may still be welcome there. The check of the waiting requests is shared with that for rate limits (pool_willingness).

--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -92,7 +92,7 @@
             while (dispatchNext(*pool, leastUrgent, now, dispatches)) { }
         }
     }
-    refuseRateLimited();
+    refuseUnwanted();
     for (pool_state *pool : m_dirty) {
         pool->isDirty = false;
     }
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -80,6 +80,7 @@
     void refuseExpired(base::time_point now);
     bool isTooLate(request_state &request, base::time_point now);
     void dispatchSuspects(pool_state &pool, base::time_point now, std::vector<dispatch> &dispatches);
+    bool isProbeAllowed(const endpoint_state &endpoint, base::time_point now) const;
     bool dispatchProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &dispatches);
     bool dispatchNext(pool_state &pool, base::work_class leastUrgent, base::time_point now, std::vector<dispatch> &dispatches);
     void startAttempt(request_state &request, pool_member &member, base::time_point now);
@@ -87,8 +88,9 @@
     /// Implemented in adaptive_director_limits.cpp: request rates that endpoints have named.
     /// Counts a request of the pool as wanted by its limited endpoints.
     void noteWanted(const pool_state &pool);
-    /// Refuses the waiting requests of pools that could be sent only to endpoints whose rate is used up, once the allocator has answered.
-    void refuseRateLimited();
+    /// Refuses the waiting requests that could be sent only to endpoints that want no more for now. For endpoints with a rate limit, the allocator is asked
+    /// first.
+    void refuseUnwanted();
 
     /// Implemented in adaptive_director_outcome.cpp: from dispatch to the end of the request.
     void takeFirstByteSample(request_state &request, double cost);
@@ -119,6 +121,8 @@
     std::shared_ptr<prompt_part_tracker> m_promptParts;
     std::shared_ptr<endpoint_rate_limits> m_rateLimits;
     std::shared_ptr<leaving_endpoints> m_leaving;
+    /// When the last of the pauses that endpoints have asked for ends.
+    base::time_point m_lastPauseEnd;
     endpoint_selector m_selector;
     outlier_detector m_outliers;
     /// The retry budget of the request's retry group.
--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -9,11 +9,24 @@
 namespace chervilbend::routing
 {
 
+namespace
+{
+
+/// An endpoint that asks for a longer pause is asked again after this time.
+constexpr base::milliseconds longestPause{60'000};
+
+} // namespace
+
 void adaptive_director::noteAnswer(request_handle id, const endpoint_notice &notice)
 {
     const request_state *const request = m_requests.find(id);
     if (request != nullptr && request->phase == request_phase::running) {
         m_rateLimits->noteAnswer(request->endpoint->process(), notice.requestRate);
+        if (notice.pause) {
+            const base::milliseconds pause = std::min(*notice.pause, longestPause);
+            request->endpoint->pausedUntil = std::max(request->endpoint->pausedUntil, base::clock::now() + pause);
+            m_lastPauseEnd = std::max(m_lastPauseEnd, request->endpoint->pausedUntil);
+        }
         if (notice.isLeaving) {
             m_leaving->note(request->endpoint->process());
             request->endpoint->hasSaidLeaving = true;
@@ -55,24 +68,22 @@
     }
 }
 
-void adaptive_director::refuseRateLimited()
+void adaptive_director::refuseUnwanted()
 {
-    if (!m_rateLimits->hasLimits()) {
+    const base::time_point now = base::clock::now();
+    if (!m_rateLimits->hasLimits() && now >= m_lastPauseEnd) {
         return;
     }
-    const base::time_point now = base::clock::now();
     bool isGrantWanted = false;
     std::vector<request_state *> refused;
     for (const auto &[latestStart, id] : m_latestStarts) {
         request_state &request = *m_requests.find(id);
-        if (!request.pool->isDirty || !m_selector.isRateLimited(*request.pool, m_nodes, now)) {
-            continue;
-        }
-        if (m_rateLimits->lastDecided() > request.lastRateReport) {
+        const pool_willingness willingness = request.pool->isDirty ? m_selector.willingnessOf(*request.pool, m_nodes, now) : pool_willingness::open;
+        const bool isDecided = m_rateLimits->lastDecided() > request.lastRateReport;
+        if (willingness == pool_willingness::paused || (willingness == pool_willingness::rateLimited && isDecided)) {
             refused.push_back(&request);
-        } else {
-            isGrantWanted = true;
         }
+        isGrantWanted = isGrantWanted || (willingness == pool_willingness::rateLimited && !isDecided);
     }
     for (request_state *request : refused) {
         removeFromQueue(*request);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -30,6 +30,7 @@
     }
     if (endpoint->facts.startedAt != facts.startedAt) {
         m_rateLimits->remove(endpoint->process());
+        endpoint->pausedUntil = base::time_point{};
     }
     endpoint->facts = facts;
     endpoint->hasSaidLeaving = m_leaving->contains(endpoint->process());
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -222,10 +222,15 @@
     }
 }
 
+bool adaptive_director::isProbeAllowed(const endpoint_state &endpoint, base::time_point now) const
+{
+    return !endpoint.isLeaving() && !endpoint.isDown && now >= endpoint.pausedUntil && m_rateLimits->maySend(endpoint.process());
+}
+
 bool adaptive_director::dispatchProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &dispatches)
 {
     pool_member *member = m_outliers.dueProbe(pool.members, pool.requests, now);
-    if (member == nullptr || member->endpoint->isLeaving() || member->endpoint->isDown || !m_rateLimits->maySend(member->endpoint->process())) {
+    if (member == nullptr || !isProbeAllowed(*member->endpoint, now)) {
         return false;
     }
     // Long and urgent requests are not sent to a slow endpoint unless there have been no other requests to probe with.
--- a/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chervilbend/base/clock.hpp>
+
 #include <optional>
 
 namespace chervilbend::routing
@@ -11,6 +13,8 @@
     std::optional<double> requestRate;
     /// It is about to stop and takes no new requests.
     bool isLeaving = false;
+    /// It has refused the request and wants none from this node for so long; no value if it asks for no pause.
+    std::optional<base::milliseconds> pause;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -53,7 +53,7 @@
 bool endpoint_selector::canAccept(const pool_member &member, int nodes, base::time_point now) const
 {
     const endpoint_state &endpoint = *member.endpoint;
-    if (endpoint.isLeaving() || member.ejected || endpoint.inFlight >= std::max(1.0, endpoint.share(nodes))) {
+    if (endpoint.isLeaving() || now < endpoint.pausedUntil || member.ejected || endpoint.inFlight >= std::max(1.0, endpoint.share(nodes))) {
         return false;
     }
     // An endpoint that is down, or lost a connection recently, gets single requests spaced in time, which show whether it has recovered.
@@ -65,20 +65,28 @@
     return canAccept(member, nodes, now) && (!m_rateLimits.hasLimits() || m_rateLimits.maySend(member.endpoint->process()));
 }
 
-bool endpoint_selector::isRateLimited(const pool_state &pool, int nodes, base::time_point now) const
+pool_willingness endpoint_selector::willingnessOf(const pool_state &pool, int nodes, base::time_point now) const
 {
     bool hasLimitedMember = false;
+    bool hasPausedMember = false;
+    bool hasOpenMember = false;
     for (const pool_member &member : pool.members) {
         const endpoint_state &endpoint = *member.endpoint;
         if (endpoint.isLeaving() || endpoint.isDown || member.ejected) {
             continue;
         }
-        if (!m_rateLimits.isLimited(endpoint.process())) {
-            return false;
+        if (now < endpoint.pausedUntil) {
+            hasPausedMember = true;
+        } else if (!m_rateLimits.isLimited(endpoint.process())) {
+            hasOpenMember = true;
+        } else if (canAccept(member, nodes, now) && !m_rateLimits.maySend(endpoint.process())) {
+            hasLimitedMember = true;
         }
-        hasLimitedMember = hasLimitedMember || (canAccept(member, nodes, now) && !m_rateLimits.maySend(endpoint.process()));
     }
-    return hasLimitedMember;
+    if (hasOpenMember || !(hasLimitedMember || hasPausedMember)) {
+        return pool_willingness::open;
+    }
+    return hasLimitedMember ? pool_willingness::rateLimited : pool_willingness::paused;
 }
 
 bool endpoint_selector::canAcceptLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now)
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/routing/director_settings.hpp>
+#include <chervilbend/routing/internal/pool_willingness.hpp>
 
 #include <cstdint>
 #include <random>
@@ -36,8 +37,7 @@
 
     /// Queries.
 
-    /// Whether endpoints of the pool could accept a request now but for their rate limits, and no other endpoint could do so now or later.
-    bool isRateLimited(const pool_state &pool, int nodes, base::time_point now) const;
+    pool_willingness willingnessOf(const pool_state &pool, int nodes, base::time_point now) const;
 
     /// Whether an endpoint other than the one that has the request could accept it now.
     bool hasRoomElsewhere(const pool_state &pool, const request_state &request, int nodes, base::time_point now) const;
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -44,6 +44,8 @@
     base::time_point reportTime;
     std::int64_t incarnation = 0;
 
+    /// The endpoint has refused a request and wants none from this node until then.
+    base::time_point pausedUntil;
     /// The endpoint has said in an answer that it is about to stop.
     bool hasSaidLeaving = false;
     /// The endpoint refuses connections and is tried again at nextTry.
--- a/packages/routing/tests/rate_limit_test.cpp
+++ b/packages/routing/tests/rate_limit_test.cpp
@@ -206,7 +206,9 @@
             }
             later(serviceTime, [this, index, server, request = sent.request] {
                 adaptive_director &director = *m_nodes[index].director;
-                director.noteAnswer(request, {.requestRate = servers[server].requestRate});
+                endpoint_notice notice;
+                notice.requestRate = servers[server].requestRate;
+                director.noteAnswer(request, notice);
                 director.firstByte(request);
                 director.finish(request, request_outcome::answered);
             });
