Believe a refusal only if it can be told apart from an earlier one

It can happen here in two ways, each shown by a test on the code before: the retry of an order at the same endpoint shares its attempt ID with the refusal, so the repeated refusal looks like the answer (503 for an order that ran); and a refusal without an attempt ID was taken for the answer to whatever request came next.

Change: an attempt at an endpoint that has already had one of the same request uses a connection of its own, and a refusal that names no attempt is believed only if the connection has carried no other request or answer; otherwise the request may have run (502). A repeated refusal that names another attempt was skipped before, and is.

An answer that stops inside its head is no answer here: the test of all lengths of a head passes on the code before.

--- a/packages/net/src/chervilbend/net/connection.hpp
+++ b/packages/net/src/chervilbend/net/connection.hpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace chervilbend::net
 {
@@ -42,6 +43,12 @@
         return m_expired;
     }
 
+    /// Notes that a request is sent. Returns whether it is the first one on this connection.
+    bool noteRequest()
+    {
+        return !std::exchange(m_isUsed, true);
+    }
+
     void close();
 
 private:
@@ -56,6 +63,7 @@
     std::optional<base::time_point> m_armedFor;
     bool m_closesAtDeadline = true;
     bool m_expired = false;
+    bool m_isUsed = false;
 };
 
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -109,6 +109,7 @@
     }
     request.prepare_payload();
     endpoint->expireAfter(options.answerTimeout);
+    const bool isFirstRequest = endpoint->noteRequest();
     const bool headOnly = request.method() == http::verb::head;
     const auto [error, size] = co_await http::async_write(endpoint->socket(), request, awaitTuple);
     if (error) {
@@ -130,7 +131,7 @@
             idleAtAddress.push_back({std::move(used), base::clock::now()});
         }
     };
-    const auto stream = std::make_shared<http_client_stream>(endpoint, options, headOnly, releaseToPool);
+    const auto stream = std::make_shared<http_client_stream>(endpoint, options, headOnly, isFirstRequest, releaseToPool);
     const bool answered = co_await stream->readHeader();
     if (!answered) {
         m_timedOut = stream->hasTimedOut();
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -34,13 +34,15 @@
 constexpr int maxInterimAnswers = 16;
 } // namespace
 
-http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, release_callback release)
+http_client_stream::http_client_stream(
+    std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, bool isFirstRequest, release_callback release)
     : m_connection(std::move(endpoint))
     , m_readTimeout(options.answerTimeout)
     , m_deadline(options.deadline)
     , m_keepWaiting(options.keepWaiting)
     , m_release(std::move(release))
     , m_headOnly(headOnly)
+    , m_isOnlyAnswer(isFirstRequest)
 {
     resetParser();
 }
@@ -155,6 +157,7 @@
 
 asio::awaitable<bool> http_client_stream::skipToNextAnswer()
 {
+    m_isOnlyAnswer = false;
     if (!isSelfDelimiting()) {
         fail(base::error_kind::endpointInvalidAnswer, "an answer to another request has neither a length nor chunked encoding");
         co_return false;
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -28,7 +28,8 @@
     /// Takes a connection that can be reused, and the time for which it may stay idle.
     using release_callback = std::function<void(std::shared_ptr<connection>, base::milliseconds)>;
 
-    http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, release_callback release);
+    /// @p isFirstRequest tells whether no other request was sent on the connection before.
+    http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, bool isFirstRequest, release_callback release);
     ~http_client_stream();
     http_client_stream(const http_client_stream &) = delete;
     http_client_stream &operator=(const http_client_stream &) = delete;
@@ -55,6 +56,12 @@
         return !m_parser->need_eof();
     }
 
+    /// Whether this is the only answer that has arrived on the connection, which has carried no other request, so that it must belong to this one.
+    bool isOnlyAnswer() const
+    {
+        return m_isOnlyAnswer;
+    }
+
     /// Whether a read failed because of a timeout rather than a broken connection.
     bool hasTimedOut() const;
 
@@ -73,6 +80,7 @@
     std::function<bool()> m_keepWaiting;
     release_callback m_release;
     bool m_headOnly;
+    bool m_isOnlyAnswer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_readBuffer;
 };
--- a/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
@@ -24,7 +24,8 @@
                                       const base::endpoint_id &endpoint,
                                       std::optional<std::int64_t> lastEvent) const = 0;
 
-    virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const = 0;
+    /// @p isOnlyAnswer tells whether the connection has carried no other request or answer.
+    virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const = 0;
 
     /// What the endpoint says of itself in the header of an answer.
     virtual routing::endpoint_notice readNotice(const net::http::response_header<> & /*answer*/) const
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -34,8 +34,9 @@
     finish(routing::request_outcome::cancelled);
 }
 
-void forwarded_request::startAttempt()
+void forwarded_request::startAttempt(const base::endpoint_id &target)
 {
+    m_tried.insert(target);
     m_hasFirstByte = false;
     if (exchange->isStarted()) {
         events.resume();
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace chervilbend::net
 {
@@ -30,7 +31,12 @@
     forwarded_request(const forwarded_request &) = delete;
     forwarded_request &operator=(const forwarded_request &) = delete;
 
-    void startAttempt();
+    void startAttempt(const base::endpoint_id &target);
+    /// Whether an earlier attempt was made at the endpoint.
+    bool hasTried(const base::endpoint_id &target) const
+    {
+        return m_tried.contains(target);
+    }
     /// Only the first call of each attempt has an effect.
     void firstByte();
     /// To be called for every received part of a stream; measures the gap since the preceding part.
@@ -70,6 +76,7 @@
 
     caller_metrics &m_metrics;
     base::time_point m_arrivedAt = base::clock::now();
+    std::set<base::endpoint_id> m_tried;
     std::int64_t m_tokens = 0;
     bool m_hasFirstByte = false;
     std::optional<base::milliseconds> m_timeToFirstByte;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -167,7 +167,9 @@
 asio::awaitable<forwarder::attempt_result> forwarder::attempt(std::shared_ptr<forwarded_request> request, routing::dispatch target, bool isLast)
 {
     attempt_result result;
-    request->startAttempt();
+    // The answer to an earlier attempt may come once more, and names the same attempt ID.
+    const bool needsFreshConnection = request->hasTried(target.endpoint);
+    request->startAttempt(target.endpoint);
     const std::optional<net::address> address = m_endpoints.find(target.endpoint);
     if (!address) {
         result.outcome = request_outcome::notSent;
@@ -177,6 +179,7 @@
     const forwarding_plan &plan = request->plan;
     net::http_send_options options;
     options.deadline = plan.facts.deadline;
+    options.freshConnection = needsFreshConnection;
     options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
     options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
     if (plan.hasStrictStatus) {
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -55,7 +55,7 @@
     attempt_result result;
     const forwarding_plan &plan = request->plan;
     const endpoint_protocol &protocol = plan.protocol ? *plan.protocol : m_nativeProtocol;
-    fleet::answer_disposition verdict = protocol.classify(answer->header(), plan);
+    fleet::answer_disposition verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
     while (verdict == fleet::answer_disposition::mismatched) {
         // The response to an earlier, abandoned request may precede the expected one on the connection.
         if (!co_await answer->skipToNextAnswer()) {
@@ -64,7 +64,7 @@
             result.why = answer->lastReason();
             co_return result;
         }
-        verdict = protocol.classify(answer->header(), plan);
+        verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
     }
     if (verdict != fleet::answer_disposition::notExecutedMisdirected && verdict != fleet::answer_disposition::invalid) {
         request->admitted.noteAnswer(protocol.readNotice(answer->header()));
--- a/packages/node/src/chervilbend/node/callers/native_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/native_protocol.hpp
@@ -13,7 +13,7 @@
                               const forwarding_plan &plan,
                               const base::endpoint_id &endpoint,
                               std::optional<std::int64_t> lastEvent) const override;
-    fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const override;
+    fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const override;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -25,9 +25,9 @@
     return m_codec.forEndpoint(request, terms);
 }
 
-fleet::answer_disposition platform_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const
+fleet::answer_disposition platform_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const
 {
-    return m_codec.classifyAnswer(answer, plan.attemptId);
+    return m_codec.classifyAnswer(answer, plan.attemptId, isOnlyAnswer);
 }
 
 routing::endpoint_notice platform_protocol::readNotice(const net::http::response_header<> &answer) const
