Don't append an error in the form of a stream to a stream that has begun

Cause: after a stream had begun, an answer of the endpoint at which it was resumed was refused unless it was an event stream, whatever its status. An error that is sent as an event stream passed.

Change: a stream goes on only with a 200.

Evidence: errorIsNotAppendedToAStream fails on the code before for the streamed error; plain errors, and a resumption that is refused, were handled (failedResumptionDoesNotEndTheStream passes before and after).

--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -93,8 +93,9 @@
         break;
     }
     request->endpoint = target.endpoint;
-    if (!isEventStream(answer->header())) {
-        if (request->exchange->isStarted()) {
+    const bool isStarted = request->exchange->isStarted();
+    if (!isEventStream(answer->header()) || (isStarted && answer->header().result() != http::status::ok)) {
+        if (isStarted) {
             result.mayHaveRun = true;
             result.outcome = request_outcome::connectionLost;
             result.why = {base::error_kind::endpointInvalidAnswer,
--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(unattributedRefusalOnAUsedConnectionIsNotBelieved);
     CPPUNIT_TEST(unattributedRefusalOnANewConnectionIsBelieved);
     CPPUNIT_TEST(repeatedRefusalOfAnotherRequestIsSkipped);
+    CPPUNIT_TEST(errorIsNotAppendedToAStream);
+    CPPUNIT_TEST(failedResumptionDoesNotEndTheStream);
     CPPUNIT_TEST(answerThatEndsInItsHeadIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
