Give up an answer to another request that does not end

What callers would see: nothing until their deadline, while a faulty endpoint sends the body of an answer to another request without end.

Cause: the body of an answer that is skipped was read until its end.

Change: it is read up to 4 MiB, the size up to which answers are buffered.

Evidence: endlessAnswerToAnotherRequestIsGivenUp takes the whole timeout of its route on the code before.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -30,6 +30,8 @@
 constexpr base::milliseconds idleMargin{700};
 /// Upper bound of the buffer that is reserved for a body of known length.
 constexpr std::uint64_t maxReservedBytes = 64 * 1024;
+/// Bytes of the body of an answer to another request that are read to reach the expected one.
+constexpr std::size_t maxSkippedBytes = 4 * 1024 * 1024;
 /// Maximum number of interim answers to one request. A peer that sends them without end would occupy the event loop until the deadline.
 constexpr int maxInterimAnswers = 16;
 } // namespace
@@ -162,6 +164,7 @@
         fail(base::error_kind::endpointInvalidAnswer, "an answer to another request has neither a length nor chunked encoding");
         co_return false;
     }
+    std::size_t skipped = 0;
     while (true) {
         const std::optional<std::string_view> part = co_await read();
         if (!part) {
@@ -170,6 +173,12 @@
         if (part->empty()) {
             break;
         }
+        skipped += part->size();
+        if (skipped > maxSkippedBytes) {
+            m_connection->close();
+            fail(base::error_kind::endpointInvalidAnswer, "an answer to another request does not end");
+            co_return false;
+        }
     }
     if (!m_parser->get().keep_alive()) {
         fail(base::error_kind::endpointFailed, "the endpoint closed the connection after an answer to another request");
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -38,7 +38,7 @@
     boost::asio::awaitable<bool> readHeader();
 
     /// Discards the rest of this answer and reads the header of the next one on the connection, for an answer that belongs to another request. False as for
-    /// readHeader(), and when this answer is not self-delimiting.
+    /// readHeader(), and when this answer is not self-delimiting or very long.
     boost::asio::awaitable<bool> skipToNextAnswer();
 
     const http::response_header<> &header() const
--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(errorIsNotAppendedToAStream);
     CPPUNIT_TEST(failedResumptionDoesNotEndTheStream);
     CPPUNIT_TEST(answerThatEndsInItsHeadIsNoAnswer);
+    CPPUNIT_TEST(endlessAnswerToAnotherRequestIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
     static raw_server::script brokenOffStream(const std::string &firstEvents)
