Share the guard of the two callers' APIs, and split two files

Cause: both APIs of callers had the same 14 lines around their handlers; platform_node repeated how a server begins to listen four times; rate_limit_exchange.hpp had two types.

Change: failureOf() in handler_guard, listenOn(), rate_limit_method in files of its own. Behaviour is the same.

--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
@@ -3,7 +3,6 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/net/change_signal.hpp>
-#include <chervilbend/peers/rpc_method.hpp>
 #include <chervilbend/routing/rate_limit_allocator.hpp>
 #include <chervilbend/routing/rate_limit_messages.hpp>
 
@@ -27,8 +26,6 @@
 
 class command_lease;
 
-inline constexpr const char *rateLimitMethodName = "limits.exchange";
-
 /// A node's part in dividing the request rates that endpoints allow: it asks the allocator for grants, and is the allocator itself while it holds the
 /// command lease, or while the others know of no later holder.
 ///
@@ -72,17 +69,4 @@
     std::function<void()> m_listener;
 };
 
-/// Answers another node's report of its demand for endpoints with a rate limit. Any node answers it, so that grants go on while the store is unavailable.
-class rate_limit_method : public peers::rpc_method
-{
-public:
-    explicit rate_limit_method(rate_limit_exchange &exchange);
-
-    std::string name() const override;
-    std::optional<Json::Value> call(const Json::Value &parameters) override;
-
-private:
-    rate_limit_exchange &m_exchange;
-};
-
 } // namespace chervilbend::fleet
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -13,6 +13,7 @@
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/rate_limit_json.hpp>
+#include <chervilbend/fleet/rate_limit_method.hpp>
 #include <chervilbend/fleet/report_pacer.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
--- a/packages/node/src/chervilbend/node/callers/caller_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
+#include <chervilbend/node/callers/handler_guard.hpp>
 #include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 #include <chervilbend/node/callers/request_path.hpp>
@@ -13,7 +14,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <exception>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -51,19 +51,11 @@
 asio::awaitable<void> caller_api::handle(std::shared_ptr<net::http_exchange> exchange)
 {
     const open_requests::registration registration(m_open, exchange);
-    std::string failure;
-    try {
-        co_await serve(exchange);
+    const std::optional<std::string> failure = co_await failureOf(serve(exchange));
+    if (!failure) {
         co_return;
-    } catch (const boost::system::system_error &error) {
-        if (error.code() == asio::error::operation_aborted) {
-            throw;
-        }
-        failure = error.what();
-    } catch (const std::exception &error) {
-        failure = error.what();
     }
-    LOG4CXX_ERROR(httpLog(), exchange->request().method_string() << ' ' << exchange->request().target() << " failed: " << failure);
+    LOG4CXX_ERROR(httpLog(), exchange->request().method_string() << ' ' << exchange->request().target() << " failed: " << *failure);
     if (!exchange->isStarted()) {
         const base::reason why{base::error_kind::internal, "the request failed with an internal error"};
         co_await exchange->respond(problemAnswer(why));
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -8,14 +8,12 @@
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 #include <chervilbend/node/callers/forwarder.hpp>
+#include <chervilbend/node/callers/handler_guard.hpp>
 #include <chervilbend/node/callers/item_provider.hpp>
 #include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 
-#include <boost/asio/error.hpp>
-
 #include <algorithm>
-#include <exception>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -105,19 +103,11 @@
 asio::awaitable<void> route_api::handle(std::shared_ptr<net::http_exchange> exchange)
 {
     const open_requests::registration registration(m_open, exchange);
-    std::string failure;
-    try {
-        co_await serve(exchange);
+    const std::optional<std::string> failure = co_await failureOf(serve(exchange));
+    if (!failure) {
         co_return;
-    } catch (const boost::system::system_error &error) {
-        if (error.code() == asio::error::operation_aborted) {
-            throw;
-        }
-        failure = error.what();
-    } catch (const std::exception &error) {
-        failure = error.what();
     }
-    LOG4CXX_ERROR(routeLog(), base::log_event("handlerFailed").with("target", textOf(exchange->request().target())).with("why", failure).text());
+    LOG4CXX_ERROR(routeLog(), base::log_event("handlerFailed").with("target", textOf(exchange->request().target())).with("why", *failure).text());
     if (!exchange->isStarted()) {
         const base::reason why{base::error_kind::endpointFailed, "the request failed with an internal error"};
         co_await exchange->respond(problemAnswer(why));
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/rate_limit_method.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/settings/settings_file.hpp>
@@ -238,20 +239,14 @@
         return false;
     }
     const std::optional<net::address> metrics = net::parseAddress(m_settings.metricsListen);
-    if (metrics && !m_metricsServer->listen(*metrics)) {
-        fail(m_metricsServer->lastReason());
-        return false;
-    }
-    if (!m_peerServer->listen(*peers)) {
-        fail(m_peerServer->lastReason());
-        return false;
-    }
-    if (!m_readyServer->listen(*ready)) {
-        fail(m_readyServer->lastReason());
-        return false;
-    }
-    if (!m_callerServer->listen(*callers)) {
-        fail(m_callerServer->lastReason());
+    return (!metrics || listenOn(*m_metricsServer, *metrics)) && listenOn(*m_peerServer, *peers) && listenOn(*m_readyServer, *ready)
+        && listenOn(*m_callerServer, *callers);
+}
+
+bool platform_node::listenOn(net::http_server &server, const net::address &address)
+{
+    if (!server.listen(address)) {
+        fail(server.lastReason());
         return false;
     }
     return true;
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -66,6 +66,7 @@
 
 private:
     bool listen();
+    bool listenOn(net::http_server &server, const net::address &address);
     void connectComponents();
     void waitForSignal();
     void startShutdown();
