Let the allocator choose the endpoint for a request that waits for a grant

Cause: a request that waits asked for a part of a request at each of its endpoints, and was refused if those that were asked had nothing, while others had.

Change: a report names the endpoints that would do for each waiting request, and the allocator grants the one with most left. What a node expects to send is asked for as before. An endpoint for which the node has a grant is drawn four times as often as another, since the grant would lapse.

--- a/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
@@ -15,12 +15,12 @@
 constexpr Json::ArrayIndex valueMember = 2;
 constexpr Json::ArrayIndex ageMember = 3;
 
-/// More requests than a node would ask for or be granted in one message.
+/// Upper bound of rates and of the requests that a node asks for or is granted in one message.
 constexpr double maxCount = 1e6;
 
 bool isProcess(const Json::Value &item)
 {
-    return item.isArray() && item.size() > valueMember && item[endpointMember].isString() && item[startMember].isInt64();
+    return item.isArray() && item.size() > startMember && item[endpointMember].isString() && item[startMember].isInt64();
 }
 
 routing::endpoint_process processOf(const Json::Value &item)
@@ -59,7 +59,7 @@
         return false;
     }
     for (const Json::Value &item : list) {
-        if (!isProcess(item) || !isCount(item[valueMember])) {
+        if (!isProcess(item) || item.size() <= valueMember || !isCount(item[valueMember])) {
             return false;
         }
         counts[processOf(item)] = static_cast<Count>(item[valueMember].asDouble());
@@ -99,6 +99,42 @@
     return true;
 }
 
+/// Each item has the endpoints that would do, and the number of requests.
+Json::Value toJson(const std::vector<routing::waiting_requests> &waiting)
+{
+    Json::Value list(Json::arrayValue);
+    for (const routing::waiting_requests &each : waiting) {
+        Json::Value &item = list.append(Json::Value(Json::objectValue));
+        item["count"] = each.count;
+        item["endpoints"] = Json::Value(Json::arrayValue);
+        for (const routing::endpoint_process &process : each.endpoints) {
+            item["endpoints"].append(itemFor(process));
+        }
+    }
+    return list;
+}
+
+bool readWaiting(const Json::Value &list, std::vector<routing::waiting_requests> &waiting)
+{
+    if (!list.isArray()) {
+        return false;
+    }
+    for (const Json::Value &item : list) {
+        if (!item.isObject() || !item["count"].isInt() || !isCount(item["count"]) || !item["endpoints"].isArray()) {
+            return false;
+        }
+        routing::waiting_requests &each = waiting.emplace_back();
+        each.count = item["count"].asInt();
+        for (const Json::Value &endpoint : item["endpoints"]) {
+            if (!isProcess(endpoint)) {
+                return false;
+            }
+            each.endpoints.push_back(processOf(endpoint));
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 Json::Value toJson(const routing::rate_limit_report &report)
@@ -107,7 +143,8 @@
     json["allocator"] = static_cast<Json::Int64>(report.allocator);
     json["version"] = static_cast<Json::Int64>(report.version);
     json["statements"] = toJson(report.statements);
-    json["wanted"] = toJson(report.wanted);
+    json["waiting"] = toJson(report.waiting);
+    json["expected"] = toJson(report.expected);
     json["unused"] = toJson(report.unused);
     return json;
 }
@@ -116,7 +153,7 @@
 {
     routing::rate_limit_report report;
     const bool isValid = json.isObject() && json["allocator"].isInt64() && json["version"].isInt64() && readStatements(json["statements"], report.statements)
-        && readCounts(json["wanted"], report.wanted) && readCounts(json["unused"], report.unused);
+        && readWaiting(json["waiting"], report.waiting) && readCounts(json["expected"], report.expected) && readCounts(json["unused"], report.unused);
     if (!isValid) {
         return std::nullopt;
     }
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -86,8 +86,10 @@
     void startAttempt(request_state &request, pool_member &member, base::time_point now);
 
     /// Implemented in adaptive_director_limits.cpp: request rates that endpoints have named.
-    /// Counts a request of the pool as wanted by its limited endpoints.
-    void noteWanted(const pool_state &pool);
+    /// Expects another request like one that has arrived for the pool.
+    void noteExpected(const pool_state &pool);
+    /// Asks for grants for a request that waits for one.
+    void requestGrant(request_state &request, base::time_point now);
     /// Refuses the waiting requests that could be sent only to endpoints that want no more for now. For endpoints with a rate limit, the allocator is asked
     /// first.
     void refuseUnwanted();
--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -52,7 +52,7 @@
     }
 }
 
-void adaptive_director::noteWanted(const pool_state &pool)
+void adaptive_director::noteExpected(const pool_state &pool)
 {
     if (!m_rateLimits->hasLimits()) {
         return;
@@ -63,7 +63,7 @@
     const auto usable = std::count_if(pool.members.begin(), pool.members.end(), isUsable);
     for (const pool_member &member : pool.members) {
         if (isUsable(member)) {
-            m_rateLimits->noteWanted(member.endpoint->process(), 1.0 / static_cast<double>(usable));
+            m_rateLimits->noteExpected(member.endpoint->process(), 1.0 / static_cast<double>(usable));
         }
     }
 }
@@ -74,7 +74,6 @@
     if (!m_rateLimits->hasLimits() && now >= m_lastPauseEnd) {
         return;
     }
-    bool isGrantWanted = false;
     std::vector<request_state *> refused;
     for (const auto &[latestStart, id] : m_latestStarts) {
         request_state &request = *m_requests.find(id);
@@ -82,16 +81,23 @@
         const bool isDecided = m_rateLimits->lastDecided() > request.lastRateReport;
         if (willingness == pool_willingness::paused || (willingness == pool_willingness::rateLimited && isDecided)) {
             refused.push_back(&request);
+        } else if (willingness == pool_willingness::rateLimited && !request.hasAskedForGrant) {
+            requestGrant(request, now);
         }
-        isGrantWanted = isGrantWanted || (willingness == pool_willingness::rateLimited && !isDecided);
     }
     for (request_state *request : refused) {
         removeFromQueue(*request);
         refuse(*request, base::error_kind::overloaded, "the endpoints that serve it take no more requests for now");
     }
-    if (isGrantWanted) {
-        m_rateLimits->requestGrants();
-    }
+}
+
+void adaptive_director::requestGrant(request_state &request, base::time_point now)
+{
+    request.hasAskedForGrant = true;
+    // The number of the next report is higher than this.
+    request.lastRateReport = m_rateLimits->lastReport();
+    m_rateLimits->noteWaiting(m_selector.limitedEndpoints(*request.pool, m_nodes, now));
+    m_rateLimits->requestGrants();
 }
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -228,7 +228,7 @@
         release(*request);
         return false;
     }
-    noteWanted(*request->pool);
+    noteExpected(*request->pool);
     enqueue(*request, true);
     return true;
 }
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -65,7 +65,7 @@
     }
     ++request.pool->requests;
     request.pool->meanCost += (request.cost - request.pool->meanCost) * 0.01;
-    noteWanted(*request.pool);
+    noteExpected(*request.pool);
     enqueue(request, false);
     return request.id;
 }
@@ -132,6 +132,7 @@
     pool_state &pool = *request.pool;
     request.queuedSince = base::clock::now();
     request.lastRateReport = m_rateLimits->lastReport();
+    request.hasAskedForGrant = false;
     m_latestStarts.insert({request.latestStart, request.id});
     if (m_settings.isolateSuspects && m_suspects.isSuspect(request.facts.fingerprint)) {
         request.isSuspect = true;
--- a/packages/routing/src/chervilbend/routing/endpoint_rate_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_rate_limits.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/routing/endpoint_rate_limits.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chervilbend::routing
@@ -37,11 +38,21 @@
     }
 }
 
-void endpoint_rate_limits::noteWanted(const endpoint_process &process, double share)
+void endpoint_rate_limits::noteExpected(const endpoint_process &process, double share)
 {
     const auto known = m_endpoints.find(process);
     if (known != m_endpoints.end() && known->second.requestRate) {
-        known->second.wanted += share;
+        known->second.expected += share;
+    }
+}
+
+void endpoint_rate_limits::noteWaiting(std::vector<endpoint_process> endpoints)
+{
+    const auto same = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_requests &each) { return each.endpoints == endpoints; });
+    if (same != m_waiting.end()) {
+        ++same->count;
+    } else {
+        m_waiting.push_back({std::move(endpoints)});
     }
 }
 
@@ -65,15 +76,16 @@
     report.number = ++m_lastReport;
     report.allocator = m_allocator;
     report.version = m_version;
+    report.waiting = std::exchange(m_waiting, {});
     std::erase_if(m_endpoints, [&](const auto &known) { return now - known.second.statedAt > statementLifetime; });
     for (auto &[process, endpoint] : m_endpoints) {
         if (std::exchange(endpoint.isUnreported, false)) {
             report.statements.push_back({process, endpoint.requestRate, now - endpoint.statedAt});
             endpoint.reportedAt = now;
         }
-        const double wanted = std::exchange(endpoint.wanted, 0);
-        if (wanted > 0) {
-            report.wanted[process] = wanted;
+        const int expected = static_cast<int>(std::ceil(std::exchange(endpoint.expected, 0)));
+        if (expected > 0) {
+            report.expected[process] = expected;
         }
         const int unused = std::exchange(endpoint.granted, 0);
         if (unused > 0 && now < endpoint.grantedUntil) {
@@ -169,9 +181,9 @@
 
 bool endpoint_rate_limits::hasNews() const
 {
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto &known) {
+    return !m_waiting.empty() || std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto &known) {
         const limited_endpoint &endpoint = known.second;
-        return endpoint.isUnreported || endpoint.wanted > 0 || endpoint.granted > 0;
+        return endpoint.isUnreported || endpoint.expected > 0 || endpoint.granted > 0;
     });
 }
 
--- a/packages/routing/src/chervilbend/routing/endpoint_rate_limits.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_rate_limits.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace chervilbend::routing
 {
@@ -26,8 +27,10 @@
 
     /// An endpoint has named its limit in an answer to this node, or has named none.
     void noteAnswer(const endpoint_process &process, std::optional<double> requestRate);
-    /// @p share of a request would have been sent to the endpoint, if it has a limit.
-    void noteWanted(const endpoint_process &process, double share);
+    /// Expects that @p share of a request like a present one will be sent to the endpoint, if it has a limit.
+    void noteExpected(const endpoint_process &process, double share);
+    /// A request waits for a grant for one of these endpoints.
+    void noteWaiting(std::vector<endpoint_process> endpoints);
     /// Withdraws a grant for a request that is sent, if the endpoint has a limit.
     void noteSent(const endpoint_process &process);
     void remove(const endpoint_process &process);
@@ -79,12 +82,14 @@
         base::time_point reportedAt;
         int granted = 0;
         base::time_point grantedUntil;
-        double wanted = 0;
+        /// Requests that are expected until the next report.
+        double expected = 0;
     };
 
     void setRate(const endpoint_process &process, limited_endpoint &endpoint, std::optional<double> requestRate) const;
 
     std::map<endpoint_process, limited_endpoint> m_endpoints;
+    std::vector<waiting_requests> m_waiting;
     std::int64_t m_allocator = 0;
     std::int64_t m_version = 0;
     std::uint64_t m_lastReport = 0;
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -24,6 +24,8 @@
 /// has become slow, short requests reveal it at lower cost: with 64 nodes, long requests on endpoints not yet known to be slow determined
 /// the 99th percentile of latency.
 constexpr double staleSampleWeight = 0.2;
+/// Weight factor of an endpoint with a rate limit, for which this node has a grant: it would lapse, while room at the others does not.
+constexpr double grantedEndpointWeight = 4;
 /// Age above which the last latency sample of an endpoint counts as stale.
 constexpr base::milliseconds sampleFreshness{10'000};
 /// Share of the prefill time that a cached prefix is assumed to save.
@@ -89,6 +91,17 @@
     return hasLimitedMember ? pool_willingness::rateLimited : pool_willingness::paused;
 }
 
+std::vector<endpoint_process> endpoint_selector::limitedEndpoints(const pool_state &pool, int nodes, base::time_point now) const
+{
+    std::vector<endpoint_process> limited;
+    for (const pool_member &member : pool.members) {
+        if (canAccept(member, nodes, now) && m_rateLimits.isLimited(member.endpoint->process())) {
+            limited.push_back(member.endpoint->process());
+        }
+    }
+    return limited;
+}
+
 bool endpoint_selector::canAcceptLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now)
 {
     const endpoint_state &endpoint = *member.endpoint;
@@ -136,6 +149,9 @@
     if (member.endpoint->suspectsInFlight > 0) {
         weight *= suspectEndpointWeight;
     }
+    if (m_rateLimits.hasLimits() && m_rateLimits.isLimited(member.endpoint->process())) {
+        weight *= grantedEndpointWeight;
+    }
     if (request.cost > m_meanCost && member.latency.lastSample() < m_staleBefore) {
         weight *= staleSampleWeight;
     }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/routing/director_settings.hpp>
+#include <chervilbend/routing/endpoint_process.hpp>
 #include <chervilbend/routing/internal/pool_willingness.hpp>
 
 #include <cstdint>
@@ -37,6 +38,8 @@
 
     /// Queries.
 
+    /// The endpoints that could take a request but for their rate limit.
+    std::vector<endpoint_process> limitedEndpoints(const pool_state &pool, int nodes, base::time_point now) const;
     pool_willingness willingnessOf(const pool_state &pool, int nodes, base::time_point now) const;
 
     /// Whether an endpoint other than the one that has the request could accept it now.
--- a/packages/routing/src/chervilbend/routing/rate_limit_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/rate_limit_allocator.cpp
@@ -1,7 +1,6 @@
 #include <chervilbend/routing/rate_limit_allocator.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace chervilbend::routing
 {
@@ -19,6 +18,12 @@
 /// An endpoint that has not named its limit for this long, although it is asked from time to time, is forgotten.
 constexpr base::milliseconds statementLifetime{600'000};
 
+int countOf(const std::map<endpoint_process, int> &counts, const endpoint_process &process)
+{
+    const auto found = counts.find(process);
+    return found == counts.end() ? 0 : found->second;
+}
+
 double capacityOf(double rate)
 {
     return std::max(leastBurst, rate * burstSeconds);
@@ -46,15 +51,16 @@
         if (endpoint.version > known) {
             answer.statements.push_back({process, endpoint.requestRate, now - endpoint.statedAt});
         }
-        const auto unused = report.unused.find(process);
-        if (unused != report.unused.end() && report.allocator == m_id) {
-            endpoint.available += unused->second;
-        }
-        const auto wanted = report.wanted.find(process);
-        const int granted = wanted == report.wanted.end() ? 0 : grant(endpoint, wanted->second, isHolder, now);
-        if (granted > 0) {
-            answer.granted[process] = granted;
+        if (report.allocator == m_id) {
+            endpoint.available += countOf(report.unused, process);
         }
+        refill(endpoint, isHolder, now);
+    }
+    for (const waiting_requests &waiting : report.waiting) {
+        grantToWaiting(waiting, answer.granted);
+    }
+    for (const auto &[process, expected] : report.expected) {
+        grantToExpected(process, expected, answer.granted);
     }
     return answer;
 }
@@ -76,19 +82,47 @@
     endpoint.statedAt = statedAt;
 }
 
-int rate_limit_allocator::grant(limited_endpoint &endpoint, double wanted, bool isHolder, base::time_point now)
+void rate_limit_allocator::refill(limited_endpoint &endpoint, bool isHolder, base::time_point now)
 {
-    if (!endpoint.requestRate) {
-        return 0;
-    }
     constexpr double millisecondsPerSecond = 1'000;
-    const double rate = std::max(leastRate, *endpoint.requestRate * (isHolder ? 1 : rateWithoutLease));
+    const double rate = std::max(leastRate, endpoint.requestRate.value_or(0) * (isHolder ? 1 : rateWithoutLease));
     const double elapsed = static_cast<double>((now - endpoint.refilledAt).count()) / millisecondsPerSecond;
     endpoint.available = std::min(capacityOf(rate), endpoint.available + elapsed * rate);
     endpoint.refilledAt = now;
-    const double granted = std::min(std::ceil(wanted), std::floor(endpoint.available));
-    endpoint.available -= granted;
-    return static_cast<int>(granted);
+}
+
+void rate_limit_allocator::grantToWaiting(const waiting_requests &waiting, std::map<endpoint_process, int> &granted)
+{
+    for (int i = 0; i < waiting.count; ++i) {
+        limited_endpoint *best = nullptr;
+        const endpoint_process *bestProcess = nullptr;
+        for (const endpoint_process &process : waiting.endpoints) {
+            const auto known = m_endpoints.find(process);
+            if (known != m_endpoints.end() && known->second.requestRate && (!best || known->second.available > best->available)) {
+                best = &known->second;
+                bestProcess = &process;
+            }
+        }
+        if (!best || best->available < 1) {
+            return;
+        }
+        best->available -= 1;
+        ++granted[*bestProcess];
+    }
+}
+
+void rate_limit_allocator::grantToExpected(const endpoint_process &process, int expected, std::map<endpoint_process, int> &granted)
+{
+    const auto known = m_endpoints.find(process);
+    if (known == m_endpoints.end() || !known->second.requestRate) {
+        return;
+    }
+    limited_endpoint &endpoint = known->second;
+    const int count = std::clamp(static_cast<int>(endpoint.available), 0, std::max(0, expected));
+    if (count > 0) {
+        endpoint.available -= count;
+        granted[process] += count;
+    }
 }
 
 void rate_limit_allocator::removeOld(base::time_point now)
--- a/packages/routing/src/chervilbend/routing/rate_limit_allocator.hpp
+++ b/packages/routing/src/chervilbend/routing/rate_limit_allocator.hpp
@@ -42,7 +42,9 @@
     };
 
     void merge(const rate_limit_statement &statement, base::time_point now);
-    int grant(limited_endpoint &endpoint, double wanted, bool isHolder, base::time_point now);
+    static void refill(limited_endpoint &endpoint, bool isHolder, base::time_point now);
+    void grantToWaiting(const waiting_requests &waiting, std::map<endpoint_process, int> &granted);
+    void grantToExpected(const endpoint_process &process, int expected, std::map<endpoint_process, int> &granted);
     void removeOld(base::time_point now);
 
     std::int64_t m_id;
--- a/packages/routing/src/chervilbend/routing/rate_limit_messages.hpp
+++ b/packages/routing/src/chervilbend/routing/rate_limit_messages.hpp
@@ -20,14 +20,22 @@
     base::milliseconds age{0};
 };
 
+/// Requests that wait at a node for a grant.
+struct waiting_requests {
+    /// A grant for any of these would do.
+    std::vector<endpoint_process> endpoints;
+    int count = 1;
+};
+
 /// A node's report to the node that grants requests to endpoints with a rate limit.
 struct rate_limit_report {
     /// Counts the node's reports. The node alone uses it.
     std::uint64_t number = 0;
     /// What endpoints have named in answers to this node since its last report.
     std::vector<rate_limit_statement> statements;
-    /// By endpoint, the requests that the node would have sent since its last report; a request for which there is a choice of endpoints counts in parts.
-    std::map<endpoint_process, double> wanted;
+    std::vector<waiting_requests> waiting;
+    /// Number of further requests, by endpoint, that the node expects to send until its next report.
+    std::map<endpoint_process, int> expected;
     /// Grants that the node has not used and gives back.
     std::map<endpoint_process, int> unused;
     /// The last allocator that answered this node, and the version of the statements that it sent; 0 for none.
