Ask for a grant before a queued request is refused

What callers saw: a request that waited for room at an endpoint was refused as soon as the endpoint named a limit, because a report of the node had been answered since it was queued, though that report said nothing of it.

Change: only a report that asked for the request's grant decides on it.

Evidence: queuedRequestIsAskedForBeforeItIsRefused fails without the change (it is refused without having been asked for). Found by reading the change.

--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -78,7 +78,7 @@
     for (const auto &[latestStart, id] : m_latestStarts) {
         request_state &request = *m_requests.find(id);
         const pool_willingness willingness = request.pool->isDirty ? m_selector.willingnessOf(*request.pool, m_nodes, now) : pool_willingness::open;
-        const bool isDecided = m_rateLimits->lastDecided() > request.lastRateReport;
+        const bool isDecided = request.hasAskedForGrant && m_rateLimits->lastDecided() > request.lastRateReport;
         if (willingness == pool_willingness::paused || (willingness == pool_willingness::rateLimited && isDecided)) {
             refused.push_back(&request);
         } else if (willingness == pool_willingness::rateLimited && !request.hasAskedForGrant) {
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -131,7 +131,6 @@
 {
     pool_state &pool = *request.pool;
     request.queuedSince = base::clock::now();
-    request.lastRateReport = m_rateLimits->lastReport();
     request.hasAskedForGrant = false;
     m_latestStarts.insert({request.latestStart, request.id});
     if (m_settings.isolateSuspects && m_suspects.isSuspect(request.facts.fingerprint)) {
--- a/packages/routing/src/chervilbend/routing/internal/request_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_state.hpp
@@ -48,10 +48,10 @@
 
     base::time_point submitted;
     base::time_point queuedSince;
-    /// The node's last report of its demand for endpoints with a rate limit before the request was queued, or before a grant was asked for.
-    std::uint64_t lastRateReport = 0;
-    /// The request waits for a grant that was asked for after that report.
+    /// The request waits for a grant.
     bool hasAskedForGrant = false;
+    /// The node's last report of its demand before that; the next one asks for the grant.
+    std::uint64_t lastRateReport = 0;
     /// Time after which the request can no longer meet its deadline or must no longer be sent.
     base::time_point latestStart;
     base::time_point sent;
--- a/packages/routing/tests/rate_limit_test.cpp
+++ b/packages/routing/tests/rate_limit_test.cpp
@@ -275,6 +275,8 @@
     CPPUNIT_TEST(otherNodesLearnOfTheLimit);
     CPPUNIT_TEST(unusedGrantsAreGivenBack);
     CPPUNIT_TEST(newProcessHasNoLimit);
+    CPPUNIT_TEST(queuedRequestIsAskedForBeforeItIsRefused);
+    CPPUNIT_TEST(waitingRequestGetsTheEndpointWithMostLeft);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertWithinLimits(const limited_cluster &cluster, base::time_point since)
@@ -434,6 +436,70 @@
         CPPUNIT_ASSERT(limits.maySend({base::endpoint_id("e0"), 2}));
     }
 
+    /// The request waits for room at an endpoint, which names a limit meanwhile; reports of before say nothing of it.
+    void queuedRequestIsAskedForBeforeItIsRefused()
+    {
+        const base::manual_time_source clock;
+        const auto limits = std::make_shared<endpoint_rate_limits>();
+        int asked = 0;
+        limits->onGrantsWanted([&] { ++asked; });
+        director_settings settings;
+        settings.slotFactor = 1;
+        adaptive_director director(1, settings, cluster_knowledge{.rateLimits = limits});
+        endpoint_facts facts;
+        facts.endpoint = base::endpoint_id("e0");
+        facts.pools = {"m"};
+        facts.slots = 1;
+        director.setEndpoint(facts);
+        request_facts request;
+        request.pool = std::string(1, 'm');
+        request.deadline = base::clock::now() + milliseconds(10'000);
+        base::reason why;
+        const request_handle running = director.submit(request, why).value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), director.takeDispatches().size());
+        const request_handle queued = director.submit(request, why).value();
+        CPPUNIT_ASSERT(director.takeDispatches().empty());
+        endpoint_notice notice;
+        notice.requestRate = 2;
+        director.noteAnswer(running, notice);
+        limits->noteUnanswered(limits->takeReport());
+        director.finish(running, request_outcome::answered);
+        CPPUNIT_ASSERT(director.takeDispatches().empty());
+        CPPUNIT_ASSERT_EQUAL(1, asked);
+        CPPUNIT_ASSERT(director.takeRefusals().empty());
+        const rate_limit_report report = limits->takeReport();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), report.waiting.size());
+        rate_limit_allocator allocator(11);
+        rate_limit_report statement;
+        statement.statements.push_back({{facts.endpoint, 0}, 2.0, milliseconds(0)});
+        allocator.answer(statement, true);
+        limits->apply(report, allocator.answer(report, true), base::clock::now());
+        director.rateLimitsChanged();
+        const std::vector<dispatch> sent = director.takeDispatches();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sent.size());
+        CPPUNIT_ASSERT_EQUAL(queued, sent[0].request);
+    }
+
+    void waitingRequestGetsTheEndpointWithMostLeft()
+    {
+        base::manual_time_source clock;
+        const endpoint_process slow{base::endpoint_id("e0"), 1};
+        const endpoint_process fast{base::endpoint_id("e1"), 1};
+        rate_limit_allocator allocator(11);
+        endpoint_rate_limits limits;
+        limits.noteAnswer(slow, 0.5);
+        limits.noteAnswer(fast, 1);
+        exchange(limits, allocator);
+        clock.advance(milliseconds(900));
+        for (int i = 0; i < 2; ++i) {
+            limits.noteWaiting({slow, fast});
+        }
+        const rate_limit_report report = limits.takeReport();
+        const rate_limit_answer answer = allocator.answer(report, true);
+        CPPUNIT_ASSERT_EQUAL(1, answer.granted.at(fast));
+        CPPUNIT_ASSERT_EQUAL(1, answer.granted.at(slow));
+    }
+
 private:
     static void exchange(endpoint_rate_limits &limits, rate_limit_allocator &allocator)
     {
