Name the count of the store's restorations as what it is

Cause: read as a newcomer, "era" outside the adapter is the wire's word and needs explaining.

Change: fleet_store::restorations() and the members that keep it. The field of the line storeRestored is `restorations`; storeEra, the adapter's line, stays.

--- a/packages/fleet/src/chervilbend/fleet/command_lease.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.cpp
@@ -131,7 +131,7 @@
         co_await net::sleepFor(m_backoff.next());
         co_return;
     }
-    noteEra();
+    noteRestorations();
     if (isSuperseded(*page)) {
         observe(*page);
         lose("another node has acquired the lease");
@@ -158,15 +158,15 @@
     return !isOwnProcess && page.record->token > m_held->token;
 }
 
-void command_lease::noteEra()
+void command_lease::noteRestorations()
 {
-    const std::int64_t era = m_store.era();
-    if (m_era && era > *m_era) {
+    const std::int64_t restorations = m_store.restorations();
+    if (m_restorations && restorations > *m_restorations) {
         const bool wasOwn = m_latest && m_latest->holder == m_options.node && m_latest->incarnation == m_options.incarnation;
         m_restoredAt = wasOwn ? std::nullopt : std::optional(base::clock::bootNow());
-        LOG4CXX_INFO(leaseLog(), base::log_event("storeRestored").with("era", era).with("held", m_held.has_value()).text());
+        LOG4CXX_INFO(leaseLog(), base::log_event("storeRestored").with("restorations", restorations).with("held", m_held.has_value()).text());
     }
-    m_era = era;
+    m_restorations = restorations;
 }
 
 std::optional<base::time_point> command_lease::unseenTermEnd() const
@@ -191,7 +191,7 @@
     }
     m_backoff.reset();
     m_store.recovery().noteSuccess();
-    noteEra();
+    noteRestorations();
     observe(*page);
     if (page->record && page->record->holder == m_options.node && page->record->incarnation == m_options.incarnation && !page->record->released) {
         // An attempt without an answer has succeeded after all. A token that was held before is not reused, because an engine may have refused it.
--- a/packages/fleet/src/chervilbend/fleet/command_lease.hpp
+++ b/packages/fleet/src/chervilbend/fleet/command_lease.hpp
@@ -134,7 +134,7 @@
     /// Whether another node has acquired the lease after this one, which holds it.
     bool isSuperseded(const lease_page &page) const;
     /// To be called after each read of the lease, before the record is used.
-    void noteEra();
+    void noteRestorations();
     /// Until when a holder may be in its term that an older copy of the store does not show; no value if there is none.
     std::optional<base::time_point> unseenTermEnd() const;
     void startHolding(std::int64_t offset, base::time_point sentAt);
@@ -156,8 +156,8 @@
     base::time_point m_latestAt;
     /// When the last attempt to acquire the lease was sent; without an answer, it may still have been written.
     base::time_point m_writeSentAt;
-    /// The store's era at the last read of the lease.
-    std::optional<std::int64_t> m_era;
+    /// The store's number of restorations at the last read of the lease.
+    std::optional<std::int64_t> m_restorations;
     /// When this node noticed that the store had come back from an older copy, by the boot clock, if another node held the lease before.
     std::optional<base::time_point> m_restoredAt;
     retry_backoff m_backoff;
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -84,14 +84,14 @@
     notify(isSnapshot ? m_registry.replace(page.changes, now) : m_registry.apply(page.changes, now));
 }
 
-void endpoint_follower::noteEra(base::time_point now)
+void endpoint_follower::noteRestorations(base::time_point now)
 {
-    const std::int64_t era = m_store.era();
-    if (m_era && *m_era != era) {
+    const std::int64_t restorations = m_store.restorations();
+    if (m_restorations && *m_restorations != restorations) {
         // A registration that is missing in the older copy is written again by an endpoint that lives, as after an outage.
         m_registry.noteStoreUnavailable(now);
     }
-    m_era = era;
+    m_restorations = restorations;
 }
 
 asio::awaitable<void> endpoint_follower::run()
@@ -122,7 +122,7 @@
             }
             backoff.reset();
             m_store.recovery().noteSuccess();
-            noteEra(now);
+            noteRestorations(now);
             applyRead(*page, isSnapshot, requestedAt);
             co_await m_wake.wait(base::clock::now() + (m_isHolder ? m_interval / holderReadFactor : m_interval));
             continue;
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
@@ -59,7 +59,7 @@
     /// Until when an update of the holder replaces a read by this node.
     std::optional<base::time_point> relayedUntil() const;
     /// To be called after each read, before it is applied.
-    void noteEra(base::time_point now);
+    void noteRestorations(base::time_point now);
     void applyRead(const endpoint_page &page, bool isSnapshot, base::time_point requestedAt);
     void notify(const std::set<base::endpoint_id> &changed) const;
 
@@ -73,8 +73,8 @@
     base::time_point m_readAt;
     /// When the holder sent the read that was applied last.
     std::optional<base::time_point> m_relayedAt;
-    /// The store's era at the last read.
-    std::optional<std::int64_t> m_era;
+    /// The store's number of restorations at the last read.
+    std::optional<std::int64_t> m_restorations;
     bool m_isHolder = false;
     /// Ends a wait for the holder's updates.
     net::change_signal m_wake;
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -69,7 +69,7 @@
 /// the requested position is no longer retained and everything has to be read again.
 ///
 /// The store may come back from an older copy of itself and then lacks what was written since; the operators and the endpoints write theirs again.
-/// Positions of the new era are greater than all earlier ones, and those are void.
+/// Positions after such a restoration are greater than all earlier ones, and those are void.
 class fleet_store : public base::reason_holder
 {
 public:
@@ -92,8 +92,8 @@
     /// Writes @p record if its position will be @p expected (compare-and-set).
     virtual boost::asio::awaitable<lease_write> writeLease(lease_record record, std::int64_t expected) = 0;
 
-    /// Grows each time the store comes back from an older copy of itself, as far as its answers have shown.
-    virtual std::int64_t era() const
+    /// How often the store has come back from an older copy of itself, as far as its answers have shown.
+    virtual std::int64_t restorations() const
     {
         return 0;
     }
--- a/packages/fleet/tests/restorable_store.hpp
+++ b/packages/fleet/tests/restorable_store.hpp
@@ -18,10 +18,10 @@
     std::vector<std::int64_t> versions;
     std::vector<endpoint_change> registrations;
     std::vector<lease_record> leases;
-    std::int64_t era = 0;
+    std::int64_t restorations = 0;
     bool isDown = false;
 
-    /// A copy to come back from; @c era stays.
+    /// A copy to come back from; @c restorations stays.
     struct copy {
         std::size_t versions = 0;
         std::size_t registrations = 0;
@@ -38,7 +38,7 @@
         versions.resize(older.versions);
         registrations.resize(older.registrations);
         leases.resize(older.leases);
-        ++era;
+        ++restorations;
     }
 };
 
@@ -51,9 +51,9 @@
     {
     }
 
-    std::int64_t era() const override
+    std::int64_t restorations() const override
     {
-        return m_seenEra;
+        return m_seenRestorations;
     }
 
     boost::asio::awaitable<std::optional<configuration_page>> newestConfiguration() override
@@ -140,7 +140,7 @@
     }
 
 private:
-    static constexpr std::int64_t offsetsPerEra = 1'000'000;
+    static constexpr std::int64_t offsetsPerRestoration = 1'000'000;
     static constexpr base::milliseconds delay{4};
 
     /// False when the store is down.
@@ -151,23 +151,23 @@
             fail(base::error_kind::logUnavailable, "down");
             co_return false;
         }
-        m_seenEra = m_content.era;
+        m_seenRestorations = m_content.restorations;
         co_return true;
     }
 
     std::int64_t positionAt(std::size_t offset) const
     {
-        return m_content.era * offsetsPerEra + static_cast<std::int64_t>(offset);
+        return m_content.restorations * offsetsPerRestoration + static_cast<std::int64_t>(offset);
     }
 
     bool isCurrent(std::int64_t position) const
     {
-        return position / offsetsPerEra == m_content.era;
+        return position / offsetsPerRestoration == m_content.restorations;
     }
 
     static std::size_t offsetOf(std::int64_t position)
     {
-        return static_cast<std::size_t>(position % offsetsPerEra);
+        return static_cast<std::size_t>(position % offsetsPerRestoration);
     }
 
     configuration_page versionsFrom(std::size_t offset) const
@@ -181,7 +181,7 @@
     }
 
     restorable_content &m_content;
-    std::int64_t m_seenEra = 0;
+    std::int64_t m_seenRestorations = 0;
 };
 
 } // namespace chervilbend::fleet::test
