--- a/packages/fakes/src/chervilbend/fakes/virtual_scheduler.cpp
+++ b/packages/fakes/src/chervilbend/fakes/virtual_scheduler.cpp
@@ -3,8 +3,6 @@
 #include <chervilbend/base/manual_time_source.hpp>
 #include <chervilbend/net/timer.hpp>
 
-#include <cstddef>
-
 namespace chervilbend::fakes
 {
 
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
@@ -41,8 +41,7 @@
     return item;
 }
 
-template<typename Count>
-Json::Value toJson(const std::map<routing::endpoint_process, Count> &counts)
+Json::Value toJson(const std::map<routing::endpoint_process, int> &counts)
 {
     Json::Value list(Json::arrayValue);
     for (const auto &[process, count] : counts) {
@@ -52,8 +51,7 @@
 }
 
 /// False if an item is invalid.
-template<typename Count>
-bool readCounts(const Json::Value &list, std::map<routing::endpoint_process, Count> &counts)
+bool readCounts(const Json::Value &list, std::map<routing::endpoint_process, int> &counts)
 {
     if (!list.isArray()) {
         return false;
@@ -62,7 +60,7 @@
         if (!isProcess(item) || item.size() <= valueMember || !isCount(item[valueMember])) {
             return false;
         }
-        counts[processOf(item)] = static_cast<Count>(item[valueMember].asDouble());
+        counts[processOf(item)] = static_cast<int>(item[valueMember].asDouble());
     }
     return true;
 }
--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -57,12 +57,9 @@
     if (!m_rateLimits->hasLimits()) {
         return;
     }
-    const auto isUsable = [](const pool_member &member) {
-        return !member.endpoint->isLeaving() && !member.endpoint->isDown && !member.ejected;
-    };
-    const auto usable = std::count_if(pool.members.begin(), pool.members.end(), isUsable);
+    const auto usable = std::count_if(pool.members.begin(), pool.members.end(), [](const pool_member &member) { return member.isUsable(); });
     for (const pool_member &member : pool.members) {
-        if (isUsable(member)) {
+        if (member.isUsable()) {
             m_rateLimits->noteExpected(member.endpoint->process(), 1.0 / static_cast<double>(usable));
         }
     }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -73,10 +73,10 @@
     bool hasPausedMember = false;
     bool hasOpenMember = false;
     for (const pool_member &member : pool.members) {
-        const endpoint_state &endpoint = *member.endpoint;
-        if (endpoint.isLeaving() || endpoint.isDown || member.ejected) {
+        if (!member.isUsable()) {
             continue;
         }
+        const endpoint_state &endpoint = *member.endpoint;
         if (now < endpoint.pausedUntil) {
             hasPausedMember = true;
         } else if (!m_rateLimits.isLimited(endpoint.process())) {
--- /dev/null
+++ b/packages/routing/src/chervilbend/routing/internal/pool_member.cpp
@@ -0,0 +1,13 @@
+#include <chervilbend/routing/internal/pool_member.hpp>
+
+#include <chervilbend/routing/internal/endpoint_state.hpp>
+
+namespace chervilbend::routing
+{
+
+bool pool_member::isUsable() const
+{
+    return !endpoint->isLeaving() && !endpoint->isDown && !ejected;
+}
+
+} // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/pool_member.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_member.hpp
@@ -22,6 +22,9 @@
     base::time_point nextProbe;
     /// The next probe may be sent when the pool's number of requests reaches this value.
     long probeAfterRequest = 0;
+
+    /// Whether the endpoint is in use: neither leaving, nor down, nor ejected.
+    bool isUsable() const;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -38,7 +38,7 @@
     double msPerCostSum = 0;
     int usableCount = 0;
     for (const pool_member &member : members) {
-        if (member.endpoint->isLeaving() || member.endpoint->isDown || member.ejected) {
+        if (!member.isUsable()) {
             continue;
         }
         const double share = member.endpoint->share(nodes);
