Show the software versions of endpoints and the streams that callers take up

A registration's version is now read, relayed and logged with endpointKnown and sent; takenUp names the stream's first attempt and the caller's last event.

--- a/packages/fleet/src/chervilbend/fleet/caller_request.hpp
+++ b/packages/fleet/src/chervilbend/fleet/caller_request.hpp
@@ -34,6 +34,8 @@
     std::vector<prompt_part> prompt;
     /// The last event of a stream that the caller has received.
     std::optional<std::int64_t> lastEvent;
+    /// The attempt ID of the request that brought the first event of the stream that this one takes up; empty if it names none.
+    std::string resumedAttempt;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/endpoint_entry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_entry.hpp
@@ -27,6 +27,8 @@
     base::service_id service;
     net::address address;
     base::zone_id zone;
+    /// Empty if it is not known.
+    base::software_version softwareVersion;
     /// Number of requests that it runs concurrently.
     int slots = 1;
     /// Shutting down: accepts no new work.
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -145,7 +145,7 @@
     }
     entry.draining = entry.draining || (!isNewProcess && known.entry.draining);
     const bool differs = isNewProcess || known.expiresAt || entry.draining != known.entry.draining || entry.address != known.entry.address
-        || entry.slots != known.entry.slots || entry.models != known.entry.models;
+        || entry.softwareVersion != known.entry.softwareVersion || entry.slots != known.entry.slots || entry.models != known.entry.models;
     if (isNewProcess) {
         known.drainingSince.reset();
         known.writtenAfter = base::time_point{};
--- a/packages/fleet/src/chervilbend/fleet/store_update_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/store_update_json.cpp
@@ -21,6 +21,7 @@
     json["ip"] = entry.address.ip;
     json["port"] = entry.address.port;
     json["zone"] = entry.zone.value();
+    json["software"] = entry.softwareVersion.value();
     json["slots"] = entry.slots;
     json["draining"] = entry.draining;
     json["born"] = static_cast<Json::Int64>(entry.startedAt);
@@ -55,6 +56,10 @@
     entry.service = base::service_id(json["service"].asString());
     entry.address = {json["ip"].asString(), static_cast<std::uint16_t>(json["port"].asUInt())};
     entry.zone = base::zone_id(json["zone"].asString());
+    // Missing in messages of nodes that still run the version before it.
+    if (json["software"].isString()) {
+        entry.softwareVersion = base::software_version(json["software"].asString());
+    }
     entry.slots = json["slots"].asInt();
     entry.draining = json["draining"].asBool();
     entry.startedAt = json["born"].asInt64();
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -93,6 +93,7 @@
         LOG4CXX_INFO(routeLog(),
                      eventFor("sent", request->plan)
                          .with("endpoint", target->endpoint.value())
+                         .with("software", target->softwareVersion.value())
                          .with("attempt", attempts)
                          .with("waitedMs", (base::clock::now() - startedAt).count())
                          .with("why", target->why)
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -150,6 +150,15 @@
         co_await refuse(exchange, caller->attempt, base::error_kind::unknownRoute, "no route matches this host and path");
         co_return;
     }
+    if (caller->lastEvent) {
+        LOG4CXX_INFO(routeLog(),
+                     base::log_event("takenUp")
+                         .with("request", caller->attempt)
+                         .with("stream", caller->resumedAttempt)
+                         .with("service", service->value())
+                         .with("lastEvent", *caller->lastEvent)
+                         .text());
+    }
     const auto rule = routes->configuration().services.find(*service);
     forwarding_plan plan = planFor(request, *caller, *route, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
     if (!caller->model.empty()) {
--- a/packages/node/src/chervilbend/node/endpoint_feed.cpp
+++ b/packages/node/src/chervilbend/node/endpoint_feed.cpp
@@ -75,12 +75,14 @@
                          .with("endpoint", id.value())
                          .with("service", entry.service.value())
                          .with("zone", entry.zone.value())
+                         .with("software", entry.softwareVersion.value())
                          .with("draining", entry.draining)
                          .text());
     }
     routing::endpoint_facts facts;
     facts.endpoint = id;
     facts.startedAt = entry.startedAt;
+    facts.softwareVersion = entry.softwareVersion;
     facts.zone = entry.zone;
     facts.draining = entry.draining;
     facts.zoneRoundTripMs = entry.zone == m_ownZone ? 0 : m_crossZoneRoundTripMs;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chervilbend::routing
 {
@@ -34,6 +35,13 @@
     return std::to_string(static_cast<long>(std::ceil(std::max(1.0, ms / 1000)))) + " s";
 }
 
+/// The dispatch of a request whose attempt has been started.
+dispatch dispatchOf(const request_state &request, std::string why)
+{
+    const endpoint_facts &facts = request.endpoint->facts;
+    return {request.id, facts.endpoint, std::move(why), facts.softwareVersion};
+}
+
 } // namespace
 
 std::optional<request_handle> adaptive_director::submit(const request_facts &facts, base::reason &why)
@@ -218,7 +226,7 @@
         }
         removeFromQueue(request);
         startAttempt(request, *member, now);
-        dispatches.push_back({request.id, member->endpoint->facts.endpoint, "suspected of causing a crash, isolated from other suspects"});
+        dispatches.push_back(dispatchOf(request, "suspected of causing a crash, isolated from other suspects"));
     }
 }
 
@@ -240,7 +248,7 @@
     }
     m_outliers.recordProbe(*member, pool.requests, m_nodes, now);
     startAttempt(request, *member, now);
-    dispatches.push_back({request.id, member->endpoint->facts.endpoint, "probe of an ejected endpoint"});
+    dispatches.push_back(dispatchOf(request, "probe of an ejected endpoint"));
     return true;
 }
 
@@ -275,7 +283,7 @@
     m_latestStarts.erase({request.latestStart, request.id});
     if (!dispatchProbe(pool, request, now, dispatches)) {
         startAttempt(request, *member, now);
-        dispatches.push_back({request.id, member->endpoint->facts.endpoint, std::move(why)});
+        dispatches.push_back(dispatchOf(request, std::move(why)));
     }
     return true;
 }
--- a/packages/routing/src/chervilbend/routing/endpoint_facts.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_facts.hpp
@@ -23,6 +23,8 @@
     int slots = 0;
     /// Distinguishes successive processes of the endpoint; 0 if it is not known.
     std::int64_t startedAt = 0;
+    /// Empty if it is not known.
+    base::software_version softwareVersion{};
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -27,6 +27,8 @@
     base::endpoint_id endpoint;
     /// The reason for the choice of the endpoint, for the log.
     std::string why;
+    /// That of the endpoint; empty if it is not known.
+    base::software_version softwareVersion{};
 };
 
 /// A queued request that was refused and will not be sent.
