Continue streams only at the software version that began them

Cause: nothing knew of the software versions of endpoints. The forwarder resumed a broken stream at any endpoint of the pool, and a request that takes a stream up was sent like a new one. The class of fault is state that belongs to a stream and was kept nowhere: neither with the answer, nor where another node, or one that starts after all were killed, could find it.

Change: the version is bound to the stream when its first event goes out to the caller, and the director continues it only at endpoints of that version. Versions are published in the store before they are used, so a single published version is known to have begun any stream, and costs nothing more; while there are several, each node records the origins of its streams in a log topic.

--- a/packages/base/src/chervilbend/base/error_answer.cpp
+++ b/packages/base/src/chervilbend/base/error_answer.cpp
@@ -31,6 +31,7 @@
     error_answer{orderNotDispatched, "order-not-dispatched", 503, "The order was not dispatched", run_state::notRun, true},
     error_answer{outcomeUnknown, "outcome-unknown", 504, "The outcome of the order is not known", run_state::unknown, true},
     error_answer{requestRefused, "request-refused", 422, "Earlier runs of this request crashed their endpoints", run_state::notRun, false},
+    error_answer{notResumable, "not-resumable", 503, "The stream cannot be continued", run_state::notRun, false},
     error_answer{shuttingDown, "shutting-down", 503, "The node is shutting down", run_state::notRun, true},
     error_answer{logUnavailable, "log-unavailable", 503, "The platform's log service is unavailable", run_state::unknown, true},
     error_answer{peerUnavailable, "peer-unavailable", 503, "The peer is unavailable", run_state::notRun, true},
--- a/packages/base/src/chervilbend/base/error_kind.hpp
+++ b/packages/base/src/chervilbend/base/error_kind.hpp
@@ -26,6 +26,8 @@
     orderNotDispatched,
     outcomeUnknown,
     requestRefused,
+    /// The software version that began a stream is not known, or serves no more.
+    notResumable,
     shuttingDown,
     logUnavailable,
     peerUnavailable,
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -95,6 +95,9 @@
             change.entry->models = known->second.entry.models;
             change.entry->cached = known->second.entry.cached;
             change.entry->heartbeat = std::max(change.entry->heartbeat, known->second.entry.heartbeat);
+            if (change.entry->softwareVersion.empty()) {
+                change.entry->softwareVersion = known->second.entry.softwareVersion;
+            }
         }
         if (applyChange(change, now)) {
             changed.insert(change.id);
--- a/packages/node/src/chervilbend/node/callers/admitted_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.cpp
@@ -59,6 +59,13 @@
     }
 }
 
+void admitted_request::bindToVersion()
+{
+    if (m_handle != 0) {
+        m_admission.m_director.bindToVersion(m_handle);
+    }
+}
+
 void admitted_request::firstByte()
 {
     if (m_handle != 0) {
--- a/packages/node/src/chervilbend/node/callers/admitted_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/admitted_request.hpp
@@ -37,6 +37,8 @@
 
     /// Reports what the endpoint says of itself in its answer.
     void noteAnswer(const routing::endpoint_notice &notice);
+    /// A stream has begun to arrive at the caller; only endpoints of the same software version can continue it.
+    void bindToVersion();
     void firstByte();
     /// @p generated is the total number of tokens generated so far.
     void progress(base::token_count generated);
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/node/callers/forwarded_request.hpp>
 
+#include <chervilbend/fleet/stream_origins.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 
@@ -11,12 +12,14 @@
 
 forwarded_request::forwarded_request(admission &requestAdmission,
                                      caller_metrics &metrics,
+                                     fleet::stream_origins *origins,
                                      std::shared_ptr<net::http_exchange> callerExchange,
                                      forwarding_plan forwardingPlan)
     : exchange(std::move(callerExchange))
     , plan(std::move(forwardingPlan))
     , admitted(requestAdmission)
     , m_metrics(metrics)
+    , m_origins(origins)
 {
     resetEvents();
 }
@@ -46,6 +49,18 @@
     m_tokens = events.tokens().count() * plan.tokensPerEvent;
 }
 
+void forwarded_request::beginStream()
+{
+    if (m_hasBegunStream || !plan.resumable) {
+        return;
+    }
+    m_hasBegunStream = true;
+    admitted.bindToVersion();
+    if (m_origins) {
+        m_origins->noteBegun({plan.stream, plan.service, softwareVersion});
+    }
+}
+
 void forwarded_request::firstByte()
 {
     if (!m_hasFirstByte) {
@@ -79,6 +94,9 @@
     if (!m_finished && admitted.isConnected()) {
         m_finished = true;
         admitted.finish(outcome);
+        if (m_hasBegunStream && m_origins) {
+            m_origins->noteEnded(plan.stream, outcome == routing::request_outcome::answered);
+        }
         m_metrics.onFinished(plan.facts.urgency, outcome, base::clock::now() - m_arrivedAt);
     }
 }
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -11,6 +11,11 @@
 #include <optional>
 #include <set>
 
+namespace chervilbend::fleet
+{
+class stream_origins;
+}
+
 namespace chervilbend::net
 {
 class http_exchange;
@@ -26,12 +31,19 @@
 class forwarded_request
 {
 public:
-    forwarded_request(admission &requestAdmission, caller_metrics &metrics, std::shared_ptr<net::http_exchange> callerExchange, forwarding_plan forwardingPlan);
+    /// @p origins may be nullptr; it must outlive the request.
+    forwarded_request(admission &requestAdmission,
+                      caller_metrics &metrics,
+                      fleet::stream_origins *origins,
+                      std::shared_ptr<net::http_exchange> callerExchange,
+                      forwarding_plan forwardingPlan);
     ~forwarded_request();
     forwarded_request(const forwarded_request &) = delete;
     forwarded_request &operator=(const forwarded_request &) = delete;
 
     void startAttempt(const base::endpoint_id &target);
+    /// The first event of a stream that can be resumed is about to go out to the caller. Only the first call has an effect.
+    void beginStream();
     /// Whether an earlier attempt was made at the endpoint.
     bool hasTried(const base::endpoint_id &target) const
     {
@@ -66,8 +78,9 @@
         return m_longestGap;
     }
 
-    /// Source of the stream that is being forwarded.
+    /// Source of the stream that is being forwarded, and its software version.
     base::endpoint_id endpoint;
+    base::software_version softwareVersion;
     /// Scans the stream over all attempts.
     event_scanner events;
 
@@ -75,6 +88,8 @@
     void resetEvents();
 
     caller_metrics &m_metrics;
+    fleet::stream_origins *m_origins;
+    bool m_hasBegunStream = false;
     base::time_point m_arrivedAt = base::clock::now();
     std::set<base::endpoint_id> m_tried;
     std::int64_t m_tokens = 0;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -76,9 +76,14 @@
     m_missingItemListener = std::move(listener);
 }
 
+void forwarder::setStreamOrigins(fleet::stream_origins &origins)
+{
+    m_streamOrigins = &origins;
+}
+
 asio::awaitable<void> forwarder::forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
 {
-    const auto request = std::make_shared<forwarded_request>(m_admission, m_metrics, exchange, std::move(plan));
+    const auto request = std::make_shared<forwarded_request>(m_admission, m_metrics, m_streamOrigins, exchange, std::move(plan));
     const routing::request_facts &facts = request->plan.facts;
     const base::time_point startedAt = base::clock::now();
     std::optional<routing::dispatch> target = co_await request->admitted.submit(facts);
@@ -150,8 +155,8 @@
     const forwarding_plan &plan = request->plan;
     LOG4CXX_INFO(routeLog(), eventFor("refused", plan).with("mayHaveRun", mayHaveRun).with("promptParts", plan.sharedPromptParts).with("why", why.text).text());
     m_metrics.onProblem(why.kind);
-    // A request that crashes endpoints would be refused again.
-    const bool isWorthRepeating = why.kind != base::error_kind::requestRefused;
+    // A request that crashes endpoints would be refused again, and so would one for a stream that cannot be continued.
+    const bool isWorthRepeating = why.kind != base::error_kind::requestRefused && why.kind != base::error_kind::notResumable;
     if (plan.hasStrictStatus) {
         why.kind = mayHaveRun ? base::error_kind::endpointFailed : base::error_kind::noEndpoint;
     }
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -13,6 +13,11 @@
 #include <memory>
 #include <string>
 
+namespace chervilbend::fleet
+{
+class stream_origins;
+}
+
 namespace chervilbend::net
 {
 class http_client;
@@ -42,6 +47,8 @@
     /// Called when an endpoint refuses a request because it does not hold the required item.
     using missing_item_listener = std::function<void(const base::endpoint_id &endpoint, const fleet::requested_item &item)>;
     void setMissingItemListener(missing_item_listener listener);
+    /// Where the beginnings of streams are noted; it must outlive the forwarder.
+    void setStreamOrigins(fleet::stream_origins &origins);
 
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
@@ -77,6 +84,7 @@
     caller_metrics &m_metrics;
     native_protocol m_nativeProtocol;
     missing_item_listener m_missingItemListener;
+    fleet::stream_origins *m_streamOrigins = nullptr;
     /// Shared with the open responses, which may outlive the forwarder.
     const std::shared_ptr<endpoint_silence> m_silence = std::make_shared<endpoint_silence>();
 };
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -93,6 +93,7 @@
         break;
     }
     request->endpoint = target.endpoint;
+    request->softwareVersion = target.softwareVersion;
     const bool isStarted = request->exchange->isStarted();
     if (!isEventStream(answer->header()) || (isStarted && answer->header().result() != http::status::ok)) {
         if (isStarted) {
@@ -163,6 +164,9 @@
     bool complete = false;
     while (true) {
         bool sent = true;
+        if (!ready.empty()) {
+            request->beginStream();
+        }
         if (!ready.empty() && !exchange->isStarted()) {
             sent = co_await startStream(exchange, answer);
         }
--- a/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
 #include <chervilbend/fleet/engine_update.hpp>
 #include <chervilbend/routing/request_facts.hpp>
 
@@ -34,6 +35,9 @@
     std::optional<int> urgency;
     /// A broken stream may be resumed at another endpoint after its last complete event.
     bool resumable = false;
+    /// Identifies the stream over all attempts of the caller: the hash of the attempt ID that brought, or will bring, its first event.
+    std::uint64_t stream = 0;
+    base::service_id service;
     /// Id of the last event that the caller has received.
     std::optional<std::int64_t> lastEvent;
     int tokensPerEvent = 1;
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/pool_name.hpp>
 #include <chervilbend/fleet/request_codec.hpp>
+#include <chervilbend/fleet/stream_origins.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 #include <chervilbend/node/callers/forwarder.hpp>
@@ -37,6 +38,9 @@
 constexpr base::milliseconds minFirstEventTimeout{2'000};
 constexpr int firstEventLatencyFactor = 4;
 constexpr int firstEventGapFactor = 8;
+/// Bounds on the time in which the origin of a stream is looked up: a time, and a divisor of what is left until the deadline.
+constexpr base::milliseconds maxOriginLookup{1'000};
+constexpr int originLookupShare = 4;
 
 const log4cxx::LoggerPtr &routeLog()
 {
@@ -84,6 +88,7 @@
                      item_provider &itemProvider,
                      fleet::usage_meter &usage,
                      open_requests &open,
+                     fleet::stream_origins &origins,
                      caller_metrics &metrics)
     : m_codec(codec)
     , m_protocol(codec)
@@ -91,6 +96,7 @@
     , m_itemProvider(itemProvider)
     , m_usage(usage)
     , m_open(open)
+    , m_origins(origins)
     , m_metrics(metrics)
 {
 }
@@ -150,17 +156,15 @@
         co_await refuse(exchange, caller->attempt, base::error_kind::unknownRoute, "no route matches this host and path");
         co_return;
     }
-    if (caller->lastEvent) {
-        LOG4CXX_INFO(routeLog(),
-                     base::log_event("takenUp")
-                         .with("request", caller->attempt)
-                         .with("stream", caller->resumedAttempt)
-                         .with("service", service->value())
-                         .with("lastEvent", *caller->lastEvent)
-                         .text());
-    }
     const auto rule = routes->configuration().services.find(*service);
     forwarding_plan plan = planFor(request, *caller, *route, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
+    if (plan.resumable && caller->lastEvent) {
+        const bool isBound = co_await bindToOrigin(plan, *caller, why);
+        if (!isBound) {
+            co_await refuse(exchange, caller->attempt, why.kind, why.text);
+            co_return;
+        }
+    }
     if (!caller->model.empty()) {
         const fleet::requested_item item{*service, caller->model, caller->adapter};
         plan.item = item;
@@ -176,6 +180,27 @@
     co_await m_forwarder.forward(exchange, std::move(plan));
 }
 
+asio::awaitable<bool> route_api::bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why)
+{
+    const base::time_point now = base::clock::now();
+    const base::time_point until = now + std::min(maxOriginLookup, (plan.facts.deadline - now) / originLookupShare);
+    const std::optional<std::uint64_t> stream = caller.resumedAttempt.empty() ? std::nullopt : std::optional(plan.stream);
+    const fleet::origin_lookup origin = co_await m_origins.find(plan.service, stream, until);
+    LOG4CXX_INFO(routeLog(),
+                 base::log_event("takenUp")
+                     .with("request", caller.attempt)
+                     .with("stream", caller.resumedAttempt)
+                     .with("service", plan.service.value())
+                     .with("lastEvent", *caller.lastEvent)
+                     .with("software", origin.version.value())
+                     .with("source", fleet::toString(origin.source))
+                     .with("tookMs", (base::clock::now() - now).count())
+                     .text());
+    plan.facts.softwareVersion = origin.version;
+    why = origin.why;
+    co_return !origin.version.empty();
+}
+
 forwarding_plan route_api::planFor(const net::http_request &request,
                                    const fleet::caller_request &caller,
                                    const fleet::route_rule &route,
@@ -190,6 +215,8 @@
     plan.urgency = std::clamp(route.priority, 0, lowestUrgencyLevel);
     plan.resumable = route.kind == fleet::route_kind::stream && route.resumable;
     plan.lastEvent = caller.lastEvent;
+    plan.stream = base::hash64(caller.resumedAttempt.empty() ? caller.attempt : caller.resumedAttempt);
+    plan.service = service;
     plan.tokensPerEvent = rule && rule->engine ? rule->engine->tokensPerEvent : 1;
     plan.facts.pool = fleet::poolName(service, caller.model, caller.adapter);
     plan.facts.retryGroup = service.value();
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -15,6 +15,7 @@
 namespace chervilbend::fleet
 {
 class request_codec;
+class stream_origins;
 struct caller_request;
 } // namespace chervilbend::fleet
 
@@ -36,6 +37,7 @@
               item_provider &itemProvider,
               fleet::usage_meter &usage,
               open_requests &open,
+              fleet::stream_origins &origins,
               caller_metrics &metrics);
 
     /// Replaces the routing configuration. Requests that are already being served keep the previous version.
@@ -45,6 +47,8 @@
 
 private:
     boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange);
+    /// Binds a request that takes up a stream to the software version that began it. False, with @p why set, if that is not known.
+    boost::asio::awaitable<bool> bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why);
     boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text);
     forwarding_plan planFor(const net::http_request &request,
                             const fleet::caller_request &caller,
@@ -58,6 +62,7 @@
     item_provider &m_itemProvider;
     fleet::usage_meter &m_usage;
     open_requests &m_open;
+    fleet::stream_origins &m_origins;
     caller_metrics &m_metrics;
     std::shared_ptr<const fleet::route_table> m_routes;
 };
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -110,8 +110,11 @@
     , m_context(1)
     , m_storeClient(storeClient(settings))
     , m_store(m_storeClient)
+    , m_streamStore(m_storeClient)
     , m_configuration(m_store, seedOf(settings))
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings), seedOf(settings) + 1)
+    , m_publishedVersions(m_streamStore, m_endpoints, seedOf(settings) + 2)
+    , m_streamOrigins(m_streamStore, m_publishedVersions)
     , m_relay(m_endpoints, m_endpointFollower, m_configuration)
     , m_residency(m_endpoints)
     , m_engines(std::make_shared<net::http_client>())
@@ -124,10 +127,10 @@
     , m_director(seedOf(settings), directorSettings(settings), m_knowledge)
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
-    , m_endpointFeed(m_director, m_directory, m_endpoints, m_residency, base::zone_id(settings.zone), crossZoneRoundTripMs)
+    , m_endpointFeed(m_director, m_directory, m_endpoints, m_residency, m_publishedVersions, base::zone_id(settings.zone), crossZoneRoundTripMs)
     , m_forwarder(m_admission, m_directory, m_client, m_metrics)
     , m_itemProvider(m_residency, m_holderClient)
-    , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_metrics)
+    , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_streamOrigins, m_metrics)
     , m_readinessHandler([this] { return m_readiness.isReady(); })
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_routeApi, callerLimits(settings)))
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
@@ -156,7 +159,12 @@
     // The first answer has the prompt parts that are refused; without them, each new process would repeat what the others have stopped.
     m_readiness.setMissing("lease holder");
     m_holderClient.onFirstAnswer([this] { m_readiness.setMet("lease holder"); });
-    m_director.setNodeCount(initialNodeCount);
+    setNodeCount(initialNodeCount);
+    m_forwarder.setStreamOrigins(m_streamOrigins);
+    m_publishedVersions.onChange([this] {
+        m_streamOrigins.versionsChanged();
+        m_endpointFeed.updateAll();
+    });
     m_endpointFeed.onChange([this] { m_admission.deliverDecisions(); });
     m_configuration.onChange([this](const fleet::traffic_configuration & /*newest*/) {
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
@@ -165,6 +173,7 @@
     m_endpointFollower.onStoreProblem([this] { m_configuration.noteStoreProblem(); });
     m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
         m_relay.noteChanged(changed);
+        m_publishedVersions.endpointsChanged();
         m_endpointFeed.update(changed);
         m_controller.endpointsChanged(changed);
         m_readiness.setMet("endpoints");
@@ -172,11 +181,12 @@
     m_lease.onChange([this](bool isHolder) {
         m_relay.leaseChanged(isHolder);
         m_controller.leaseChanged(isHolder);
+        m_publishedVersions.setHolder(isHolder);
     });
     m_controller.onChange([this] { m_holderClient.applyLocalUpdates(); });
     m_holderClient.onChange([this](const std::set<base::endpoint_id> &changed) { m_endpointFeed.update(changed); });
-    m_lease.onNodes([this](int nodes) { m_director.setNodeCount(nodes); });
-    m_holderClient.onNodes([this](int nodes) { m_director.setNodeCount(nodes); });
+    m_lease.onNodes([this](int nodes) { setNodeCount(nodes); });
+    m_holderClient.onNodes([this](int nodes) { setNodeCount(nodes); });
     m_forwarder.setMissingItemListener([this](const base::endpoint_id &endpoint, const fleet::requested_item &item) {
         m_itemProvider.reportMissing(endpoint, item);
         m_endpointFeed.update({endpoint});
@@ -208,6 +218,13 @@
     registerMetrics();
 }
 
+void platform_node::setNodeCount(int nodes)
+{
+    m_director.setNodeCount(nodes);
+    m_publishedVersions.setNodeCount(nodes);
+    m_streamOrigins.setNodeCount(nodes);
+}
+
 std::optional<std::size_t> platform_node::run()
 {
     if (!listen()) {
@@ -216,6 +233,8 @@
     LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
     asio::co_spawn(m_context, m_configuration.run(), asio::detached);
     asio::co_spawn(m_context, m_endpointFollower.run(), asio::detached);
+    asio::co_spawn(m_context, m_publishedVersions.run(), asio::detached);
+    asio::co_spawn(m_context, m_streamOrigins.run(), asio::detached);
     asio::co_spawn(m_context, watchForPauses(), asio::detached);
     asio::co_spawn(m_context, m_loopMonitor.run(), asio::detached);
     asio::co_spawn(m_context, reportLoad(), asio::detached);
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -11,7 +11,9 @@
 #include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/fleet/holder_client.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
+#include <chervilbend/fleet/published_versions.hpp>
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
+#include <chervilbend/fleet/recorded_stream_origins.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/event_loop_monitor.hpp>
@@ -32,6 +34,7 @@
 #include <chervilbend/platform/platform_engine_client.hpp>
 #include <chervilbend/platform/platform_request_codec.hpp>
 #include <chervilbend/platform/platform_store.hpp>
+#include <chervilbend/platform/platform_stream_store.hpp>
 #include <chervilbend/platform/readiness_handler.hpp>
 #include <chervilbend/routing/adaptive_director.hpp>
 
@@ -68,6 +71,7 @@
     bool listen();
     bool listenOn(net::http_server &server, const net::address &address);
     void connectComponents();
+    void setNodeCount(int nodes);
     void waitForSignal();
     void startShutdown();
     boost::asio::awaitable<void> watchForPauses();
@@ -85,10 +89,13 @@
 
     std::shared_ptr<platform::store_client> m_storeClient;
     platform::platform_store m_store;
+    platform::platform_stream_store m_streamStore;
     platform::platform_request_codec m_requestCodec;
     fleet::configuration_follower m_configuration;
     fleet::endpoint_registry m_endpoints;
     fleet::endpoint_follower m_endpointFollower;
+    fleet::published_versions m_publishedVersions;
+    fleet::recorded_stream_origins m_streamOrigins;
     fleet::store_relay m_relay;
     fleet::known_residency m_residency;
     fleet::usage_meter m_usage;
--- a/packages/node/src/chervilbend/node/endpoint_feed.cpp
+++ b/packages/node/src/chervilbend/node/endpoint_feed.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
 #include <chervilbend/fleet/pool_name.hpp>
+#include <chervilbend/fleet/published_versions.hpp>
 #include <chervilbend/fleet/residency_view.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
@@ -28,12 +29,14 @@
                              endpoint_directory &directory,
                              const fleet::endpoint_registry &registry,
                              const fleet::residency_view &residency,
+                             const fleet::published_versions &versions,
                              base::zone_id ownZone,
                              double crossZoneRoundTripMs)
     : m_director(director)
     , m_directory(directory)
     , m_registry(registry)
     , m_residency(residency)
+    , m_versions(versions)
     , m_ownZone(std::move(ownZone))
     , m_crossZoneRoundTripMs(crossZoneRoundTripMs)
 {
@@ -54,6 +57,15 @@
     }
 }
 
+void endpoint_feed::updateAll()
+{
+    std::set<base::endpoint_id> all;
+    for (const auto &[id, known] : m_registry.endpoints()) {
+        all.insert(id);
+    }
+    update(all);
+}
+
 void endpoint_feed::updateOne(const base::endpoint_id &id)
 {
     const auto found = m_registry.endpoints().find(id);
@@ -69,6 +81,9 @@
         return;
     }
     const fleet::endpoint_entry &entry = found->second.entry;
+    if (!m_startTimes.contains(id) && !m_versions.isUsable(entry)) {
+        return;
+    }
     if (!m_startTimes.contains(id)) {
         LOG4CXX_INFO(endpointLog(),
                      base::log_event("endpointKnown")
--- a/packages/node/src/chervilbend/node/endpoint_feed.hpp
+++ b/packages/node/src/chervilbend/node/endpoint_feed.hpp
@@ -10,6 +10,7 @@
 namespace chervilbend::fleet
 {
 class endpoint_registry;
+class published_versions;
 class residency_view;
 } // namespace chervilbend::fleet
 
@@ -33,6 +34,7 @@
                   endpoint_directory &directory,
                   const fleet::endpoint_registry &registry,
                   const fleet::residency_view &residency,
+                  const fleet::published_versions &versions,
                   base::zone_id ownZone,
                   double crossZoneRoundTripMs);
 
@@ -40,6 +42,9 @@
     /// registered, or whose process has restarted, are removed from the director first.
     void update(const std::set<base::endpoint_id> &changed);
 
+    /// The same for all endpoints of the registry. Those whose software version is not published yet are left out.
+    void updateAll();
+
     /// Sets the function that is called after each change of the director's endpoints, so that queued requests are considered again.
     void onChange(std::function<void()> listener);
 
@@ -50,6 +55,7 @@
     endpoint_directory &m_directory;
     const fleet::endpoint_registry &m_registry;
     const fleet::residency_view &m_residency;
+    const fleet::published_versions &m_versions;
     base::zone_id m_ownZone;
     double m_crossZoneRoundTripMs;
     /// Start time of the process that the director knows, by endpoint. A different one means that the endpoint has restarted.
--- a/packages/node/src/chervilbend/node/metered_director.cpp
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -139,6 +139,11 @@
     m_inner.noteAnswer(request, notice);
 }
 
+void metered_director::bindToVersion(routing::request_handle request)
+{
+    m_inner.bindToVersion(request);
+}
+
 void metered_director::firstByte(routing::request_handle request)
 {
     m_inner.firstByte(request);
--- a/packages/node/src/chervilbend/node/metered_director.hpp
+++ b/packages/node/src/chervilbend/node/metered_director.hpp
@@ -36,6 +36,7 @@
     std::vector<routing::refusal> takeRefusals() override;
     void checkForPause() override;
     void noteAnswer(routing::request_handle request, const routing::endpoint_notice &notice) override;
+    void bindToVersion(routing::request_handle request) override;
     void firstByte(routing::request_handle request) override;
     void progress(routing::request_handle request, base::token_count generated) override;
     void finish(routing::request_handle request, routing::request_outcome outcome) override;
--- a/packages/node/tests/route_api_fixture.hpp
+++ b/packages/node/tests/route_api_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include "answers.hpp"
 
+#include <chervilbend/fleet/stream_origins.hpp>
 #include <chervilbend/node/callers/item_provider.hpp>
 #include <chervilbend/node/callers/route_api.hpp>
 #include <chervilbend/platform/platform_request_codec.hpp>
@@ -33,6 +34,32 @@
     std::vector<base::endpoint_id> missing;
 };
 
+/// Knows the origins that a test sets; records what is noted.
+class test_stream_origins : public fleet::stream_origins
+{
+public:
+    void noteBegun(const fleet::stream_origin &origin) override
+    {
+        begun.push_back(origin);
+    }
+
+    void noteEnded(std::uint64_t /*stream*/, bool isComplete) override
+    {
+        ended.push_back(isComplete);
+    }
+
+    boost::asio::awaitable<fleet::origin_lookup> find(base::service_id /*service*/, std::optional<std::uint64_t> stream, base::time_point /*until*/) override
+    {
+        lookups.push_back(stream);
+        co_return result;
+    }
+
+    fleet::origin_lookup result{base::software_version("v1"), fleet::origin_source::singleVersion, {}};
+    std::vector<fleet::stream_origin> begun;
+    std::vector<bool> ended;
+    std::vector<std::optional<std::uint64_t>> lookups;
+};
+
 /// A route_api server on real sockets, with the platform's protocol and scripted endpoints.
 struct route_api_fixture {
     route_api_fixture()
@@ -48,6 +75,7 @@
             [this](const base::endpoint_id &endpoint, const fleet::requested_item &item) { itemProvider.reportMissing(endpoint, item); });
         server = std::make_shared<net::http_server>(context.get_executor(), api);
         port = server->listen({"127.0.0.1", 0}).value();
+        requestForwarder.setStreamOrigins(origins);
         director.retriesLeft = 3;
     }
 
@@ -113,8 +141,9 @@
     node::forwarder requestForwarder{requestAdmission, directory, client, metrics};
     test_item_provider itemProvider;
     fleet::usage_meter usage;
+    test_stream_origins origins;
     platform::platform_request_codec codec;
-    node::route_api api{codec, requestForwarder, itemProvider, usage, open, metrics};
+    node::route_api api{codec, requestForwarder, itemProvider, usage, open, origins, metrics};
     std::shared_ptr<net::http_server> server;
     std::vector<std::unique_ptr<raw_server>> endpoints;
     std::uint16_t port = 0;
--- a/packages/node/tests/test_director.hpp
+++ b/packages/node/tests/test_director.hpp
@@ -63,7 +63,7 @@
         std::vector<routing::dispatch> dispatched;
         for (; !holdDispatches && !queued.empty(); queued.pop_front()) {
             const std::vector<base::endpoint_id> &pool = pools[open[queued.front()].pool];
-            dispatched.push_back({queued.front(), pool[nextEndpoint++ % pool.size()], "round-robin"});
+            dispatched.push_back({queued.front(), pool[nextEndpoint++ % pool.size()], "round-robin", base::software_version("v1")});
         }
         return dispatched;
     }
@@ -78,6 +78,11 @@
         notices.push_back(notice);
     }
 
+    void bindToVersion(routing::request_handle /*handle*/) override
+    {
+        ++bindings;
+    }
+
     void firstByte(routing::request_handle /*handle*/) override
     {
         ++firstBytes;
@@ -121,6 +126,7 @@
     std::size_t nextEndpoint = 0;
     std::int64_t tokens = 0;
     int firstBytes = 0;
+    int bindings = 0;
     int retriesLeft = 0;
     /// Why a request for which there is no endpoint is refused.
     base::error_kind refusalKind = base::error_kind::noEndpoint;
--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -85,6 +85,7 @@
     std::vector<dispatch> dispatches;
     for (pool_state *pool : m_dirty) {
         dispatchSuspects(*pool, now, dispatches);
+        dispatchResumptions(*pool, now, dispatches);
     }
     // Iterate over the classes first and the pools second: on shared endpoints, urgent work of one pool precedes batch work of another.
     for (const base::work_class leastUrgent : {base::work_class::urgent, base::work_class::normal, base::work_class::batch}) {
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -43,6 +43,7 @@
     std::vector<refusal> takeRefusals() override;
     void checkForPause() override;
     void noteAnswer(request_handle request, const endpoint_notice &notice) override;
+    void bindToVersion(request_handle request) override;
     void firstByte(request_handle request) override;
     void progress(request_handle request, base::token_count generated) override;
     void finish(request_handle request, request_outcome outcome) override;
@@ -80,6 +81,11 @@
     void refuseExpired(base::time_point now);
     bool isTooLate(request_state &request, base::time_point now);
     void dispatchSuspects(pool_state &pool, base::time_point now, std::vector<dispatch> &dispatches);
+    /// Implemented in adaptive_director_resumptions.cpp: requests that continue a stream.
+    void dispatchResumptions(pool_state &pool, base::time_point now, std::vector<dispatch> &dispatches);
+    /// Why a request that continues a stream can't be served; no value if it can.
+    std::optional<base::reason> resumptionObstacle(const request_facts &facts) const;
+
     bool isProbeAllowed(const endpoint_state &endpoint, base::time_point now) const;
     bool dispatchProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &dispatches);
     bool dispatchNext(pool_state &pool, base::work_class leastUrgent, base::time_point now, std::vector<dispatch> &dispatches);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -261,6 +261,8 @@
         why = {failure, "the request may have run and is not repeatable"};
     } else if (std::optional<base::reason> crashing = crashReason(request.facts)) {
         why = std::move(*crashing);
+    } else if (std::optional<base::reason> obstacle = resumptionObstacle(request.facts)) {
+        why = std::move(*obstacle);
     } else if (now > request.latestStart) {
         why = {failure, "the deadline leaves no time for a retry"};
     } else if (pool.queue.isCongested() || isShedding(pool, now)) {
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace chervilbend::routing
 {
@@ -35,13 +34,6 @@
     return std::to_string(static_cast<long>(std::ceil(std::max(1.0, ms / 1000)))) + " s";
 }
 
-/// The dispatch of a request whose attempt has been started.
-dispatch dispatchOf(const request_state &request, std::string why)
-{
-    const endpoint_facts &facts = request.endpoint->facts;
-    return {request.id, facts.endpoint, std::move(why), facts.softwareVersion};
-}
-
 } // namespace
 
 std::optional<request_handle> adaptive_director::submit(const request_facts &facts, base::reason &why)
@@ -53,6 +45,10 @@
         why = {base::error_kind::noEndpoint, "no endpoint serves " + facts.pool};
         return std::nullopt;
     }
+    if (std::optional<base::reason> obstacle = resumptionObstacle(facts)) {
+        why = std::move(*obstacle);
+        return std::nullopt;
+    }
     const std::optional<std::uint64_t> cause = refusedCause(facts);
     const bool isTrial = cause && m_promptParts->takeTrial(*cause);
     if (std::optional<base::reason> crashing = crashReason(facts, isTrial)) {
@@ -104,7 +100,7 @@
                "the request needs about " + secondsText(request.cost * pool.msPerCost) + ", which is more than its deadline allows"};
         return false;
     }
-    if (pool.queue.hasRoom(request.lane, request.cost)) {
+    if (request.isResumption() || pool.queue.hasRoom(request.lane, request.cost)) {
         return true;
     }
     pool.hasShed = true;
@@ -144,7 +140,10 @@
     if (m_settings.isolateSuspects && m_suspects.isSuspect(request.facts.fingerprint)) {
         request.isSuspect = true;
         request.phase = request_phase::held;
-        request.suspectPosition = pool.suspects.insert(pool.suspects.end(), request.id);
+        request.listPosition = pool.suspects.insert(pool.suspects.end(), request.id);
+    } else if (request.isResumption()) {
+        request.phase = request_phase::resuming;
+        request.listPosition = pool.resumptions.insert(pool.resumptions.end(), request.id);
     } else {
         const fair_queue::item item{request.id, request.cost, request.queuedSince};
         request.phase = request_phase::queued;
@@ -158,7 +157,9 @@
 {
     m_latestStarts.erase({request.latestStart, request.id});
     if (request.phase == request_phase::held) {
-        request.pool->suspects.erase(request.suspectPosition);
+        request.pool->suspects.erase(request.listPosition);
+    } else if (request.phase == request_phase::resuming) {
+        request.pool->resumptions.erase(request.listPosition);
     } else {
         request.pool->queue.remove(request.lane, request.queuePosition);
     }
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 namespace chervilbend::routing
 {
@@ -116,7 +117,8 @@
     return std::any_of(pool.members.begin(), pool.members.end(), [&](const pool_member &member) {
         const endpoint_state &endpoint = *member.endpoint;
         const bool isReachable = !endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial);
-        return member.endpoint != request.endpoint && isReachable && canAcceptWithinRate(member, nodes, now)
+        const bool isSameVersion = !request.isResumption() || endpoint.facts.softwareVersion == request.facts.softwareVersion;
+        return member.endpoint != request.endpoint && isReachable && isSameVersion && canAcceptWithinRate(member, nodes, now)
             && (!request.lane.isLong || canAcceptLong(pool, member, nodes, now));
     });
 }
@@ -243,6 +245,26 @@
     return takeSecond ? second : first;
 }
 
+pool_member *endpoint_selector::pickForResumption(const pool_state &pool, const request_state &request)
+{
+    pool_member *best = nullptr;
+    std::pair<bool, double> bestRank;
+    for (const candidate &each : m_candidates) {
+        const endpoint_state &endpoint = *each.member->endpoint;
+        if (endpoint.facts.softwareVersion != request.facts.softwareVersion || endpoint.isDown || (request.lane.isLong && !each.acceptsLong)) {
+            continue;
+        }
+        // An endpoint that has just lost a connection is the last choice.
+        const bool isDoubtful = each.member->endpoint == request.endpoint || m_suspects.hasUnconfirmedLoss(endpoint.serial);
+        const std::pair<bool, double> rank{isDoubtful, expectedWait(pool, *each.member)};
+        if (best == nullptr || rank < bestRank) {
+            best = each.member;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
 pool_member *endpoint_selector::pickForSuspect(const pool_state &pool, const request_state &request, bool allowFallback)
 {
     // Ranks are assigned to the pool's endpoints round-robin, in an order that is the same on all nodes. If suspects went to the least
@@ -257,7 +279,8 @@
     std::uint64_t bestScore = 0;
     for (const candidate &each : m_candidates) {
         const endpoint_state &endpoint = *each.member->endpoint;
-        if (endpoint.suspectsInFlight > 0 || endpoint.isDown || m_suspects.hasUnconfirmedLoss(endpoint.serial)) {
+        const bool isOtherVersion = request.isResumption() && endpoint.facts.softwareVersion != request.facts.softwareVersion;
+        if (isOtherVersion || endpoint.suspectsInFlight > 0 || endpoint.isDown || m_suspects.hasUnconfirmedLoss(endpoint.serial)) {
             continue;
         }
         if (endpoint.idHash == assigned) {
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -31,6 +31,8 @@
     void refreshCandidates(pool_state &pool, int nodes, base::time_point now);
     /// Selects the member for the request; nullptr if none can accept it. @p why is set to the reason for the choice.
     pool_member *pick(const pool_state &pool, const request_state &request, std::string &why);
+    /// Selects the member for a request that continues a stream, among those of its software version; nullptr if none of them can accept it.
+    pool_member *pickForResumption(const pool_state &pool, const request_state &request);
     /// Selects the member for a request that is suspected of crashing endpoints, so that it shares the endpoint with no other suspect, as
     /// far as known also of other nodes. This is the endpoint assigned to its rank or, with @p allowFallback, another one if the assigned
     /// one is not free.
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -31,6 +31,14 @@
     return found == members.end() ? nullptr : &*found;
 }
 
+bool pool_state::hasVersion(const base::software_version &version) const
+{
+    return std::any_of(members.begin(), members.end(), [&](const pool_member &member) {
+        const endpoint_state &endpoint = *member.endpoint;
+        return endpoint.facts.softwareVersion == version && !endpoint.isLeaving() && !endpoint.isDown;
+    });
+}
+
 void pool_state::refresh(int nodes, base::time_point now, const director_settings &settings)
 {
     double shareSum = 0;
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.hpp
@@ -26,6 +26,8 @@
     admission_queue queue;
     /// Waiting requests that are suspected of crashing an endpoint. They are kept out of the queue so that they do not block the others.
     std::list<request_handle> suspects;
+    /// Waiting requests that continue a stream at endpoints of one software version. In the queue, one whose endpoints are busy would block the others.
+    std::list<request_handle> resumptions;
 
     long requests = 0;
     /// Number of request handles that refer to the pool.
@@ -54,11 +56,13 @@
 
     bool hasWaitingRequests() const
     {
-        return queue.size() > 0 || !suspects.empty();
+        return queue.size() > 0 || !suspects.empty() || !resumptions.empty();
     }
 
     /// The member for an endpoint; nullptr if the endpoint is not in the pool.
     pool_member *memberOf(const endpoint_state *endpoint);
+    /// Whether an endpoint of the version is in use. One that is down doesn't count: what answers at its address next may be another process.
+    bool hasVersion(const base::software_version &version) const;
     /// Recomputes the capacity, the mean latency, the queue bounds and the share of long requests.
     void refresh(int nodes, base::time_point now, const director_settings &settings);
 
--- a/packages/routing/src/chervilbend/routing/internal/request_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_state.hpp
@@ -22,6 +22,8 @@
     queued,
     /// Waits in its pool's list of suspects.
     held,
+    /// Continues a stream and waits in its pool's list of resumptions.
+    resuming,
     running,
     /// Refused, but takeRefusals() has not returned the refusal yet.
     refused,
@@ -44,7 +46,8 @@
     double outstanding = 0;
     admission_queue::lane lane;
     fair_queue::item_position queuePosition;
-    std::list<request_handle>::iterator suspectPosition;
+    /// In the list of suspects or of resumptions.
+    std::list<request_handle>::iterator listPosition;
 
     base::time_point submitted;
     base::time_point queuedSince;
@@ -66,6 +69,15 @@
     bool isTrial = false;
     /// The request is counted in longInFlight of its endpoint and pool.
     bool countsAsLong = false;
+
+    /// Whether only endpoints of one software version can serve it.
+    bool isResumption() const
+    {
+        return !facts.softwareVersion.empty();
+    }
 };
 
+/// The dispatch of a request whose attempt has been started.
+dispatch dispatchOf(const request_state &request, std::string why);
+
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/request_facts.hpp
+++ b/packages/routing/src/chervilbend/routing/request_facts.hpp
@@ -35,6 +35,8 @@
     std::uint64_t prefixHash = 0;
     /// Whether the request may be sent again although an earlier attempt may have run.
     bool repeatable = true;
+    /// The request continues a stream that this version began, and only endpoints of the same version can serve it; empty for any.
+    base::software_version softwareVersion{};
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -82,6 +82,10 @@
     virtual void noteAnswer(request_handle /*request*/, const endpoint_notice & /*notice*/)
     {
     }
+    /// A stream has begun to arrive at the caller: from now on only endpoints of the same software version as the present one can continue it.
+    virtual void bindToVersion(request_handle /*request*/)
+    {
+    }
     /// Reports that the first byte of the answer has arrived.
     virtual void firstByte(request_handle request) = 0;
     /// Reports the number of tokens that were generated so far.
