Pass requests on to other nodes while this one reaches no endpoint

Cause: a node had nothing but its own links to the endpoints, and no notion of having lost them all: it tried one endpoint after the other for each request. The class of fault is a failure of the observer that is taken for one of each observed.

A node that suspects the loss opens connections to some endpoints at once; while none is accepted, it passes its requests on to nodes that the lease holder has named to it, on the port for nodes. Only what provably has not run, or may be repeated, is passed on, with the attempts that are left, and once.

--- a/packages/fleet/src/chervilbend/fleet/caller_request.hpp
+++ b/packages/fleet/src/chervilbend/fleet/caller_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
+#include <chervilbend/base/ids.hpp>
 #include <chervilbend/base/units.hpp>
 
 #include <cstdint>
@@ -36,6 +37,9 @@
     std::optional<std::int64_t> lastEvent;
     /// The attempt ID of the request that brought the first event of the stream that this one takes up; empty if it names none.
     std::string resumedAttempt;
+    /// Attempts that another node has made, and the software version that it knows to have begun the stream. To be believed only from other nodes.
+    int attemptsUsed = 0;
+    base::software_version softwareVersion;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/engine_update.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_update.hpp
@@ -5,11 +5,13 @@
 #include <chervilbend/fleet/endpoint_entry.hpp>
 #include <chervilbend/fleet/lease_record.hpp>
 #include <chervilbend/fleet/store_update.hpp>
+#include <chervilbend/routing/helper_nodes.hpp>
 #include <chervilbend/routing/prompt_evidence.hpp>
 #include <chervilbend/routing/rate_limit_messages.hpp>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,8 @@
     routing::rate_limit_report rateLimits;
     /// Endpoints that have recently said in an answer that they are about to stop.
     std::vector<routing::endpoint_process> leaving;
+    /// What the node says of itself as a helper; no value from nodes that run an earlier version.
+    std::optional<routing::helper_node> helper;
     /// Version of the registrations that the node has from the holder with this token; 0 for none.
     std::int64_t registrationsVersion = 0;
 };
@@ -66,6 +70,8 @@
     routing::prompt_evidence prompts;
     routing::rate_limit_answer rateLimits;
     std::vector<routing::endpoint_process> leaving;
+    /// Nodes that can serve requests of the node if it reaches no endpoint.
+    std::vector<routing::helper_node> helpers;
 };
 
 /// A model or adapter that a request needs.
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -60,6 +60,23 @@
     return processes;
 }
 
+Json::Value toJson(const routing::helper_node &helper)
+{
+    Json::Value json(Json::objectValue);
+    json["address"] = helper.address;
+    json["zone"] = helper.zone.value();
+    json["canHelp"] = helper.canHelp;
+    return json;
+}
+
+std::optional<routing::helper_node> readHelper(const Json::Value &json)
+{
+    if (!hasText(json, "address") || !hasText(json, "zone") || !json["canHelp"].isBool()) {
+        return std::nullopt;
+    }
+    return routing::helper_node{json["address"].asString(), base::zone_id(json["zone"].asString()), json["canHelp"].asBool()};
+}
+
 } // namespace
 
 Json::Value toJson(const node_report &report)
@@ -72,6 +89,9 @@
     json["prompts"] = toJson(report.prompts);
     json["limits"] = toJson(report.rateLimits);
     json["leaving"] = toJson(report.leaving);
+    if (report.helper) {
+        json["helper"] = toJson(*report.helper);
+    }
     Json::Value &open = json["open"] = Json::Value(Json::objectValue);
     for (const auto &[model, count] : report.open) {
         open[model] = count;
@@ -98,6 +118,7 @@
     report.prompts = std::move(*prompts);
     report.rateLimits = std::move(*rateLimits);
     report.leaving = readLeavingMember(json);
+    report.helper = readHelper(json["helper"]);
     report.node = base::node_id(json["node"].asString());
     report.token = json["token"].asInt64();
     report.version = json["version"].asInt64();
@@ -181,6 +202,10 @@
     json["prompts"] = toJson(answer.prompts);
     json["limits"] = toJson(answer.rateLimits);
     json["leaving"] = toJson(answer.leaving);
+    Json::Value &helpers = json["helpers"] = Json::Value(Json::arrayValue);
+    for (const routing::helper_node &helper : answer.helpers) {
+        helpers.append(toJson(helper));
+    }
     return json;
 }
 
@@ -216,6 +241,12 @@
     answer.prompts = std::move(*prompts);
     answer.rateLimits = std::move(*rateLimits);
     answer.leaving = readLeavingMember(json);
+    const Json::Value &helpers = json["helpers"];
+    for (Json::ArrayIndex i = 0; helpers.isArray() && i < helpers.size(); ++i) {
+        if (std::optional<routing::helper_node> helper = readHelper(helpers[i])) {
+            answer.helpers.push_back(std::move(*helper));
+        }
+    }
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
@@ -33,6 +33,7 @@
     , m_relay(relay)
     , m_prompts(*knowledge.promptParts)
     , m_leaving(*knowledge.leaving)
+    , m_helpers(*knowledge.helpers)
     , m_rateLimits(rateLimits)
     , m_budget(linkMegabits)
 {
@@ -63,6 +64,10 @@
         m_leaving.note(process);
     }
     answer.leaving = m_leaving.recent();
+    if (report->helper) {
+        m_helpers.noteReport(report->node, *report->helper);
+    }
+    answer.helpers = m_helpers.chooseFor(report->node);
     const std::int64_t version = isSameHolder ? report->version : 0;
     answer.version = version;
     if (mayContainUpdates) {
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
@@ -9,6 +9,7 @@
 
 namespace chervilbend::routing
 {
+class helper_nodes;
 class leaving_endpoints;
 class prompt_part_tracker;
 struct cluster_knowledge;
@@ -74,6 +75,7 @@
     const store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
     routing::leaving_endpoints &m_leaving;
+    routing::helper_nodes &m_helpers;
     rate_limit_exchange &m_rateLimits;
     answer_budget m_budget;
     report_pacer m_pacer;
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -68,6 +68,7 @@
     , m_relay(relay)
     , m_prompts(*knowledge.promptParts)
     , m_leaving(*knowledge.leaving)
+    , m_helpers(*knowledge.helpers)
     , m_rateLimits(rateLimits)
 {
     m_prompts.onLoss([this] { m_lossSeen.notify(); });
@@ -158,6 +159,7 @@
         applyLocalUpdates();
         m_prompts.merge(m_prompts.responseTo(m_prompts.takeNews()));
         m_rateLimits.exchangeLocally();
+        m_helpers.setHelpers(m_helpers.chooseFor(m_node));
         m_interval = report_pacer::shortestInterval;
         co_return true;
     }
@@ -168,6 +170,7 @@
     report.prompts = m_prompts.takeNews();
     report.rateLimits = m_rateLimits.takeReport();
     report.leaving = m_leaving.recent();
+    report.helper = m_helpers.own();
     const Json::Value message = toJson(report);
     const base::time_point requestedAt = base::clock::now();
     const std::optional<Json::Value> json = co_await m_peers.call(*address, exchangeMethodName, message, exchangeTimeout);
@@ -182,6 +185,7 @@
     for (const routing::endpoint_process &process : answer->leaving) {
         m_leaving.note(process);
     }
+    m_helpers.setHelpers(answer->helpers);
     if (answer->lease.token != m_token) {
         m_prompts.announceAgain();
     }
--- a/packages/fleet/src/chervilbend/fleet/holder_client.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.hpp
@@ -21,6 +21,7 @@
 
 namespace chervilbend::routing
 {
+class helper_nodes;
 class leaving_endpoints;
 class prompt_part_tracker;
 struct cluster_knowledge;
@@ -87,6 +88,7 @@
     store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
     routing::leaving_endpoints &m_leaving;
+    routing::helper_nodes &m_helpers;
     rate_limit_exchange &m_rateLimits;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void(int)> m_nodesListener;
--- a/packages/fleet/src/chervilbend/fleet/recorded_stream_origins.cpp
+++ b/packages/fleet/src/chervilbend/fleet/recorded_stream_origins.cpp
@@ -231,7 +231,10 @@
     }
     const std::set<base::software_version> versions = m_versions.versionsOf(service);
     if (versions.size() == 1) {
-        co_return origin_lookup{*versions.begin(), origin_source::singleVersion, {}};
+        origin_lookup only;
+        only.version = *versions.begin();
+        only.source = origin_source::singleVersion;
+        co_return only;
     }
     if (versions.empty() || !stream) {
         co_return unknownOrigin(base::error_kind::notResumable, "several software versions may have begun the stream, and the request does not name it");
--- a/packages/fleet/src/chervilbend/fleet/request_codec.hpp
+++ b/packages/fleet/src/chervilbend/fleet/request_codec.hpp
@@ -26,6 +26,16 @@
     std::optional<std::int64_t> lastEvent;
 };
 
+/// Metadata that is added to the caller's request when it is passed on to another node, which serves it as its own.
+struct relay_metadata {
+    base::milliseconds remaining{0};
+    /// Attempts that may have run the request.
+    int attemptsUsed = 0;
+    /// The version that began the stream that the request continues; empty if it begins one, or if that is not known.
+    base::software_version softwareVersion;
+    std::optional<std::int64_t> lastEvent;
+};
+
 /// What the header of an endpoint's answer says about the request that was sent.
 enum class answer_disposition {
     /// A valid answer, which is forwarded to the caller unchanged.
@@ -52,6 +62,9 @@
     virtual std::optional<caller_request> read(const net::http_request &request, base::reason &why) const = 0;
     /// The request to send to an endpoint; @p request is the caller's.
     virtual net::http_request forEndpoint(const net::http_request &request, const attempt_metadata &terms) const = 0;
+    virtual net::http_request forHelper(const net::http_request &request, const relay_metadata &metadata) const = 0;
+    /// Whether another node has passed the request on.
+    virtual bool isRelayed(const net::http_request &request) const = 0;
     /// @p attempt is the attempt ID of the request that was sent. @p isOnlyAnswer tells whether the answer must belong to it because the connection has
     /// carried nothing else; otherwise a refusal that names no attempt may be that of an earlier request, and is invalid.
     virtual answer_disposition classifyAnswer(const net::http::response_header<> &answer, const std::string &attempt, bool isOnlyAnswer) const = 0;
--- a/packages/node/src/chervilbend/node/callers/admission.cpp
+++ b/packages/node/src/chervilbend/node/callers/admission.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/node/callers/admitted_request.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilbend::node
 {
@@ -46,6 +47,14 @@
     scheduleWakeup();
 }
 
+void admission::refuseWaiting(const base::reason &why)
+{
+    for (const auto &[handle, request] : std::exchange(m_waiting, {})) {
+        m_director.finish(handle, routing::request_outcome::cancelled);
+        request->onRefusal(why);
+    }
+}
+
 void admission::scheduleWakeup()
 {
     const base::time_point next = m_director.nextWakeup();
--- a/packages/node/src/chervilbend/node/callers/admission.hpp
+++ b/packages/node/src/chervilbend/node/callers/admission.hpp
@@ -29,6 +29,9 @@
     /// Must be called after every direct call of a director's command, such as setEndpoint().
     void deliverDecisions();
 
+    /// Ends the wait of all requests that have no dispatch yet.
+    void refuseWaiting(const base::reason &why);
+
     /// Number of requests that wait for a dispatch or refusal.
     std::size_t waiting() const
     {
--- a/packages/node/src/chervilbend/node/callers/endpoint_directory.cpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_directory.cpp
@@ -19,4 +19,14 @@
     return found == m_addresses.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::vector<net::address> endpoint_directory::addresses() const
+{
+    std::vector<net::address> all;
+    all.reserve(m_addresses.size());
+    for (const auto &[endpoint, address] : m_addresses) {
+        all.push_back(address);
+    }
+    return all;
+}
+
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/endpoint_directory.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_directory.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace chervilbend::node
 {
@@ -17,6 +18,7 @@
     void set(const base::endpoint_id &endpoint, const net::address &address);
     void remove(const base::endpoint_id &endpoint);
 
+    std::vector<net::address> addresses() const;
     std::optional<net::address> find(const base::endpoint_id &endpoint) const;
 
 private:
--- a/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
@@ -12,17 +12,25 @@
 
 struct forwarding_plan;
 
+/// What one attempt to serve a request needs beyond the plan.
+struct attempt_terms {
+    base::endpoint_id endpoint;
+    /// Id of the last stream event that the caller has received.
+    std::optional<std::int64_t> lastEvent;
+    /// Earlier attempts that may have run the request.
+    int attemptsUsed = 0;
+    /// The version that began the stream; empty if it has not begun.
+    base::software_version softwareVersion;
+};
+
 /// Builds requests for one kind of endpoint and classifies the responses.
 class endpoint_protocol
 {
 public:
     virtual ~endpoint_protocol() = default;
 
-    /// Builds the request to @p endpoint. @p lastEvent is the id of the last stream event that the caller has received.
-    virtual net::http_request prepare(const net::http_request &request,
-                                      const forwarding_plan &plan,
-                                      const base::endpoint_id &endpoint,
-                                      std::optional<std::int64_t> lastEvent) const = 0;
+    /// Builds the request of an attempt; @p request is the caller's.
+    virtual net::http_request prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const = 0;
 
     /// @p isOnlyAnswer tells whether the connection has carried no other request or answer.
     virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const = 0;
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -40,6 +40,18 @@
 void forwarded_request::startAttempt(const base::endpoint_id &target)
 {
     m_tried.insert(target);
+    m_isAtHelper = false;
+    startAttempt();
+}
+
+void forwarded_request::startRelayedAttempt()
+{
+    m_isAtHelper = true;
+    startAttempt();
+}
+
+void forwarded_request::startAttempt()
+{
     m_hasFirstByte = false;
     if (exchange->isStarted()) {
         events.resume();
@@ -51,7 +63,7 @@
 
 void forwarded_request::beginStream()
 {
-    if (m_hasBegunStream || !plan.resumable) {
+    if (m_hasBegunStream || m_isAtHelper || !plan.resumable) {
         return;
     }
     m_hasBegunStream = true;
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -42,6 +42,8 @@
     forwarded_request &operator=(const forwarded_request &) = delete;
 
     void startAttempt(const base::endpoint_id &target);
+    /// The same for an attempt that another node makes for this one, and that notes the beginning of the stream.
+    void startRelayedAttempt();
     /// The first event of a stream that can be resumed is about to go out to the caller. Only the first call has an effect.
     void beginStream();
     /// Whether an earlier attempt was made at the endpoint.
@@ -85,11 +87,13 @@
     event_scanner events;
 
 private:
+    void startAttempt();
     void resetEvents();
 
     caller_metrics &m_metrics;
     fleet::stream_origins *m_origins;
     bool m_hasBegunStream = false;
+    bool m_isAtHelper = false;
     base::time_point m_arrivedAt = base::clock::now();
     std::set<base::endpoint_id> m_tried;
     std::int64_t m_tokens = 0;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -9,8 +9,10 @@
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/node/callers/endpoint_reachability.hpp>
 #include <chervilbend/node/callers/forwarded_request.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
+#include <chervilbend/node/callers/request_relay.hpp>
 
 #include <boost/asio/this_coro.hpp>
 
@@ -81,73 +83,119 @@
     m_streamOrigins = &origins;
 }
 
+void forwarder::setReachability(endpoint_reachability &reachability)
+{
+    m_reachability = &reachability;
+}
+
+void forwarder::setRelay(request_relay &relay)
+{
+    m_relay = &relay;
+}
+
 asio::awaitable<void> forwarder::forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
 {
     const auto request = std::make_shared<forwarded_request>(m_admission, m_metrics, m_streamOrigins, exchange, std::move(plan));
+    forwarding_progress progress;
+    bool isFinished = false;
+    if (!mayRelay(*request, progress)) {
+        isFinished = co_await forwardToEndpoints(request, progress);
+    }
+    if (!isFinished && mayRelay(*request, progress)) {
+        isFinished = co_await forwardToHelpers(request, progress);
+    }
+    if (!isFinished) {
+        request->finish(progress.outcome);
+        co_await refuse(request, std::move(progress.why), progress.mayHaveRun);
+    }
+}
+
+asio::awaitable<bool> forwarder::forwardToEndpoints(std::shared_ptr<forwarded_request> request, forwarding_progress &progress)
+{
     const routing::request_facts &facts = request->plan.facts;
-    const base::time_point startedAt = base::clock::now();
     std::optional<routing::dispatch> target = co_await request->admitted.submit(facts);
-    bool mayHaveRun = false;
-    base::reason why;
-    request_outcome outcome = request_outcome::refused;
-    int attempts = 0;
-    // Attempts that may have executed the request; only these count towards the route's limit.
-    int countedAttempts = 0;
     while (target) {
-        ++attempts;
+        ++progress.attempts;
         LOG4CXX_INFO(routeLog(),
                      eventFor("sent", request->plan)
                          .with("endpoint", target->endpoint.value())
                          .with("software", target->softwareVersion.value())
-                         .with("attempt", attempts)
-                         .with("waitedMs", (base::clock::now() - startedAt).count())
+                         .with("attempt", progress.attempts)
+                         .with("waitedMs", (base::clock::now() - progress.startedAt).count())
                          .with("why", target->why)
                          .text());
-        const bool isLast = request->plan.maxAttempts != 0 && countedAttempts + 1 >= request->plan.maxAttempts;
+        const bool isLast = request->plan.maxAttempts != 0 && progress.countedAttempts + 1 >= request->plan.maxAttempts;
         attempt_result result = co_await attempt(request, *target, isLast);
-        countedAttempts += result.mayHaveRun ? 1 : 0;
-        const bool attemptsExhausted =
-            request->plan.maxAttempts != 0 && (countedAttempts >= request->plan.maxAttempts || attempts >= request->plan.maxAttempts + maxUnexecutedAttempts);
-        const bool cancelled = co_await isCancelled();
-        outcome = cancelled ? request_outcome::cancelled : result.outcome;
-        if (cancelled || result.isFinal) {
-            LOG4CXX_INFO(routeLog(),
-                         eventFor(cancelled ? "callerLeft" : "ended", request->plan)
-                             .with("endpoint", target->endpoint.value())
-                             .with("tookMs", (base::clock::now() - startedAt).count())
-                             .with("firstByteMs", request->timeToFirstByte().value_or(base::milliseconds(-1)).count())
-                             .with("longestGapMs", request->longestGap().count())
-                             .with("why", result.why.text)
-                             .text());
-            request->finish(outcome);
-            co_return;
+        const bool mayHaveRun = result.mayHaveRun;
+        const bool isFinished = co_await concludeAttempt(request, std::move(result), target->endpoint.value(), progress);
+        if (isFinished) {
+            co_return true;
         }
-        mayHaveRun = mayHaveRun || result.mayHaveRun;
-        why = std::move(result.why);
-        LOG4CXX_INFO(routeLog(),
-                     eventFor("attemptFailed", request->plan)
-                         .with("endpoint", target->endpoint.value())
-                         .with("hadFirstByte", request->hasFirstByte())
-                         .with("promptParts", request->plan.sharedPromptParts)
-                         .with("why", why.text)
-                         .text());
+        if (mayRelay(*request, progress)) {
+            request->admitted.finish(progress.outcome);
+            co_return false;
+        }
+        const bool attemptsExhausted = request->plan.maxAttempts != 0
+            && (progress.countedAttempts >= request->plan.maxAttempts || progress.attempts >= request->plan.maxAttempts + maxUnexecutedAttempts);
         const bool deadlinePassed = base::clock::now() >= facts.deadline;
-        if (attemptsExhausted || deadlinePassed || (outcome == request_outcome::timedOut && request->plan.maxAttempts == 0)
-            || (result.mayHaveRun && !facts.repeatable)) {
+        if (attemptsExhausted || deadlinePassed || (progress.outcome == request_outcome::timedOut && request->plan.maxAttempts == 0)
+            || (mayHaveRun && !facts.repeatable)) {
             break;
         }
-        target = co_await request->admitted.retry(outcome);
+        target = co_await request->admitted.retry(progress.outcome);
         if (target) {
             m_metrics.onRetry();
         } else {
-            why.text += "; not tried again: " + request->admitted.lastReason().text;
+            progress.why.text += "; not tried again: " + request->admitted.lastReason().text;
         }
     }
-    if (why.text.empty()) {
-        why = request->admitted.lastReason();
+    if (progress.why.text.empty()) {
+        progress.why = request->admitted.lastReason();
+    }
+    co_return false;
+}
+
+asio::awaitable<bool>
+    forwarder::concludeAttempt(std::shared_ptr<forwarded_request> request, attempt_result result, std::string target, forwarding_progress &progress)
+{
+    progress.countedAttempts += result.mayHaveRun ? 1 : 0;
+    const bool cancelled = co_await isCancelled();
+    progress.outcome = cancelled ? request_outcome::cancelled : result.outcome;
+    if (cancelled || result.isFinal) {
+        LOG4CXX_INFO(routeLog(),
+                     eventFor(cancelled ? "callerLeft" : "ended", request->plan)
+                         .with("endpoint", target)
+                         .with("tookMs", (base::clock::now() - progress.startedAt).count())
+                         .with("firstByteMs", request->timeToFirstByte().value_or(base::milliseconds(-1)).count())
+                         .with("longestGapMs", request->longestGap().count())
+                         .with("why", result.why.text)
+                         .text());
+        request->finish(progress.outcome);
+        co_return true;
+    }
+    progress.mayHaveRun = progress.mayHaveRun || result.mayHaveRun;
+    progress.why = std::move(result.why);
+    LOG4CXX_INFO(routeLog(),
+                 eventFor("attemptFailed", request->plan)
+                     .with("endpoint", target)
+                     .with("hadFirstByte", request->hasFirstByte())
+                     .with("promptParts", request->plan.sharedPromptParts)
+                     .with("why", progress.why.text)
+                     .text());
+    co_return false;
+}
+
+forwarder::attempt_result forwarder::failedAttempt(const net::http_client &client)
+{
+    attempt_result result;
+    result.why = client.lastReason();
+    result.mayHaveRun = result.why.kind != base::error_kind::endpointRefused;
+    if (!result.mayHaveRun) {
+        result.outcome = request_outcome::notSent;
+    } else {
+        result.outcome = client.hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
     }
-    request->finish(outcome);
-    co_await refuse(request, std::move(why), mayHaveRun);
+    return result;
 }
 
 asio::awaitable<void> forwarder::refuse(std::shared_ptr<forwarded_request> request, base::reason why, bool mayHaveRun)
@@ -196,23 +244,55 @@
         options.answerTimeout = std::min(options.answerTimeout, plan.silenceTimeout);
         options.keepWaiting = [this, weak = std::weak_ptr(request), endpoint = target.endpoint] {
             const std::shared_ptr<forwarded_request> waiting = weak.lock();
-            return waiting && !(isAbandonable(*waiting, endpoint) && waiting->admitted.allowsRetry());
+            noteWaiting();
+            return waiting && !isStranded() && !(isAbandonable(*waiting, endpoint) && waiting->admitted.allowsRetry());
         };
     }
     const endpoint_protocol &protocol = plan.protocol ? *plan.protocol : m_nativeProtocol;
-    net::http_request forwarded = protocol.prepare(request->exchange->request(), plan, target.endpoint, request->events.lastEvent());
+    attempt_terms terms;
+    terms.endpoint = target.endpoint;
+    terms.lastEvent = request->events.lastEvent();
+    net::http_request forwarded = protocol.prepare(request->exchange->request(), plan, terms);
+    const std::int64_t connectionsBefore = m_client.connectionsOpened();
+    noteWaiting();
     const std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(*address, std::move(forwarded), options);
     if (!answer) {
-        result.why = m_client.lastReason();
-        result.mayHaveRun = result.why.kind != base::error_kind::endpointRefused;
-        if (!result.mayHaveRun) {
-            result.outcome = request_outcome::notSent;
-        } else {
-            result.outcome = m_client.hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
-        }
+        result = failedAttempt(m_client);
+        noteFailure(target.endpoint, result.outcome);
         co_return result;
     }
-    co_return co_await forwardResponse(request, std::move(target), answer);
+    noteAnswer(m_client.connectionsOpened() != connectionsBefore);
+    co_return co_await forwardResponse(request, protocol, std::move(target), answer);
+}
+
+bool forwarder::isStranded() const
+{
+    return m_relay && m_relay->isNeeded();
+}
+
+void forwarder::noteWaiting()
+{
+    if (m_reachability) {
+        m_reachability->noteWaiting();
+    }
+}
+
+void forwarder::noteFailure(const base::endpoint_id &endpoint, request_outcome outcome)
+{
+    if (m_reachability && outcome == request_outcome::notSent) {
+        m_reachability->noteConnectFailure(endpoint);
+    }
+}
+
+void forwarder::noteAnswer(bool hasConnected)
+{
+    if (!m_reachability) {
+        return;
+    }
+    m_reachability->noteReceived();
+    if (hasConnected) {
+        m_reachability->noteConnected();
+    }
 }
 
 bool forwarder::isAbandonable(const forwarded_request &request, const base::endpoint_id &endpoint) const
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/reason.hpp>
+#include <chervilbend/net/address.hpp>
 #include <chervilbend/node/callers/endpoint_silence.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/native_protocol.hpp>
@@ -31,7 +33,10 @@
 class admission;
 class endpoint_directory;
 class caller_metrics;
+class endpoint_protocol;
+class endpoint_reachability;
 class forwarded_request;
+class request_relay;
 
 /// Forwards requests to endpoints, with retries, and their responses to the callers.
 ///
@@ -50,6 +55,11 @@
     /// Where the beginnings of streams are noted; it must outlive the forwarder.
     void setStreamOrigins(fleet::stream_origins &origins);
 
+    /// Notes what the requests show of the links to the endpoints; it must outlive the forwarder.
+    void setReachability(endpoint_reachability &reachability);
+    /// Passes requests on to other nodes while this one reaches no endpoint; it must outlive the forwarder.
+    void setRelay(request_relay &relay);
+
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
 private:
@@ -62,15 +72,47 @@
         base::reason why;
     };
 
+    /// What has become of a request so far.
+    struct forwarding_progress {
+        int attempts = 0;
+        /// Attempts that may have executed the request; only these count towards the route's limit.
+        int countedAttempts = 0;
+        bool mayHaveRun = false;
+        routing::request_outcome outcome = routing::request_outcome::refused;
+        base::reason why;
+        base::time_point startedAt = base::clock::now();
+    };
+
+    /// Both return whether the answer to the caller is finished.
+    boost::asio::awaitable<bool> forwardToEndpoints(std::shared_ptr<forwarded_request> request, forwarding_progress &progress);
+    /// Implemented in forwarder_relay.cpp.
+    boost::asio::awaitable<bool> forwardToHelpers(std::shared_ptr<forwarded_request> request, forwarding_progress &progress);
+    boost::asio::awaitable<attempt_result> attemptAtHelper(std::shared_ptr<forwarded_request> request, net::address helper, int attemptsUsed);
+    /// Whether the request is to be passed on to another node now.
+    bool mayRelay(const forwarded_request &request, const forwarding_progress &progress) const;
+    /// Logs and adds up the result of an attempt. Returns whether the answer to the caller is finished.
+    boost::asio::awaitable<bool>
+        concludeAttempt(std::shared_ptr<forwarded_request> request, attempt_result result, std::string target, forwarding_progress &progress);
+    /// The result of an attempt without an answer.
+    static attempt_result failedAttempt(const net::http_client &client);
+
     boost::asio::awaitable<attempt_result> attempt(std::shared_ptr<forwarded_request> request, routing::dispatch target, bool isLast);
+    /// While it is so, requests are passed on to other nodes.
+    bool isStranded() const;
+    void noteWaiting();
+    void noteFailure(const base::endpoint_id &endpoint, routing::request_outcome outcome);
+    void noteAnswer(bool hasConnected);
+
     boost::asio::awaitable<void> refuse(std::shared_ptr<forwarded_request> request, base::reason why, bool mayHaveRun);
     /// Whether an attempt that has received nothing for its silence timeout may be given up for another endpoint: a stream only if the endpoint
     /// itself has fallen silent, because a stream may be queued or preempted for seconds.
     bool isAbandonable(const forwarded_request &request, const base::endpoint_id &endpoint) const;
 
     /// Implemented in forwarder_response.cpp: from the header of a response to its end.
-    boost::asio::awaitable<attempt_result>
-        forwardResponse(std::shared_ptr<forwarded_request> request, routing::dispatch target, std::shared_ptr<net::http_client_stream> answer);
+    boost::asio::awaitable<attempt_result> forwardResponse(std::shared_ptr<forwarded_request> request,
+                                                           const endpoint_protocol &protocol,
+                                                           routing::dispatch target,
+                                                           std::shared_ptr<net::http_client_stream> answer);
     boost::asio::awaitable<attempt_result> forwardCompleteResponse(std::shared_ptr<forwarded_request> request, std::shared_ptr<net::http_client_stream> answer);
     /// @p bufferedBody is the part of the body that has already been read from @p answer.
     boost::asio::awaitable<attempt_result> forwardStream(std::shared_ptr<forwarded_request> request,
@@ -85,6 +127,8 @@
     native_protocol m_nativeProtocol;
     missing_item_listener m_missingItemListener;
     fleet::stream_origins *m_streamOrigins = nullptr;
+    endpoint_reachability *m_reachability = nullptr;
+    request_relay *m_relay = nullptr;
     /// Shared with the open responses, which may outlive the forwarder.
     const std::shared_ptr<endpoint_silence> m_silence = std::make_shared<endpoint_silence>();
 };
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
+#include <chervilbend/node/callers/endpoint_reachability.hpp>
 #include <chervilbend/node/callers/event_scanner.hpp>
 #include <chervilbend/node/callers/forwarded_request.hpp>
 #include <chervilbend/node/callers/message_headers.hpp>
@@ -49,12 +50,13 @@
 
 } // namespace
 
-asio::awaitable<forwarder::attempt_result>
-    forwarder::forwardResponse(std::shared_ptr<forwarded_request> request, routing::dispatch target, std::shared_ptr<net::http_client_stream> answer)
+asio::awaitable<forwarder::attempt_result> forwarder::forwardResponse(std::shared_ptr<forwarded_request> request,
+                                                                      const endpoint_protocol &protocol,
+                                                                      routing::dispatch target,
+                                                                      std::shared_ptr<net::http_client_stream> answer)
 {
     attempt_result result;
     const forwarding_plan &plan = request->plan;
-    const endpoint_protocol &protocol = plan.protocol ? *plan.protocol : m_nativeProtocol;
     fleet::answer_disposition verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
     while (verdict == fleet::answer_disposition::mismatched) {
         // The response to an earlier, abandoned request may precede the expected one on the connection.
@@ -93,7 +95,9 @@
         break;
     }
     request->endpoint = target.endpoint;
-    request->softwareVersion = target.softwareVersion;
+    if (!target.endpoint.empty()) {
+        request->softwareVersion = target.softwareVersion;
+    }
     const bool isStarted = request->exchange->isStarted();
     if (!isEventStream(answer->header()) || (isStarted && answer->header().result() != http::status::ok)) {
         if (isStarted) {
@@ -186,6 +190,9 @@
             break;
         }
         request->firstByte();
+        if (m_reachability) {
+            m_reachability->noteReceived();
+        }
         request->recordStreamPart();
         if (!openResponse) {
             openResponse.emplace(m_silence, request->endpoint);
--- a/packages/node/src/chervilbend/node/callers/native_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/native_protocol.cpp
@@ -8,10 +8,7 @@
 namespace chervilbend::node
 {
 
-net::http_request native_protocol::prepare(const net::http_request &request,
-                                           const forwarding_plan &plan,
-                                           const base::endpoint_id & /*endpoint*/,
-                                           std::optional<std::int64_t> /*lastEvent*/) const
+net::http_request native_protocol::prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms & /*terms*/) const
 {
     return requestForEndpoint(request, plan);
 }
--- a/packages/node/src/chervilbend/node/callers/native_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/native_protocol.hpp
@@ -9,10 +9,7 @@
 class native_protocol : public endpoint_protocol
 {
 public:
-    net::http_request prepare(const net::http_request &request,
-                              const forwarding_plan &plan,
-                              const base::endpoint_id &endpoint,
-                              std::optional<std::int64_t> lastEvent) const override;
+    net::http_request prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const override;
     fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const override;
 };
 
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -12,17 +12,14 @@
 {
 }
 
-net::http_request platform_protocol::prepare(const net::http_request &request,
-                                             const forwarding_plan &plan,
-                                             const base::endpoint_id &endpoint,
-                                             std::optional<std::int64_t> lastEvent) const
+net::http_request platform_protocol::prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const
 {
-    fleet::attempt_metadata terms;
-    terms.remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
-    terms.instance = endpoint;
-    terms.urgency = plan.urgency;
-    terms.lastEvent = lastEvent;
-    return m_codec.forEndpoint(request, terms);
+    fleet::attempt_metadata metadata;
+    metadata.remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    metadata.instance = terms.endpoint;
+    metadata.urgency = plan.urgency;
+    metadata.lastEvent = terms.lastEvent;
+    return m_codec.forEndpoint(request, metadata);
 }
 
 fleet::answer_disposition platform_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.hpp
@@ -12,10 +12,7 @@
     /// @p codec must outlive this object.
     explicit platform_protocol(const fleet::request_codec &codec);
 
-    net::http_request prepare(const net::http_request &request,
-                              const forwarding_plan &plan,
-                              const base::endpoint_id &endpoint,
-                              std::optional<std::int64_t> lastEvent) const override;
+    net::http_request prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const override;
     fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const override;
     routing::endpoint_notice readNotice(const net::http::response_header<> &answer) const override;
 
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -107,9 +107,19 @@
 }
 
 asio::awaitable<void> route_api::handle(std::shared_ptr<net::http_exchange> exchange)
+{
+    co_await handleGuarded(std::move(exchange), false);
+}
+
+asio::awaitable<void> route_api::handleRelayed(std::shared_ptr<net::http_exchange> exchange)
+{
+    co_await handleGuarded(std::move(exchange), true);
+}
+
+asio::awaitable<void> route_api::handleGuarded(std::shared_ptr<net::http_exchange> exchange, bool isRelayed)
 {
     const open_requests::registration registration(m_open, exchange);
-    const std::optional<std::string> failure = co_await failureOf(serve(exchange));
+    const std::optional<std::string> failure = co_await failureOf(serve(exchange, isRelayed));
     if (!failure) {
         co_return;
     }
@@ -134,7 +144,7 @@
     co_await exchange->respond(problemAnswer(why));
 }
 
-asio::awaitable<void> route_api::serve(std::shared_ptr<net::http_exchange> exchange)
+asio::awaitable<void> route_api::serve(std::shared_ptr<net::http_exchange> exchange, bool isRelayed)
 {
     const net::http_request &request = exchange->request();
     if (!m_routes) {
@@ -158,7 +168,12 @@
     }
     const auto rule = routes->configuration().services.find(*service);
     forwarding_plan plan = planFor(request, *caller, *route, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
-    if (plan.resumable && caller->lastEvent) {
+    if (isRelayed) {
+        plan.isRelayed = true;
+        plan.maxAttempts = std::max(1, plan.maxAttempts - caller->attemptsUsed);
+        plan.facts.softwareVersion = caller->softwareVersion;
+    }
+    if (plan.resumable && caller->lastEvent && plan.facts.softwareVersion.empty()) {
         const bool isBound = co_await bindToOrigin(plan, *caller, why);
         if (!isBound) {
             co_await refuse(exchange, caller->attempt, why.kind, why.text);
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -44,9 +44,12 @@
     void setRoutes(std::shared_ptr<const fleet::route_table> routes);
 
     boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
+    /// Serves a request that another node has passed on.
+    boost::asio::awaitable<void> handleRelayed(std::shared_ptr<net::http_exchange> exchange);
 
 private:
-    boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange);
+    boost::asio::awaitable<void> handleGuarded(std::shared_ptr<net::http_exchange> exchange, bool isRelayed);
+    boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange, bool isRelayed);
     /// Binds a request that takes up a stream to the software version that began it. False, with @p why set, if that is not known.
     boost::asio::awaitable<bool> bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why);
     boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text);
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/rate_limit_method.hpp>
+#include <chervilbend/net/connect_probe.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/settings/settings_file.hpp>
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <csignal>
 #include <utility>
+#include <vector>
 
 namespace asio = boost::asio;
 
@@ -44,6 +46,10 @@
 constexpr base::milliseconds callerIdleTimeout{60'000};
 
 constexpr base::milliseconds maxWaitForHolder{1'000};
+/// Connections to endpoints that tell whether this node reaches any.
+constexpr base::milliseconds probeTimeout{300};
+constexpr std::size_t leastProbes = 2;
+constexpr std::uint32_t relayHeaderBytes = 1'024;
 
 const log4cxx::LoggerPtr &nodeLog()
 {
@@ -63,6 +69,16 @@
     return limits;
 }
 
+net::http_server_limits peerLimits(const config::node_settings &settings)
+{
+    // Other nodes pass on requests of callers, with headers of their own.
+    net::http_server_limits limits;
+    limits.headerBytes = std::max(limits.headerBytes, static_cast<std::uint32_t>(settings.headerLimit.count()) + relayHeaderBytes);
+    limits.bodyBytes = std::max(limits.bodyBytes, static_cast<std::uint64_t>(settings.bodyLimit.count()));
+    limits.writeTimeout = settings.writeTimeout;
+    return limits;
+}
+
 routing::director_settings directorSettings(const config::node_settings &settings)
 {
     routing::director_settings director;
@@ -128,6 +144,8 @@
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
     , m_endpointFeed(m_director, m_directory, m_endpoints, m_residency, m_publishedVersions, base::zone_id(settings.zone), crossZoneRoundTripMs)
+    , m_reachability([this](std::size_t endpoints) { return probeEndpoints(endpoints); })
+    , m_relayToHelpers(m_requestCodec, m_reachability, *m_knowledge.helpers)
     , m_forwarder(m_admission, m_directory, m_client, m_metrics)
     , m_itemProvider(m_residency, m_holderClient)
     , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_streamOrigins, m_metrics)
@@ -138,7 +156,8 @@
     , m_metricsServer(std::make_shared<net::http_server>(m_context.get_executor(), m_health))
     , m_exchangeMethod(std::make_shared<fleet::exchange_method>(m_lease, m_controller, m_relay, m_knowledge, m_rateLimitExchange, settings.linkRate))
     , m_rpc(m_signer)
-    , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_rpc))
+    , m_peerApi(m_requestCodec, m_rpc, m_routeApi, [this] { return canHelp(); })
+    , m_peerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_peerApi, peerLimits(settings)))
     , m_shutdown(m_context.get_executor(),
                  m_readiness,
                  *m_callerServer,
@@ -146,6 +165,7 @@
                  {settings.balancerWait, settings.shutdownBound - shutdownReserve, base::milliseconds(0)},
                  {})
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_probeRandom(static_cast<std::minstd_rand::result_type>(seedOf(settings) + 3))
 {
     connectComponents();
 }
@@ -161,6 +181,10 @@
     m_holderClient.onFirstAnswer([this] { m_readiness.setMet("lease holder"); });
     setNodeCount(initialNodeCount);
     m_forwarder.setStreamOrigins(m_streamOrigins);
+    m_forwarder.setReachability(m_reachability);
+    m_forwarder.setRelay(m_relayToHelpers);
+    m_reachability.onChange([this] { strandedChanged(); });
+    m_knowledge.helpers->setOwn(base::node_id(m_settings.node), {m_settings.peerListen, base::zone_id(m_settings.zone), true});
     m_publishedVersions.onChange([this] {
         m_streamOrigins.versionsChanged();
         m_endpointFeed.updateAll();
@@ -235,6 +259,7 @@
     asio::co_spawn(m_context, m_endpointFollower.run(), asio::detached);
     asio::co_spawn(m_context, m_publishedVersions.run(), asio::detached);
     asio::co_spawn(m_context, m_streamOrigins.run(), asio::detached);
+    asio::co_spawn(m_context, m_reachability.run(), asio::detached);
     asio::co_spawn(m_context, watchForPauses(), asio::detached);
     asio::co_spawn(m_context, m_loopMonitor.run(), asio::detached);
     asio::co_spawn(m_context, reportLoad(), asio::detached);
@@ -291,6 +316,7 @@
 
 void platform_node::startShutdown()
 {
+    m_knowledge.helpers->setCanHelp(false);
     // Released before the open requests end, so that the next holder's wait for the command gap coincides with them.
     asio::co_spawn(m_context, m_lease.release(), asio::detached);
     asio::co_spawn(m_context, m_shutdown.run(), [this](const std::exception_ptr &, std::size_t abortedRequests) {
@@ -306,6 +332,30 @@
     m_readiness.setMet("lease holder");
 }
 
+bool platform_node::canHelp() const
+{
+    return !m_reachability.isStranded() && !m_readiness.isShuttingDown();
+}
+
+void platform_node::strandedChanged()
+{
+    m_knowledge.helpers->setCanHelp(canHelp());
+    if (m_reachability.isStranded()) {
+        m_admission.refuseWaiting({base::error_kind::noEndpoint, "this node reaches no endpoint"});
+    }
+}
+
+asio::awaitable<std::optional<bool>> platform_node::probeEndpoints(std::size_t endpoints)
+{
+    std::vector<net::address> addresses = m_directory.addresses();
+    if (addresses.size() < leastProbes) {
+        co_return std::nullopt;
+    }
+    std::shuffle(addresses.begin(), addresses.end(), m_probeRandom);
+    addresses.resize(std::min(addresses.size(), endpoints));
+    co_return co_await net::canConnectToAny(std::move(addresses), probeTimeout);
+}
+
 asio::awaitable<void> platform_node::watchForPauses()
 {
     while (true) {
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -21,14 +21,17 @@
 #include <chervilbend/node/callers/admission.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
+#include <chervilbend/node/callers/endpoint_reachability.hpp>
 #include <chervilbend/node/callers/forwarder.hpp>
 #include <chervilbend/node/callers/open_requests.hpp>
+#include <chervilbend/node/callers/request_relay.hpp>
 #include <chervilbend/node/callers/route_api.hpp>
 #include <chervilbend/node/endpoint_feed.hpp>
 #include <chervilbend/node/fleet_item_provider.hpp>
 #include <chervilbend/node/health/health_api.hpp>
 #include <chervilbend/node/health/readiness.hpp>
 #include <chervilbend/node/health/shutdown_sequence.hpp>
+#include <chervilbend/node/peer_api.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 #include <chervilbend/peers/rpc_server.hpp>
 #include <chervilbend/platform/platform_engine_client.hpp>
@@ -44,6 +47,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <random>
 
 namespace chervilbend::net
 {
@@ -75,6 +79,12 @@
     void waitForSignal();
     void startShutdown();
     boost::asio::awaitable<void> watchForPauses();
+    /// Opens connections to some endpoints; no value if too few are known.
+    boost::asio::awaitable<std::optional<bool>> probeEndpoints(std::size_t endpoints);
+    /// Requests that wait are passed on when this node has lost its links to the endpoints.
+    void strandedChanged();
+    /// Whether this node can serve requests of nodes that reach no endpoint.
+    bool canHelp() const;
     /// A node becomes ready without a lease holder if none answers in time.
     boost::asio::awaitable<void> limitWaitForHolder();
     /// Implemented in platform_node_reports.cpp: metrics and the load line.
@@ -115,6 +125,8 @@
     caller_metrics m_metrics;
     open_requests m_openRequests;
     endpoint_feed m_endpointFeed;
+    endpoint_reachability m_reachability;
+    request_relay m_relayToHelpers;
     forwarder m_forwarder;
     fleet_item_provider m_itemProvider;
     route_api m_routeApi;
@@ -127,9 +139,11 @@
     net::event_loop_monitor m_loopMonitor;
     std::shared_ptr<fleet::exchange_method> m_exchangeMethod;
     peers::rpc_server m_rpc;
+    peer_api m_peerApi;
     std::shared_ptr<net::http_server> m_peerServer;
     shutdown_sequence m_shutdown;
     boost::asio::signal_set m_signals;
+    std::minstd_rand m_probeRandom;
     int m_stopSignals = 0;
     std::size_t m_abortedRequests = 0;
 };
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -64,6 +64,9 @@
     m_registry.gaugeFor("chervilbend_endpoints", "Endpoints that are registered").readFrom([this] {
         return static_cast<double>(m_endpoints.endpoints().size());
     });
+    m_registry.gaugeFor("chervilbend_stranded", "1 while this node reaches no endpoint, 0 otherwise").readFrom([this] {
+        return m_reachability.isStranded() ? 1.0 : 0.0;
+    });
     m_registry.gaugeFor("chervilbend_refused_prompt_parts", "Prompt parts that are refused because endpoints were lost on them").readFrom([this] {
         return static_cast<double>(m_knowledge.promptParts->refusedParts());
     });
--- a/packages/node/tests/test_director.hpp
+++ b/packages/node/tests/test_director.hpp
@@ -58,6 +58,11 @@
         return true;
     }
 
+    bool allowsRetry(routing::request_handle /*handle*/) const override
+    {
+        return hasRoomElsewhere;
+    }
+
     std::vector<routing::dispatch> takeDispatches() override
     {
         std::vector<routing::dispatch> dispatched;
@@ -131,6 +136,7 @@
     /// Why a request for which there is no endpoint is refused.
     base::error_kind refusalKind = base::error_kind::noEndpoint;
     bool holdDispatches = false;
+    bool hasRoomElsewhere = true;
 };
 
 } // namespace chervilbend::node::test
--- a/packages/routing/src/chervilbend/routing/cluster_knowledge.hpp
+++ b/packages/routing/src/chervilbend/routing/cluster_knowledge.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/routing/endpoint_rate_limits.hpp>
+#include <chervilbend/routing/helper_nodes.hpp>
 #include <chervilbend/routing/leaving_endpoints.hpp>
 #include <chervilbend/routing/prompt_part_tracker.hpp>
 
@@ -13,6 +14,7 @@
 struct cluster_knowledge {
     std::shared_ptr<prompt_part_tracker> promptParts = std::make_shared<prompt_part_tracker>();
     std::shared_ptr<endpoint_rate_limits> rateLimits = std::make_shared<endpoint_rate_limits>();
+    std::shared_ptr<helper_nodes> helpers = std::make_shared<helper_nodes>();
     std::shared_ptr<leaving_endpoints> leaving = std::make_shared<leaving_endpoints>();
 };
 
