Don't use registrations with numbers that no endpoint has

Such an entry names no endpoint now, and the others hold. Whether a process ended by itself on the code before was not seen.

--- a/packages/fleet/src/chervilbend/fleet/store_update_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/store_update_json.cpp
@@ -1,6 +1,8 @@
 #include <chervilbend/fleet/store_update_json.hpp>
 
 #include <array>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace chervilbend::fleet
@@ -32,9 +34,14 @@
     return json;
 }
 
+bool isPort(const Json::Value &json)
+{
+    return json.isUInt() && json.asUInt() > 0 && json.asUInt() <= std::numeric_limits<std::uint16_t>::max();
+}
+
 bool isEntry(const Json::Value &json)
 {
-    return json["service"].isString() && json["ip"].isString() && json["port"].isUInt() && json["zone"].isString() && json["slots"].isInt()
+    return json["service"].isString() && json["ip"].isString() && isPort(json["port"]) && json["zone"].isString() && json["slots"].isInt()
         && json["draining"].isBool() && json["born"].isInt64();
 }
 
@@ -111,10 +118,10 @@
     update.configurationAge = base::milliseconds(json["configurationAgeMs"].asInt64());
     for (const Json::Value &item : json["registrations"]) {
         std::optional<endpoint_change> change = readChange(item);
-        if (!change) {
-            return std::nullopt;
+        // One that can't be read must not keep this node from following the others.
+        if (change) {
+            update.registrations.push_back(std::move(*change));
         }
-        update.registrations.push_back(std::move(*change));
     }
     return update;
 }
--- a/packages/fleet/tests/store_relay_test.cpp
+++ b/packages/fleet/tests/store_relay_test.cpp
@@ -190,9 +190,22 @@
     CPPUNIT_TEST(olderUpdateIsIgnored);
     CPPUNIT_TEST(longAbsenceCausesAFullSnapshot);
     CPPUNIT_TEST(modelsOfAKnownProcessAreKept);
+    CPPUNIT_TEST(oddEntryDoesNotHideTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// The whole update was dropped, and its port was cut to 16 bits.
+    void oddEntryDoesNotHideTheOthers()
+    {
+        store_update update;
+        update.registrationsPosition = 4;
+        update.registrations = {entryOf("i-1"), entryOf("i-2")};
+        Json::Value json = toJson(update);
+        json["registrations"][0]["port"] = 70'000;
+        const std::optional<store_update> read = readStoreUpdate(json);
+        CPPUNIT_ASSERT(read && read->registrations.size() == 1 && read->registrations[0].id.value() == "i-2");
+    }
+
     void relayedNodeDoesNotReadTheStore()
     {
         node_pair nodes;
