Let the user timeout of connections agree with their keep-alive probes

Idle connections were meant to end after 3 s, 1 s idle and two probes, but the user timeout of 4 s decided. It is now the time that the probes take. net tests pass (27); the kernel's part is not tested here.

--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -25,11 +25,13 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerAddress = 64;
-/// Bounds on the time until the kernel detects that a peer no longer responds.
+/// Bounds on the time until the kernel detects that a peer no longer responds. Where a user timeout is set, it decides when keep-alive gives up, whatever the
+/// number of probes, so it has to be the time that the probes take.
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
-constexpr unsigned userTimeoutMs = 4'000;
+constexpr unsigned millisecondsPerSecond = 1'000;
+constexpr unsigned userTimeoutMs = (keepAliveIdleSeconds + keepAliveProbes * keepAliveIntervalSeconds) * millisecondsPerSecond;
 /// Maximum size of the body of an answer that send() buffers.
 constexpr std::size_t maxBufferedAnswerBytes = 64 * 1024 * 1024;
 
