Predict for a stream that is taken up only what is left of it

Callers saw: after all nodes had come back, most streams that they took up were refused, though endpoints of their version were there.

Cause: a take-up was predicted to cost the whole stream, although the caller has a part of it already and less time left than at the beginning.

--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -244,6 +244,10 @@
     }
     plan.facts.promptTokens = caller.promptTokens;
     plan.facts.maxTokens = caller.maxTokens;
+    if (plan.resumable && caller.lastEvent) {
+        const std::int64_t received = std::min(*caller.lastEvent, caller.maxTokens.count()) * plan.tokensPerEvent;
+        plan.facts.receivedTokens = base::token_count(std::min(received, caller.maxTokens.count()));
+    }
     plan.facts.prefixHash = sharedPrefix(caller, plan.facts.pool);
     setSharedParts(caller, plan);
     plan.facts.fingerprint = base::hash64(request.body(), base::hash64(textOf(request.target())));
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -131,7 +131,7 @@
         takeFirstByteSample(request, request.inputCost + static_cast<double>(request.generated));
     }
     const auto generatedTokens = static_cast<double>(request.generated);
-    pool.predictor.addSample(request.facts.urgency, request.facts.maxTokens, generatedTokens);
+    pool.predictor.addSample(request.facts.urgency, request.facts.maxTokens, generatedTokens + static_cast<double>(request.facts.receivedTokens.count()));
     pool.medianCost.add(request.inputCost + generatedTokens);
     if (request.facts.fingerprint != 0) {
         m_promptParts->recordAnsweredRequest(request.facts.fingerprint);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -77,8 +77,10 @@
 void adaptive_director::predict(request_state &request)
 {
     const pool_state &pool = *request.pool;
-    request.inputCost = cost_predictor::inputCost(request.facts.promptTokens);
-    request.predictedTokens = pool.predictor.outputTokens(request.facts.urgency, request.facts.maxTokens);
+    const base::token_count received = request.facts.receivedTokens;
+    request.inputCost = cost_predictor::inputCost(base::token_count(request.facts.promptTokens.count() + received.count()));
+    const double wholeStream = pool.predictor.outputTokens(request.facts.urgency, request.facts.maxTokens);
+    request.predictedTokens = std::max(1.0, wholeStream - static_cast<double>(received.count()));
     request.cost = request.inputCost + request.predictedTokens;
     request.lane = {request.facts.urgency, request.cost > pool.longThreshold};
     request.latestStart = std::min(latestStartFor(request), request.facts.latestDispatch);
--- a/packages/routing/src/chervilbend/routing/request_facts.hpp
+++ b/packages/routing/src/chervilbend/routing/request_facts.hpp
@@ -37,6 +37,8 @@
     bool repeatable = true;
     /// The request continues a stream that this version began, and only endpoints of the same version can serve it; empty for any.
     base::software_version softwareVersion{};
+    /// Tokens of that stream that the caller already has; only the rest is generated.
+    base::token_count receivedTokens{};
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/tests/stream_version_test.cpp
+++ b/packages/routing/tests/stream_version_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(busyVersionDoesNotHoldUpOtherRequests);
     CPPUNIT_TEST(lostEndpointIsNotTriedWithAResumption);
     CPPUNIT_TEST(roomAtAnotherVersionIsNoReasonToGiveUpAnAttempt);
+    CPPUNIT_TEST(takenUpStreamNeedsTimeOnlyForItsRest);
     CPPUNIT_TEST_SUITE_END();
 
     static void addEndpoint(director_driver &driver, const std::string &id, const std::string &version, bool draining = false, int slots = 0)
@@ -173,6 +174,24 @@
         CPPUNIT_ASSERT_EQUAL(request_handle(0), driver.submit(resumption("1")));
     }
 
+    /// Its caller has less time left than when it began, so it would be refused if the whole stream were predicted again.
+    void takenUpStreamNeedsTimeOnlyForItsRest()
+    {
+        director_driver driver(0);
+        addEndpoint(driver, "e0", "1");
+        for (int i = 0; i < 30; ++i) {
+            driver.answer(driver.send(director_driver::request("a", base::work_class::normal, 100)).request, 100);
+        }
+        request_facts whole = resumption("1");
+        whole.maxTokens = base::token_count(100);
+        whole.deadline = base::clock::now() + base::milliseconds(600);
+        CPPUNIT_ASSERT(!driver.send(whole).endpoint.empty());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the first of a second is admitted on trial", request_handle(0), driver.submit(whole));
+        request_facts rest = whole;
+        rest.receivedTokens = base::token_count(90);
+        CPPUNIT_ASSERT(!driver.send(rest).endpoint.empty());
+    }
+
     void roomAtAnotherVersionIsNoReasonToGiveUpAnAttempt()
     {
         director_driver driver(0);
