Give requests during a stop only the time that is left

Now the deadline ends 250 ms before the stop does, so that the director refuses what it predicts to last longer, and an endpoint ends its work, and answers, while the answer still reaches the caller; at the end itself requests are refused. requestDuringAStopGetsOnlyTheTimeThatIsLeft guards this; node tests pass (134). A hundred stops at random moments were not played.

--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -106,6 +106,11 @@
     m_routes = std::move(routes);
 }
 
+void route_api::setLatestEnd(base::time_point latestEnd)
+{
+    m_latestEnd = latestEnd;
+}
+
 asio::awaitable<void> route_api::handle(std::shared_ptr<net::http_exchange> exchange)
 {
     co_await handleGuarded(std::move(exchange), false);
@@ -157,6 +162,10 @@
         co_await refuse(exchange, std::string(), why.kind, why.text);
         co_return;
     }
+    if (base::clock::now() >= m_latestEnd) {
+        co_await refuse(exchange, caller->attempt, base::error_kind::shuttingDown, "this node stops now");
+        co_return;
+    }
     const std::shared_ptr<const fleet::route_table> routes = m_routes;
     const std::string_view target = textOf(request.target());
     const std::string_view host = textOf(request[http::field::host]);
@@ -236,7 +245,7 @@
     plan.facts.pool = fleet::poolName(service, caller.model, caller.adapter);
     plan.facts.retryGroup = service.value();
     plan.facts.urgency = classOf(route.priority);
-    plan.facts.deadline = base::clock::now() + std::min(caller.timeout.value_or(defaultCallerTimeout), route.timeout);
+    plan.facts.deadline = std::min(base::clock::now() + std::min(caller.timeout.value_or(defaultCallerTimeout), route.timeout), m_latestEnd);
     if (route.kind == fleet::route_kind::stream) {
         const base::milliseconds firstEventTimeout =
             std::max({minFirstEventTimeout, route.targetLatency * firstEventLatencyFactor, route.longestGap * firstEventGapFactor});
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/error_kind.hpp>
 #include <chervilbend/fleet/route_table.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
@@ -43,6 +44,9 @@
     /// Replaces the routing configuration. Requests that are already being served keep the previous version.
     void setRoutes(std::shared_ptr<const fleet::route_table> routes);
 
+    /// The process stops then: requests that arrive from now on have to be answered before.
+    void setLatestEnd(base::time_point latestEnd);
+
     boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
     /// Serves a request that another node has passed on.
     boost::asio::awaitable<void> handleRelayed(std::shared_ptr<net::http_exchange> exchange);
@@ -68,6 +72,7 @@
     fleet::stream_origins &m_origins;
     caller_metrics &m_metrics;
     std::shared_ptr<const fleet::route_table> m_routes;
+    base::time_point m_latestEnd = base::time_point::max();
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -37,6 +37,8 @@
 constexpr int initialNodeCount = 24;
 /// Part of the shutdown timeout that is reserved for the time between the end of the last request and the end of the process.
 constexpr base::milliseconds shutdownReserve{500};
+/// Part of it in which an answer that endpoints give at their deadline still reaches the caller.
+constexpr base::milliseconds answerReserve{250};
 /// Interval between reads of the endpoint registrations, as a fraction of the time for which a draining endpoint still takes requests. The
 /// remainder of that time covers the delay of the store and the requests that are queued in the node.
 constexpr double readIntervalFraction = 0.4;
@@ -317,6 +319,7 @@
 void platform_node::startShutdown()
 {
     m_knowledge.helpers->setCanHelp(false);
+    m_routeApi.setLatestEnd(base::clock::now() + m_settings.shutdownBound - shutdownReserve - answerReserve);
     // Released before the open requests end, so that the next holder's wait for the command gap coincides with them.
     asio::co_spawn(m_context, m_lease.release(), asio::detached);
     asio::co_spawn(m_context, m_shutdown.run(), [this](const std::exception_ptr &, std::size_t abortedRequests) {
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(skipsResponseToOtherRequest);
     CPPUNIT_TEST(responseMayEndWithConnectionClose);
     CPPUNIT_TEST(resetResponseIsIncomplete);
+    CPPUNIT_TEST(requestDuringAStopGetsOnlyTheTimeThatIsLeft);
     CPPUNIT_TEST(streamResumesAtAnotherEndpoint);
     CPPUNIT_TEST(nonResumableStreamIsNotTerminated);
     CPPUNIT_TEST(streamMayEndWithConnectionClose);
@@ -152,6 +153,27 @@
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 "));
     }
 
+    /// A request that is taken late in the grace of a stop was sent on with its whole time, and cut off without an answer.
+    void requestDuringAStopGetsOnlyTheTimeThatIsLeft()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        std::string sent;
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            sent = co_await caller->readUntil("{}");
+            co_await caller->send(sealedResponse("done"));
+        });
+        const base::time_point end = base::clock::now() + base::milliseconds(400);
+        fixture.api.setLatestEnd(end);
+        CPPUNIT_ASSERT(fixture.ask("/order/x").ends_with("done"));
+        CPPUNIT_ASSERT(fixture.director.submitted.at(0).deadline <= end);
+        CPPUNIT_ASSERT_MESSAGE(sent, !contains(sent, "Deadline-Milliseconds: 3000"));
+        fixture.api.setLatestEnd(base::clock::now());
+        const std::string late = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(late, contains(late, " 503 ") && contains(late, "X-Run-State: not run"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.director.submitted.size());
+    }
+
     void streamResumesAtAnotherEndpoint()
     {
         route_api_fixture fixture;
