--- a/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
@@ -79,7 +79,8 @@
     attempt_terms terms;
     terms.lastEvent = request->events.lastEvent();
     terms.attemptsUsed = attemptsUsed;
-    terms.softwareVersion = request->softwareVersion.empty() ? plan.facts.softwareVersion : request->softwareVersion;
+    const bool hasBegunHere = request->exchange->isStarted() && !request->softwareVersion.empty();
+    terms.softwareVersion = hasBegunHere ? request->softwareVersion : plan.facts.softwareVersion;
     net::http_request message = m_relay->protocol().prepare(request->exchange->request(), plan, terms);
     const std::shared_ptr<net::http_client_stream> answer = co_await m_relay->client().open(helper, std::move(message), options);
     if (!answer) {
--- a/packages/node/tests/request_relay_test.cpp
+++ b/packages/node/tests/request_relay_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(refusalOfAllHelpersIsTrue);
     CPPUNIT_TEST(lostHelperMeansThatTheRequestMayHaveRun);
     CPPUNIT_TEST(streamGoesOnAtTheHelper);
+    CPPUNIT_TEST(streamWithoutEventsMayBeginAtAnyVersion);
     CPPUNIT_TEST(withoutHelpersRequestsAreRefusedAtOnce);
     CPPUNIT_TEST(helperServesRequestsOfOthers);
     CPPUNIT_TEST(helperKeepsToTheAttemptsThatAreLeft);
@@ -211,6 +212,23 @@
         CPPUNIT_ASSERT_MESSAGE(request, contains(request, "Last-Event-Id: 2") && contains(request, "Chervilbend-Relay-Software: v1"));
     }
 
+    /// The endpoint has answered, but its caller has nothing of the stream yet.
+    void streamWithoutEventsMayBeginAtAnyVersion()
+    {
+        stranded_fixture fixture;
+        fixture.endpoints.clear();
+        fixture.director.pools.clear();
+        fixture.addEndpoint([](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            co_await caller->send(sealedStream);
+            co_await caller->readToEnd();
+        });
+        fixture.addHelper(sealedStream + numberedEvent(1) + lastChunk);
+        const std::string answer = fixture.ask("/chat/x");
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word1"));
+        CPPUNIT_ASSERT_MESSAGE(fixture.received.at(0), !contains(fixture.received.at(0), "Chervilbend-Relay-Software: v1"));
+    }
+
     void withoutHelpersRequestsAreRefusedAtOnce()
     {
         stranded_fixture fixture;
