--- a/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
@@ -21,8 +21,6 @@
 namespace
 {
 
-using routing::request_outcome;
-
 constexpr std::size_t maxHelpers = 3;
 constexpr base::milliseconds helperConnectTimeout{300};
 
--- a/packages/node/src/chervilbend/node/callers/request_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/request_relay.cpp
@@ -24,7 +24,7 @@
 {
     const std::vector<routing::helper_node> &helpers = m_helpers.helpers();
     for (std::size_t i = 0; i < helpers.size(); ++i) {
-        const std::optional<net::address> address = net::parseAddress(helpers[(m_rotation + i) % helpers.size()].address);
+        std::optional<net::address> address = net::parseAddress(helpers[(m_rotation + i) % helpers.size()].address);
         if (address && !tried.contains(*address)) {
             ++m_rotation;
             return address;
