Determine the versions to publish once, and write the table in one place

On reading the change again: publishMissing and withdrawAbsent each built a page, wrote it and applied it, and the set of versions that have to be published was formed up to three times a round although track() keeps it.

--- a/packages/fleet/src/chervilbend/fleet/published_versions.cpp
+++ b/packages/fleet/src/chervilbend/fleet/published_versions.cpp
@@ -6,6 +6,7 @@
 #include <chervilbend/net/sleep.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace asio = boost::asio;
 
@@ -80,13 +81,13 @@
     while (true) {
         if (!m_isRead) {
             co_await refresh(base::clock::now() + readTimeout);
-        } else if (!missing().empty()) {
+        } else if (!m_missingSince.empty()) {
             co_await publishMissing();
         } else if (m_isHolder) {
             co_await withdrawAbsent();
         }
         const std::size_t missingBefore = m_missingSince.size();
-        const bool isSettled = m_isRead && missing().empty();
+        const bool isSettled = m_isRead && missingBefore == 0;
         co_await m_wake.wait(base::clock::now() + (isSettled ? idleInterval : retryInterval));
         track();
         if (missingBefore > 0) {
@@ -133,49 +134,54 @@
     const std::int64_t spread = std::max(minSpread, m_nodes * spreadPerNode).count();
     co_await net::sleepFor(base::milliseconds(std::uniform_int_distribution<std::int64_t>(0, spread)(m_random)));
     const bool isRead = co_await refresh(base::clock::now() + readTimeout);
-    const std::set<service_version> unpublished = missing();
-    if (!isRead || unpublished.empty()) {
+    if (!isRead || m_missingSince.empty()) {
         co_return;
     }
-    published_page next = m_page;
-    for (const auto &[service, version] : unpublished) {
-        next.versions[service].insert(version);
+    version_table versions = m_page.versions;
+    const std::map<service_version, base::time_point> unpublished = m_missingSince;
+    for (const auto &[missing, since] : unpublished) {
+        versions[missing.first].insert(missing.second);
     }
-    const lease_write_status status = co_await m_store.publishVersions(next.versions, m_page.end);
-    for (const auto &[service, version] : unpublished) {
+    const bool isWritten = co_await write(std::move(versions));
+    for (const auto &[missing, since] : unpublished) {
         LOG4CXX_INFO(endpointLog(),
                      base::log_event("versionPublished")
-                         .with("service", service.value())
-                         .with("software", version.value())
-                         .with("written", status == lease_write_status::written)
+                         .with("service", missing.first.value())
+                         .with("software", missing.second.value())
+                         .with("written", isWritten)
                          .text());
     }
+}
+
+asio::awaitable<bool> published_versions::write(version_table versions)
+{
+    published_page next = m_page;
+    next.versions = std::move(versions);
+    const lease_write_status status = co_await m_store.publishVersions(next.versions, next.end);
     if (status == lease_write_status::written) {
         ++next.end;
         apply(next);
     }
+    co_return status == lease_write_status::written;
 }
 
 asio::awaitable<void> published_versions::withdrawAbsent()
 {
     track();
     const base::time_point now = base::clock::now();
-    published_page next = m_page;
+    version_table versions = m_page.versions;
     for (const auto &[absent, since] : m_absentSince) {
         if (now - since >= withdrawalDelay) {
-            next.versions[absent.first].erase(absent.second);
+            versions[absent.first].erase(absent.second);
             LOG4CXX_INFO(endpointLog(),
                          base::log_event("versionWithdrawn").with("service", absent.first.value()).with("software", absent.second.value()).text());
         }
     }
-    if (next.versions == m_page.versions) {
+    if (versions == m_page.versions) {
         co_return;
     }
-    const lease_write_status status = co_await m_store.publishVersions(next.versions, m_page.end);
-    if (status == lease_write_status::written) {
-        ++next.end;
-        apply(next);
-    } else {
+    const bool isWritten = co_await write(std::move(versions));
+    if (!isWritten) {
         co_await refresh(base::clock::now() + readTimeout);
     }
 }
--- a/packages/fleet/src/chervilbend/fleet/published_versions.hpp
+++ b/packages/fleet/src/chervilbend/fleet/published_versions.hpp
@@ -66,6 +66,8 @@
     using service_version = std::pair<base::service_id, base::software_version>;
 
     boost::asio::awaitable<bool> read();
+    /// Replaces the published versions in the store. Returns whether they were written.
+    boost::asio::awaitable<bool> write(version_table versions);
     boost::asio::awaitable<void> publishMissing();
     boost::asio::awaitable<void> withdrawAbsent();
     void apply(const published_page &page);
@@ -89,7 +91,7 @@
     int m_nodes = 1;
     /// Versions that were published before the store came back from an older copy of itself.
     std::set<service_version> m_lost;
-    /// Since when versions in service are not published.
+    /// The versions that have to be published, as of the last track(), and since when they are missing.
     std::map<service_version, base::time_point> m_missingSince;
     /// Since when this node, as holder, has seen no endpoint of a published version.
     std::map<service_version, base::time_point> m_absentSince;
