Deal the slots of brittle endpoints to the nodes

Cause: a bound on a sum over all nodes that nobody kept; an even share of the slots is rounded up to one for each node, so that 80 nodes send 80 requests to 16 slots. A node has whole slots of such an endpoint, by its rank among the nodes, and leaves it alone after a refusal.

--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -206,6 +206,12 @@
     return static_cast<int>(std::count_if(m_reports.begin(), m_reports.end(), [&](const auto &report) { return report.second.when >= oldest; }));
 }
 
+int engine_controller::rankOf(const base::node_id &node) const
+{
+    const base::time_point oldest = base::clock::now() - reportLifetime;
+    return static_cast<int>(std::count_if(m_reports.begin(), m_reports.lower_bound(node), [&](const auto &report) { return report.second.when >= oldest; }));
+}
+
 bool engine_controller::haveAllReported() const
 {
     return base::clock::now() - m_leaseChangedAt >= reportCollectionTime;
@@ -229,6 +235,7 @@
     // Until all nodes have reported, the count in the lease record is more accurate.
     answer.nodes = std::max({1, liveNodes(), haveAllReported() ? 0 : m_lease.nodes()});
     m_lease.setNodes(answer.nodes);
+    answer.rank = rankOf(report.node);
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
@@ -90,6 +90,8 @@
     void recordUse(const std::string &pool);
     model_demand demandFor(const service_rule &service) const;
     int liveNodes() const;
+    /// The number of live nodes before this one, in the order of their ids.
+    int rankOf(const base::node_id &node) const;
     bool haveAllReported() const;
     void handleChange();
     base::milliseconds loadTime(const engine_record &engine, const model_rule &model) const;
--- a/packages/fleet/src/chervilbend/fleet/engine_update.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_update.hpp
@@ -62,6 +62,8 @@
     base::milliseconds reportInterval{250};
     /// Number of nodes that have reported recently, including the holder.
     int nodes = 1;
+    /// The position of the node among them, from 0; no value from holders that run an earlier version.
+    std::optional<int> rank;
     std::int64_t version = 0;
     /// Engines that have changed since the version that the node had.
     std::vector<engine_update> updates;
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -196,6 +196,9 @@
     json["ageMs"] = static_cast<Json::Int64>(answer.age.count());
     json["intervalMs"] = static_cast<Json::Int64>(answer.reportInterval.count());
     json["nodes"] = answer.nodes;
+    if (answer.rank) {
+        json["rank"] = *answer.rank;
+    }
     json["version"] = static_cast<Json::Int64>(answer.version);
     json["news"] = toJson(answer.updates);
     json["store"] = toJson(answer.store);
@@ -235,6 +238,9 @@
         answer.reportInterval = base::milliseconds(json["intervalMs"].asInt64());
     }
     answer.nodes = json["nodes"].asInt();
+    if (json["rank"].isInt()) {
+        answer.rank = json["rank"].asInt();
+    }
     answer.version = json["version"].asInt64();
     answer.updates = std::move(*updates);
     answer.store = std::move(*store);
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -84,6 +84,21 @@
     m_nodesListener = std::move(listener);
 }
 
+void holder_client::onRank(std::function<void(int)> listener)
+{
+    m_rankListener = std::move(listener);
+}
+
+void holder_client::notifyNodes(const holder_response &answer) const
+{
+    if (m_nodesListener) {
+        m_nodesListener(answer.nodes);
+    }
+    if (m_rankListener && answer.rank) {
+        m_rankListener(*answer.rank);
+    }
+}
+
 void holder_client::onFirstAnswer(std::function<void()> listener)
 {
     m_firstAnswerListener = std::move(listener);
@@ -153,9 +168,7 @@
     report.registrationsVersion = m_relay.appliedVersion(m_token);
     if (m_lease.isHolder()) {
         const holder_response answer = m_controller.report(report);
-        if (m_nodesListener) {
-            m_nodesListener(answer.nodes);
-        }
+        notifyNodes(answer);
         applyLocalUpdates();
         m_prompts.merge(m_prompts.responseTo(m_prompts.takeNews()));
         m_rateLimits.exchangeLocally();
@@ -223,9 +236,7 @@
 {
     m_token = answer.lease.token;
     m_version = answer.version;
-    if (m_nodesListener) {
-        m_nodesListener(answer.nodes);
-    }
+    notifyNodes(answer);
     notify(m_residency.apply(answer.updates));
 }
 
--- a/packages/fleet/src/chervilbend/fleet/holder_client.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.hpp
@@ -63,6 +63,8 @@
     void onChange(std::function<void(const std::set<base::endpoint_id> &)> listener);
     /// The listener is called after each exchange with the number of nodes.
     void onNodes(std::function<void(int)> listener);
+    /// The listener is called after each exchange with the position of this node among all nodes.
+    void onRank(std::function<void(int)> listener);
     /// The listener is called once, when the holder has answered for the first time.
     void onFirstAnswer(std::function<void()> listener);
     /// Applies the changes of this node's own controller, when this node holds the lease.
@@ -77,6 +79,7 @@
     boost::asio::awaitable<void> exchangePrompts();
     boost::asio::awaitable<void> requestItem(requested_item item, base::time_point until);
     void applyResponse(const holder_response &answer);
+    void notifyNodes(const holder_response &answer) const;
     void notify(const std::set<base::endpoint_id> &changed) const;
 
     base::node_id m_node;
@@ -92,6 +95,7 @@
     rate_limit_exchange &m_rateLimits;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void(int)> m_nodesListener;
+    std::function<void(int)> m_rankListener;
     std::function<void()> m_firstAnswerListener;
     /// An endpoint was lost on a part of a prompt that may have crashed it.
     net::change_signal m_lossSeen;
--- a/packages/fleet/tests/exchange_method_test.cpp
+++ b/packages/fleet/tests/exchange_method_test.cpp
@@ -23,6 +23,8 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +99,7 @@
     node_report report;
     std::map<base::endpoint_id, std::int64_t> engines;
     std::map<base::endpoint_id, bool> registrations;
+    std::optional<int> rank;
 };
 
 /// The holder of the lease on a host with a thin link.
@@ -157,6 +160,7 @@
     {
         node.report.token = answer.lease.token;
         node.report.version = answer.version;
+        node.rank = answer.rank;
         for (const engine_update &update : answer.updates) {
             node.engines[update.engine] = update.version;
         }
@@ -210,6 +214,7 @@
     CPPUNIT_TEST(answerWithoutUpdatesKeepsTheNodesVersion);
     CPPUNIT_TEST(drainingEndpointIsSentWhileTheLinkIsFull);
     CPPUNIT_TEST(lateEventLoopSendsNoUpdates);
+    CPPUNIT_TEST(nodesHaveDifferentRanks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -261,6 +266,20 @@
         CPPUNIT_ASSERT_MESSAGE("the link is full", std::any_of(holder.nodes.begin(), holder.nodes.end(), isWaiting));
     }
 
+    /// Nodes with the same rank would use the same slots of brittle endpoints.
+    void nodesHaveDifferentRanks()
+    {
+        thin_holder holder;
+        holder.exchangeOnce();
+        holder.exchangeOnce();
+        std::set<int> ranks;
+        for (const reporting_node &node : holder.nodes) {
+            CPPUNIT_ASSERT(node.rank && *node.rank >= 0 && *node.rank < nodeCount);
+            ranks.insert(*node.rank);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(nodeCount), ranks.size());
+    }
+
     /// Guards against a holder with little processor time that spends all of it on full answers, each asked for again because it came too late.
     void lateEventLoopSendsNoUpdates()
     {
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -68,13 +68,15 @@
         }
         verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
     }
+    routing::endpoint_notice notice;
     if (verdict != fleet::answer_disposition::notExecutedMisdirected && verdict != fleet::answer_disposition::invalid) {
-        request->admitted.noteAnswer(protocol.readNotice(answer->header()));
+        notice = protocol.readNotice(answer->header());
+        request->admitted.noteAnswer(notice);
     }
     switch (verdict) {
     case fleet::answer_disposition::notExecutedOverloaded:
         result.outcome = request_outcome::refused;
-        result.why = {base::error_kind::overloaded, target.endpoint.value() + " is overloaded"};
+        result.why = {base::error_kind::overloaded, target.endpoint.value() + (notice.toleratedRefusals ? " is overloaded and brittle" : " is overloaded")};
         co_return result;
     case fleet::answer_disposition::notExecutedMisdirected:
         if (m_missingItemListener) {
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -213,6 +213,7 @@
     m_holderClient.onChange([this](const std::set<base::endpoint_id> &changed) { m_endpointFeed.update(changed); });
     m_lease.onNodes([this](int nodes) { setNodeCount(nodes); });
     m_holderClient.onNodes([this](int nodes) { setNodeCount(nodes); });
+    m_holderClient.onRank([this](int rank) { m_director.setNodeRank(rank); });
     m_forwarder.setMissingItemListener([this](const base::endpoint_id &endpoint, const fleet::requested_item &item) {
         m_itemProvider.reportMissing(endpoint, item);
         m_endpointFeed.update({endpoint});
--- a/packages/node/tests/endpoint_notice_test.cpp
+++ b/packages/node/tests/endpoint_notice_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(rateLimitOfAnAnswerIsReported);
     CPPUNIT_TEST(rateLimitOfARefusalIsReported);
     CPPUNIT_TEST(leavingEndpointIsReported);
+    CPPUNIT_TEST(brittleEndpointIsReported);
     CPPUNIT_TEST(answersOfOtherProcessesSayNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -49,6 +50,22 @@
         CPPUNIT_ASSERT(fixture.director.notices[0].isLeaving);
     }
 
+    void brittleEndpointIsReported()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.director.retriesLeft = 0;
+        fixture.addEndpoint(answerAndClose(sealedResponse("fine", "own1", "200 OK", "Server-Brittle: 4\r\n")));
+        fixture.ask("/status/x");
+        fixture.addEndpoint(answerAndClose(
+            "HTTP/1.1 503 Busy\r\nChervilbend-Attempt-Id: own1\r\nChervilbend-Not-Executed: 1\r\nServer-Brittle: 4\r\nContent-Length: 0\r\n\r\n"));
+        fixture.director.nextEndpoint = 1;
+        fixture.ask("/order/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.director.notices.size());
+        CPPUNIT_ASSERT(fixture.director.notices[0].toleratedRefusals == 4.0 && !fixture.director.notices[0].isRefusal);
+        CPPUNIT_ASSERT(fixture.director.notices[1].toleratedRefusals == 4.0 && fixture.director.notices[1].isRefusal);
+    }
+
     /// Neither an answer of the process that now has the address, nor bytes without a seal, nor the answer to another request tell that a limit has ended.
     void answersOfOtherProcessesSayNothing()
     {
--- a/packages/routing/src/chervilbend/routing/adaptive_director.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.cpp
@@ -19,6 +19,7 @@
 
 adaptive_director::adaptive_director(std::uint64_t seed, const director_settings &settings, cluster_knowledge knowledge)
     : m_settings(settings)
+    , m_pauseRandom(seed)
     , m_suspects(m_settings)
     , m_promptParts(std::move(knowledge.promptParts))
     , m_rateLimits(std::move(knowledge.rateLimits))
@@ -61,12 +62,19 @@
 void adaptive_director::setNodeCount(int nodes)
 {
     m_nodes = std::max(1, nodes);
+    updateSlotQuotas();
     m_nextTick = base::time_point{};
     for (auto &[group, budget] : m_retryBudgets) {
         budget.setBurst(retryBurst());
     }
 }
 
+void adaptive_director::setNodeRank(int rank)
+{
+    m_rank = std::max(0, rank);
+    updateSlotQuotas();
+}
+
 double adaptive_director::retryBurst() const
 {
     return m_settings.clusterRetryBurst > 0 ? m_settings.clusterRetryBurst / m_nodes : m_settings.retryBurst;
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,8 @@
     std::vector<std::pair<std::uint64_t, int>> suspicions() const override;
     base::time_point nextWakeup() const override;
 
+    /// The position of this node among all nodes, from 0. Decides which slots of brittle endpoints are its own.
+    void setNodeRank(int rank);
     /// Grants of requests to endpoints with a rate limit have arrived, or have been refused.
     void rateLimitsChanged();
     /// The nodes have learned from an answer that the endpoint is about to stop.
@@ -94,6 +97,12 @@
     /// Implemented in adaptive_director_limits.cpp: request rates that endpoints have named.
     /// Expects another request like one that has arrived for the pool.
     void noteExpected(const pool_state &pool);
+    void noteToleratedRefusals(const request_state &request, std::optional<double> toleratedRefusals);
+    void updateSlotQuota(endpoint_state &endpoint) const;
+    void updateSlotQuotas();
+    void pauseEndpoint(endpoint_state &endpoint, base::milliseconds duration);
+    /// The time after which this node may send to a brittle endpoint that has refused a request.
+    base::milliseconds pauseAfterRefusal(double toleratedRefusals);
     /// Asks for grants for a request that waits for one.
     void requestGrant(request_state &request, base::time_point now);
     /// Refuses the waiting requests that could be sent only to endpoints that want no more for now. For endpoints with a rate limit, the allocator is asked
@@ -116,6 +125,8 @@
     std::optional<base::time_point> m_lastPauseCheck;
     base::time_point m_pauseEnd = base::time_point::min();
     int m_nodes = 1;
+    int m_rank = 0;
+    std::mt19937_64 m_pauseRandom;
     std::unordered_map<base::endpoint_id, std::shared_ptr<endpoint_state>> m_endpoints;
     std::unordered_map<std::string, std::unique_ptr<pool_state>> m_pools;
     /// Pools in order of creation, so that decisions do not depend on the iteration order of a hash map.
--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -2,8 +2,10 @@
 
 #include <chervilbend/routing/internal/endpoint_state.hpp>
 #include <chervilbend/routing/internal/pool_state.hpp>
+#include <chervilbend/routing/internal/slot_quota.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <vector>
 
 namespace chervilbend::routing
@@ -14,6 +16,11 @@
 
 /// An endpoint that asks for a longer pause is asked again after this time.
 constexpr base::milliseconds longestPause{60'000};
+/// For so long an endpoint that has named no bound on its refusals is not taken to have that of others.
+constexpr base::milliseconds soundnessLifetime{500};
+/// All nodes together cause one refusal for so many that a brittle endpoint survives.
+constexpr double refusalReserve = 3;
+constexpr double millisecondsPerSecond = 1'000;
 
 } // namespace
 
@@ -23,9 +30,11 @@
     if (request != nullptr && request->phase == request_phase::running) {
         m_rateLimits->noteAnswer(request->endpoint->process(), notice.requestRate);
         if (notice.pause) {
-            const base::milliseconds pause = std::min(*notice.pause, longestPause);
-            request->endpoint->pausedUntil = std::max(request->endpoint->pausedUntil, base::clock::now() + pause);
-            m_lastPauseEnd = std::max(m_lastPauseEnd, request->endpoint->pausedUntil);
+            pauseEndpoint(*request->endpoint, *notice.pause);
+        }
+        noteToleratedRefusals(*request, notice.toleratedRefusals);
+        if (notice.isRefusal && notice.toleratedRefusals) {
+            pauseEndpoint(*request->endpoint, pauseAfterRefusal(*notice.toleratedRefusals));
         }
         if (notice.isLeaving) {
             m_leaving->note(request->endpoint->process());
@@ -34,6 +43,57 @@
     }
 }
 
+void adaptive_director::pauseEndpoint(endpoint_state &endpoint, base::milliseconds duration)
+{
+    endpoint.pausedUntil = std::max(endpoint.pausedUntil, base::clock::now() + std::min(duration, longestPause));
+    m_lastPauseEnd = std::max(m_lastPauseEnd, endpoint.pausedUntil);
+}
+
+base::milliseconds adaptive_director::pauseAfterRefusal(double toleratedRefusals)
+{
+    if (toleratedRefusals <= 0) {
+        return longestPause;
+    }
+    // Nodes that were refused in the same second must not come back in the same one.
+    const double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(m_pauseRandom);
+    const double seconds = refusalReserve * m_nodes / toleratedRefusals * jitter;
+    return base::milliseconds(static_cast<std::int64_t>(std::min(seconds * millisecondsPerSecond, static_cast<double>(longestPause.count()))));
+}
+
+void adaptive_director::noteToleratedRefusals(const request_state &request, std::optional<double> toleratedRefusals)
+{
+    endpoint_state &endpoint = *request.endpoint;
+    const base::time_point now = base::clock::now();
+    const bool isNews = toleratedRefusals && !endpoint.toleratedRefusals;
+    endpoint.toleratedRefusals = toleratedRefusals;
+    endpoint.soundAt = toleratedRefusals ? endpoint.soundAt : now;
+    updateSlotQuota(endpoint);
+    if (!isNews) {
+        return;
+    }
+    // The endpoints of a service become brittle together, and this node may hear from some of them only seconds later.
+    for (const pool_member &member : request.pool->members) {
+        endpoint_state &other = *member.endpoint;
+        if (!other.toleratedRefusals && now - other.soundAt > soundnessLifetime) {
+            other.toleratedRefusals = toleratedRefusals;
+            updateSlotQuota(other);
+        }
+    }
+}
+
+void adaptive_director::updateSlotQuota(endpoint_state &endpoint) const
+{
+    const bool isBrittle = endpoint.toleratedRefusals && endpoint.facts.slots > 0;
+    endpoint.slotQuota = isBrittle ? std::optional(slotQuota(endpoint.facts.slots, m_nodes, m_rank, endpoint.idHash)) : std::nullopt;
+}
+
+void adaptive_director::updateSlotQuotas()
+{
+    for (const auto &[id, endpoint] : m_endpoints) {
+        updateSlotQuota(*endpoint);
+    }
+}
+
 void adaptive_director::endpointLeaves(const endpoint_process &process)
 {
     const auto found = m_endpoints.find(process.endpoint);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -46,6 +46,7 @@
             leavePool(*endpoint, *pool);
         }
     }
+    updateSlotQuota(*endpoint);
     m_nextTick = base::time_point{};
 }
 
@@ -74,6 +75,12 @@
         pool = std::make_unique<pool_state>(name, m_settings);
         m_poolOrder.push_back(pool.get());
     }
+    // An endpoint that has just started has not said yet whether it is brittle, like the others of its service.
+    for (const pool_member &other : pool->members) {
+        if (!endpoint->toleratedRefusals) {
+            endpoint->toleratedRefusals = other.endpoint->toleratedRefusals;
+        }
+    }
     pool_member member;
     member.endpoint = endpoint;
     pool->members.push_back(member);
--- a/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_notice.hpp
@@ -15,6 +15,10 @@
     bool isLeaving = false;
     /// It has refused the request and wants none from this node for so long; no value if it asks for no pause.
     std::optional<base::milliseconds> pause;
+    /// It fails when it has to refuse more requests than this within a second, from all nodes together; no value if it does not say so.
+    std::optional<double> toleratedRefusals;
+    /// It has refused the request for want of room.
+    bool isRefusal = false;
 };
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -53,19 +53,19 @@
 {
 }
 
-bool endpoint_selector::canAccept(const pool_member &member, int nodes, base::time_point now) const
+bool endpoint_selector::canAccept(const pool_member &member, int nodes, base::time_point now, double leastBound) const
 {
     const endpoint_state &endpoint = *member.endpoint;
-    if (endpoint.isLeaving() || now < endpoint.pausedUntil || member.ejected || endpoint.inFlight >= std::max(1.0, endpoint.share(nodes))) {
+    if (endpoint.isLeaving() || now < endpoint.pausedUntil || member.ejected || endpoint.inFlight >= std::max(leastBound, endpoint.maxInFlight(nodes))) {
         return false;
     }
     // An endpoint that is down, or lost a connection recently, gets single requests spaced in time, which show whether it has recovered.
     return now >= endpoint.nextTry || (!endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial));
 }
 
-bool endpoint_selector::canAcceptWithinRate(const pool_member &member, int nodes, base::time_point now) const
+bool endpoint_selector::canAcceptWithinRate(const pool_member &member, int nodes, base::time_point now, double leastBound) const
 {
-    return canAccept(member, nodes, now) && (!m_rateLimits.hasLimits() || m_rateLimits.maySend(member.endpoint->process()));
+    return canAccept(member, nodes, now, leastBound) && (!m_rateLimits.hasLimits() || m_rateLimits.maySend(member.endpoint->process()));
 }
 
 pool_willingness endpoint_selector::willingnessOf(const pool_state &pool, int nodes, base::time_point now) const
@@ -130,9 +130,12 @@
     m_staleBefore = now - sampleFreshness;
     m_meanCost = pool.meanCost;
     bool hasRecentShortWork = false;
+    const bool hasSlots = std::any_of(
+        pool.members.begin(), pool.members.end(), [nodes](const pool_member &member) { return member.isUsable() && member.endpoint->maxInFlight(nodes) >= 1; });
+    const double leastBound = hasSlots ? 0 : 1;
     for (pool_member &member : pool.members) {
         hasRecentShortWork = hasRecentShortWork || now - member.endpoint->lastShortWork <= longHoldback;
-        if (canAcceptWithinRate(member, nodes, now)) {
+        if (canAcceptWithinRate(member, nodes, now, leastBound)) {
             m_candidates.push_back({&member, canAcceptLong(pool, member, nodes, now)});
             m_acceptsLong = m_acceptsLong || m_candidates.back().acceptsLong;
         } else if (member.endpoint->inFlight >= member.endpoint->share(nodes)) {
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.hpp
@@ -64,8 +64,9 @@
         bool acceptsLong;
     };
 
-    bool canAccept(const pool_member &member, int nodes, base::time_point now) const;
-    bool canAcceptWithinRate(const pool_member &member, int nodes, base::time_point now) const;
+    /// @p leastBound is the number of requests that may be in flight although the node has fewer slots at the endpoint.
+    bool canAccept(const pool_member &member, int nodes, base::time_point now, double leastBound = 0) const;
+    bool canAcceptWithinRate(const pool_member &member, int nodes, base::time_point now, double leastBound = 0) const;
     static bool canAcceptLong(const pool_state &pool, const pool_member &member, int nodes, base::time_point now);
     double weightOf(const pool_member &member, const request_state &request) const;
     pool_member *draw(const request_state &request, bool avoidLast);
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -6,7 +6,9 @@
 #include <chervilbend/routing/internal/concurrency_limit.hpp>
 #include <chervilbend/routing/load_report.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace chervilbend::routing
@@ -46,6 +48,13 @@
 
     /// The endpoint has refused a request and wants none from this node until then.
     base::time_point pausedUntil;
+    /// The refusals within a second above which it fails, as of its last answer or, if that is some time ago, one of another endpoint of a pool; no value if
+    /// none is named.
+    std::optional<double> toleratedRefusals;
+    /// When its last answer named none.
+    base::time_point soundAt;
+    /// The slots that this node has at a brittle endpoint; no value for others.
+    std::optional<int> slotQuota;
     /// The endpoint has said in an answer that it is about to stop.
     bool hasSaidLeaving = false;
     /// The endpoint refuses connections and is tried again at nextTry.
@@ -57,7 +66,14 @@
     /// This node's share of the limit. Can be below 1 if many nodes use the endpoint.
     double share(int nodes) const
     {
-        return limit.limit() / nodes;
+        const double even = limit.limit() / nodes;
+        return slotQuota ? std::min(std::max(1.0, even), static_cast<double>(*slotQuota)) : even;
+    }
+
+    /// The most requests of this node that may be in flight.
+    double maxInFlight(int nodes) const
+    {
+        return slotQuota ? share(nodes) : std::max(1.0, share(nodes));
     }
 
     /// Whether it takes no new requests because it is about to stop.
