--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -234,7 +234,7 @@
     net::http_send_options options;
     options.deadline = plan.facts.deadline;
     options.freshConnection = needsFreshConnection;
-    options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    options.answerTimeout = plan.timeLeft();
     options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
     if (plan.hasStrictStatus) {
         options.connectTimeout = std::min(options.connectTimeout, maxConnectTimeout);
--- a/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
@@ -72,7 +72,7 @@
     request->startRelayedAttempt();
     net::http_send_options options;
     options.deadline = plan.facts.deadline;
-    options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    options.answerTimeout = plan.timeLeft();
     options.connectTimeout = std::min(helperConnectTimeout, options.answerTimeout);
     attempt_terms terms;
     terms.lastEvent = request->events.lastEvent();
--- a/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/fleet/engine_update.hpp>
 #include <chervilbend/routing/request_facts.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -48,6 +49,12 @@
     /// Callers of the platform's protocol rely on the status alone: 503 guarantees that the request was not executed, any other failure leaves it
     /// open. The node adds no bytes of its own to an endpoint's response, and a response may be delimited by the end of its connection.
     bool hasStrictStatus = false;
+
+    /// Time until the deadline, at least 1 ms.
+    base::milliseconds timeLeft() const
+    {
+        return std::max(facts.deadline - base::clock::now(), base::milliseconds(1));
+    }
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/message_headers.cpp
+++ b/packages/node/src/chervilbend/node/callers/message_headers.cpp
@@ -21,7 +21,7 @@
     }
     net::copyForwardedFields(request, forwarded);
     const std::string_view urgency = config::nameOf(plan.facts.urgency);
-    const base::milliseconds remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    const base::milliseconds remaining = plan.timeLeft();
     forwarded.set("X-Account", plan.facts.account.value());
     forwarded.set("X-Priority", boost::beast::string_view(urgency.data(), urgency.size()));
     forwarded.set("X-Deadline-Ms", std::to_string(remaining.count()));
--- a/packages/node/src/chervilbend/node/callers/order_handler.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_handler.cpp
@@ -208,7 +208,7 @@
             net::http_send_options options;
             options.freshConnection = true;
             options.deadline = plan.facts.deadline;
-            options.answerTimeout = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+            options.answerTimeout = plan.timeLeft();
             options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
             net::http_request forwarded = requestForEndpoint(exchange->request(), plan);
             response = co_await m_client.send(*address, std::move(forwarded), options);
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -2,8 +2,6 @@
 
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 
-#include <algorithm>
-
 namespace chervilbend::node
 {
 
@@ -15,7 +13,7 @@
 net::http_request platform_protocol::prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const
 {
     fleet::attempt_metadata metadata;
-    metadata.remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    metadata.remaining = plan.timeLeft();
     metadata.instance = terms.endpoint;
     metadata.urgency = plan.urgency;
     metadata.lastEvent = terms.lastEvent;
--- a/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
@@ -4,7 +4,6 @@
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/message_headers.hpp>
 
-#include <algorithm>
 #include <string_view>
 
 namespace chervilbend::node
@@ -18,7 +17,7 @@
 net::http_request relay_protocol::prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const
 {
     fleet::relay_metadata metadata;
-    metadata.remaining = std::max(plan.facts.deadline - base::clock::now(), base::milliseconds(1));
+    metadata.remaining = plan.timeLeft();
     metadata.attemptsUsed = terms.attemptsUsed;
     metadata.softwareVersion = terms.softwareVersion;
     metadata.lastEvent = terms.lastEvent;
