Bound what a connection keeps of bytes that make up no message

Cause: the parser searches for the end of a line before a chunk, of a chunk's extension and of a trailer without a limit, in a buffer without a maximum. The limits of headers, events and interim answers don't apply there. The answers to the node's own calls of engines were bounded at 64 MB each.

The read buffer of a connection has a maximum now, 64 KiB, so that every part of a message that is parsed as a whole is bounded at once, also those that nobody has thought of; the answer is refused as malformed.

--- a/packages/net/src/chervilbend/net/connection.cpp
+++ b/packages/net/src/chervilbend/net/connection.cpp
@@ -5,8 +5,9 @@
 namespace chervilbend::net
 {
 
-connection::connection(boost::asio::ip::tcp::socket socket)
+connection::connection(boost::asio::ip::tcp::socket socket, std::size_t maxBufferedBytes)
     : m_socket(std::move(socket))
+    , m_buffer(maxBufferedBytes)
     , m_timer(m_socket.get_executor())
 {
 }
--- a/packages/net/src/chervilbend/net/connection.hpp
+++ b/packages/net/src/chervilbend/net/connection.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -15,11 +16,20 @@
 
 /// A TCP socket with its read buffer and a deadline that closes it.
 ///
+/// The read buffer is bounded. A read that needs a longer one ends with http::error::buffer_overflow, so that a peer cannot fill the memory with bytes that never
+/// make up a message.
+///
 /// Moving the deadline is cheap: the timer is armed again only when it fires or when the deadline becomes earlier.
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
-    explicit connection(boost::asio::ip::tcp::socket socket);
+    /// Maximum size of the read buffer, unless the constructor is given another one: the longest part of a message that is parsed as a whole, such as a header
+    /// or the line before a chunk.
+    static constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+    /// Size of the kernel's buffer for received bytes. Without a bound the kernel lets it grow to several megabytes while the bytes are not read.
+    static constexpr int receiveBufferBytes = 64 * 1024;
+
+    explicit connection(boost::asio::ip::tcp::socket socket, std::size_t maxBufferedBytes = maxUnparsedBytes);
 
     boost::asio::ip::tcp::socket &socket()
     {
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -32,8 +32,6 @@
 constexpr int keepAliveProbes = 2;
 constexpr unsigned millisecondsPerSecond = 1'000;
 constexpr unsigned userTimeoutMs = (keepAliveIdleSeconds + keepAliveProbes * keepAliveIntervalSeconds) * millisecondsPerSecond;
-/// Maximum size of the body of an answer that send() buffers.
-constexpr std::size_t maxBufferedAnswerBytes = 64 * 1024 * 1024;
 
 /// Makes the kernel end a connection whose peer no longer responds: a wait for its answer would otherwise last until the deadline.
 void enableDeadPeerDetection(asio::ip::tcp::socket &socket)
@@ -48,6 +46,14 @@
     ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
 }
 
+/// Has to precede the connect, which negotiates the window.
+void limitReceiveBuffer(asio::ip::tcp::socket &socket, const asio::ip::tcp &protocol)
+{
+    boost::system::error_code ignored;
+    socket.open(protocol, ignored);
+    socket.set_option(asio::socket_base::receive_buffer_size(connection::receiveBufferBytes), ignored);
+}
+
 /// Whether the peer closed an idle connection or sent unsolicited data since it was returned to the pool.
 bool isStale(connection &idle)
 {
@@ -88,7 +94,7 @@
         if (part->empty()) {
             break;
         }
-        if (response.body().size() + part->size() > maxBufferedAnswerBytes) {
+        if (response.body().size() + part->size() > options.maxAnswerBytes) {
             m_timedOut = false;
             co_return fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer exceeds the size limit");
         }
@@ -182,7 +188,9 @@
     }
     const auto opened = std::make_shared<connection>(asio::ip::tcp::socket(co_await asio::this_coro::executor));
     opened->expireAfter(options.connectTimeout);
-    const auto [error] = co_await opened->socket().async_connect({ipAddress, server.port}, awaitTuple);
+    const asio::ip::tcp::endpoint endpoint(ipAddress, server.port);
+    limitReceiveBuffer(opened->socket(), endpoint.protocol());
+    const auto [error] = co_await opened->socket().async_connect(endpoint, awaitTuple);
     if (error) {
         m_timedOut = opened->hasExpired();
         fail(base::error_kind::endpointRefused, "cannot connect to " + toString(server) + ": " + (opened->hasExpired() ? "timed out" : error.message()));
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -30,6 +30,8 @@
     std::function<bool()> keepWaiting;
     /// End of the whole exchange, including all reads of a stream.
     base::time_point deadline = base::time_point::max();
+    /// Maximum size of the body of an answer that send() collects.
+    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
     /// Never uses a pooled connection. A pooled one may turn out to be closed only after the request was written; it is then unknown whether the request was
     /// executed.
     bool freshConnection = false;
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -29,7 +29,7 @@
 /// Subtracted from the peer's Keep-Alive timeout, to allow for the time that a request is in transit.
 constexpr base::milliseconds idleMargin{700};
 /// Upper bound of the buffer that is reserved for a body of known length.
-constexpr std::uint64_t maxReservedBytes = 64 * 1024;
+constexpr std::uint64_t maxReservedBytes = connection::maxUnparsedBytes;
 /// Bytes of the body of an answer to another request that are read to reach the expected one.
 constexpr std::size_t maxSkippedBytes = 4 * 1024 * 1024;
 /// Maximum number of interim answers to one request. A peer that sends them without end would occupy the event loop until the deadline.
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/net/http_server.hpp>
 
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/internal/http_session.hpp>
 #include <chervilbend/net/problem.hpp>
 
@@ -61,6 +63,9 @@
     m_acceptor.open(endpoint.protocol(), error);
     if (!error) {
         m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        // Accepted connections inherit it.
+        boost::system::error_code ignored;
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(connection::receiveBufferBytes), ignored);
         m_acceptor.bind(endpoint, error);
     }
     if (!error) {
--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -5,6 +5,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+
 using namespace chervilbend;
 using namespace chervilbend::net;
 using namespace chervilbend::net::test;
@@ -13,6 +15,11 @@
 namespace
 {
 
+/// Size of the parts in which endpoints send without end.
+constexpr int blockBytes = 4'096;
+/// Bytes that an endpoint may get rid of: those that the node holds, and those in the buffers of both kernels.
+constexpr std::size_t maxTakenBytes = 8 * 1024 * 1024;
+
 const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 http_request get()
@@ -73,8 +80,20 @@
     CPPUNIT_TEST(abandonedStreamClosesItsConnection);
     CPPUNIT_TEST(deadlineEndsSlowStream);
     CPPUNIT_TEST(bodyOfKnownLengthArrivesInFewReads);
+    CPPUNIT_TEST(linesWithoutEndAreRefused);
+    CPPUNIT_TEST(bodyWithoutEndIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Sends blocks until the other side closes; adds up their sizes.
+    static asio::awaitable<void> sendWithoutEnd(std::shared_ptr<raw_peer> caller, std::string start, std::string block, std::size_t &sent)
+    {
+        bool isOpen = co_await caller->send(start);
+        while (isOpen) {
+            isOpen = co_await caller->send(block);
+            sent += block.size();
+        }
+    }
+
 public:
     void acceptsOnlyCompleteAnswers()
     {
@@ -260,6 +279,51 @@
         constexpr int fewReads = 10;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(reads) + " reads", reads <= fewReads);
     }
+
+    /// Guards against an endpoint that fills the memory with a line that never ends: before a chunk, in a chunk's extension or after the last chunk.
+    void linesWithoutEndAreRefused()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (const std::string &start : {head, head + "1;name=", head + "0\r\nTrailer: "}) {
+            asio::io_context context;
+            std::size_t sent = 0;
+            raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                co_await caller->readUntil("\r\n\r\n");
+                co_await sendWithoutEnd(caller, start, std::string(blockBytes, '0'), sent);
+            });
+            http_client client;
+            const address endpointAddress = loopback(endpoint.port());
+            runUntilDone(context, [&]() -> asio::awaitable<void> {
+                http_send_options options = withAnswerTimeout(2'000);
+                options.deadline = base::clock::now() + base::milliseconds(1'000);
+                const auto response = co_await client.send(endpointAddress, get(), options);
+                CPPUNIT_ASSERT(!response);
+            });
+            CPPUNIT_ASSERT_MESSAGE(client.lastReason().text, client.lastReason().kind == base::error_kind::endpointInvalidAnswer && !client.hasTimedOut());
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(sent) + " bytes sent", sent <= maxTakenBytes);
+        }
+    }
+
+    /// Guards against collecting a body that never ends, such as that of an engine's answer to the node's own call.
+    void bodyWithoutEndIsRefused()
+    {
+        asio::io_context context;
+        std::size_t sent = 0;
+        raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("\r\n\r\n");
+            const std::string data(blockBytes, 'x');
+            co_await sendWithoutEnd(caller, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + data + "\r\n", sent);
+        });
+        http_client client;
+        const address endpointAddress = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            http_send_options options = withAnswerTimeout(10'000);
+            options.maxAnswerBytes = 64 * 1024;
+            const auto response = co_await client.send(endpointAddress, get(), options);
+            CPPUNIT_ASSERT(!response && client.lastReason().kind == base::error_kind::endpointInvalidAnswer);
+        });
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent) + " bytes sent", sent <= maxTakenBytes);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
