Bound the memory of all kept responses and request bodies together

Some hundred answers that each stay below their limit fill a host of 160 MB as surely as one without end; so do callers whose bodies each stay within bodyLimit, or a caller that never ends the line before a chunk.

The parts of responses that are kept until they can be forwarded share one limit (setting bufferLimit, 32 MiB), the bodies of requests another of the same size. Beyond it, a response is forwarded as it comes instead of being collected, a stream whose event has grown past 64 KiB is broken off, and a request whose body has grown past 16 KiB gets 503; sound streams and short bodies go on.

--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -47,6 +47,7 @@
 
     base::byte_count headerLimit{16 * 1024};
     base::byte_count bodyLimit{4 * 1024 * 1024};
+    base::byte_count bufferLimit{32 * 1024 * 1024};
     std::int64_t connectionLimit = 10'000;
     base::milliseconds readTimeout{10'000};
     base::milliseconds writeTimeout{30'000};
--- a/packages/net/src/chervilbend/net/http_exchange.cpp
+++ b/packages/net/src/chervilbend/net/http_exchange.cpp
@@ -25,9 +25,13 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 } // namespace
 
-http_exchange::http_exchange(std::shared_ptr<connection> caller, http_request request, base::milliseconds writeTimeout)
+http_exchange::http_exchange(std::shared_ptr<connection> caller,
+                             http_request request,
+                             base::milliseconds writeTimeout,
+                             std::unique_ptr<base::byte_reservation> bodyMemory)
     : m_connection(std::move(caller))
     , m_request(std::move(request))
+    , m_bodyMemory(std::move(bodyMemory))
     , m_writeTimeout(writeTimeout)
     , m_keepAlive(m_request.keep_alive())
 {
--- a/packages/net/src/chervilbend/net/http_exchange.hpp
+++ b/packages/net/src/chervilbend/net/http_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilbend/base/byte_reservation.hpp>
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/net/http_types.hpp>
 
@@ -18,7 +19,11 @@
 class http_exchange
 {
 public:
-    http_exchange(std::shared_ptr<connection> caller, http_request request, base::milliseconds writeTimeout);
+    /// @p bodyMemory is held as long as the exchange.
+    http_exchange(std::shared_ptr<connection> caller,
+                  http_request request,
+                  base::milliseconds writeTimeout,
+                  std::unique_ptr<base::byte_reservation> bodyMemory = nullptr);
 
     const http_request &request() const
     {
@@ -69,6 +74,7 @@
 private:
     std::shared_ptr<connection> m_connection;
     http_request m_request;
+    std::unique_ptr<base::byte_reservation> m_bodyMemory;
     base::milliseconds m_writeTimeout;
     bool m_keepAlive;
     bool m_started = false;
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -24,6 +24,9 @@
 {
 
 constexpr base::milliseconds acceptRetryDelay{100};
+constexpr base::milliseconds listenRetryInterval{100};
+/// One warning in ten seconds.
+constexpr int attemptsPerWarning = 100;
 
 /// Answer to connections beyond the limit; written without waiting, as far as the socket takes it.
 const std::string &connectionLimitAnswer()
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilbend/base/byte_budget.hpp>
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/http_server_limits.hpp>
@@ -42,6 +43,12 @@
     /// Number of requests that are being answered.
     std::size_t openRequests() const;
 
+    /// Memory of the bodies of all open requests.
+    std::size_t bodyBytes() const
+    {
+        return m_bodyBudget->taken();
+    }
+
     std::size_t openConnections() const
     {
         return m_sessions.size();
@@ -55,6 +62,7 @@
     boost::asio::any_io_executor m_executor;
     http_handler &m_handler;
     http_server_limits m_limits;
+    std::shared_ptr<base::byte_budget> m_bodyBudget;
     boost::asio::ip::tcp::acceptor m_acceptor;
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/net/internal/http_session.hpp>
 
+#include <chervilbend/base/byte_reservation.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/reason.hpp>
 #include <chervilbend/net/connection.hpp>
@@ -47,6 +48,9 @@
 constexpr base::milliseconds maxLingerTime{2'000};
 constexpr std::size_t maxLingerBytes = 1024 * 1024;
 
+/// Size up to which a body is accepted even if the limit of all bodies together is reached.
+constexpr std::size_t guaranteedBodyBytes = 16 * 1024;
+
 base::reason reasonForReadError(const boost::system::error_code &error, bool expired)
 {
     if (expired) {
@@ -119,7 +123,7 @@
 
 http_session::http_session(std::shared_ptr<http_server> server, asio::ip::tcp::socket socket)
     : m_server(std::move(server))
-    , m_connection(std::make_shared<connection>(std::move(socket)))
+    , m_connection(std::make_shared<connection>(std::move(socket), m_server->m_limits.headerBytes + connection::maxUnparsedBytes))
     , m_disconnectPollTimer(m_server->m_executor)
 {
     m_server->m_sessions.insert(this);
@@ -235,12 +239,19 @@
             std::tie(error, size) = co_await http::async_write(m_connection->socket(), proceed, awaitTuple);
         }
     }
-    if (!error && !parser.is_done()) {
-        std::tie(error, size) = co_await http::async_read(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
+    auto bodyMemory = std::make_unique<base::byte_reservation>(m_server->m_bodyBudget);
+    while (!error && !parser.is_done()) {
+        std::tie(error, size) = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
+        const std::size_t bodyBytes = parser.get().body().size();
+        if (!bodyMemory->resize(bodyBytes) && bodyBytes > guaranteedBodyBytes) {
+            const base::reason why{base::error_kind::overloaded, "the node has no memory left for the request's body"};
+            co_await refuse(why);
+            co_return nullptr;
+        }
     }
     if (!error) {
         m_connection->neverExpire();
-        co_return std::make_shared<http_exchange>(m_connection, parser.release(), m_server->m_limits.writeTimeout);
+        co_return std::make_shared<http_exchange>(m_connection, parser.release(), m_server->m_limits.writeTimeout, std::move(bodyMemory));
     }
     if (isProtocolError(error) || m_connection->hasExpired()) {
         co_await refuse(reasonForReadError(error, m_connection->hasExpired()));
--- a/packages/net/tests/http_server_test.cpp
+++ b/packages/net/tests/http_server_test.cpp
@@ -128,6 +128,8 @@
     CPPUNIT_TEST(refusesEveryAmbiguousLength);
     CPPUNIT_TEST(discardsWhatFollowsAMalformedRequest);
     CPPUNIT_TEST(reportsWhichLimitWasExceeded);
+    CPPUNIT_TEST(refusesLineWithoutEndInBody);
+    CPPUNIT_TEST(boundsTheMemoryOfAllBodies);
     CPPUNIT_TEST(closesSlowAndIdleCallers);
     CPPUNIT_TEST(answersPipelinedRequestsInOrder);
     CPPUNIT_TEST(cancelsHandlerWhenCallerLeaves);
@@ -192,6 +194,59 @@
         }
     }
 
+    /// Guards against a caller that fills the memory with a line before a chunk that never ends.
+    void refusesLineWithoutEndInBody()
+    {
+        constexpr std::size_t blockBytes = 64 * 1024;
+        constexpr std::size_t maxTakenBytes = 16 * 1024 * 1024;
+        server_fixture fixture(shortLimits(1'000));
+        std::size_t sent = 0;
+        runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(fixture.port);
+            bool isOpen = co_await caller->send("POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (isOpen && sent <= maxTakenBytes) {
+                isOpen = co_await caller->send(std::string(blockBytes, '0'));
+                sent += blockBytes;
+            }
+        });
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent) + " bytes sent", sent <= maxTakenBytes);
+    }
+
+    /// Guards against callers that fill the memory together, each with a body that is within its own limit.
+    void boundsTheMemoryOfAllBodies()
+    {
+        constexpr int callers = 20;
+        // Half of a body.
+        constexpr std::size_t partBytes = 100'000;
+        http_server_limits limits;
+        limits.allBodiesBytes = 5 * partBytes;
+        server_fixture fixture(limits);
+        runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
+            std::vector<std::shared_ptr<raw_peer>> peers;
+            for (int i = 0; i < callers; ++i) {
+                peers.push_back(co_await raw_peer::connect(fixture.port));
+                co_await peers.back()->send("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(2 * partBytes) + "\r\n\r\n"
+                                            + std::string(partBytes, 'x'));
+            }
+            // A short body is still accepted.
+            const auto other = co_await raw_peer::connect(fixture.port);
+            co_await other->send("POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nshort");
+            const std::string shortAnswer = co_await other->readToEnd();
+            CPPUNIT_ASSERT(shortAnswer.ends_with("short!"));
+            CPPUNIT_ASSERT(fixture.server->bodyBytes() <= limits.allBodiesBytes);
+            int refused = 0;
+            for (const std::shared_ptr<raw_peer> &each : peers) {
+                co_await each->send(std::string(partBytes, 'x'));
+                const std::string answer = co_await each->readUntil("\r\n");
+                CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 ") || answer.starts_with("HTTP/1.1 503 "));
+                refused += answer.starts_with("HTTP/1.1 503 ") ? 1 : 0;
+                each->close();
+            }
+            CPPUNIT_ASSERT(refused > 0);
+            co_await waitUntil([&] { return fixture.server->bodyBytes() == 0; });
+        });
+    }
+
     void reportsWhichLimitWasExceeded()
     {
         server_fixture fixture(shortLimits());
--- a/packages/node/src/chervilbend/node/callers/event_scanner.hpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/units.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -35,6 +36,12 @@
         return m_done;
     }
 
+    /// Size of the buffers for an incomplete event and for the events that were returned last.
+    std::size_t bufferBytes() const
+    {
+        return m_pending.capacity() + m_ready.capacity();
+    }
+
     /// Whether an incomplete event is buffered.
     bool isInsideEvent() const
     {
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -13,11 +13,13 @@
 forwarded_request::forwarded_request(admission &requestAdmission,
                                      caller_metrics &metrics,
                                      fleet::stream_origins *origins,
+                                     std::shared_ptr<base::byte_budget> responseBudget,
                                      std::shared_ptr<net::http_exchange> callerExchange,
                                      forwarding_plan forwardingPlan)
     : exchange(std::move(callerExchange))
     , plan(std::move(forwardingPlan))
     , admitted(requestAdmission)
+    , keptBytes(std::move(responseBudget))
     , m_metrics(metrics)
     , m_origins(origins)
 {
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilbend/base/byte_reservation.hpp>
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/node/callers/admitted_request.hpp>
 #include <chervilbend/node/callers/event_scanner.hpp>
@@ -31,10 +32,11 @@
 class forwarded_request
 {
 public:
-    /// @p origins may be nullptr; it must outlive the request.
+    /// @p origins may be nullptr; it must outlive the request. The parts of responses that are kept count towards @p responseBudget.
     forwarded_request(admission &requestAdmission,
                       caller_metrics &metrics,
                       fleet::stream_origins *origins,
+                      std::shared_ptr<base::byte_budget> responseBudget,
                       std::shared_ptr<net::http_exchange> callerExchange,
                       forwarding_plan forwardingPlan);
     ~forwarded_request();
@@ -85,6 +87,8 @@
     base::software_version softwareVersion;
     /// Scans the stream over all attempts.
     event_scanner events;
+    /// Memory for the part of a response that is kept until it can be forwarded.
+    base::byte_reservation keptBytes;
 
 private:
     void startAttempt();
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -73,6 +73,11 @@
 {
 }
 
+void forwarder::setResponseLimit(base::byte_count limit)
+{
+    m_responseBudget = std::make_shared<base::byte_budget>(static_cast<std::size_t>(limit.count()));
+}
+
 void forwarder::setMissingItemListener(missing_item_listener listener)
 {
     m_missingItemListener = std::move(listener);
@@ -95,7 +100,7 @@
 
 asio::awaitable<void> forwarder::forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan)
 {
-    const auto request = std::make_shared<forwarded_request>(m_admission, m_metrics, m_streamOrigins, exchange, std::move(plan));
+    const auto request = std::make_shared<forwarded_request>(m_admission, m_metrics, m_streamOrigins, m_responseBudget, exchange, std::move(plan));
     forwarding_progress progress;
     bool isFinished = false;
     if (!mayRelay(*request, progress)) {
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chervilbend/base/byte_budget.hpp>
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/reason.hpp>
+#include <chervilbend/base/units.hpp>
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/node/callers/endpoint_silence.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
@@ -11,6 +13,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -52,6 +55,8 @@
     /// Called when an endpoint refuses a request because it does not hold the required item.
     using missing_item_listener = std::function<void(const base::endpoint_id &endpoint, const fleet::requested_item &item)>;
     void setMissingItemListener(missing_item_listener listener);
+    /// Maximum memory for the responses and parts of streams that are kept at a time, of all requests together. To be called before the first request.
+    void setResponseLimit(base::byte_count limit);
     /// Where the beginnings of streams are noted; it must outlive the forwarder.
     void setStreamOrigins(fleet::stream_origins &origins);
 
@@ -62,7 +67,15 @@
 
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
+    /// Bytes of responses that are kept now.
+    std::size_t keptBytes() const
+    {
+        return m_responseBudget->taken();
+    }
+
 private:
+    static constexpr std::size_t defaultResponseLimit = 32 * 1024 * 1024;
+
     /// Result of one attempt.
     struct attempt_result {
         routing::request_outcome outcome = routing::request_outcome::answered;
@@ -129,6 +142,8 @@
     fleet::stream_origins *m_streamOrigins = nullptr;
     endpoint_reachability *m_reachability = nullptr;
     request_relay *m_relay = nullptr;
+    /// Shared with the open requests, which may outlive the forwarder.
+    std::shared_ptr<base::byte_budget> m_responseBudget = std::make_shared<base::byte_budget>(defaultResponseLimit);
     /// Shared with the open responses, which may outlive the forwarder.
     const std::shared_ptr<endpoint_silence> m_silence = std::make_shared<endpoint_silence>();
 };
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -25,6 +25,9 @@
 
 /// Bytes. A longer response is forwarded as a stream instead of being buffered, which bounds memory use.
 constexpr std::size_t maxBufferedResponse = 4 * 1024 * 1024;
+/// Memory, in bytes, that each stream may use for its events even if the limit of all together is reached. Sound events are far shorter.
+constexpr std::size_t guaranteedEventBytes = 64 * 1024;
+
 bool isEventStream(const http::response_header<> &header)
 {
     const auto type = header[http::field::content_type];
@@ -141,7 +144,7 @@
         request->firstByte();
         ended = piece->empty();
         complete.body().append(*piece);
-        if (complete.body().size() > maxBufferedResponse) {
+        if (complete.body().size() > maxBufferedResponse || !request->keptBytes.resize(complete.body().size())) {
             co_return co_await forwardStream(request, answer, std::move(complete.body()), false);
         }
     }
@@ -209,6 +212,10 @@
             result.why = {base::error_kind::endpointInvalidAnswer, "the stream contains bytes without end that are no event"};
             break;
         }
+        if (events && !request->keptBytes.resize(scanner.bufferBytes()) && scanner.bufferBytes() > guaranteedEventBytes) {
+            result.why = {base::error_kind::endpointInvalidAnswer, "an event is longer than the memory that is left for incomplete events"};
+            break;
+        }
         request->progress(base::token_count(scanner.tokens().count() * plan.tokensPerEvent));
     }
     if (complete) {
--- a/packages/node/src/chervilbend/node/composition/data_plane.cpp
+++ b/packages/node/src/chervilbend/node/composition/data_plane.cpp
@@ -62,6 +62,7 @@
     , m_routingFeed(director, m_directory, control.controlStream().state(), identity.zone, crossZoneRoundTripMs)
     , m_reportPoller(executor, *clients.engines, settings.reportInterval)
 {
+    m_forwarder.setResponseLimit(settings.bufferLimit);
     m_routingFeed.onChange([this] { m_admission.deliverDecisions(); });
     m_director.setListener(&statistics.recorder());
     m_reportPoller.addListener(m_routingFeed);
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -64,6 +64,7 @@
     net::http_server_limits limits;
     limits.headerBytes = static_cast<std::uint32_t>(settings.headerLimit.count());
     limits.bodyBytes = static_cast<std::uint64_t>(settings.bodyLimit.count());
+    limits.allBodiesBytes = static_cast<std::size_t>(settings.bufferLimit.count());
     limits.connections = static_cast<std::size_t>(settings.connectionLimit);
     limits.readTimeout = settings.readTimeout;
     limits.writeTimeout = settings.writeTimeout;
@@ -183,6 +184,7 @@
     m_holderClient.onFirstAnswer([this] { m_readiness.setMet("lease holder"); });
     setNodeCount(initialNodeCount);
     m_forwarder.setStreamOrigins(m_streamOrigins);
+    m_forwarder.setResponseLimit(m_settings.bufferLimit);
     m_forwarder.setReachability(m_reachability);
     m_forwarder.setRelay(m_relayToHelpers);
     m_reachability.onChange([this] { strandedChanged(); });
