Refuse requests on the platform by the evidence on their prompts alone

Cause: two trackers decided on the same matter. crash_suspect_tracker counts lost connections by a hash of target and body, which many requests share on the platform, where prompts travel in a header; it is cleared by a suspect that runs alone and is answered, and on the platform no suspect runs alone. It was asked before prompt_part_tracker, which clears by answers.

Where suspects aren't isolated, crash_suspect_tracker attributes no loss to a request any more and keeps only what it knows of endpoints. The fingerprint of a request contains its model and its prompt.

Tests failed without the change: soundRequestsThatLookLikeTheCrashingOnesAreServed, alikeRequestsAreServedWhileConnectionsAreLost, fingerprintTellsPromptsApart.

--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -81,6 +81,17 @@
     return {text.data(), text.size()};
 }
 
+/// Identifies what a request asks for, however often it is sent. A prompt is not part of the body.
+std::uint64_t fingerprintOf(const net::http_request &request, const fleet::caller_request &caller)
+{
+    std::uint64_t fingerprint = base::hash64(request.body(), base::hash64(textOf(request.target())));
+    fingerprint = base::hash64(caller.adapter, base::hash64(caller.model, fingerprint));
+    for (const fleet::prompt_part &part : caller.prompt) {
+        fingerprint = base::hash64(part.id, fingerprint);
+    }
+    return fingerprint;
+}
+
 } // namespace
 
 route_api::route_api(const fleet::request_codec &codec,
@@ -259,7 +270,7 @@
     }
     plan.facts.prefixHash = sharedPrefix(caller, plan.facts.pool);
     setSharedParts(caller, plan);
-    plan.facts.fingerprint = base::hash64(request.body(), base::hash64(textOf(request.target())));
+    plan.facts.fingerprint = fingerprintOf(request, caller);
     plan.facts.repeatable = route.isRepeatable();
     if (plan.facts.repeatable) {
         plan.silenceTimeout = std::clamp(route.targetLatency * silenceTimeoutFactor, minSilenceTimeout, maxSilenceTimeout);
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -2,6 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
 using namespace chervilbend;
 using namespace chervilbend::node::test;
 namespace asio = boost::asio;
@@ -36,6 +41,7 @@
     CPPUNIT_TEST(endlessInterimResponsesAreRefusedAtOnce);
     CPPUNIT_TEST(endlessEventIsRefusedAtOnce);
     CPPUNIT_TEST(endlessBodyIsNotComplete);
+    CPPUNIT_TEST(fingerprintTellsPromptsApart);
     CPPUNIT_TEST(unavailableItemIsRejected);
     CPPUNIT_TEST(engineMissingItemIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -309,6 +315,20 @@
         net::test::runUntilDone(fixture.context, [&]() -> asio::awaitable<void> { co_await net::test::waitUntil([&] { return isClosed; }); });
     }
 
+    /// Guards against taking requests that differ in their prompts alone for one request.
+    void fingerprintTellsPromptsApart()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        for (const char *prompt : {"aa:10,c1:7", "aa:10,c2:7", "bb:10,c1:7", "aa:10,c1:7"}) {
+            fixture.ask("/chat/x", "Chervilbend-Prompt-Prefix: " + std::string(prompt) + "\r\n");
+        }
+        const std::vector<routing::request_facts> &submitted = fixture.director.submitted;
+        const std::set<std::uint64_t> fingerprints{submitted.at(0).fingerprint, submitted.at(1).fingerprint, submitted.at(2).fingerprint};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fingerprints.size());
+        CPPUNIT_ASSERT_MESSAGE("a repeated request is the same", submitted.at(3).fingerprint == submitted.at(0).fingerprint);
+    }
+
     void unavailableItemIsRejected()
     {
         route_api_fixture fixture;
--- a/packages/routing/src/chervilbend/routing/director_settings.hpp
+++ b/packages/routing/src/chervilbend/routing/director_settings.hpp
@@ -65,7 +65,8 @@
     /// latency; 0 to 10000.
     int requestsBetweenProbes = 400;
 
-    /// Whether requests that were in flight on a crashed endpoint are isolated from each other when they are submitted again.
+    /// Whether requests that were in flight on a crashed endpoint are isolated from each other when they are submitted again, and refused after
+    /// crashesToRefuse. Otherwise prompt_part_tracker alone decides which requests are refused.
     bool isolateSuspects = true;
     /// Number of crashes after which a request is refused; 1 to 10.
     int crashesToRefuse = 2;
--- a/packages/routing/src/chervilbend/routing/internal/crash_suspect_tracker.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/crash_suspect_tracker.cpp
@@ -24,6 +24,9 @@
 void crash_suspect_tracker::recordConnectionLoss(std::uint64_t endpoint, std::uint64_t fingerprint, base::time_point now)
 {
     loss_event &event = m_events.try_emplace(endpoint, loss_event{now, {}}).first->second;
+    if (!m_settings.isolateSuspects) {
+        return;
+    }
     if (std::find(event.fingerprints.begin(), event.fingerprints.end(), fingerprint) != event.fingerprints.end()) {
         return;
     }
--- a/packages/routing/src/chervilbend/routing/internal/crash_suspect_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/crash_suspect_tracker.hpp
@@ -16,6 +16,9 @@
 ///
 /// A lost connection makes its request a suspect immediately, since a crash is confirmed only seconds later. The loss counts as a crash
 /// once the endpoint refuses connections, has a new incarnation or is removed. It is dismissed when the old incarnation reports again.
+///
+/// Requests are suspected only where director_settings::isolateSuspects is set: only a suspect that runs alone can be cleared by its answer. Elsewhere the
+/// tracker knows the endpoints with a lost connection, and prompt_part_tracker decides which requests are refused.
 class crash_suspect_tracker
 {
 public:
--- a/packages/routing/tests/crashing_prompt_test.cpp
+++ b/packages/routing/tests/crashing_prompt_test.cpp
@@ -33,6 +33,7 @@
 constexpr std::uint64_t crashingPart = 2;
 constexpr std::uint64_t firstSoundPart = 100;
 constexpr std::uint64_t crashingFingerprint = 0xbad;
+constexpr std::uint64_t commonFingerprint = 0x5a3e;
 
 struct fleet_size {
     int nodes = 6;
@@ -43,6 +44,8 @@
     int soundParts = 30;
     /// The crashing requests are repetitions of one request without a prompt, instead of different requests that share a part.
     bool isOneRequest = false;
+    /// All requests have the same fingerprint.
+    bool isOneFingerprint = false;
 };
 
 /// Nodes in front of endpoints, in virtual time. Each node shares what it knows with one other, as with the holder of the command lease.
@@ -92,6 +95,14 @@
         }
     }
 
+    /// Ends all connections to some endpoints, which go on running.
+    void loseConnections(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            failRunsAt(i);
+        }
+    }
+
     int crashes = 0;
     /// Requests with the crashing part that reached an endpoint later than stableTime after the fifth crash.
     int lateArrivals = 0;
@@ -170,6 +181,9 @@
         } else {
             facts.promptParts = {systemPart, part};
         }
+        if (m_size.isOneFingerprint) {
+            facts.fingerprint = commonFingerprint;
+        }
         node &chosen = m_nodes[std::uniform_int_distribution<std::size_t>(0, m_nodes.size() - 1)(m_random)];
         base::reason why;
         const std::optional<request_handle> handle = chosen.director->submit(facts, why);
@@ -246,6 +260,11 @@
             m_fifthCrashAt = m_now;
         }
         m_endpoints[index].upAt = m_now + restartTime;
+        failRunsAt(index);
+    }
+
+    void failRunsAt(std::size_t index)
+    {
         std::vector<running> lost;
         std::copy_if(m_runs.begin(), m_runs.end(), std::back_inserter(lost), [&](const running &each) { return each.endpoint == index; });
         std::erase_if(m_runs, [&](const running &each) { return each.endpoint == index; });
@@ -304,6 +323,8 @@
     CPPUNIT_TEST(nodesThatAreReplacedDoNotRestartTheCrashes);
     CPPUNIT_TEST(crashedRackRefusesNoSoundRequest);
     CPPUNIT_TEST(repeatedRequestIsRefusedByAllNodes);
+    CPPUNIT_TEST(soundRequestsThatLookLikeTheCrashingOnesAreServed);
+    CPPUNIT_TEST(alikeRequestsAreServedWhileConnectionsAreLost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -365,6 +386,35 @@
         checkCrashesStop(size);
     }
 
+    /// Guards against refusing all requests of a route with those that crash endpoints, because they differ in their prompts alone.
+    void soundRequestsThatLookLikeTheCrashingOnesAreServed()
+    {
+        fleet_size size;
+        size.isOneFingerprint = true;
+        checkCrashesStop(size);
+    }
+
+    /// Guards against taking a request that many callers send for the cause of lost connections, which endpoints outlive here.
+    void alikeRequestsAreServedWhileConnectionsAreLost()
+    {
+        fleet_size size;
+        size.isOneFingerprint = true;
+        for (unsigned seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+            crashing_fleet fleet(size, seed);
+            fleet.run(base::milliseconds(4'000), false);
+            for (int i = 0; i < 8; ++i) {
+                fleet.loseConnections(4);
+                fleet.run(base::milliseconds(500), false);
+            }
+            fleet.soundSubmitted = fleet.soundBegun = 0;
+            fleet.run(base::milliseconds(4'000), false);
+            const std::string text =
+                "seed " + std::to_string(seed) + ", " + std::to_string(fleet.soundBegun) + " of " + std::to_string(fleet.soundSubmitted) + " begun";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 0, fleet.soundRefused);
+            CPPUNIT_ASSERT_MESSAGE(text, fleet.soundBegun * 10 >= fleet.soundSubmitted * 9);
+        }
+    }
+
 private:
     static void checkCrashesStop(const fleet_size &size)
     {
