Count the versions that the store does not show among the origins of streams

Cause: a single published version counted as the one that has begun every stream, and "published" meant what the store showed at the moment. A version that it had lost, or one that other nodes used because it could not be published within 2 s, was left out, though the node knew of it.

The versions of a service are those published, those that the store has lost and those registered. One of them is taken for granted only if it is published and the registrations are younger than publicationTimeout by the clock that counts suspension, so that they show each version that another node may use unpublished; otherwise the caller is asked to come back. An answer older than the last one is a failed read. A node reads the published versions when it notices a restoration, and records the origins of its streams again.

An answer that came late because the node stood still is no cause: the stream began before its take-up came, and the read began after that.

Tests failed without the change: versionThatTheStoreHasLostIsNotForgotten, versionThatIsUsedUnpublishedIsCounted, nodeThatStoodStillDoesNotTrustItsRegistrations, olderAnswerOfTheStoreIsNoKnowledge, recordsAreRepeatedWhenTheStoreHasLostThem.

--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -60,26 +60,31 @@
     return m_relayedAt ? std::optional(*m_relayedAt + m_interval) : std::nullopt;
 }
 
-bool endpoint_follower::applyRelayed(const store_update &update, base::time_point readAt)
+bool endpoint_follower::applyRelayed(const store_update &update, const read_time &readAt)
 {
     if (m_isHolder || (m_position && update.registrationsPosition < *m_position)) {
         return false;
     }
     m_position = update.registrationsPosition;
-    m_readAt = std::max(m_readAt, readAt);
-    m_relayedAt = readAt;
+    noteRead(readAt);
+    m_relayedAt = readAt.steady;
     notify(m_registry.applyRelayed(update.registrations, update.isSnapshot, base::clock::now()));
     return true;
 }
 
-void endpoint_follower::applyRead(const endpoint_page &page, bool isSnapshot, base::time_point requestedAt)
+void endpoint_follower::noteRead(const read_time &readAt)
+{
+    m_readAt = {std::max(m_readAt.steady, readAt.steady), std::max(m_readAt.boot, readAt.boot)};
+}
+
+void endpoint_follower::applyRead(const endpoint_page &page, bool isSnapshot, const read_time &requestedAt)
 {
     // An update of the holder may have arrived in the meantime and may be newer.
     if (m_position && page.next < *m_position) {
         return;
     }
     m_position = page.next;
-    m_readAt = std::max(m_readAt, requestedAt);
+    noteRead(requestedAt);
     const base::time_point now = base::clock::now();
     notify(isSnapshot ? m_registry.replace(page.changes, now) : m_registry.apply(page.changes, now));
 }
@@ -98,8 +103,8 @@
 {
     retry_backoff backoff(m_seed);
     while (true) {
-        const base::time_point requestedAt = base::clock::now();
-        if (const std::optional<base::time_point> until = relayedUntil(); until && requestedAt < *until) {
+        const read_time requestedAt = read_time::now();
+        if (const std::optional<base::time_point> until = relayedUntil(); until && requestedAt.steady < *until) {
             co_await m_wake.wait(*until);
             continue;
         }
@@ -113,7 +118,7 @@
             page = co_await m_store.endpointsFrom(*m_position);
         }
         const base::time_point now = base::clock::now();
-        if (m_problemListener && (!page || now - requestedAt > slowReadThreshold)) {
+        if (m_problemListener && (!page || now - requestedAt.steady > slowReadThreshold)) {
             m_problemListener();
         }
         if (page) {
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/fleet/read_time.hpp>
 
 #include <chervilbend/net/change_signal.hpp>
 
@@ -34,7 +35,7 @@
     /// This node has become the holder, whose reads are relayed to the other nodes, or has ceased to be.
     void setHolder(bool isHolder);
     /// Applies what the holder read at @p readAt. False when this node is the holder or has itself read further.
-    bool applyRelayed(const store_update &update, base::time_point readAt);
+    bool applyRelayed(const store_update &update, const read_time &readAt);
     /// The listener is called with the endpoints that have changed or are gone.
     void onChange(std::function<void(const std::set<base::endpoint_id> &)> listener);
 
@@ -50,7 +51,7 @@
     }
 
     /// When the latest read of the registrations was sent, by this node or by the holder.
-    base::time_point readAt() const
+    const read_time &readAt() const
     {
         return m_readAt;
     }
@@ -60,7 +61,8 @@
     std::optional<base::time_point> relayedUntil() const;
     /// To be called after each read, before it is applied.
     void noteRestorations(base::time_point now);
-    void applyRead(const endpoint_page &page, bool isSnapshot, base::time_point requestedAt);
+    void noteRead(const read_time &readAt);
+    void applyRead(const endpoint_page &page, bool isSnapshot, const read_time &requestedAt);
     void notify(const std::set<base::endpoint_id> &changed) const;
 
     fleet_store &m_store;
@@ -70,7 +72,7 @@
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void()> m_problemListener;
     std::optional<std::int64_t> m_position;
-    base::time_point m_readAt;
+    read_time m_readAt;
     /// When the holder sent the read that was applied last.
     std::optional<base::time_point> m_relayedAt;
     /// The store's number of restorations at the last read.
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -185,7 +185,7 @@
     report.leaving = m_leaving.recent();
     report.helper = m_helpers.own();
     const Json::Value message = toJson(report);
-    const base::time_point requestedAt = base::clock::now();
+    const read_time requestedAt = read_time::now();
     const std::optional<Json::Value> json = co_await m_peers.call(*address, exchangeMethodName, message, exchangeTimeout);
     const std::optional<holder_response> answer = json ? readHolderResponse(*json) : std::nullopt;
     if (!answer) {
@@ -194,7 +194,7 @@
         co_return false;
     }
     m_prompts.merge(answer->prompts);
-    m_rateLimits.apply(report.rateLimits, answer->rateLimits, requestedAt);
+    m_rateLimits.apply(report.rateLimits, answer->rateLimits, requestedAt.steady);
     for (const routing::endpoint_process &process : answer->leaving) {
         m_leaving.note(process);
     }
--- a/packages/fleet/src/chervilbend/fleet/published_versions.cpp
+++ b/packages/fleet/src/chervilbend/fleet/published_versions.cpp
@@ -45,6 +45,11 @@
     m_listener = std::move(listener);
 }
 
+void published_versions::setRegistrationsReadAt(std::function<base::time_point()> readAt)
+{
+    m_registrationsReadAt = std::move(readAt);
+}
+
 void published_versions::notify() const
 {
     if (m_listener) {
@@ -79,7 +84,7 @@
 asio::awaitable<void> published_versions::run()
 {
     while (true) {
-        if (!m_isRead) {
+        if (!m_isRead || m_store.restorations() != m_page.restorations) {
             co_await refresh(base::clock::now() + readTimeout);
         } else if (!m_missingSince.empty()) {
             co_await publishMissing();
@@ -103,14 +108,13 @@
     if (!page) {
         co_return false;
     }
-    apply(*page);
-    co_return true;
+    co_return apply(*page);
 }
 
-void published_versions::apply(const published_page &page)
+bool published_versions::apply(const published_page &page)
 {
     if (m_isRead && page.end < m_page.end) {
-        return;
+        return false;
     }
     if (m_isRead && page.restorations != m_page.restorations) {
         for (const auto &[service, versions] : m_page.versions) {
@@ -119,7 +123,7 @@
             }
         }
     }
-    const bool isChanged = !m_isRead || page.versions != m_page.versions;
+    const bool isChanged = !m_isRead || page.versions != m_page.versions || page.restorations != m_page.restorations;
     m_page = page;
     m_isRead = true;
     std::erase_if(m_lost, [this](const service_version &version) { return isPublished(version); });
@@ -127,6 +131,7 @@
     if (isChanged) {
         notify();
     }
+    return true;
 }
 
 asio::awaitable<void> published_versions::publishMissing()
@@ -188,7 +193,8 @@
 
 bool published_versions::isPublished(const service_version &version) const
 {
-    return versionsOf(version.first).contains(version.second);
+    const auto found = m_page.versions.find(version.first);
+    return found != m_page.versions.end() && found->second.contains(version.second);
 }
 
 std::set<published_versions::service_version> published_versions::registered() const
@@ -204,7 +210,7 @@
 
 std::set<published_versions::service_version> published_versions::missing() const
 {
-    std::set<service_version> unpublished = registered();
+    std::set<service_version> unpublished = m_inService;
     unpublished.insert(m_lost.begin(), m_lost.end());
     std::erase_if(unpublished, [this](const service_version &version) { return isPublished(version); });
     return unpublished;
@@ -213,6 +219,7 @@
 void published_versions::track()
 {
     const base::time_point now = base::clock::now();
+    m_inService = registered();
     const std::set<service_version> unpublished = missing();
     std::erase_if(m_missingSince, [&](const auto &known) { return !unpublished.contains(known.first); });
     for (const service_version &version : unpublished) {
@@ -221,11 +228,10 @@
     if (!m_isHolder) {
         return;
     }
-    const std::set<service_version> inService = registered();
-    std::erase_if(m_absentSince, [&](const auto &known) { return inService.contains(known.first) || !isPublished(known.first); });
+    std::erase_if(m_absentSince, [&](const auto &known) { return m_inService.contains(known.first) || !isPublished(known.first); });
     for (const auto &[service, versions] : m_page.versions) {
         for (const base::software_version &version : versions) {
-            if (!inService.contains({service, version})) {
+            if (!m_inService.contains({service, version})) {
                 m_absentSince.try_emplace({service, version}, now);
             }
         }
@@ -242,11 +248,28 @@
     return since != m_missingSince.end() && base::clock::now() - since->second >= publicationTimeout;
 }
 
-const std::set<base::software_version> &published_versions::versionsOf(const base::service_id &service) const
+std::set<base::software_version> published_versions::versionsOf(const base::service_id &service) const
+{
+    const auto published = m_page.versions.find(service);
+    std::set<base::software_version> versions = published == m_page.versions.end() ? std::set<base::software_version>() : published->second;
+    for (const std::set<service_version> *known : {&m_lost, &m_inService}) {
+        for (auto each = known->lower_bound({service, base::software_version()}); each != known->end() && each->first == service; ++each) {
+            versions.insert(each->second);
+        }
+    }
+    return versions;
+}
+
+std::optional<base::software_version> published_versions::onlyVersion(const base::service_id &service) const
+{
+    const std::set<base::software_version> versions = versionsOf(service);
+    const bool isOnly = versions.size() == 1 && isPublished({service, *versions.begin()});
+    return isOnly ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+bool published_versions::knowsRegistrations() const
 {
-    static const std::set<base::software_version> none;
-    const auto found = m_page.versions.find(service);
-    return found == m_page.versions.end() ? none : found->second;
+    return !m_registrationsReadAt || base::clock::bootNow() - m_registrationsReadAt() < publicationTimeout;
 }
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/published_versions.hpp
+++ b/packages/fleet/src/chervilbend/fleet/published_versions.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <utility>
@@ -49,18 +50,30 @@
     void setNodeCount(int nodes);
     /// The listener is called when the published versions have changed, or endpoints have become usable.
     void onChange(std::function<void()> listener);
+    /// @p readAt tells, by the clock that counts suspension, when the latest read of the registrations began.
+    void setRegistrationsReadAt(std::function<base::time_point()> readAt);
 
     /// Queries.
 
     /// Whether requests may be sent to the endpoint.
     bool isUsable(const endpoint_entry &entry) const;
-    /// As last read.
-    const std::set<base::software_version> &versionsOf(const base::service_id &service) const;
+    /// The versions whose streams may be alive, as far as this node knows: those published, those that the store has lost, and those in service, which
+    /// other nodes may use unpublished.
+    std::set<base::software_version> versionsOf(const base::service_id &service) const;
     /// Whether streams of several versions may be alive.
     bool isMixed(const base::service_id &service) const
     {
         return versionsOf(service).size() > 1;
     }
+    /// The version that has begun each stream of the service that may be alive; no value if there may be several, or if it is not published.
+    std::optional<base::software_version> onlyVersion(const base::service_id &service) const;
+    /// Whether the registrations are so recent that they show each version that another node may use unpublished.
+    bool knowsRegistrations() const;
+    /// How often the store had come back from an older copy of itself at the last read.
+    std::int64_t restorations() const
+    {
+        return m_page.restorations;
+    }
 
 private:
     using service_version = std::pair<base::service_id, base::software_version>;
@@ -70,7 +83,8 @@
     boost::asio::awaitable<bool> write(version_table versions);
     boost::asio::awaitable<void> publishMissing();
     boost::asio::awaitable<void> withdrawAbsent();
-    void apply(const published_page &page);
+    /// False, without effect, if the page is older than the last one.
+    bool apply(const published_page &page);
     bool isPublished(const service_version &version) const;
     std::set<service_version> registered() const;
     /// The versions that have to be published: those in service, and those that the store has lost.
@@ -84,11 +98,14 @@
     on_demand_read m_read;
     std::minstd_rand m_random;
     std::function<void()> m_listener;
+    std::function<base::time_point()> m_registrationsReadAt;
     net::change_signal m_wake;
     published_page m_page;
     bool m_isRead = false;
     bool m_isHolder = false;
     int m_nodes = 1;
+    /// The versions in service, as of the last track().
+    std::set<service_version> m_inService;
     /// Versions that were published before the store came back from an older copy of itself.
     std::set<service_version> m_lost;
     /// The versions that have to be published, as of the last track(), and since when they are missing.
--- a/packages/fleet/src/chervilbend/fleet/recorded_stream_origins.cpp
+++ b/packages/fleet/src/chervilbend/fleet/recorded_stream_origins.cpp
@@ -105,7 +105,12 @@
 
 void recorded_stream_origins::versionsChanged()
 {
+    // The older copy may lack the records.
+    const bool isRestored = std::exchange(m_restorations, m_versions.restorations()) != m_versions.restorations();
     for (auto &[id, stream] : m_own) {
+        if (isRestored) {
+            stream.recordedAt.reset();
+        }
         if (!stream.recordedAt && m_versions.isMixed(stream.origin.service)) {
             enqueue(stream);
         }
@@ -229,14 +234,17 @@
     if (!isRead) {
         co_return unknownOrigin(base::error_kind::noEndpoint, "the store does not tell which software version began the stream");
     }
-    const std::set<base::software_version> versions = m_versions.versionsOf(service);
-    if (versions.size() == 1) {
+    const std::optional<base::software_version> onlyVersion = m_versions.onlyVersion(service);
+    if (onlyVersion && !m_versions.knowsRegistrations()) {
+        co_return unknownOrigin(base::error_kind::noEndpoint, "the known registrations are too old to tell whether another software version serves");
+    }
+    if (onlyVersion) {
         origin_lookup only;
-        only.version = *versions.begin();
+        only.version = *onlyVersion;
         only.source = origin_source::singleVersion;
         co_return only;
     }
-    if (versions.empty() || !stream) {
+    if (m_versions.versionsOf(service).empty() || !stream) {
         co_return unknownOrigin(base::error_kind::notResumable, "several software versions may have begun the stream, and the request does not name it");
     }
     const base::time_point patience = std::min(until, base::clock::now() + recordPatience);
--- a/packages/fleet/src/chervilbend/fleet/recorded_stream_origins.hpp
+++ b/packages/fleet/src/chervilbend/fleet/recorded_stream_origins.hpp
@@ -81,6 +81,8 @@
     std::unordered_map<std::uint64_t, base::software_version> m_records;
     std::deque<std::uint64_t> m_recordOrder;
     std::int64_t m_position = 0;
+    /// The store's number of restorations at the last change of the versions.
+    std::int64_t m_restorations = 0;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/store_relay.cpp
+++ b/packages/fleet/src/chervilbend/fleet/store_relay.cpp
@@ -78,7 +78,7 @@
         return update;
     }
     update.registrationsPosition = *m_endpoints.position();
-    update.registrationsAge = now - m_endpoints.readAt();
+    update.registrationsAge = now - m_endpoints.readAt().steady;
     update.registrationsVersion = m_version;
     for (const auto &[id, change] : m_changes) {
         if (update.isSnapshot ? change.entry.has_value() : change.version > version) {
@@ -91,10 +91,10 @@
     return update;
 }
 
-void store_relay::apply(std::int64_t token, const store_update &update, base::time_point requestedAt)
+void store_relay::apply(std::int64_t token, const store_update &update, const read_time &requestedAt)
 {
     if (update.configurationPosition >= 0) {
-        m_configuration.noteHolderPosition(update.configurationPosition, requestedAt - update.configurationAge);
+        m_configuration.noteHolderPosition(update.configurationPosition, requestedAt.steady - update.configurationAge);
     }
     const bool isUsable = update.registrationsPosition >= 0 && (update.isSnapshot || token == m_appliedToken);
     if (isUsable && m_endpoints.applyRelayed(update, requestedAt - update.registrationsAge)) {
--- a/packages/fleet/src/chervilbend/fleet/store_relay.hpp
+++ b/packages/fleet/src/chervilbend/fleet/store_relay.hpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/fleet/endpoint_entry.hpp>
+#include <chervilbend/fleet/read_time.hpp>
 #include <chervilbend/fleet/store_update.hpp>
 
 #include <cstdint>
@@ -32,7 +33,7 @@
     /// Registrations have changed or ended on this node.
     void noteChanged(const std::set<base::endpoint_id> &changed);
     /// Applies an update of the holder with this fencing token; @p requestedAt is when the exchange that delivered it began.
-    void apply(std::int64_t token, const store_update &update, base::time_point requestedAt);
+    void apply(std::int64_t token, const store_update &update, const read_time &requestedAt);
 
     /// Queries.
 
--- a/packages/fleet/src/chervilbend/fleet/stream_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/stream_store.hpp
@@ -45,6 +45,9 @@
 public:
     virtual ~stream_store() = default;
 
+    /// How often the store has come back from an older copy of itself, as of the latest answer.
+    virtual std::int64_t restorations() const = 0;
+
     virtual boost::asio::awaitable<std::optional<published_page>> publishedVersions() = 0;
     /// Replaces the published versions if the position of the new record will be @p expected (compare-and-set).
     virtual boost::asio::awaitable<lease_write_status> publishVersions(version_table versions, std::int64_t expected) = 0;
--- a/packages/fleet/tests/restored_store_test.cpp
+++ b/packages/fleet/tests/restored_store_test.cpp
@@ -101,7 +101,7 @@
             const std::optional<store_update> read = readStoreUpdate(toJson(update));
             CPPUNIT_ASSERT(read);
             snapshots += read->isSnapshot ? 1 : 0;
-            other.relay.apply(token, *read, base::clock::now());
+            other.relay.apply(token, *read, read_time::now());
             time.advance(exchangeInterval);
         }
     }
--- a/packages/fleet/tests/store_relay_test.cpp
+++ b/packages/fleet/tests/store_relay_test.cpp
@@ -159,7 +159,7 @@
         const store_update update = holder->relay.updatesSince(other->relay.appliedVersion(token));
         const std::optional<store_update> read = readStoreUpdate(toJson(update));
         CPPUNIT_ASSERT_MESSAGE("the message can be read", read.has_value());
-        other->relay.apply(token, *read, base::clock::now());
+        other->relay.apply(token, *read, read_time::now());
     }
 
     const endpoint_registry::known_endpoint *known(const std::string &id) const
@@ -272,7 +272,7 @@
         nodes.shared.registrations.push_back(entryOf("i-1", true));
         nodes.run(2'000, false);
         CPPUNIT_ASSERT(nodes.known("i-1")->entry.draining);
-        nodes.other->relay.apply(token, old, base::clock::now());
+        nodes.other->relay.apply(token, old, read_time::now());
         CPPUNIT_ASSERT_MESSAGE("a known draining state is not reverted", nodes.known("i-1")->entry.draining);
     }
 
--- a/packages/fleet/tests/stream_origin_test.cpp
+++ b/packages/fleet/tests/stream_origin_test.cpp
@@ -45,6 +45,11 @@
     {
     }
 
+    std::int64_t restorations() const override
+    {
+        return m_content.published.restorations;
+    }
+
     asio::awaitable<std::optional<published_page>> publishedVersions() override
     {
         const bool isAnswered = co_await answer();
@@ -157,6 +162,14 @@
         return *nodes.back();
     }
 
+    /// The store comes back from an older copy of itself.
+    void restore(const published_page &copy)
+    {
+        content.published.versions = copy.versions;
+        ++content.published.restorations;
+        content.published.end = content.published.restorations * 1'000'000;
+    }
+
     origin_lookup find(test_node &node, std::optional<std::uint64_t> stream)
     {
         std::optional<origin_lookup> result;
@@ -201,6 +214,11 @@
     CPPUNIT_TEST(recordsOfLongStreamsAreRenewed);
     CPPUNIT_TEST(versionIsWithdrawnLongAfterItsLastEndpoint);
     CPPUNIT_TEST(olderCopyOfTheStoreLosesNoVersion);
+    CPPUNIT_TEST(versionThatTheStoreHasLostIsNotForgotten);
+    CPPUNIT_TEST(versionThatIsUsedUnpublishedIsCounted);
+    CPPUNIT_TEST(nodeThatStoodStillDoesNotTrustItsRegistrations);
+    CPPUNIT_TEST(olderAnswerOfTheStoreIsNoKnowledge);
+    CPPUNIT_TEST(recordsAreRepeatedWhenTheStoreHasLostThem);
     CPPUNIT_TEST(endpointsAreUsedWhenPublicationFails);
     CPPUNIT_TEST_SUITE_END();
 
@@ -399,9 +417,7 @@
         const published_page copy = cluster.content.published;
         node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
         cluster.time.advance(milliseconds(500));
-        cluster.content.published.versions = copy.versions;
-        cluster.content.published.restorations = 1;
-        cluster.content.published.end = 1'000'000;
+        cluster.restore(copy);
         // The registrations came back from the older copy, too.
         node.read({entryOf("i-1", v1)});
         cluster.find(node, 77);
@@ -409,6 +425,87 @@
         CPPUNIT_ASSERT(cluster.content.published.versions[chat] == (std::set<base::software_version>{v1, v2}));
     }
 
+    /// Guards against taking the one version in an older copy of the store for the only one that has begun streams.
+    void versionThatTheStoreHasLostIsNotForgotten()
+    {
+        stream_cluster cluster;
+        test_node &node = cluster.start();
+        node.read({entryOf("i-1", v1)});
+        cluster.time.advance(milliseconds(500));
+        const published_page copy = cluster.content.published;
+        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
+        cluster.time.advance(milliseconds(500));
+        cluster.restore(copy);
+        node.read({entryOf("i-1", v1)});
+        CPPUNIT_ASSERT(cluster.find(node, 77).version.empty());
+    }
+
+    /// Guards against streams that begin at a version which another node uses although it could not be published.
+    void versionThatIsUsedUnpublishedIsCounted()
+    {
+        stream_cluster cluster;
+        test_node &first = cluster.start();
+        test_node &second = cluster.start();
+        first.read({entryOf("i-1", v1)});
+        second.read({entryOf("i-1", v1)});
+        cluster.time.advance(milliseconds(500));
+        cluster.content.refusesWrites = true;
+        first.read({entryOf("i-1", v1), entryOf("i-2", v2)});
+        second.read({entryOf("i-1", v1), entryOf("i-2", v2)});
+        cluster.time.advance(published_versions::publicationTimeout + milliseconds(500));
+        CPPUNIT_ASSERT(first.versions.isUsable(entryOf("i-2", v2)));
+        first.origins.noteBegun({77, chat, v2});
+        cluster.time.advance(milliseconds(300));
+        CPPUNIT_ASSERT_MESSAGE("no record", cluster.find(second, 78).version.empty());
+        CPPUNIT_ASSERT_MESSAGE("the node that began it has recorded it", cluster.find(second, 77).version == v2);
+    }
+
+    /// Guards against registrations from before a freeze, in which another node has begun to use a version unpublished.
+    void nodeThatStoodStillDoesNotTrustItsRegistrations()
+    {
+        stream_cluster cluster;
+        test_node &node = cluster.start();
+        base::time_point readAt = base::clock::bootNow();
+        node.versions.setRegistrationsReadAt([&] { return readAt; });
+        node.read({entryOf("i-1", v1)});
+        cluster.time.advance(milliseconds(500));
+        CPPUNIT_ASSERT(cluster.find(node, 77).version == v1);
+        cluster.time.suspend(milliseconds(4'000));
+        const origin_lookup unknown = cluster.find(node, 77);
+        CPPUNIT_ASSERT_MESSAGE("asking again can help", unknown.version.empty() && unknown.why.kind == base::error_kind::noEndpoint);
+        readAt = base::clock::bootNow();
+        CPPUNIT_ASSERT(cluster.find(node, 77).version == v1);
+    }
+
+    /// Guards against an answer from before the last one that the node has seen.
+    void olderAnswerOfTheStoreIsNoKnowledge()
+    {
+        stream_cluster cluster;
+        test_node &node = cluster.start();
+        node.read({entryOf("i-1", v1)});
+        cluster.time.advance(milliseconds(500));
+        CPPUNIT_ASSERT(cluster.find(node, 77).version == v1);
+        --cluster.content.published.end;
+        const origin_lookup unknown = cluster.find(node, 77);
+        CPPUNIT_ASSERT(unknown.version.empty() && unknown.why.kind == base::error_kind::noEndpoint);
+    }
+
+    /// Guards against refusing streams whose records were in the part that the store has lost.
+    void recordsAreRepeatedWhenTheStoreHasLostThem()
+    {
+        stream_cluster cluster;
+        test_node &node = cluster.start();
+        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
+        cluster.time.advance(milliseconds(500));
+        const published_page copy = cluster.content.published;
+        node.origins.noteBegun({77, chat, v2});
+        cluster.time.advance(milliseconds(500));
+        cluster.content.origins.clear();
+        cluster.restore(copy);
+        cluster.time.advance(milliseconds(2'000));
+        CPPUNIT_ASSERT(cluster.find(cluster.start(), 77).version == v2);
+    }
+
     void endpointsAreUsedWhenPublicationFails()
     {
         stream_cluster cluster;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -189,6 +189,7 @@
     m_forwarder.setRelay(m_relayToHelpers);
     m_reachability.onChange([this] { strandedChanged(); });
     m_knowledge.helpers->setOwn(base::node_id(m_settings.node), {m_settings.peerListen, base::zone_id(m_settings.zone), true});
+    m_publishedVersions.setRegistrationsReadAt([this] { return m_endpointFollower.readAt().boot; });
     m_publishedVersions.onChange([this] {
         m_streamOrigins.versionsChanged();
         m_endpointFeed.updateAll();
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -56,7 +56,7 @@
         return ageSeconds(m_configuration.confirmedAt());
     });
     m_registry.gaugeFor("chervilbend_registrations_age_seconds", "Since the endpoints' registrations were last read").readFrom([this, ageSeconds] {
-        return ageSeconds(m_endpointFollower.readAt());
+        return ageSeconds(m_endpointFollower.readAt().steady);
     });
     m_registry.gaugeFor("chervilbend_event_loop_lag_seconds", "By how much the event loop's handlers are late").readFrom([this] {
         return inSeconds(m_loopMonitor.lag());
@@ -113,7 +113,7 @@
                          .with("peerConnections", m_peerServer->openConnections())
                          .with("openRequests", m_openRequests.size())
                          .with("configurationAgeMs", (base::clock::now() - m_configuration.confirmedAt()).count())
-                         .with("registrationsAgeMs", (base::clock::now() - m_endpointFollower.readAt()).count())
+                         .with("registrationsAgeMs", (base::clock::now() - m_endpointFollower.readAt().steady).count())
                          .text());
     }
 }
