Answer the request that follows a stream begun before a planned stop

In a planned stop, requests on kept connections ended without an answer (LOST): 25 in 6 stops of nodes with 24 clients, all within 210 ms after the SIGTERM, which is the length of a stream.

Cause: the stop marked each open answer to close its connection, also a stream whose header had promised to keep it. After the stream the node shut its side down, and read and discarded what the caller sent next.

An answer whose header has been sent keeps its promise: the connection goes on, and the next request is answered with "Connection: close". Once the node drains, an idle connection has 250 ms for a last request, and the process ends when all connections have. The same question was put to every place where the node closes a connection of a caller: a drain closed a connection whose request's body was still arriving; connections that the kernel had established and the node not yet accepted were reset with the listening socket; a request that came together with the idle timeout was dropped. These are fixed as well. Connections beyond connectionLimit are still closed with their request unread.

--- a/packages/net/src/chervilbend/net/http_exchange.hpp
+++ b/packages/net/src/chervilbend/net/http_exchange.hpp
@@ -60,15 +60,16 @@
         return m_finished;
     }
 
+    /// Whether the caller may send another request on the connection after this answer.
     bool keepAlive() const
     {
         return m_keepAlive;
     }
 
-    /// Closes the connection after this answer.
+    /// Closes the connection after this answer, unless its header has been sent: the caller may then send the next request already.
     void closeAfterAnswer()
     {
-        m_keepAlive = false;
+        m_keepAlive = m_keepAlive && m_started;
     }
 
 private:
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -94,6 +94,7 @@
 {
     m_drainAnnounced = true;
     m_draining = true;
+    acceptPending();
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     m_acceptRetryTimer.cancel();
@@ -133,17 +134,36 @@
             });
             return;
         }
-        boost::system::error_code ignored;
-        if (self->m_sessions.size() < self->m_limits.connections) {
-            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            std::make_shared<http_session>(self, std::move(socket))->start();
-        } else {
-            socket.non_blocking(true, ignored);
-            socket.write_some(asio::buffer(connectionLimitAnswer()), ignored);
-            socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-        }
+        self->serve(std::move(socket));
         self->startAccepting();
     });
 }
 
+void http_server::serve(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    if (m_sessions.size() < m_limits.connections) {
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        std::make_shared<http_session>(shared_from_this(), std::move(socket))->start();
+    } else {
+        socket.non_blocking(true, ignored);
+        socket.write_some(asio::buffer(connectionLimitAnswer()), ignored);
+        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+}
+
+/// Connections that wait to be accepted may have sent their requests; they would be reset with the acceptor.
+void http_server::acceptPending()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_executor);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            serve(std::move(socket));
+        }
+    }
+}
+
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -34,7 +34,7 @@
     /// Still accepts connections and requests, but answers with "Connection: close" from then on.
     void announceDrain();
 
-    /// Accepts no new connections, closes idle ones and answers open requests with "Connection: close".
+    /// Accepts no new connections, answers open requests with "Connection: close" and closes idle connections soon, when no request has come.
     void drain();
 
     /// Closes all connections.
@@ -58,6 +58,8 @@
     friend class http_session;
 
     void startAccepting();
+    void serve(boost::asio::ip::tcp::socket socket);
+    void acceptPending();
 
     boost::asio::any_io_executor m_executor;
     http_handler &m_handler;
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -43,6 +43,8 @@
 
 /// While data of a further request is pending in the socket, a disconnect does not wake a reader and has to be polled for.
 constexpr base::milliseconds disconnectPollInterval{250};
+/// While the server drains, a caller that has been told that it may send another request has this time to do so.
+constexpr base::milliseconds lastRequestWait{250};
 /// Limits on what is still read and discarded after the last answer, such as a refusal. Closing a socket with unread data resets the connection, and the reset
 /// can overtake the answer.
 constexpr base::milliseconds maxLingerTime{2'000};
@@ -142,15 +144,9 @@
 
 void http_session::drain()
 {
-    if (m_exchange) {
-        m_exchange->closeAfterAnswer();
-        return;
-    }
-    // A request that has arrived completely or in part is answered before the connection is closed.
-    const bool hasRequest =
-        m_connection->buffer().size() > 0 || (m_connection->socket().is_open() && peerStateOf(m_connection->socket()) == peer_state::hasPendingData);
-    if (!hasRequest) {
-        close();
+    announceDrain();
+    if (m_isIdle) {
+        m_connection->interruptAfter(lastRequestWait);
     }
 }
 
@@ -192,7 +188,7 @@
         m_exchange.reset();
         ++m_requestNumber;
         resetIfTruncated(*exchange);
-        open = exchange->isFinished() && exchange->keepAlive() && !m_server->m_draining;
+        open = exchange->isFinished() && exchange->keepAlive();
         const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
         if (!open && exchange->isFinished() && state.cancelled() == asio::cancellation_type::none) {
             co_await lingeringClose();
@@ -211,19 +207,28 @@
     }
 }
 
+asio::awaitable<bool> http_session::waitForRequest()
+{
+    if (m_connection->buffer().size() > 0) {
+        co_return true;
+    }
+    m_connection->interruptAfter(m_server->m_draining ? lastRequestWait : m_server->m_limits.idleTimeout);
+    m_isIdle = true;
+    const auto [error] = co_await m_connection->socket().async_wait(asio::ip::tcp::socket::wait_read, awaitTuple);
+    m_isIdle = false;
+    // A request may have arrived just as the wait ended.
+    co_return !error || (m_connection->socket().is_open() && peerStateOf(m_connection->socket()) == peer_state::hasPendingData);
+}
+
 asio::awaitable<std::shared_ptr<http_exchange>> http_session::readRequest()
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(m_server->m_limits.headerBytes);
     parser.body_limit(m_server->m_limits.bodyBytes);
 
-    // Until the first byte arrives the connection is idle; from then on the request must arrive in time.
-    if (m_connection->buffer().size() == 0) {
-        m_connection->expireAfter(m_server->m_limits.idleTimeout);
-        const auto [waitError] = co_await m_connection->socket().async_wait(asio::ip::tcp::socket::wait_read, awaitTuple);
-        if (waitError) {
-            co_return nullptr;
-        }
+    const bool hasRequest = co_await waitForRequest();
+    if (!hasRequest) {
+        co_return nullptr;
     }
     m_connection->interruptAfter(m_server->m_limits.readTimeout);
     auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -30,9 +30,9 @@
 
     void start();
 
-    /// Closes the connection now if no request is open; otherwise after the open request's answer.
+    /// Closes the connection soon if no request comes; otherwise after its answer.
     void drain();
-    /// Makes the answer to the open request carry "Connection: close".
+    /// Makes the answer to the open request carry "Connection: close" if it has not begun.
     void announceDrain();
     void close();
 
@@ -43,6 +43,8 @@
 
 private:
     boost::asio::awaitable<void> run();
+    /// Waits while the connection is idle. False if it is to be closed.
+    boost::asio::awaitable<bool> waitForRequest();
     boost::asio::awaitable<std::shared_ptr<http_exchange>> readRequest();
     boost::asio::awaitable<void> refuse(base::reason reason);
     boost::asio::awaitable<void> answer(std::shared_ptr<http_exchange> exchange);
@@ -58,6 +60,8 @@
     std::shared_ptr<connection> m_connection;
     /// The request that is being answered.
     std::shared_ptr<http_exchange> m_exchange;
+    /// Waits for the first byte of a request.
+    bool m_isIdle = false;
     /// Cancels the task when the caller disconnects.
     boost::asio::cancellation_signal m_cancel;
     timer m_disconnectPollTimer;
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
@@ -120,7 +120,8 @@
 
 bool shutdown_sequence::isDrained() const
 {
-    return m_openRequests.size() == 0 && m_server.openRequests() == 0;
+    // An idle connection may still bring a last request.
+    return m_openRequests.size() == 0 && m_server.openConnections() == 0;
 }
 
 } // namespace chervilbend::node
