Restart background tasks that fail, and go on after a failed handler

Read in the code, not seen in a run: a loop of the node (the configuration's follower, the lease, the exchange with the holder) that throws once ends for good without a line in the log, since Asio drops the exception of a detached task; a read of the store that throws leaves later readers waiting until their deadlines; an exception in a handler of the event loop ends the process with all requests on it.

Background tasks are logged and started again a second after a failure, a read that throws has failed, and the event loop goes on after a failed handler. main() reports what it catches and exits with 4.

What threw on the users' machines, if anything did, is not known.

--- a/packages/fleet/src/chervilbend/fleet/on_demand_read.cpp
+++ b/packages/fleet/src/chervilbend/fleet/on_demand_read.cpp
@@ -1,9 +1,13 @@
 #include <chervilbend/fleet/on_demand_read.hpp>
 
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -39,7 +43,14 @@
 
 asio::awaitable<void> on_demand_read::perform()
 {
-    const bool succeeded = co_await m_function();
+    bool succeeded = false;
+    try {
+        succeeded = co_await m_function();
+    } catch (const std::exception &failure) {
+        // The tasks that wait must be told; their next read may succeed.
+        static const log4cxx::LoggerPtr logger = base::partLogger("store");
+        LOG4CXX_ERROR(logger, base::log_event("readFailed").with("why", failure.what()).text());
+    }
     m_ended = m_begun;
     m_lastSucceeded = succeeded ? m_ended : m_lastSucceeded;
     m_change.notify();
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/rate_limit_method.hpp>
+#include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/connect_probe.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -261,24 +263,42 @@
         return std::nullopt;
     }
     LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
-    asio::co_spawn(m_context, m_configuration.run(), asio::detached);
-    asio::co_spawn(m_context, m_endpointFollower.run(), asio::detached);
-    asio::co_spawn(m_context, m_publishedVersions.run(), asio::detached);
-    asio::co_spawn(m_context, m_streamOrigins.run(), asio::detached);
-    asio::co_spawn(m_context, m_reachability.run(), asio::detached);
-    asio::co_spawn(m_context, watchForPauses(), asio::detached);
-    asio::co_spawn(m_context, m_loopMonitor.run(), asio::detached);
-    asio::co_spawn(m_context, reportLoad(), asio::detached);
-    asio::co_spawn(m_context, limitWaitForHolder(), asio::detached);
-    asio::co_spawn(m_context, m_lease.run(), asio::detached);
-    asio::co_spawn(m_context, m_rateLimitExchange.run(), asio::detached);
-    asio::co_spawn(m_context, m_controller.run(), asio::detached);
-    asio::co_spawn(m_context, m_holderClient.run(), asio::detached);
+    runInBackground("configuration", [this] { return m_configuration.run(); });
+    runInBackground("endpoints", [this] { return m_endpointFollower.run(); });
+    runInBackground("versions", [this] { return m_publishedVersions.run(); });
+    runInBackground("origins", [this] { return m_streamOrigins.run(); });
+    runInBackground("reachability", [this] { return m_reachability.run(); });
+    runInBackground("pauses", [this] { return watchForPauses(); });
+    runInBackground("loop", [this] { return m_loopMonitor.run(); });
+    runInBackground("load", [this] { return reportLoad(); });
+    runInBackground("readiness", [this] { return limitWaitForHolder(); });
+    runInBackground("lease", [this] { return m_lease.run(); });
+    runInBackground("rate limits", [this] { return m_rateLimitExchange.run(); });
+    runInBackground("engines", [this] { return m_controller.run(); });
+    runInBackground("holder", [this] { return m_holderClient.run(); });
     waitForSignal();
-    m_context.run();
+    runEventLoop();
     return m_abortedRequests;
 }
 
+void platform_node::runInBackground(std::string name, std::function<asio::awaitable<void>()> task)
+{
+    net::runInBackground(m_context.get_executor(), std::move(name), std::move(task));
+}
+
+/// A failed handler ends its own work only.
+void platform_node::runEventLoop()
+{
+    while (true) {
+        try {
+            m_context.run();
+            return;
+        } catch (const std::exception &failure) {
+            LOG4CXX_ERROR(nodeLog(), base::log_event("handlerFailed").with("why", failure.what()).text());
+        }
+    }
+}
+
 bool platform_node::listen()
 {
     const std::optional<net::address> callers = net::parseAddress(m_settings.listen);
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -74,6 +74,8 @@
 private:
     bool listen();
     bool listenOn(net::http_server &server, const net::address &address);
+    void runInBackground(std::string name, std::function<boost::asio::awaitable<void>()> task);
+    void runEventLoop();
     void connectComponents();
     void setNodeCount(int nodes);
     void waitForSignal();
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -9,6 +9,7 @@
 #include <gflags/gflags.h>
 
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 
 DEFINE_string(settings, "", "YAML file with the node's settings; by default the one that the platform provides");
@@ -22,10 +23,11 @@
 /// Exit codes.
 constexpr int invalidSettings = 2;
 constexpr int requestsAborted = 3;
+constexpr int internalFailure = 4;
 
 template<typename Process>
 int runNode(const config::node_settings &settings, node::settings_file &file)
-{
+try {
     Process process(settings, file);
     const std::optional<std::size_t> abortedRequests = process.run();
     if (!abortedRequests) {
@@ -33,12 +35,15 @@
         return invalidSettings;
     }
     return *abortedRequests == 0 ? EXIT_SUCCESS : requestsAborted;
+} catch (const std::exception &failure) {
+    std::cerr << "chervilbend: " << failure.what() << '\n';
+    return internalFailure;
 }
 
 } // namespace
 
 /// Runs one node until SIGTERM or SIGINT. Exit codes: 0 after a shutdown that aborted no request, 2 if the node cannot start, for example
-/// because of invalid settings, 3 if requests were aborted.
+/// because of invalid settings, 3 if requests were aborted, 4 after an internal failure.
 int main(int argc, char **argv)
 {
     gflags::SetUsageMessage("--settings FILE [--SETTING=VALUE...]: runs a node");
