Wait for a listening address that is in use

A node ended at its start with exit code 2 if any of its four ports was in use (FAULT): by the process of before, or by a client connection of another process with that number as its local port. The metrics' port alone was enough.

Cause: listen() tried once, and every address was a condition for the start.

The node waits while an address is in use, with a warning every ten seconds, is not ready meanwhile and can be stopped. Without its metrics' address it serves. An address that can't be bound for another reason still ends it.

--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/internal/http_session.hpp>
 #include <chervilbend/net/problem.hpp>
+#include <chervilbend/net/sleep.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -48,6 +49,7 @@
     : m_executor(executor)
     , m_handler(handler)
     , m_limits(limits)
+    , m_bodyBudget(std::make_shared<base::byte_budget>(limits.allBodiesBytes))
     , m_acceptor(executor)
     , m_acceptRetryTimer(executor)
 {
@@ -74,13 +76,35 @@
     if (!error) {
         m_acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
+    m_isAddressInUse = error == asio::error::address_in_use;
     if (error) {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
         return fail(base::error_kind::settingInvalid, "cannot listen on " + toString(localAddress) + ": " + error.message());
     }
     startAccepting();
     return m_acceptor.local_endpoint().port();
 }
 
+asio::awaitable<bool> http_server::listenWhenFree(address localAddress)
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("http");
+    const auto self = shared_from_this();
+    for (int attempt = 0; !m_draining; ++attempt) {
+        if (listen(localAddress)) {
+            co_return true;
+        }
+        if (!m_isAddressInUse) {
+            co_return false;
+        }
+        if (attempt % attemptsPerWarning == 0) {
+            LOG4CXX_WARN(logger, lastReason().text << ", trying again");
+        }
+        co_await sleepFor(listenRetryInterval);
+    }
+    co_return false;
+}
+
 void http_server::announceDrain()
 {
     m_drainAnnounced = true;
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -7,6 +7,7 @@
 #include <chervilbend/net/timer.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
@@ -31,6 +32,10 @@
     /// Binds and starts to accept; returns the bound port. No value when the address cannot be bound.
     std::optional<std::uint16_t> listen(const address &localAddress);
 
+    /// Like listen(), but waits while the address is in use, for example by a process that is about to end or by a connection of another process. False when it
+    /// cannot be bound for another reason.
+    boost::asio::awaitable<bool> listenWhenFree(address localAddress);
+
     /// Still accepts connections and requests, but answers with "Connection: close" from then on.
     void announceDrain();
 
@@ -68,6 +73,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
+    /// Why the last listen() failed.
+    bool m_isAddressInUse = false;
     bool m_drainAnnounced = false;
     bool m_draining = false;
 };
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/membership/message_signer.hpp>
+#include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/operators/commands/publish_method.hpp>
 #include <chervilbend/node/operators/queries/diff_method.hpp>
@@ -111,15 +112,17 @@
     m_dataPlane.metrics().registerGauges(m_dataPlane.openRequests(), m_dataPlane.admissionController(), *m_callerServer);
     m_readiness.setMissing("configuration");
     m_readiness.setMissing("hosts");
+    m_readiness.setMissing("listening");
 }
 
 node_process::~node_process() = default;
 
 std::optional<std::size_t> node_process::run()
 {
-    if (!listen()) {
+    if (!hasValidAddresses()) {
         return std::nullopt;
     }
+    net::runInBackground(m_context.get_executor(), "listen", [this] { return listen(); });
     LOG4CXX_INFO(logger,
                  "Node " << m_identity.id << " in zone " << m_identity.zone << " listens on " << m_settings.listen << ", and for other nodes on "
                          << m_settings.peerListen << '.');
@@ -130,28 +133,35 @@
     asio::co_spawn(m_context, reloadKeys(), asio::detached);
     waitForSignal();
     m_context.run();
-    return m_abortedRequests;
+    return m_cannotListen ? std::nullopt : std::optional(m_abortedRequests);
 }
 
-bool node_process::listen()
+bool node_process::hasValidAddresses()
 {
-    const std::optional<net::address> callers = net::parseAddress(m_settings.listen);
-    const std::optional<net::address> peers = net::parseAddress(m_settings.peerListen);
-    if (!callers || !peers) {
+    if (!net::parseAddress(m_settings.listen) || !net::parseAddress(m_settings.peerListen)) {
         fail(base::error_kind::settingInvalid, "listen and peerListen must be IP:PORT");
         return false;
     }
-    if (!m_callerServer->listen(*callers)) {
-        fail(m_callerServer->lastReason());
-        return false;
-    }
-    if (!m_peerServer->listen(*peers)) {
-        fail(m_peerServer->lastReason());
-        return false;
-    }
     return true;
 }
 
+asio::awaitable<void> node_process::listen()
+{
+    for (const auto &[server, address] : {std::pair(m_callerServer, m_settings.listen), std::pair(m_peerServer, m_settings.peerListen)}) {
+        const net::address local = net::parseAddress(address).value_or(net::address{});
+        const bool isListening = co_await server->listenWhenFree(local);
+        if (!isListening && m_stopSignals == 0) {
+            fail(server->lastReason());
+            m_cannotListen = true;
+            m_context.stop();
+        }
+        if (!isListening) {
+            co_return;
+        }
+    }
+    m_readiness.setMet("listening");
+}
+
 void node_process::addOperatorMethods()
 {
     m_rpc.add(std::make_shared<commands::publish_method>(m_operatorView, m_control));
--- a/packages/node/src/chervilbend/node/composition/node_process.hpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.hpp
@@ -42,7 +42,8 @@
     std::optional<std::size_t> run();
 
 private:
-    bool listen();
+    bool hasValidAddresses();
+    boost::asio::awaitable<void> listen();
     void addOperatorMethods();
     void waitForSignal();
     void startShutdown();
@@ -73,6 +74,7 @@
     boost::asio::signal_set m_signals;
     int m_stopSignals = 0;
     std::size_t m_abortedRequests = 0;
+    bool m_cannotListen = false;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -181,6 +181,7 @@
 {
     m_readiness.setMissing("configuration");
     m_readiness.setMissing("endpoints");
+    m_readiness.setMissing("listening");
     // The first answer has the prompt parts that are refused; without them, each new process would repeat what the others have stopped.
     m_readiness.setMissing("lease holder");
     m_holderClient.onFirstAnswer([this] { m_readiness.setMet("lease holder"); });
@@ -259,7 +260,7 @@
 
 std::optional<std::size_t> platform_node::run()
 {
-    if (!listen()) {
+    if (!hasValidAddresses()) {
         return std::nullopt;
     }
     LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
@@ -276,9 +277,11 @@
     runInBackground("rate limits", [this] { return m_rateLimitExchange.run(); });
     runInBackground("engines", [this] { return m_controller.run(); });
     runInBackground("holder", [this] { return m_holderClient.run(); });
+    runInBackground("metrics", [this] { return listenForMetrics(); });
+    runInBackground("listen", [this] { return listen(); });
     waitForSignal();
     runEventLoop();
-    return m_abortedRequests;
+    return m_cannotListen ? std::nullopt : std::optional(m_abortedRequests);
 }
 
 void platform_node::runInBackground(std::string name, std::function<asio::awaitable<void>()> task)
@@ -299,7 +302,7 @@
     }
 }
 
-bool platform_node::listen()
+bool platform_node::hasValidAddresses()
 {
     const std::optional<net::address> callers = net::parseAddress(m_settings.listen);
     const std::optional<net::address> ready = net::parseAddress(m_settings.readyListen);
@@ -308,18 +311,45 @@
         fail(base::error_kind::settingInvalid, "listen, readyListen and peerListen must be IP:PORT");
         return false;
     }
-    const std::optional<net::address> metrics = net::parseAddress(m_settings.metricsListen);
-    return (!metrics || listenOn(*m_metricsServer, *metrics)) && listenOn(*m_peerServer, *peers) && listenOn(*m_readyServer, *ready)
-        && listenOn(*m_callerServer, *callers);
+    return true;
 }
 
-bool platform_node::listenOn(net::http_server &server, const net::address &address)
+asio::awaitable<void> platform_node::listen()
 {
-    if (!server.listen(address)) {
-        fail(server.lastReason());
-        return false;
+    bool isListening = co_await listenOn(m_peerServer, m_settings.peerListen);
+    if (isListening) {
+        isListening = co_await listenOn(m_readyServer, m_settings.readyListen);
     }
-    return true;
+    if (isListening) {
+        isListening = co_await listenOn(m_callerServer, m_settings.listen);
+    }
+    if (isListening) {
+        m_readiness.setMet("listening");
+    } else if (m_stopSignals == 0) {
+        m_cannotListen = true;
+        m_context.stop();
+    }
+}
+
+asio::awaitable<void> platform_node::listenForMetrics()
+{
+    if (m_settings.metricsListen.empty()) {
+        co_return;
+    }
+    const bool isListening = co_await listenOn(m_metricsServer, m_settings.metricsListen);
+    if (!isListening) {
+        LOG4CXX_ERROR(nodeLog(), base::log_event("noMetrics").with("why", m_metricsServer->lastReason().text).text());
+    }
+}
+
+asio::awaitable<bool> platform_node::listenOn(std::shared_ptr<net::http_server> server, std::string address)
+{
+    const net::address local = net::parseAddress(address).value_or(net::address{});
+    const bool isListening = co_await server->listenWhenFree(local);
+    if (!isListening) {
+        fail(server->lastReason());
+    }
+    co_return isListening;
 }
 
 void platform_node::waitForSignal()
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -72,8 +72,10 @@
     std::optional<std::size_t> run();
 
 private:
-    bool listen();
-    bool listenOn(net::http_server &server, const net::address &address);
+    bool hasValidAddresses();
+    boost::asio::awaitable<void> listen();
+    boost::asio::awaitable<void> listenForMetrics();
+    boost::asio::awaitable<bool> listenOn(std::shared_ptr<net::http_server> server, std::string address);
     void runInBackground(std::string name, std::function<boost::asio::awaitable<void>()> task);
     void runEventLoop();
     void connectComponents();
@@ -148,6 +150,7 @@
     std::minstd_rand m_probeRandom;
     int m_stopSignals = 0;
     std::size_t m_abortedRequests = 0;
+    bool m_cannotListen = false;
 };
 
 } // namespace chervilbend::node
