Hold signals until they can be handled, and outlive the reader of the log

A reader of standard output that went away ended it by SIGPIPE at the next line.

SIGTERM, SIGINT and SIGHUP are blocked before the constructors of the program and its libraries run, and let through when their handlers are installed.

--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/membership/message_signer.hpp>
 #include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/sleep.hpp>
+#include <chervilbend/node/composition/start_signals.hpp>
 #include <chervilbend/node/operators/commands/publish_method.hpp>
 #include <chervilbend/node/operators/queries/diff_method.hpp>
 #include <chervilbend/node/operators/queries/history_method.hpp>
@@ -103,7 +104,7 @@
                  m_dataPlane.openRequests(),
                  {settings.balancerWait, settings.shutdownBound, handOverTimeout},
                  [this] { return handOver(); })
-    , m_signals(m_context, SIGTERM, SIGINT)
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
     m_control.registerMethods(m_rpc);
     m_control.onPublishAccepted([this](const std::string &publishId) { m_dailyStatistics.recorder().publishSubmitted(publishId); });
@@ -119,6 +120,8 @@
 
 std::optional<std::size_t> node_process::run()
 {
+    waitForSignal();
+    start_signals::release();
     if (!hasValidAddresses()) {
         return std::nullopt;
     }
@@ -131,7 +134,6 @@
     m_dailyStatistics.start();
     asio::co_spawn(m_context, updateReadiness(), asio::detached);
     asio::co_spawn(m_context, reloadKeys(), asio::detached);
-    waitForSignal();
     m_context.run();
     return m_cannotListen ? std::nullopt : std::optional(m_abortedRequests);
 }
@@ -177,6 +179,11 @@
         if (error) {
             return;
         }
+        if (signal == SIGHUP) {
+            LOG4CXX_INFO(logger, "Signal " << signal << " received; the keys are read again every few seconds.");
+            waitForSignal();
+            return;
+        }
         ++m_stopSignals;
         LOG4CXX_INFO(logger, "Signal " << signal << (m_stopSignals == 1 ? " received, shutting down." : " received again, aborting open requests."));
         if (m_stopSignals == 1) {
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -8,6 +8,7 @@
 #include <chervilbend/net/connect_probe.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
+#include <chervilbend/node/composition/start_signals.hpp>
 #include <chervilbend/node/settings/settings_file.hpp>
 #include <chervilbend/platform/store_client.hpp>
 
@@ -263,6 +264,8 @@
     if (!hasValidAddresses()) {
         return std::nullopt;
     }
+    waitForSignal();
+    start_signals::release();
     LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
     runInBackground("configuration", [this] { return m_configuration.run(); });
     runInBackground("endpoints", [this] { return m_endpointFollower.run(); });
@@ -279,7 +282,6 @@
     runInBackground("holder", [this] { return m_holderClient.run(); });
     runInBackground("metrics", [this] { return listenForMetrics(); });
     runInBackground("listen", [this] { return listen(); });
-    waitForSignal();
     runEventLoop();
     return m_cannotListen ? std::nullopt : std::optional(m_abortedRequests);
 }
--- a/packages/node/tests/process_start_test.cpp
+++ b/packages/node/tests/process_start_test.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(portInUseIsWaitedFor);
     CPPUNIT_TEST(metricsPortInUseDoesNotStopTheNode);
     CPPUNIT_TEST(stopsWhileItWaitsForAPort);
+    CPPUNIT_TEST(signalsAreHeldUntilTheyCanBeHandled);
+    CPPUNIT_TEST(outlivesTheReaderOfItsLogLines);
     CPPUNIT_TEST(invalidSettingsEndIt);
     CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +60,41 @@
         CPPUNIT_ASSERT_EQUAL(0, program.stop());
     }
 
+    /// The settings come through a pipe, so that the program is certainly in its start when the signal comes.
+    void signalsAreHeldUntilTheyCanBeHandled()
+    {
+        for (const int number : {SIGHUP, SIGTERM}) {
+            node_program program;
+            program.releasePorts();
+            CPPUNIT_ASSERT_EQUAL(0, ::mkfifo(program.settingsPath().c_str(), 0600));
+            program.start();
+            {
+                std::ofstream settings(program.settingsPath());
+                program.signal(number);
+                settings << program.settings();
+            }
+            if (number == SIGHUP) {
+                CPPUNIT_ASSERT(eventually([&] { return isListening(program.callers.port()) || !program.isRunning(); }));
+                CPPUNIT_ASSERT_MESSAGE("the signal ended the program", program.isRunning());
+            }
+            CPPUNIT_ASSERT_EQUAL(0, program.stop());
+        }
+    }
+
+    void outlivesTheReaderOfItsLogLines()
+    {
+        node_program program;
+        program.writeSettings();
+        program.releasePorts();
+        int ends[2];
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe2(ends, O_CLOEXEC));
+        program.start(ends[1]);
+        ::close(ends[1]);
+        ::close(ends[0]);
+        CPPUNIT_ASSERT(eventually([&] { return isListening(program.callers.port()) || !program.isRunning(); }));
+        CPPUNIT_ASSERT_EQUAL(0, program.stop());
+    }
+
     void invalidSettingsEndIt()
     {
         node_program program;
