Read settings again that are being written at the start

A node whose settings file was half written at its start ended with exit code 2; an empty one was reported as "No such file or directory".

An invalid file is read again while it is younger than a second. A file that stays invalid ends the process as before. An empty file is named so.

Tests failed without the change: waitsForAFileThatIsBeingWritten, namesAnEmptyFile.

--- a/packages/node/src/chervilbend/node/settings/settings_file.cpp
+++ b/packages/node/src/chervilbend/node/settings/settings_file.cpp
@@ -1,16 +1,28 @@
 #include <chervilbend/node/settings/settings_file.hpp>
 
+#include <chervilbend/base/clock.hpp>
 #include <chervilbend/config/node_settings_reader.hpp>
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 namespace chervilbend::node
 {
 
+namespace
+{
+/// A file that was changed longer ago is not being written any more.
+constexpr base::milliseconds writeTime{1'000};
+constexpr base::milliseconds rereadInterval{50};
+} // namespace
+
 settings_file::settings_file(std::string path)
     : m_path(std::move(path))
 {
@@ -35,6 +47,23 @@
     return settings;
 }
 
+std::optional<config::node_settings> settings_file::loadWhenComplete(const std::map<std::string, std::string> &overrides)
+{
+    auto settings = load(overrides);
+    while (!settings && isRecent()) {
+        std::this_thread::sleep_for(rereadInterval);
+        settings = load(overrides);
+    }
+    return settings;
+}
+
+bool settings_file::isRecent() const
+{
+    std::error_code error;
+    const auto writtenAt = std::filesystem::last_write_time(m_path, error);
+    return !error && std::chrono::abs(std::filesystem::file_time_type::clock::now() - writtenAt) < writeTime;
+}
+
 std::optional<std::vector<std::string>> settings_file::rereadKeys()
 {
     std::optional<std::string> text = readText();
@@ -59,7 +88,11 @@
 
 std::optional<std::string> settings_file::readText()
 {
+    errno = 0;
     std::ifstream stream(m_path, std::ios::binary);
+    if (stream.good() && stream.peek() == std::ifstream::traits_type::eof() && errno == 0) {
+        return fail(base::error_kind::settingInvalid, m_path + " is empty");
+    }
     std::ostringstream text;
     text << stream.rdbuf();
     if (!stream.good() || !text.good()) {
--- a/packages/node/src/chervilbend/node/settings/settings_file.hpp
+++ b/packages/node/src/chervilbend/node/settings/settings_file.hpp
@@ -22,6 +22,9 @@
     /// faults() then lists all errors.
     std::optional<config::node_settings> load(const std::map<std::string, std::string> &overrides);
 
+    /// Like load(), but waits while an invalid file was written within the last second, as it may still be written.
+    std::optional<config::node_settings> loadWhenComplete(const std::map<std::string, std::string> &overrides);
+
     /// Returns the secrets if they differ from those that were read last. To be called every few seconds. If it returns no value,
     /// lastReason() has an empty text if nothing has changed; otherwise it describes why the secrets in the file cannot be used, and the caller
     /// keeps using the previous ones.
@@ -34,6 +37,8 @@
 
 private:
     std::optional<std::string> readText();
+    /// Whether the file has been written within the last second.
+    bool isRecent() const;
 
     std::string m_path;
     std::string m_lastReadText;
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -51,7 +51,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
 
     node::settings_file file(FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings);
-    const std::optional<config::node_settings> settings = file.load(node::givenSettingFlags());
+    const std::optional<config::node_settings> settings = file.loadWhenComplete(node::givenSettingFlags());
     if (FLAGS_print_settings) {
         std::cout << config::printSettings(settings.value_or(config::node_settings()));
         return EXIT_SUCCESS;
--- a/packages/node/tests/settings_file_test.cpp
+++ b/packages/node/tests/settings_file_test.cpp
@@ -4,9 +4,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <gflags/gflags.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 using namespace chervilbend::node;
 
@@ -17,6 +19,8 @@
     CPPUNIT_TEST(rotatesKeysWithoutRestart);
     CPPUNIT_TEST(flagsOverrideFile);
     CPPUNIT_TEST(reportsMissingFile);
+    CPPUNIT_TEST(namesAnEmptyFile);
+    CPPUNIT_TEST(waitsForAFileThatIsBeingWritten);
     CPPUNIT_TEST_SUITE_END();
 
     std::string m_directory;
@@ -76,6 +80,30 @@
         CPPUNIT_ASSERT(settings_file(path()).load(given)->leaseTerm.count() == 9'000);
     }
 
+    void namesAnEmptyFile()
+    {
+        std::ofstream(path()).flush();
+        settings_file file(path());
+        CPPUNIT_ASSERT(!file.load({}) && file.faults().at(0).text.ends_with(" is empty"));
+    }
+
+    /// Guards against a process that does not start because its settings are written at the same moment.
+    void waitsForAFileThatIsBeingWritten()
+    {
+        std::ofstream(path()) << "node: n1\nzone: a\nlis";
+        settings_file file(path());
+        CPPUNIT_ASSERT(!file.load({}));
+        std::thread writer([this] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+            write("[aaaaaaaaaaaaaaaa]");
+        });
+        const bool isLoaded = file.loadWhenComplete({}).has_value();
+        writer.join();
+        CPPUNIT_ASSERT(isLoaded);
+        std::ofstream(path()) << "node: n1\n";
+        CPPUNIT_ASSERT_MESSAGE("a file that stays invalid is reported", !file.loadWhenComplete({}));
+    }
+
     void reportsMissingFile()
     {
         settings_file file(path());
