Let no request wait for one whose caller has left

Read in the review's report: while a node holds the command lease, a caller that leaves while its adapter is being loaded ends the task that asked for it with an exception, and its entry among the pending requests stays. Each later request for that adapter at that node waits for the entry until its own time is over. The count of waiting requests in engine_controller stayed as well, so that the item was placed again and again.

Both entries end with the task that made them, however it ends. The maps are shared with the tasks, which the event loop may destroy after the components.

Test requestWhoseCallerLeavesHoldsUpNoOther failed without the change.

--- a/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.cpp
@@ -72,7 +72,7 @@
 
 void engine_controller::placeRequestedItems()
 {
-    const std::map<requested_item, wait_state> requested = m_requestedItems;
+    const requested_map requested = *m_requestedItems;
     for (const auto &[item, waiting] : requested) {
         placeRequestedItem(item);
     }
@@ -286,19 +286,42 @@
     return updates;
 }
 
+/// Counts a task that waits for the item, until it ends or is cancelled.
+class engine_controller::waiting_task
+{
+public:
+    waiting_task(std::shared_ptr<requested_map> all, const requested_item &item)
+        : m_all(std::move(all))
+        , m_item(item)
+    {
+        ++(*m_all)[item].waiting;
+    }
+
+    ~waiting_task()
+    {
+        if (--(*m_all)[m_item].waiting == 0) {
+            m_all->erase(m_item);
+        }
+    }
+
+    waiting_task(const waiting_task &) = delete;
+    waiting_task &operator=(const waiting_task &) = delete;
+
+private:
+    std::shared_ptr<requested_map> m_all;
+    requested_item m_item;
+};
+
 asio::awaitable<bool> engine_controller::ensureLoaded(requested_item item, base::time_point until)
 {
     if (!item.adapter.empty()) {
         recordUse(poolName(item.service, item.model, item.adapter));
     }
-    ++m_requestedItems[item].waiting;
+    const waiting_task waiting(m_requestedItems, item);
     placeRequestedItem(item);
     while (holders(item).empty() && m_lease.isHolder() && base::clock::now() < until) {
         co_await m_changed.wait(until);
     }
-    if (--m_requestedItems[item].waiting == 0) {
-        m_requestedItems.erase(item);
-    }
     co_return !holders(item).empty();
 }
 
@@ -321,9 +344,9 @@
     }
     if (target->victim) {
         const auto &[model, adapter] = *target->victim;
-        const auto requested = m_requestedItems.find(item);
+        const auto requested = m_requestedItems->find(item);
         const base::time_point now = base::clock::now();
-        if (requested == m_requestedItems.end() || now < requested->second.evictionStartedAt + evictionRetryInterval) {
+        if (requested == m_requestedItems->end() || now < requested->second.evictionStartedAt + evictionRetryInterval) {
             return;
         }
         requested->second.evictionStartedAt = now;
--- a/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_controller.hpp
@@ -80,6 +80,8 @@
         /// When an adapter was last evicted to make room for this item.
         base::time_point evictionStartedAt{base::milliseconds(-1'000'000)};
     };
+    using requested_map = std::map<requested_item, wait_state>;
+    class waiting_task;
 
     engine_update updateOf(const base::endpoint_id &id, const engine_record &engine) const;
     const service_rule *findService(const base::service_id &id) const;
@@ -106,8 +108,8 @@
     std::map<base::node_id, reported_demand> m_reports;
     /// When the lease was last gained or lost.
     base::time_point m_leaseChangedAt;
-    /// Items that requests are waiting for.
-    std::map<requested_item, wait_state> m_requestedItems;
+    /// Items that requests are waiting for; shared with the tasks that wait, which may outlive the controller.
+    std::shared_ptr<requested_map> m_requestedItems = std::make_shared<requested_map>();
     net::change_signal m_changed;
     std::function<void()> m_listener;
 };
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -250,20 +250,44 @@
     }
 }
 
+/// Others that need the item wait until the request for it ends, also when its task is cancelled because its caller has left.
+class holder_client::pending_request
+{
+public:
+    pending_request(std::shared_ptr<pending_map> all, const requested_item &item)
+        : m_all(std::move(all))
+        , m_item(item)
+    {
+        (*m_all)[item] = std::make_shared<net::change_signal>();
+    }
+
+    ~pending_request()
+    {
+        const std::shared_ptr<net::change_signal> signal = m_all->extract(m_item).mapped();
+        signal->notify();
+    }
+
+    pending_request(const pending_request &) = delete;
+    pending_request &operator=(const pending_request &) = delete;
+
+private:
+    std::shared_ptr<pending_map> m_all;
+    requested_item m_item;
+};
+
 asio::awaitable<bool> holder_client::ensureLoaded(requested_item item, base::time_point until)
 {
     while (!m_residency.isHeld(item) && base::clock::now() < until) {
-        const auto pending = m_pendingRequests.find(item);
-        if (pending != m_pendingRequests.end()) {
+        const auto pending = m_pendingRequests->find(item);
+        if (pending != m_pendingRequests->end()) {
             const std::shared_ptr<net::change_signal> signal = pending->second;
             co_await signal->wait(until);
             continue;
         }
-        const auto signal = std::make_shared<net::change_signal>();
-        m_pendingRequests[item] = signal;
-        co_await requestItem(item, until);
-        m_pendingRequests.erase(item);
-        signal->notify();
+        {
+            const pending_request request(m_pendingRequests, item);
+            co_await requestItem(item, until);
+        }
         if (!m_residency.isHeld(item)) {
             co_await net::sleepFor(std::min(requestRetryInterval, until - base::clock::now()));
         }
--- a/packages/fleet/src/chervilbend/fleet/holder_client.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -70,7 +71,16 @@
     /// Applies the changes of this node's own controller, when this node holds the lease.
     void applyLocalUpdates();
 
+    /// Number of items that the holder is being asked for.
+    std::size_t pendingRequests() const
+    {
+        return m_pendingRequests->size();
+    }
+
 private:
+    using pending_map = std::map<requested_item, std::shared_ptr<net::change_signal>>;
+    class pending_request;
+
     boost::asio::awaitable<bool> exchange();
     void handleAnswer();
     /// No holder is known, or the known one has not answered.
@@ -100,7 +110,7 @@
     /// An endpoint was lost on a part of a prompt that may have crashed it.
     net::change_signal m_lossSeen;
     /// Signals that are notified when the request for an item has been answered.
-    std::map<requested_item, std::shared_ptr<net::change_signal>> m_pendingRequests;
+    std::shared_ptr<pending_map> m_pendingRequests = std::make_shared<pending_map>();
     std::int64_t m_token = 0;
     std::int64_t m_version = 0;
     base::time_point m_answeredAt;
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -20,6 +20,8 @@
 #include <chervilbend/peers/rpc_caller.hpp>
 #include <chervilbend/routing/cluster_knowledge.hpp>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -151,9 +153,29 @@
     CPPUNIT_TEST(grantsComeWithTheExchange);
     CPPUNIT_TEST(waitingRequestIsAskedForAtOnce);
     CPPUNIT_TEST(lastHolderGrantsAfterTheEndOfTheLease);
+    CPPUNIT_TEST(requestWhoseCallerLeavesHoldsUpNoOther);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against later requests for an item that wait for one which ended with its caller.
+    void requestWhoseCallerLeavesHoldsUpNoOther()
+    {
+        reporting_node node;
+        asio::co_spawn(node.context, node.lease.run(), asio::detached);
+        node.time.advance(base::milliseconds(10'000));
+        CPPUNIT_ASSERT(node.lease.isHolder());
+        const requested_item item{base::service_id("chat"), "tall", "adapter"};
+        asio::cancellation_signal leave;
+        asio::co_spawn(node.context,
+                       node.client.ensureLoaded(item, base::clock::now() + base::milliseconds(5'000)),
+                       asio::bind_cancellation_slot(leave.slot(), [](const std::exception_ptr &, bool) {}));
+        node.time.advance(base::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), node.client.pendingRequests());
+        leave.emit(asio::cancellation_type::terminal);
+        node.time.advance(base::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), node.client.pendingRequests());
+    }
+
     void reportsAtTheHoldersInterval()
     {
         reporting_node node;
