--- a/packages/fleet/tests/on_demand_read_test.cpp
+++ b/packages/fleet/tests/on_demand_read_test.cpp
@@ -35,9 +35,7 @@
         const auto result = [&] {
             std::optional<bool> succeeded;
             asio::co_spawn(
-                context,
-                [&]() -> asio::awaitable<void> { succeeded = co_await read.read(base::clock::now() + base::milliseconds(10'000)); },
-                asio::detached);
+                context, [&]() -> asio::awaitable<void> { succeeded = co_await read.read(base::clock::now() + base::milliseconds(10'000)); }, asio::detached);
             time.advance(base::milliseconds(100));
             return succeeded;
         };
