--- a/packages/net/src/chervilbend/net/connection.hpp
+++ b/packages/net/src/chervilbend/net/connection.hpp
@@ -16,8 +16,8 @@
 
 /// A TCP socket with its read buffer and a deadline that closes it.
 ///
-/// The read buffer is bounded. A read that needs a longer one ends with http::error::buffer_overflow, so that a peer cannot fill the memory with bytes that never
-/// make up a message.
+/// The read buffer is bounded. A read that needs a longer one ends with http::error::buffer_overflow, so that a peer cannot fill the memory with bytes that
+/// never make up a message.
 ///
 /// Moving the deadline is cheap: the timer is armed again only when it fires or when the deadline becomes earlier.
 class connection : public std::enable_shared_from_this<connection>
--- a/packages/node/src/chervilbend/node/composition/start_signals.hpp
+++ b/packages/node/src/chervilbend/node/composition/start_signals.hpp
@@ -3,8 +3,8 @@
 namespace chervilbend::node
 {
 
-/// Signals that arrive before the process can handle them. SIGTERM, SIGINT and SIGHUP are held from the load of the program on, and SIGPIPE is ignored: a reader of
-/// the log lines that goes away must not end the process.
+/// Signals that arrive before the process can handle them. SIGTERM, SIGINT and SIGHUP are held from the load of the program on, and SIGPIPE is ignored: a
+/// reader of the log lines that goes away must not end the process.
 class start_signals
 {
 public:
--- a/packages/node/tests/node_program.hpp
+++ b/packages/node/tests/node_program.hpp
@@ -126,8 +126,8 @@
         const auto address = [](const occupied_port &port) {
             return "127.0.0.1:" + std::to_string(port.port()) + "\n";
         };
-        return "node: n1\nzone: a\njsonLog: true\nbalancerWait: 0 ms\nmetadataStore: 127.0.0.1:1\nlisten: " + address(callers) + "readyListen: " + address(ready)
-            + "peerListen: " + address(peers) + "metricsListen: " + address(metrics);
+        return "node: n1\nzone: a\njsonLog: true\nbalancerWait: 0 ms\nmetadataStore: 127.0.0.1:1\nlisten: " + address(callers)
+            + "readyListen: " + address(ready) + "peerListen: " + address(peers) + "metricsListen: " + address(metrics);
     }
 
     void writeSettings() const
--- a/packages/node/tests/response_memory_test.cpp
+++ b/packages/node/tests/response_memory_test.cpp
@@ -21,8 +21,9 @@
 
 std::string request(const std::string &path)
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nChervilbend-Attempt-Id: own1\r\n"
-           "Chervilbend-Deadline-Milliseconds: 2500\r\nContent-Length: 2\r\n\r\n{}";
+    return "POST " + path
+        + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nChervilbend-Attempt-Id: own1\r\n"
+          "Chervilbend-Deadline-Milliseconds: 2500\r\nContent-Length: 2\r\n\r\n{}";
 }
 
 /// An endpoint that answers with a part of a response and then nothing more, and only the last request with a sound stream.
