Refuse requests that come after the drain of a planned stop has begun

Requests that come after balancerWait get 503 at once, with "not run" and Retry-After: other nodes have the time that they need. They are those on kept connections alone, since no new ones are accepted then.

Test requestAfterTheDrainBeganIsRefused failed without the change.

--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -117,8 +117,9 @@
     m_routes = std::move(routes);
 }
 
-void route_api::setLatestEnd(base::time_point latestEnd)
+void route_api::stopAt(base::time_point latestArrival, base::time_point latestEnd)
 {
+    m_latestArrival = std::min(latestArrival, latestEnd);
     m_latestEnd = latestEnd;
 }
 
@@ -173,7 +174,7 @@
         co_await refuse(exchange, std::string(), why.kind, why.text);
         co_return;
     }
-    if (base::clock::now() >= m_latestEnd) {
+    if (base::clock::now() >= m_latestArrival) {
         co_await refuse(exchange, caller->attempt, base::error_kind::shuttingDown, "this node stops now");
         co_return;
     }
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -44,8 +44,9 @@
     /// Replaces the routing configuration. Requests that are already being served keep the previous version.
     void setRoutes(std::shared_ptr<const fleet::route_table> routes);
 
-    /// The process stops then: requests that arrive from now on have to be answered before.
-    void setLatestEnd(base::time_point latestEnd);
+    /// The process stops: requests that arrive from now on have to be answered by @p latestEnd, and those from @p latestArrival on are refused. Other nodes
+    /// have the time that they need.
+    void stopAt(base::time_point latestArrival, base::time_point latestEnd);
 
     boost::asio::awaitable<void> handle(std::shared_ptr<net::http_exchange> exchange) override;
     /// Serves a request that another node has passed on.
@@ -72,6 +73,7 @@
     fleet::stream_origins &m_origins;
     caller_metrics &m_metrics;
     std::shared_ptr<const fleet::route_table> m_routes;
+    base::time_point m_latestArrival = base::time_point::max();
     base::time_point m_latestEnd = base::time_point::max();
 };
 
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -375,7 +375,8 @@
 void platform_node::startShutdown()
 {
     m_knowledge.helpers->setCanHelp(false);
-    m_routeApi.setLatestEnd(base::clock::now() + m_settings.shutdownBound - shutdownReserve - answerReserve);
+    const base::time_point now = base::clock::now();
+    m_routeApi.stopAt(now + m_settings.balancerWait, now + m_settings.shutdownBound - shutdownReserve - answerReserve);
     // Released before the open requests end, so that the next holder's wait for the command gap coincides with them.
     asio::co_spawn(m_context, m_lease.release(), asio::detached);
     asio::co_spawn(m_context, m_shutdown.run(), [this](const std::exception_ptr &, std::size_t abortedRequests) {
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(responseMayEndWithConnectionClose);
     CPPUNIT_TEST(resetResponseIsIncomplete);
     CPPUNIT_TEST(requestDuringAStopGetsOnlyTheTimeThatIsLeft);
+    CPPUNIT_TEST(requestAfterTheDrainBeganIsRefused);
     CPPUNIT_TEST(streamResumesAtAnotherEndpoint);
     CPPUNIT_TEST(nonResumableStreamIsNotTerminated);
     CPPUNIT_TEST(streamMayEndWithConnectionClose);
@@ -170,16 +171,30 @@
             co_await caller->send(sealedResponse("done"));
         });
         const base::time_point end = base::clock::now() + base::milliseconds(400);
-        fixture.api.setLatestEnd(end);
+        fixture.api.stopAt(end, end);
         CPPUNIT_ASSERT(fixture.ask("/order/x").ends_with("done"));
         CPPUNIT_ASSERT(fixture.director.submitted.at(0).deadline <= end);
         CPPUNIT_ASSERT_MESSAGE(sent, !contains(sent, "Deadline-Milliseconds: 3000"));
-        fixture.api.setLatestEnd(base::clock::now());
+        const base::time_point now = base::clock::now();
+        fixture.api.stopAt(now, now);
         const std::string late = fixture.ask("/order/x");
         CPPUNIT_ASSERT_MESSAGE(late, contains(late, " 503 ") && contains(late, "X-Run-State: not run"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.director.submitted.size());
     }
 
+    /// Guards against a request that a caller sends on a kept connection late in a stop, and that needs more time than is left.
+    void requestAfterTheDrainBeganIsRefused()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.addEndpoint(answerAndClose(sealedResponse("done")));
+        const base::time_point now = base::clock::now();
+        fixture.api.stopAt(now, now + base::milliseconds(10'000));
+        const std::string late = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(late, contains(late, " 503 ") && contains(late, "X-Run-State: not run") && contains(late, "Retry-After"));
+        CPPUNIT_ASSERT(fixture.director.submitted.empty());
+    }
+
     void streamResumesAtAnotherEndpoint()
     {
         route_api_fixture fixture;
