--- a/packages/fleet/src/chervilbend/fleet/published_versions.cpp
+++ b/packages/fleet/src/chervilbend/fleet/published_versions.cpp
@@ -220,6 +220,12 @@
 {
     const base::time_point now = base::clock::now();
     m_inService = registered();
+    m_known = m_page.versions;
+    for (const std::set<service_version> *unlisted : {&m_lost, &m_inService}) {
+        for (const auto &[service, version] : *unlisted) {
+            m_known[service].insert(version);
+        }
+    }
     const std::set<service_version> unpublished = missing();
     std::erase_if(m_missingSince, [&](const auto &known) { return !unpublished.contains(known.first); });
     for (const service_version &version : unpublished) {
@@ -248,21 +254,16 @@
     return since != m_missingSince.end() && base::clock::now() - since->second >= publicationTimeout;
 }
 
-std::set<base::software_version> published_versions::versionsOf(const base::service_id &service) const
+const std::set<base::software_version> &published_versions::versionsOf(const base::service_id &service) const
 {
-    const auto published = m_page.versions.find(service);
-    std::set<base::software_version> versions = published == m_page.versions.end() ? std::set<base::software_version>() : published->second;
-    for (const std::set<service_version> *known : {&m_lost, &m_inService}) {
-        for (auto each = known->lower_bound({service, base::software_version()}); each != known->end() && each->first == service; ++each) {
-            versions.insert(each->second);
-        }
-    }
-    return versions;
+    static const std::set<base::software_version> none;
+    const auto found = m_known.find(service);
+    return found == m_known.end() ? none : found->second;
 }
 
 std::optional<base::software_version> published_versions::onlyVersion(const base::service_id &service) const
 {
-    const std::set<base::software_version> versions = versionsOf(service);
+    const std::set<base::software_version> &versions = versionsOf(service);
     const bool isOnly = versions.size() == 1 && isPublished({service, *versions.begin()});
     return isOnly ? std::optional(*versions.begin()) : std::nullopt;
 }
--- a/packages/fleet/src/chervilbend/fleet/published_versions.hpp
+++ b/packages/fleet/src/chervilbend/fleet/published_versions.hpp
@@ -59,7 +59,7 @@
     bool isUsable(const endpoint_entry &entry) const;
     /// The versions whose streams may be alive, as far as this node knows: those published, those that the store has lost, and those in service, which
     /// other nodes may use unpublished.
-    std::set<base::software_version> versionsOf(const base::service_id &service) const;
+    const std::set<base::software_version> &versionsOf(const base::service_id &service) const;
     /// Whether streams of several versions may be alive.
     bool isMixed(const base::service_id &service) const
     {
@@ -89,7 +89,7 @@
     std::set<service_version> registered() const;
     /// The versions that have to be published: those in service, and those that the store has lost.
     std::set<service_version> missing() const;
-    /// Updates the times since which versions are missing or absent.
+    /// Determines the known versions, and updates the times since which versions are missing or absent.
     void track();
     void notify() const;
 
@@ -106,6 +106,8 @@
     int m_nodes = 1;
     /// The versions in service, as of the last track().
     std::set<service_version> m_inService;
+    /// What versionsOf() returns, as of the last track().
+    version_table m_known;
     /// Versions that were published before the store came back from an older copy of itself.
     std::set<service_version> m_lost;
     /// The versions that have to be published, as of the last track(), and since when they are missing.
