--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -58,32 +58,40 @@
 http_server::~http_server() = default;
 
 std::optional<std::uint16_t> http_server::listen(const address &localAddress)
+{
+    if (tryToListen(localAddress)) {
+        return std::nullopt;
+    }
+    return m_acceptor.local_endpoint().port();
+}
+
+boost::system::error_code http_server::tryToListen(const address &localAddress)
 {
     boost::system::error_code error;
     const auto ipAddress = asio::ip::make_address(localAddress.ip, error);
     if (error) {
-        return fail(base::error_kind::settingInvalid, "not an IP address: " + localAddress.ip);
+        fail(base::error_kind::settingInvalid, "not an IP address: " + localAddress.ip);
+        return error;
     }
     const asio::ip::tcp::endpoint endpoint(ipAddress, localAddress.port);
+    boost::system::error_code ignored;
     m_acceptor.open(endpoint.protocol(), error);
     if (!error) {
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ignored);
         // Accepted connections inherit it.
-        boost::system::error_code ignored;
         m_acceptor.set_option(asio::socket_base::receive_buffer_size(connection::receiveBufferBytes), ignored);
         m_acceptor.bind(endpoint, error);
     }
     if (!error) {
         m_acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
-    m_isAddressInUse = error == asio::error::address_in_use;
     if (error) {
-        boost::system::error_code ignored;
         m_acceptor.close(ignored);
-        return fail(base::error_kind::settingInvalid, "cannot listen on " + toString(localAddress) + ": " + error.message());
+        fail(base::error_kind::settingInvalid, "cannot listen on " + toString(localAddress) + ": " + error.message());
+        return error;
     }
     startAccepting();
-    return m_acceptor.local_endpoint().port();
+    return error;
 }
 
 asio::awaitable<bool> http_server::listenWhenFree(address localAddress)
@@ -91,11 +99,9 @@
     static const log4cxx::LoggerPtr logger = base::partLogger("http");
     const auto self = shared_from_this();
     for (int attempt = 0; !m_draining; ++attempt) {
-        if (listen(localAddress)) {
-            co_return true;
-        }
-        if (!m_isAddressInUse) {
-            co_return false;
+        const boost::system::error_code error = tryToListen(localAddress);
+        if (error != asio::error::address_in_use) {
+            co_return !error;
         }
         if (attempt % attemptsPerWarning == 0) {
             LOG4CXX_WARN(logger, lastReason().text << ", trying again");
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -62,6 +62,8 @@
 private:
     friend class http_session;
 
+    /// Binds and starts to accept; an error has a last reason.
+    boost::system::error_code tryToListen(const address &localAddress);
     void startAccepting();
     void serve(boost::asio::ip::tcp::socket socket);
     void acceptPending();
@@ -73,8 +75,6 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
-    /// Why the last listen() failed.
-    bool m_isAddressInUse = false;
     bool m_drainAnnounced = false;
     bool m_draining = false;
 };
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/membership/message_signer.hpp>
 #include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/sleep.hpp>
+#include <chervilbend/node/composition/listening_server.hpp>
 #include <chervilbend/node/composition/start_signals.hpp>
 #include <chervilbend/node/operators/commands/publish_method.hpp>
 #include <chervilbend/node/operators/queries/diff_method.hpp>
@@ -149,19 +150,15 @@
 
 asio::awaitable<void> node_process::listen()
 {
-    for (const auto &[server, address] : {std::pair(m_callerServer, m_settings.listen), std::pair(m_peerServer, m_settings.peerListen)}) {
-        const net::address local = net::parseAddress(address).value_or(net::address{});
-        const bool isListening = co_await server->listenWhenFree(local);
-        if (!isListening && m_stopSignals == 0) {
-            fail(server->lastReason());
-            m_cannotListen = true;
-            m_context.stop();
-        }
-        if (!isListening) {
-            co_return;
-        }
+    const std::vector<listening_server> servers{{m_callerServer, m_settings.listen}, {m_peerServer, m_settings.peerListen}};
+    const std::optional<base::reason> obstacle = co_await listenOnAll(servers);
+    if (!obstacle) {
+        m_readiness.setMet("listening");
+    } else if (m_stopSignals == 0) {
+        fail(*obstacle);
+        m_cannotListen = true;
+        m_context.stop();
     }
-    m_readiness.setMet("listening");
 }
 
 void node_process::addOperatorMethods()
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -8,6 +8,7 @@
 #include <chervilbend/net/connect_probe.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
+#include <chervilbend/node/composition/listening_server.hpp>
 #include <chervilbend/node/composition/start_signals.hpp>
 #include <chervilbend/node/settings/settings_file.hpp>
 #include <chervilbend/platform/store_client.hpp>
@@ -306,10 +307,7 @@
 
 bool platform_node::hasValidAddresses()
 {
-    const std::optional<net::address> callers = net::parseAddress(m_settings.listen);
-    const std::optional<net::address> ready = net::parseAddress(m_settings.readyListen);
-    const std::optional<net::address> peers = net::parseAddress(m_settings.peerListen);
-    if (!callers || !ready || !peers) {
+    if (!net::parseAddress(m_settings.listen) || !net::parseAddress(m_settings.readyListen) || !net::parseAddress(m_settings.peerListen)) {
         fail(base::error_kind::settingInvalid, "listen, readyListen and peerListen must be IP:PORT");
         return false;
     }
@@ -318,16 +316,13 @@
 
 asio::awaitable<void> platform_node::listen()
 {
-    bool isListening = co_await listenOn(m_peerServer, m_settings.peerListen);
-    if (isListening) {
-        isListening = co_await listenOn(m_readyServer, m_settings.readyListen);
-    }
-    if (isListening) {
-        isListening = co_await listenOn(m_callerServer, m_settings.listen);
-    }
-    if (isListening) {
+    const std::vector<listening_server> servers{
+        {m_peerServer, m_settings.peerListen}, {m_readyServer, m_settings.readyListen}, {m_callerServer, m_settings.listen}};
+    const std::optional<base::reason> obstacle = co_await listenOnAll(servers);
+    if (!obstacle) {
         m_readiness.setMet("listening");
     } else if (m_stopSignals == 0) {
+        fail(*obstacle);
         m_cannotListen = true;
         m_context.stop();
     }
@@ -338,20 +333,11 @@
     if (m_settings.metricsListen.empty()) {
         co_return;
     }
-    const bool isListening = co_await listenOn(m_metricsServer, m_settings.metricsListen);
-    if (!isListening) {
-        LOG4CXX_ERROR(nodeLog(), base::log_event("noMetrics").with("why", m_metricsServer->lastReason().text).text());
-    }
-}
-
-asio::awaitable<bool> platform_node::listenOn(std::shared_ptr<net::http_server> server, std::string address)
-{
-    const net::address local = net::parseAddress(address).value_or(net::address{});
-    const bool isListening = co_await server->listenWhenFree(local);
-    if (!isListening) {
-        fail(server->lastReason());
+    const std::vector<listening_server> servers{{m_metricsServer, m_settings.metricsListen}};
+    const std::optional<base::reason> obstacle = co_await listenOnAll(servers);
+    if (obstacle) {
+        LOG4CXX_ERROR(nodeLog(), base::log_event("noMetrics").with("why", obstacle->text).text());
     }
-    co_return isListening;
 }
 
 void platform_node::waitForSignal()
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -75,7 +75,6 @@
     bool hasValidAddresses();
     boost::asio::awaitable<void> listen();
     boost::asio::awaitable<void> listenForMetrics();
-    boost::asio::awaitable<bool> listenOn(std::shared_ptr<net::http_server> server, std::string address);
     void runInBackground(std::string name, std::function<boost::asio::awaitable<void>()> task);
     void runEventLoop();
     void connectComponents();
