--- a/packages/fleet/tests/stream_cluster.hpp
+++ b/packages/fleet/tests/stream_cluster.hpp
@@ -163,6 +163,15 @@
         return *nodes.back();
     }
 
+    /// A node that has read these registrations half a second ago, which is long enough for their versions to be published.
+    test_node &startWith(const std::vector<endpoint_entry> &entries)
+    {
+        test_node &node = start();
+        node.read(entries);
+        time.advance(base::milliseconds(500));
+        return node;
+    }
+
     /// The store comes back from an older copy of itself.
     void restore(const published_page &copy)
     {
--- a/packages/fleet/tests/stream_origin_knowledge_test.cpp
+++ b/packages/fleet/tests/stream_origin_knowledge_test.cpp
@@ -19,19 +19,23 @@
     CPPUNIT_TEST(recordsAreRepeatedWhenTheStoreHasLostThem);
     CPPUNIT_TEST_SUITE_END();
 
-public:
-    void olderCopyOfTheStoreLosesNoVersion()
+    /// A node that has seen v2 join v1; then the store came back from before that, with the registrations.
+    static test_node &restoredDuringRelease(stream_cluster &cluster)
     {
-        stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1)});
         const published_page copy = cluster.content.published;
         node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
         cluster.time.advance(milliseconds(500));
         cluster.restore(copy);
-        // The registrations came back from the older copy, too.
         node.read({entryOf("i-1", v1)});
+        return node;
+    }
+
+public:
+    void olderCopyOfTheStoreLosesNoVersion()
+    {
+        stream_cluster cluster;
+        test_node &node = restoredDuringRelease(cluster);
         cluster.find(node, 77);
         cluster.time.advance(milliseconds(1'500));
         CPPUNIT_ASSERT(cluster.content.published.versions[chat] == (std::set<base::software_version>{v1, v2}));
@@ -41,14 +45,7 @@
     void versionThatTheStoreHasLostIsNotForgotten()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
-        const published_page copy = cluster.content.published;
-        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
-        cluster.time.advance(milliseconds(500));
-        cluster.restore(copy);
-        node.read({entryOf("i-1", v1)});
+        test_node &node = restoredDuringRelease(cluster);
         CPPUNIT_ASSERT(cluster.find(node, 77).version.empty());
     }
 
@@ -93,9 +90,7 @@
     void olderAnswerOfTheStoreIsNoKnowledge()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1)});
         CPPUNIT_ASSERT(cluster.find(node, 77).version == v1);
         --cluster.content.published.end;
         const origin_lookup unknown = cluster.find(node, 77);
@@ -106,9 +101,7 @@
     void recordsAreRepeatedWhenTheStoreHasLostThem()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1), entryOf("i-2", v2)});
         const published_page copy = cluster.content.published;
         node.origins.noteBegun({77, chat, v2});
         cluster.time.advance(milliseconds(500));
--- a/packages/fleet/tests/stream_origin_test.cpp
+++ b/packages/fleet/tests/stream_origin_test.cpp
@@ -41,9 +41,7 @@
     void singleVersionCostsNoRecords()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1)});
         const int calls = cluster.content.calls;
         node.origins.noteBegun({77, chat, v1});
         node.origins.noteEnded(77, false);
@@ -54,9 +52,7 @@
     void newVersionIsNotUsedBeforeItIsPublished()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1)});
         CPPUNIT_ASSERT(node.versions.isUsable(entryOf("i-1", v1)));
         node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
         CPPUNIT_ASSERT(!node.versions.isUsable(entryOf("i-2", v2)));
@@ -97,9 +93,7 @@
     void recordOutlivesAllNodes()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1), entryOf("i-2", v2)});
         node.origins.noteBegun({77, chat, v1});
         node.origins.noteBegun({78, chat, v2});
         cluster.time.advance(milliseconds(400));
@@ -115,18 +109,14 @@
         stream_cluster cluster;
         cluster.start().read({entryOf("i-1", v1)});
         cluster.time.advance(milliseconds(500));
-        test_node &restarted = cluster.start();
-        restarted.read({entryOf("i-2", v2)});
-        cluster.time.advance(milliseconds(500));
+        test_node &restarted = cluster.startWith({entryOf("i-2", v2)});
         CPPUNIT_ASSERT(cluster.find(restarted, 77).version.empty());
     }
 
     void streamsOfTheFirstVersionAreRecordedWhenTheSecondComes()
     {
         stream_cluster cluster;
-        test_node &first = cluster.start();
-        first.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &first = cluster.startWith({entryOf("i-1", v1)});
         first.origins.noteBegun({77, chat, v1});
         first.read({entryOf("i-1", v1), entryOf("i-2", v2)});
         cluster.time.advance(milliseconds(700));
@@ -136,9 +126,7 @@
     void streamWithoutRecordIsRefusedSoon()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1), entryOf("i-2", v2)});
         const origin_lookup unknown = cluster.find(node, 77);
         CPPUNIT_ASSERT(unknown.version.empty() && unknown.why.kind == base::error_kind::notResumable);
         CPPUNIT_ASSERT(cluster.lookupTime <= milliseconds(450));
@@ -164,9 +152,7 @@
     void silentStoreIsNoKnowledge()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1)});
         node.origins.noteBegun({78, chat, v1});
         cluster.content.isDown = true;
         const origin_lookup unknown = cluster.find(node, 77);
@@ -177,9 +163,7 @@
     void unnamedStreamIsKnownOnlyWithASingleVersion()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1)});
         CPPUNIT_ASSERT(cluster.find(node, std::nullopt).version == v1);
         node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
         cluster.time.advance(milliseconds(500));
@@ -189,9 +173,7 @@
     void recordsOfLongStreamsAreRenewed()
     {
         stream_cluster cluster;
-        test_node &node = cluster.start();
-        node.read({entryOf("i-1", v1), entryOf("i-2", v2)});
-        cluster.time.advance(milliseconds(500));
+        test_node &node = cluster.startWith({entryOf("i-1", v1), entryOf("i-2", v2)});
         node.origins.noteBegun({77, chat, v1});
         cluster.time.advance(milliseconds(1'000));
         cluster.content.firstOrigin = static_cast<std::int64_t>(cluster.content.origins.size());
