Tell requests that the node cuts from callers that leave, and show memory and refusals

The logs could not distinguish the hypotheses: a request cut by the node was logged as callerLeft, one cut while it waited had no line, and no metric showed resident memory or connections refused at the limit. Now each request that ends without a complete answer has a line 'unanswered' with its reason, the request's own line says 'aborted' when the node cut it, and chervilbend_unanswered_requests, chervilbend_refused_connections and chervilbend_resident_bytes count. No decision changes. unanswered_request_test covers the three reasons.

--- a/packages/net/src/chervilbend/net/http_exchange.hpp
+++ b/packages/net/src/chervilbend/net/http_exchange.hpp
@@ -3,10 +3,12 @@
 #include <chervilbend/base/byte_reservation.hpp>
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/net/http_types.hpp>
+#include <chervilbend/net/unanswered_reason.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -66,6 +68,18 @@
         return m_keepAlive;
     }
 
+    /// Notes why the handler is being cancelled.
+    void cancel(unanswered_reason reason)
+    {
+        m_cancelReason = m_cancelReason.value_or(reason);
+    }
+
+    /// No value unless the handler has been cancelled.
+    std::optional<unanswered_reason> cancelReason() const
+    {
+        return m_cancelReason;
+    }
+
     /// Closes the connection after this answer, unless its header has been sent: the caller may then send the next request already.
     void closeAfterAnswer()
     {
@@ -78,6 +92,7 @@
     std::unique_ptr<base::byte_reservation> m_bodyMemory;
     base::milliseconds m_writeTimeout;
     bool m_keepAlive;
+    std::optional<unanswered_reason> m_cancelReason;
     bool m_started = false;
     bool m_finished = false;
 };
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -176,6 +176,7 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         std::make_shared<http_session>(shared_from_this(), std::move(socket))->start();
     } else {
+        ++m_refusedConnections;
         socket.non_blocking(true, ignored);
         socket.write_some(asio::buffer(connectionLimitAnswer()), ignored);
         socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/http_server_limits.hpp>
 #include <chervilbend/net/timer.hpp>
+#include <chervilbend/net/unanswered_reason.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -59,6 +60,18 @@
         return m_sessions.size();
     }
 
+    /// Connections that were refused because the limit was reached, since the start.
+    std::uint64_t refusedConnections() const
+    {
+        return m_refusedConnections;
+    }
+
+    /// Requests that had been read and ended without a complete answer, since the start.
+    const unanswered_counts &unanswered() const
+    {
+        return m_unanswered;
+    }
+
 private:
     friend class http_session;
 
@@ -75,6 +88,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
+    std::uint64_t m_refusedConnections = 0;
+    unanswered_counts m_unanswered{};
     bool m_drainAnnounced = false;
     bool m_draining = false;
 };
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/byte_reservation.hpp>
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
 #include <chervilbend/base/reason.hpp>
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/http_exchange.hpp>
@@ -159,14 +160,18 @@
 
 void http_session::close()
 {
+    if (m_exchange) {
+        m_exchange->cancel(unanswered_reason::aborted);
+    }
     m_connection->close();
     // Posted to the event loop: outside of it, Asio defers the signal, and the task may have ended by then.
-    asio::post(m_server->m_executor, [self = shared_from_this()] { self->cancelTask(); });
+    asio::post(m_server->m_executor, [self = shared_from_this()] { self->cancelTask(unanswered_reason::aborted); });
 }
 
-void http_session::cancelTask()
+void http_session::cancelTask(unanswered_reason reason)
 {
     if (m_exchange) {
+        m_exchange->cancel(reason);
         m_cancel.emit(asio::cancellation_type::terminal);
     }
 }
@@ -186,6 +191,9 @@
         }
         co_await answer(exchange);
         m_exchange.reset();
+        if (!exchange->isFinished()) {
+            noteUnanswered(*exchange);
+        }
         ++m_requestNumber;
         resetIfTruncated(*exchange);
         open = exchange->isFinished() && exchange->keepAlive();
@@ -207,6 +215,20 @@
     }
 }
 
+void http_session::noteUnanswered(const http_exchange &exchange)
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("http");
+    const unanswered_reason reason = exchange.cancelReason().value_or(unanswered_reason::brokenOff);
+    ++m_server->m_unanswered[static_cast<std::size_t>(reason)];
+    const http_request &request = exchange.request();
+    LOG4CXX_INFO(logger,
+                 base::log_event("unanswered")
+                     .with("target", {request.target().data(), request.target().size()})
+                     .with("answerBegun", exchange.isStarted())
+                     .with("why", toString(reason))
+                     .text());
+}
+
 asio::awaitable<bool> http_session::waitForRequest()
 {
     if (m_connection->buffer().size() > 0) {
@@ -329,7 +351,7 @@
     }
     const peer_state state = m_connection->socket().is_open() ? peerStateOf(m_connection->socket()) : peer_state::disconnected;
     if (state == peer_state::disconnected) {
-        cancelTask();
+        cancelTask(unanswered_reason::callerLeft);
     } else if (state == peer_state::connected) {
         watchForDisconnect(requestNumber);
     } else {
@@ -347,7 +369,7 @@
         if (self->m_connection->socket().is_open() && isConnected(self->m_connection->socket())) {
             self->pollForDisconnect(requestNumber);
         } else {
-            self->cancelTask();
+            self->cancelTask(unanswered_reason::callerLeft);
         }
     });
 }
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/net/timer.hpp>
+#include <chervilbend/net/unanswered_reason.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -51,7 +52,8 @@
     boost::asio::awaitable<void> lingeringClose();
 
     void resetIfTruncated(const http_exchange &exchange);
-    void cancelTask();
+    void noteUnanswered(const http_exchange &exchange);
+    void cancelTask(unanswered_reason reason);
     void watchForDisconnect(std::uint64_t requestNumber);
     void onReadable(std::uint64_t requestNumber);
     void pollForDisconnect(std::uint64_t requestNumber);
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
@@ -1,12 +1,15 @@
 #include <chervilbend/node/callers/caller_metrics.hpp>
 
 #include <chervilbend/base/error_answer.hpp>
+#include <chervilbend/base/process_memory.hpp>
 #include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/node/callers/admission.hpp>
 #include <chervilbend/node/callers/open_requests.hpp>
 #include <chervilbend/node/callers/request_attributes.hpp>
 
+#include <limits>
+#include <optional>
 #include <string>
 
 namespace chervilbend::node
@@ -51,6 +54,17 @@
         return static_cast<double>(requestAdmission.waiting());
     });
     m_registry.gaugeFor("chervilbend_open_connections", "Callers' connections").readFrom([&server] { return static_cast<double>(server.openConnections()); });
+    m_registry.gaugeFor("chervilbend_refused_connections", "Callers' connections refused at the limit since the start").readFrom([&server] {
+        return static_cast<double>(server.refusedConnections());
+    });
+    for (const net::unanswered_reason reason : {net::unanswered_reason::callerLeft, net::unanswered_reason::aborted, net::unanswered_reason::brokenOff}) {
+        m_registry.gaugeFor("chervilbend_unanswered_requests", "Requests without a complete answer since the start", {{"why", std::string(toString(reason))}})
+            .readFrom([&server, reason] { return static_cast<double>(server.unanswered()[static_cast<std::size_t>(reason)]); });
+    }
+    m_registry.gaugeFor("chervilbend_resident_bytes", "Resident memory of the process; NaN if it is not known").readFrom([] {
+        const std::optional<std::size_t> bytes = base::residentBytes();
+        return bytes ? static_cast<double>(*bytes) : std::numeric_limits<double>::quiet_NaN();
+    });
 }
 
 void caller_metrics::onFinished(base::work_class urgency, routing::request_outcome outcome, base::milliseconds elapsed)
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -57,6 +57,12 @@
     return event;
 }
 
+/// The event that ends a cancelled request in the log.
+std::string_view cancelEvent(const net::http_exchange &exchange)
+{
+    return exchange.cancelReason() == net::unanswered_reason::aborted ? "aborted" : "callerLeft";
+}
+
 asio::awaitable<bool> isCancelled()
 {
     const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
@@ -168,7 +174,7 @@
     progress.outcome = cancelled ? request_outcome::cancelled : result.outcome;
     if (cancelled || result.isFinal) {
         LOG4CXX_INFO(routeLog(),
-                     eventFor(cancelled ? "callerLeft" : "ended", request->plan)
+                     eventFor(cancelled ? cancelEvent(*request->exchange) : "ended", request->plan)
                          .with("endpoint", target)
                          .with("tookMs", (base::clock::now() - progress.startedAt).count())
                          .with("firstByteMs", request->timeToFirstByte().value_or(base::milliseconds(-1)).count())
