Ignore further stop signals while a planned stop is under way

Cause: a second SIGTERM or SIGINT was taken as an order to abort all open requests. Supervisors repeat a signal, send it to the process and to its group, or run two stops at a time; none of these asks for that. The class is a repeated message that is given a stronger meaning than the first. Ruled out: the drain and the end of the grace, since one signal a stop loses nothing.

shutdown_sequence has no abortRequests() any more, in both kinds of node: the bound of the stop ends it, and SIGKILL ends it at once.

--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -154,7 +154,7 @@
     const std::optional<base::reason> obstacle = co_await listenOnAll(servers);
     if (!obstacle) {
         m_readiness.setMet("listening");
-    } else if (m_stopSignals == 0) {
+    } else if (!m_isStopping) {
         fail(*obstacle);
         m_cannotListen = true;
         m_context.stop();
@@ -181,12 +181,9 @@
             waitForSignal();
             return;
         }
-        ++m_stopSignals;
-        LOG4CXX_INFO(logger, "Signal " << signal << (m_stopSignals == 1 ? " received, shutting down." : " received again, aborting open requests."));
-        if (m_stopSignals == 1) {
+        LOG4CXX_INFO(logger, "Signal " << signal << (m_isStopping ? " received again, the shutdown goes on." : " received, shutting down."));
+        if (!std::exchange(m_isStopping, true)) {
             startShutdown();
-        } else {
-            m_shutdown.abortRequests();
         }
         waitForSignal();
     });
--- a/packages/node/src/chervilbend/node/composition/node_process.hpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.hpp
@@ -72,7 +72,7 @@
     std::shared_ptr<net::http_server> m_peerServer;
     shutdown_sequence m_shutdown;
     boost::asio::signal_set m_signals;
-    int m_stopSignals = 0;
+    bool m_isStopping = false;
     std::size_t m_abortedRequests = 0;
     bool m_cannotListen = false;
 };
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -321,7 +321,7 @@
     const std::optional<base::reason> obstacle = co_await listenOnAll(servers);
     if (!obstacle) {
         m_readiness.setMet("listening");
-    } else if (m_stopSignals == 0) {
+    } else if (!m_isStopping) {
         fail(*obstacle);
         m_cannotListen = true;
         m_context.stop();
@@ -346,13 +346,11 @@
         if (error) {
             return;
         }
-        LOG4CXX_INFO(nodeLog(), base::log_event("signal").with("number", signal).text());
+        LOG4CXX_INFO(nodeLog(), base::log_event("signal").with("number", signal).with("stopping", m_isStopping).text());
         if (signal == SIGHUP) {
             LOG4CXX_INFO(nodeLog(), base::log_event("reload").with("why", "no setting that can change at run time has changed").text());
-        } else if (++m_stopSignals == 1) {
+        } else if (!std::exchange(m_isStopping, true)) {
             startShutdown();
-        } else {
-            m_shutdown.abortRequests();
         }
         waitForSignal();
     });
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -147,7 +147,7 @@
     shutdown_sequence m_shutdown;
     boost::asio::signal_set m_signals;
     std::minstd_rand m_probeRandom;
-    int m_stopSignals = 0;
+    bool m_isStopping = false;
     std::size_t m_abortedRequests = 0;
     bool m_cannotListen = false;
 };
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
@@ -73,24 +73,15 @@
     co_return aborted.size();
 }
 
-void shutdown_sequence::abortRequests()
-{
-    LOG4CXX_WARN(nodeLog(), "second signal: aborting open requests");
-    m_aborted = true;
-    m_timer.cancel();
-}
-
 asio::awaitable<void> shutdown_sequence::pause(base::milliseconds duration)
 {
-    if (!m_aborted) {
-        m_timer.expires_after(duration);
-        co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    m_timer.expires_after(duration);
+    co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 asio::awaitable<void> shutdown_sequence::waitForOpenRequests(base::time_point deadline)
 {
-    while (!m_aborted && !isDrained() && base::clock::now() < deadline) {
+    while (!isDrained() && base::clock::now() < deadline) {
         co_await pause(drainPollInterval);
     }
 }
@@ -110,8 +101,7 @@
         }
     });
     while (!*isDone && base::clock::now() < deadline) {
-        m_timer.expires_after(drainPollInterval);
-        co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause(drainPollInterval);
     }
     if (!*isDone) {
         LOG4CXX_WARN(nodeLog(), "the leases were not handed over in time; they remain held until they expire");
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.hpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.hpp
@@ -32,15 +32,13 @@
 };
 
 /// Graceful shutdown: reports the node as not ready, waits until the load balancer has noticed, stops accepting connections, waits until the
-/// open requests and orders have finished, and hands over the leases. At the timeout, or at a second signal, the remaining requests are
-/// logged and aborted.
+/// open requests and orders have finished, and hands over the leases. At the timeout the remaining requests are logged and aborted.
 ///
-/// The process runs it once, at the first SIGTERM or SIGINT, calls abortRequests() at the second, and stops its event loop when run() has
-/// returned:
+/// The process runs it once, at the first SIGTERM or SIGINT, and stops its event loop when run() has returned. Further signals have no effect: supervisors
+/// repeat them, and only SIGKILL is meant to cut requests.
 ///
 ///     shutdown_sequence shutdown(executor, ready, *callerServer, openRequests, settings, [&] { return control.handOverLeases(timeout); });
-///     signals.async_wait(...): first:  co_spawn(executor, shutdown.run(), [&](auto, std::size_t) { context.stop(); });
-///                              second: shutdown.abortRequests();
+///     signals.async_wait(...): co_spawn(executor, shutdown.run(), [&](auto, std::size_t) { context.stop(); });
 class shutdown_sequence
 {
 public:
@@ -57,9 +55,6 @@
     /// Returns the number of requests and orders that were aborted.
     boost::asio::awaitable<std::size_t> run();
 
-    /// Makes run() stop waiting for the load balancer and for open requests: the open ones are logged and aborted.
-    void abortRequests();
-
 private:
     boost::asio::awaitable<void> pause(base::milliseconds duration);
     boost::asio::awaitable<void> waitForOpenRequests(base::time_point deadline);
@@ -72,7 +67,6 @@
     shutdown_settings m_settings;
     hand_over_function m_handOverLeases;
     net::timer m_timer;
-    bool m_aborted = false;
 };
 
 } // namespace chervilbend::node
