Let no signal end the process by its default action

Cause: between the removal of the handlers at the end of the node's work and the end of the process, SIGTERM, SIGINT and SIGHUP had their default action; signals that nobody handles had it all the time. The class is a signal outside of the life of its handler, as at the start.

The signals are held again before the node's parts are destroyed, and those without a meaning are ignored from the load on. SIGQUIT keeps its action: operators ask for a core dump by it.

--- a/packages/node/src/chervilbend/node/composition/start_signals.cpp
+++ b/packages/node/src/chervilbend/node/composition/start_signals.cpp
@@ -19,15 +19,16 @@
     return signals;
 }
 
-void hold(int /*argc*/, char ** /*argv*/, char ** /*environment*/)
+void holdAtStart(int /*argc*/, char ** /*argv*/, char ** /*environment*/)
 {
-    const sigset_t signals = heldSignals();
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    start_signals::hold();
+    for (const int signal : {SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM}) {
+        std::signal(signal, SIG_IGN);
+    }
 }
 
 /// Functions in this section run before the constructors of the shared libraries, which take some milliseconds.
-[[gnu::section(".preinit_array"), gnu::used]] void (*const holdAtLoad)(int, char **, char **) = hold;
+[[gnu::section(".preinit_array"), gnu::used]] void (*const holdAtLoad)(int, char **, char **) = holdAtStart;
 
 } // namespace
 
@@ -37,4 +38,17 @@
     sigprocmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+bool start_signals::isStopPending()
+{
+    sigset_t pending;
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
+void start_signals::hold()
+{
+    const sigset_t signals = heldSignals();
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace chervilbend::node
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -2,6 +2,7 @@
 #include <chervilbend/config/node_setting_table.hpp>
 #include <chervilbend/node/composition/node_process.hpp>
 #include <chervilbend/node/composition/platform_node.hpp>
+#include <chervilbend/node/composition/start_signals.hpp>
 #include <chervilbend/node/settings/setting_flags.hpp>
 #include <chervilbend/node/settings/settings_file.hpp>
 #include <chervilbend/platform/readiness_handler.hpp>
@@ -30,6 +31,7 @@
 try {
     Process process(settings, file);
     const std::optional<std::size_t> abortedRequests = process.run();
+    node::start_signals::hold();
     if (!abortedRequests) {
         std::cerr << "chervilbend: " << process.lastReason().text << '\n';
         return invalidSettings;
--- a/packages/node/tests/process_stop_test.cpp
+++ b/packages/node/tests/process_stop_test.cpp
@@ -1,3 +1,4 @@
+#include "log_file.hpp"
 #include "node_program.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -53,49 +54,6 @@
     int m_socket;
 };
 
-/// A file that takes the lines of a program.
-class log_file
-{
-public:
-    log_file()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "log_file.XXXXXX").string();
-        m_handle = ::mkstemp(pattern.data());
-        CPPUNIT_ASSERT(m_handle >= 0);
-        m_path = pattern;
-    }
-
-    ~log_file()
-    {
-        ::close(m_handle);
-        std::filesystem::remove(m_path);
-    }
-
-    log_file(const log_file &) = delete;
-    log_file &operator=(const log_file &) = delete;
-
-    int handle() const
-    {
-        return m_handle;
-    }
-
-    /// Number of lines of the event.
-    std::size_t count(std::string_view event) const
-    {
-        const std::string name = "\"event\":\"" + std::string(event) + '"';
-        std::ifstream lines(m_path);
-        std::size_t number = 0;
-        for (std::string line; std::getline(lines, line);) {
-            number += line.find(name) != std::string::npos ? 1U : 0U;
-        }
-        return number;
-    }
-
-private:
-    std::string m_path;
-    int m_handle;
-};
-
 } // namespace
 
 /// Guards against a planned stop of the real program that cuts requests.
@@ -103,6 +61,7 @@
 {
     CPPUNIT_TEST_SUITE(process_stop_test);
     CPPUNIT_TEST(repeatedStopSignalCutsNoRequest);
+    CPPUNIT_TEST(signalsInSeriesDoNotChangeTheEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -130,6 +89,25 @@
             CPPUNIT_ASSERT_EQUAL(0, program.stop());
         }
     }
+
+    /// The last signals come while the program has finished its work and removes its handlers.
+    void signalsInSeriesDoNotChangeTheEnd()
+    {
+        constexpr int rounds = 20;
+        for (int round = 0; round < rounds; ++round) {
+            node_program program;
+            program.writeSettings();
+            program.releasePorts();
+            program.start();
+            CPPUNIT_ASSERT(eventually([&] { return isListening(program.callers.port()) || !program.isRunning(); }));
+            while (program.isRunning()) {
+                program.signal(SIGTERM);
+                program.signal(SIGHUP);
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+            CPPUNIT_ASSERT_EQUAL(0, program.stop());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(process_stop_test);
