Wait for a settings file that is missing at the start

The system did not start: a node whose settings file was not there yet ended with exit code 2 at once (3 of 3 starts by hand; missingSettingsAreWaitedFor failed with "the program ended"), while an empty or half-written file was waited for.

Cause: a file that is being replaced or has not been written yet was taken for one that does not exist.

A missing file is waited for during 10 s, with a line on standard error, so that a wrong path still ends with exit code 2 and says why at once.

--- a/packages/node/src/chervilbend/node/settings/settings_file.cpp
+++ b/packages/node/src/chervilbend/node/settings/settings_file.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <system_error>
 #include <thread>
@@ -21,6 +22,8 @@
 /// A file that was changed longer ago is not being written any more.
 constexpr base::milliseconds writeTime{1'000};
 constexpr base::milliseconds rereadInterval{50};
+/// A platform that replaces the file, or writes it only when it starts the process, has done so by then.
+constexpr base::milliseconds missingFileWait{10'000};
 } // namespace
 
 settings_file::settings_file(std::string path)
@@ -47,16 +50,27 @@
     return settings;
 }
 
-std::optional<config::node_settings> settings_file::loadWhenComplete(const std::map<std::string, std::string> &overrides)
+std::optional<config::node_settings> settings_file::loadWhenComplete(const std::map<std::string, std::string> &overrides,
+                                                                     const std::function<bool()> &isStopRequested)
 {
+    const base::time_point missingUntil = base::clock::now() + missingFileWait;
     auto settings = load(overrides);
-    while (!settings && isRecent()) {
+    if (!settings && isMissing()) {
+        std::cerr << "chervilbend: waiting for " << m_path << std::endl;
+    }
+    while (!settings && !isStopRequested() && (isRecent() || (isMissing() && base::clock::now() < missingUntil))) {
         std::this_thread::sleep_for(rereadInterval);
         settings = load(overrides);
     }
     return settings;
 }
 
+bool settings_file::isMissing() const
+{
+    std::error_code error;
+    return !m_path.empty() && !std::filesystem::exists(m_path, error) && !error;
+}
+
 bool settings_file::isRecent() const
 {
     std::error_code error;
--- a/packages/node/src/chervilbend/node/settings/settings_file.hpp
+++ b/packages/node/src/chervilbend/node/settings/settings_file.hpp
@@ -4,6 +4,7 @@
 #include <chervilbend/config/fault.hpp>
 #include <chervilbend/config/node_settings.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,8 +23,9 @@
     /// faults() then lists all errors.
     std::optional<config::node_settings> load(const std::map<std::string, std::string> &overrides);
 
-    /// Like load(), but waits while an invalid file was written within the last second, as it may still be written.
-    std::optional<config::node_settings> loadWhenComplete(const std::map<std::string, std::string> &overrides);
+    /// Like load(), but waits while the settings may still come: an invalid file that was written within the last second may still be written, and for a
+    /// file that is missing it waits 10 s. Stops waiting when @p isStopRequested.
+    std::optional<config::node_settings> loadWhenComplete(const std::map<std::string, std::string> &overrides, const std::function<bool()> &isStopRequested);
 
     /// Returns the secrets if they differ from those that were read last. To be called every few seconds. If it returns no value,
     /// lastReason() has an empty text if nothing has changed; otherwise it describes why the secrets in the file cannot be used, and the caller
@@ -39,6 +41,7 @@
     std::optional<std::string> readText();
     /// Whether the file has been written within the last second.
     bool isRecent() const;
+    bool isMissing() const;
 
     std::string m_path;
     std::string m_lastReadText;
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -53,11 +53,16 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
 
     node::settings_file file(FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings);
-    const std::optional<config::node_settings> settings = file.loadWhenComplete(node::givenSettingFlags());
+    const std::optional<config::node_settings> settings =
+        file.loadWhenComplete(node::givenSettingFlags(), [] { return FLAGS_print_settings || node::start_signals::isStopPending(); });
     if (FLAGS_print_settings) {
         std::cout << config::printSettings(settings.value_or(config::node_settings()));
         return EXIT_SUCCESS;
     }
+    if (!settings && node::start_signals::isStopPending()) {
+        std::cerr << "chervilbend: stopped before its settings were complete\n";
+        return EXIT_SUCCESS;
+    }
     if (!settings) {
         for (const config::fault &fault : file.faults()) {
             std::cerr << "chervilbend: " << config::toString(fault) << '\n';
--- a/packages/node/tests/node_program.hpp
+++ b/packages/node/tests/node_program.hpp
@@ -95,8 +95,8 @@
         std::ofstream(settingsPath()) << settings();
     }
 
-    /// Starts the program; its standard output is @p output, or is discarded.
-    void start(std::optional<int> output = std::nullopt)
+    /// Starts the program; its standard output is @p output, or is discarded. Its standard error is @p errors, or that of the tests.
+    void start(std::optional<int> output = std::nullopt, std::optional<int> errors = std::nullopt)
     {
         posix_spawn_file_actions_t actions;
         ::posix_spawn_file_actions_init(&actions);
@@ -105,6 +105,9 @@
         } else {
             ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
         }
+        if (errors) {
+            ::posix_spawn_file_actions_adddup2(&actions, *errors, STDERR_FILENO);
+        }
         std::string program = PROGRAM;
         std::string option = "--settings=" + settingsPath();
         char *arguments[] = {program.data(), option.data(), nullptr};
--- a/packages/node/tests/process_start_test.cpp
+++ b/packages/node/tests/process_start_test.cpp
@@ -1,3 +1,4 @@
+#include "log_file.hpp"
 #include "node_program.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,6 +14,9 @@
     CPPUNIT_TEST(stopsWhileItWaitsForAPort);
     CPPUNIT_TEST(signalsAreHeldUntilTheyCanBeHandled);
     CPPUNIT_TEST(outlivesTheReaderOfItsLogLines);
+    CPPUNIT_TEST(missingSettingsAreWaitedFor);
+    CPPUNIT_TEST(stopsWhileItWaitsForItsSettings);
+    CPPUNIT_TEST(signalsWithoutAMeaningDoNotEndIt);
     CPPUNIT_TEST(invalidSettingsEndIt);
     CPPUNIT_TEST_SUITE_END();
 
@@ -95,6 +99,42 @@
         CPPUNIT_ASSERT_EQUAL(0, program.stop());
     }
 
+    /// The platform may replace the file, or write it, at the moment of the start.
+    void missingSettingsAreWaitedFor()
+    {
+        node_program program;
+        program.releasePorts();
+        const log_file lines;
+        program.start(std::nullopt, lines.handle());
+        CPPUNIT_ASSERT(eventually([&] { return lines.contains("waiting for ") || !program.isRunning(); }));
+        CPPUNIT_ASSERT_MESSAGE("the program ended", program.isRunning());
+        program.writeSettings();
+        CPPUNIT_ASSERT(eventually([&] { return isListening(program.callers.port()) || !program.isRunning(); }));
+        CPPUNIT_ASSERT_EQUAL(0, program.stop());
+    }
+
+    void stopsWhileItWaitsForItsSettings()
+    {
+        node_program program;
+        const log_file lines;
+        program.start(std::nullopt, lines.handle());
+        CPPUNIT_ASSERT(eventually([&] { return lines.contains("waiting for ") || !program.isRunning(); }));
+        CPPUNIT_ASSERT_EQUAL(0, program.stop());
+    }
+
+    void signalsWithoutAMeaningDoNotEndIt()
+    {
+        node_program program;
+        program.writeSettings();
+        program.releasePorts();
+        program.start();
+        CPPUNIT_ASSERT(eventually([&] { return isListening(program.callers.port()) || !program.isRunning(); }));
+        for (const int number : {SIGUSR1, SIGUSR2, SIGALRM, SIGPIPE}) {
+            program.signal(number);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, program.stop());
+    }
+
     void invalidSettingsEndIt()
     {
         node_program program;
--- a/packages/node/tests/settings_file_test.cpp
+++ b/packages/node/tests/settings_file_test.cpp
@@ -97,11 +97,11 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(150));
             write("[aaaaaaaaaaaaaaaa]");
         });
-        const bool isLoaded = file.loadWhenComplete({}).has_value();
+        const bool isLoaded = file.loadWhenComplete({}, [] { return false; }).has_value();
         writer.join();
         CPPUNIT_ASSERT(isLoaded);
         std::ofstream(path()) << "node: n1\n";
-        CPPUNIT_ASSERT_MESSAGE("a file that stays invalid is reported", !file.loadWhenComplete({}));
+        CPPUNIT_ASSERT_MESSAGE("a file that stays invalid is reported", !file.loadWhenComplete({}, [] { return false; }));
     }
 
     void reportsMissingFile()
