Bound the memory of all unfinished requests together

Processes were ended for their memory, and the requests of other callers with them: 3,900 callers that leave a request unfinished brought a node of to 270 MB (a line before a chunk, 60,000 bytes each), 148 MB (a body) and 102 MB (a header of 15,000 bytes), each alone in a fresh process, 335 MB one after the other; the users' machines end a process at 260 MB.

Cause: bufferLimit counted bodies only; what the parser had not consumed yet had a limit for each connection and none for all. Ruled out: the kernel's buffers, which are not resident memory of the process, and the address space (28 MB).

request_reader, taken out of http_session, gives each connection a read buffer of 4 KiB and takes what goes beyond it, long headers of open requests and bodies from one budget. When it is used up, a request that needs more gets 503 at once, and short ones are still read. Lingering closes have a function of their own. The three tests of request_reader_test that bound memory guard it.

--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -293,7 +293,7 @@
         bytesSetting("bufferLimit",
                      mib,
                      gib,
-                     "Maximum memory for the responses that are kept until they can be forwarded, and again for the bodies of requests",
+                     "Maximum memory for the responses that are kept until they can be forwarded, and again for requests that are being read or answered",
                      &s::bufferLimit),
         numberSetting("connectionLimit", "connections", 1, 1'000'000, "Maximum number of open connections of callers", &s::connectionLimit),
         durationSetting("readTimeout", 100ms, 10min, "Maximum time to receive a request's header, and again to receive its body", &s::readTimeout),
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -49,7 +49,7 @@
     : m_executor(executor)
     , m_handler(handler)
     , m_limits(limits)
-    , m_bodyBudget(std::make_shared<base::byte_budget>(limits.allBodiesBytes))
+    , m_requestBudget(std::make_shared<base::byte_budget>(limits.allRequestsBytes))
     , m_acceptor(executor)
     , m_acceptRetryTimer(executor)
 {
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -49,10 +49,10 @@
     /// Number of requests that are being answered.
     std::size_t openRequests() const;
 
-    /// Memory of the bodies of all open requests.
-    std::size_t bodyBytes() const
+    /// Memory of all requests that are being read or answered, but for the small part that each connection has.
+    std::size_t requestBytes() const
     {
-        return m_bodyBudget->taken();
+        return m_requestBudget->taken();
     }
 
     std::size_t openConnections() const
@@ -84,7 +84,7 @@
     boost::asio::any_io_executor m_executor;
     http_handler &m_handler;
     http_server_limits m_limits;
-    std::shared_ptr<base::byte_budget> m_bodyBudget;
+    std::shared_ptr<base::byte_budget> m_requestBudget;
     boost::asio::ip::tcp::acceptor m_acceptor;
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
--- a/packages/net/src/chervilbend/net/http_server_limits.hpp
+++ b/packages/net/src/chervilbend/net/http_server_limits.hpp
@@ -12,8 +12,8 @@
 struct http_server_limits {
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 4 * 1024 * 1024;
-    /// Maximum memory for the bodies of all requests together. Beyond it, requests with long bodies are refused.
-    std::size_t allBodiesBytes = 32 * 1024 * 1024;
+    /// Maximum memory for all requests together, but for a few kilobytes that each connection has. Beyond it, long requests are refused.
+    std::size_t allRequestsBytes = 32 * 1024 * 1024;
     std::size_t connections = 10'000;
     /// From the first byte to the end of the header, and again from there to the end of the body.
     base::milliseconds readTimeout{10'000};
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -1,6 +1,5 @@
 #include <chervilbend/net/internal/http_session.hpp>
 
-#include <chervilbend/base/byte_reservation.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/base/reason.hpp>
@@ -8,7 +7,8 @@
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/http_handler.hpp>
 #include <chervilbend/net/http_server.hpp>
-#include <chervilbend/net/internal/message_framing.hpp>
+#include <chervilbend/net/internal/lingering_close.hpp>
+#include <chervilbend/net/internal/request_reader.hpp>
 #include <chervilbend/net/problem.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -18,18 +18,13 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <array>
 #include <cerrno>
-#include <optional>
 #include <string>
-#include <tuple>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -46,57 +41,8 @@
 constexpr base::milliseconds disconnectPollInterval{250};
 /// While the server drains, a caller that has been told that it may send another request has this time to do so.
 constexpr base::milliseconds lastRequestWait{250};
-/// Limits on what is still read and discarded after the last answer, such as a refusal. Closing a socket with unread data resets the connection, and the reset
-/// can overtake the answer.
+/// Time for which what still comes after the last answer, such as a refusal, is read and discarded.
 constexpr base::milliseconds maxLingerTime{2'000};
-constexpr std::size_t maxLingerBytes = 1024 * 1024;
-
-/// Size up to which a body is accepted even if the limit of all bodies together is reached.
-constexpr std::size_t guaranteedBodyBytes = 16 * 1024;
-
-base::reason reasonForReadError(const boost::system::error_code &error, bool expired)
-{
-    if (expired) {
-        return {base::error_kind::requestTimeout, "the request did not arrive in time"};
-    }
-    if (error == http::error::header_limit) {
-        return {base::error_kind::headerTooLarge, "the request header exceeds the limit"};
-    }
-    if (error == http::error::body_limit) {
-        return {base::error_kind::bodyTooLarge, "the request body exceeds the limit"};
-    }
-    return {base::error_kind::badRequest, "the request is malformed: " + error.message()};
-}
-
-/// Whether the request was malformed, as opposed to the connection having ended.
-bool isProtocolError(const boost::system::error_code &error)
-{
-    return error.category() == make_error_code(http::error::header_limit).category() && error != http::error::end_of_stream
-        && error != http::error::partial_message;
-}
-
-/// Why a server must refuse a request that the parser accepts (RFC 9112, sections 3.2 and 6.1; RFC 9110, section 10.1.1).
-std::optional<base::reason> refusalReason(const http_request &request)
-{
-    if (hasAmbiguousLength(request)) {
-        return base::reason{base::error_kind::badRequest, "the length of the request is ambiguous"};
-    }
-    if (request.version() < 11 && request.count(http::field::transfer_encoding) > 0) {
-        return base::reason{base::error_kind::badRequest, "HTTP/1.0 does not support Transfer-Encoding"};
-    }
-    if (request.version() != 10 && request.version() != 11) {
-        return base::reason{base::error_kind::badRequest, "the HTTP version is neither 1.0 nor 1.1"};
-    }
-    const std::size_t hosts = request.count(http::field::host);
-    if (hosts > 1 || (hosts == 0 && request.version() == 11)) {
-        return base::reason{base::error_kind::badRequest, "the request needs exactly one Host field"};
-    }
-    const auto expectation = request[http::field::expect];
-    if (!expectation.empty() && !boost::beast::iequals(expectation, "100-continue")) {
-        return base::reason{base::error_kind::badRequest, "the Expect field has an unsupported value"};
-    }
-    return std::nullopt;
-}
 
 enum class peer_state {
     connected,
@@ -199,7 +145,7 @@
         open = exchange->isFinished() && exchange->keepAlive();
         const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
         if (!open && exchange->isFinished() && state.cancelled() == asio::cancellation_type::none) {
-            co_await lingeringClose();
+            co_await lingeringClose(m_connection, maxLingerTime);
         }
     }
     m_disconnectPollTimer.cancel();
@@ -244,44 +190,26 @@
 
 asio::awaitable<std::shared_ptr<http_exchange>> http_session::readRequest()
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(m_server->m_limits.headerBytes);
-    parser.body_limit(m_server->m_limits.bodyBytes);
-
-    const bool hasRequest = co_await waitForRequest();
-    if (!hasRequest) {
-        co_return nullptr;
-    }
-    m_connection->interruptAfter(m_server->m_limits.readTimeout);
-    auto [error, size] = co_await http::async_read_header(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
-    if (!error) {
-        const std::optional<base::reason> refusal = refusalReason(parser.get());
-        if (refusal) {
-            co_await refuse(*refusal);
+    request_reader reader(m_connection, m_server->m_limits, m_server->m_requestBudget);
+    while (!reader.hasBegun()) {
+        const bool hasInput = co_await waitForRequest();
+        if (!hasInput) {
             co_return nullptr;
         }
         m_connection->interruptAfter(m_server->m_limits.readTimeout);
-        if (parser.get().count(http::field::expect) > 0 && parser.get().version() == 11 && !parser.is_done()) {
-            http::response<http::empty_body> proceed(http::status::continue_, 11);
-            std::tie(error, size) = co_await http::async_write(m_connection->socket(), proceed, awaitTuple);
-        }
-    }
-    auto bodyMemory = std::make_unique<base::byte_reservation>(m_server->m_bodyBudget);
-    while (!error && !parser.is_done()) {
-        std::tie(error, size) = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), parser, awaitTuple);
-        const std::size_t bodyBytes = parser.get().body().size();
-        if (!bodyMemory->resize(bodyBytes) && bodyBytes > guaranteedBodyBytes) {
-            const base::reason why{base::error_kind::overloaded, "the node has no memory left for the request's body"};
-            co_await refuse(why);
+        const bool isOpen = co_await reader.readBeginning();
+        if (!isOpen) {
             co_return nullptr;
         }
     }
-    if (!error) {
+    m_connection->interruptAfter(m_server->m_limits.readTimeout);
+    const bool isComplete = co_await reader.read();
+    if (isComplete) {
         m_connection->neverExpire();
-        co_return std::make_shared<http_exchange>(m_connection, parser.release(), m_server->m_limits.writeTimeout, std::move(bodyMemory));
+        co_return std::make_shared<http_exchange>(m_connection, reader.takeRequest(), m_server->m_limits.writeTimeout, reader.takeMemory());
     }
-    if (isProtocolError(error) || m_connection->hasExpired()) {
-        co_await refuse(reasonForReadError(error, m_connection->hasExpired()));
+    if (reader.refusal()) {
+        co_await refuse(*reader.refusal());
     }
     co_return nullptr;
 }
@@ -296,21 +224,7 @@
     m_connection->expireAfter(m_server->m_limits.writeTimeout);
     const auto [error, size] = co_await http::async_write(m_connection->socket(), refusal, awaitTuple);
     if (!error) {
-        co_await lingeringClose();
-    }
-}
-
-asio::awaitable<void> http_session::lingeringClose()
-{
-    boost::system::error_code error;
-    m_connection->socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    m_connection->expireAfter(maxLingerTime);
-    std::array<char, 4096> ignored;
-    std::size_t total = 0;
-    while (!error && total < maxLingerBytes) {
-        std::size_t size = 0;
-        std::tie(error, size) = co_await m_connection->socket().async_read_some(asio::buffer(ignored), awaitTuple);
-        total += size;
+        co_await lingeringClose(m_connection, maxLingerTime);
     }
 }
 
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -49,7 +49,6 @@
     boost::asio::awaitable<std::shared_ptr<http_exchange>> readRequest();
     boost::asio::awaitable<void> refuse(base::reason reason);
     boost::asio::awaitable<void> answer(std::shared_ptr<http_exchange> exchange);
-    boost::asio::awaitable<void> lingeringClose();
 
     void resetIfTruncated(const http_exchange &exchange);
     void noteUnanswered(const http_exchange &exchange);
--- a/packages/net/tests/http_server_test.cpp
+++ b/packages/net/tests/http_server_test.cpp
@@ -137,7 +137,7 @@
         // Half of a body.
         constexpr std::size_t partBytes = 100'000;
         http_server_limits limits;
-        limits.allBodiesBytes = 5 * partBytes;
+        limits.allRequestsBytes = 5 * partBytes;
         server_fixture fixture(limits);
         runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
             std::vector<std::shared_ptr<raw_peer>> peers;
@@ -151,7 +151,7 @@
             co_await other->send("POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nshort");
             const std::string shortAnswer = co_await other->readToEnd();
             CPPUNIT_ASSERT(shortAnswer.ends_with("short!"));
-            CPPUNIT_ASSERT(fixture.server->bodyBytes() <= limits.allBodiesBytes);
+            CPPUNIT_ASSERT(fixture.server->requestBytes() <= limits.allRequestsBytes);
             int refused = 0;
             for (const std::shared_ptr<raw_peer> &each : peers) {
                 co_await each->send(std::string(partBytes, 'x'));
@@ -161,7 +161,7 @@
                 each->close();
             }
             CPPUNIT_ASSERT(refused > 0);
-            co_await waitUntil([&] { return fixture.server->bodyBytes() == 0; });
+            co_await waitUntil([&] { return fixture.server->requestBytes() == 0; });
         });
     }
 
--- /dev/null
+++ b/packages/net/tests/request_reader_test.cpp
@@ -0,0 +1,78 @@
+#include "http_server_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace asio = boost::asio;
+using namespace chervilbend;
+using namespace chervilbend::net;
+using namespace chervilbend::net::test;
+
+namespace
+{
+
+constexpr std::size_t limitOfAllBytes = 200'000;
+
+http_server_limits memoryLimits()
+{
+    http_server_limits limits;
+    limits.allRequestsBytes = limitOfAllBytes;
+    return limits;
+}
+
+} // namespace
+
+/// Guards against callers that fill the memory together with unfinished requests.
+class request_reader_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_reader_test);
+    CPPUNIT_TEST(boundsTheMemoryOfUnfinishedHeaders);
+    CPPUNIT_TEST(boundsTheMemoryOfUnfinishedLinesInBodies);
+    CPPUNIT_TEST(boundsTheMemoryOfLongHeadersOfOpenRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void boundsTheMemoryOfUnfinishedHeaders()
+    {
+        refusesSomeOf("GET /echo HTTP/1.1\r\nHost: a\r\nX: " + std::string(15'000, 'x'));
+    }
+
+    void boundsTheMemoryOfUnfinishedLinesInBodies()
+    {
+        refusesSomeOf("POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(60'000, 'x'));
+    }
+
+    void boundsTheMemoryOfLongHeadersOfOpenRequests()
+    {
+        refusesSomeOf("GET /hang HTTP/1.1\r\nHost: a\r\nX: " + std::string(15'000, 'x') + "\r\n\r\n");
+    }
+
+private:
+    /// Sends @p beginning on more connections than the memory allows. Some must be refused, and a short request must still be answered.
+    static void refusesSomeOf(const std::string &beginning)
+    {
+        constexpr int callers = 60;
+        server_fixture fixture(memoryLimits());
+        runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
+            std::vector<std::shared_ptr<raw_peer>> peers;
+            for (int i = 0; i < callers; ++i) {
+                peers.push_back(co_await raw_peer::connect(fixture.port));
+                co_await peers.back()->send(beginning);
+            }
+            const auto other = co_await raw_peer::connect(fixture.port);
+            co_await other->send("POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nshort");
+            const std::string shortAnswer = co_await other->readToEnd();
+            CPPUNIT_ASSERT_MESSAGE(shortAnswer, shortAnswer.ends_with("short!"));
+            CPPUNIT_ASSERT(fixture.server->requestBytes() > 0 && fixture.server->requestBytes() <= limitOfAllBytes);
+            const std::string refusal = co_await peers.back()->readUntil("\r\n");
+            CPPUNIT_ASSERT_MESSAGE(refusal, refusal.starts_with("HTTP/1.1 503 "));
+            for (const std::shared_ptr<raw_peer> &each : peers) {
+                each->close();
+            }
+            co_await waitUntil([&] { return fixture.server->requestBytes() == 0; });
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_reader_test);
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -68,8 +68,8 @@
     net::http_server_limits limits;
     limits.headerBytes = static_cast<std::uint32_t>(settings.headerLimit.count());
     limits.bodyBytes = static_cast<std::uint64_t>(settings.bodyLimit.count());
-    limits.allBodiesBytes = static_cast<std::size_t>(settings.bufferLimit.count());
-    limits.connections = static_cast<std::size_t>(settings.connectionLimit);
+    limits.allRequestsBytes = static_cast<std::size_t>(settings.bufferLimit.count());
+    limits.connections = net::callerConnectionLimit(static_cast<std::size_t>(settings.connectionLimit));
     limits.readTimeout = settings.readTimeout;
     limits.writeTimeout = settings.writeTimeout;
     limits.idleTimeout = std::max(settings.idleTimeout, callerIdleTimeout);
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -67,8 +67,8 @@
     m_registry.gaugeFor("chervilbend_kept_response_bytes", "Memory for responses that are kept until they can be forwarded").readFrom([this] {
         return static_cast<double>(m_forwarder.keptBytes());
     });
-    m_registry.gaugeFor("chervilbend_request_body_bytes", "Memory for the bodies of open requests").readFrom([this] {
-        return static_cast<double>(m_callerServer->bodyBytes());
+    m_registry.gaugeFor("chervilbend_request_body_bytes", "Memory for requests that are being read or answered").readFrom([this] {
+        return static_cast<double>(m_callerServer->requestBytes());
     });
     m_registry.gaugeFor("chervilbend_stranded", "1 while this node reaches no endpoint, 0 otherwise").readFrom([this] {
         return m_reachability.isStranded() ? 1.0 : 0.0;
