Accept two proper forms of a request that were refused

Cause: the parser takes the first bytes for the request line, and routes are compared with the target as it stands. The reader now discards empty lines before a request, also in pieces and behind a body, and turns a target in absolute form into its path, with its authority as the host. An empty line alone begins no request: the connection stays idle. ignoresEmptyLinesBeforeARequest and acceptsTargetsInAbsoluteForm guard it; the first failed while lines that came with the request before were not discarded.

--- a/packages/net/src/chervilbend/net/internal/request_reader.cpp
+++ b/packages/net/src/chervilbend/net/internal/request_reader.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/net/internal/request_reader.hpp>
 
 #include <chervilbend/net/internal/message_framing.hpp>
+#include <chervilbend/net/internal/request_target.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +28,12 @@
 /// Size up to which a body is accepted even if the budget is used up.
 constexpr std::size_t guaranteedBodyBytes = 16 * 1024;
 constexpr std::size_t firstReadBytes = 512;
+constexpr std::string_view emptyLine = "\r\n";
+
+std::string_view textIn(const boost::beast::flat_buffer &buffer)
+{
+    return {static_cast<const char *>(buffer.data().data()), buffer.size()};
+}
 
 base::reason reasonForReadError(const boost::system::error_code &error, bool expired)
 {
@@ -94,7 +101,11 @@
 bool request_reader::hasBegun()
 {
     boost::beast::flat_buffer &buffer = m_connection->buffer();
-    return buffer.size() > 0;
+    while (textIn(buffer).starts_with(emptyLine)) {
+        buffer.consume(emptyLine.size());
+    }
+    // The empty line may be incomplete.
+    return !emptyLine.starts_with(textIn(buffer));
 }
 
 asio::awaitable<bool> request_reader::readBeginning()
@@ -144,11 +155,12 @@
 
 asio::awaitable<bool> request_reader::acceptHeader()
 {
-    const http_request &request = m_parser.get();
+    http_request &request = m_parser.get();
     const std::optional<base::reason> reason = refusalReason(request);
     if (reason) {
         co_return refuse(*reason);
     }
+    useOriginForm(request);
     m_connection->interruptAfter(m_limits.readTimeout);
     if (request.count(http::field::expect) > 0 && request.version() == 11 && !m_parser.is_done()) {
         http::response<http::empty_body> proceed(http::status::continue_, 11);
--- a/packages/net/tests/http_server_fixture.hpp
+++ b/packages/net/tests/http_server_fixture.hpp
@@ -22,6 +22,7 @@
     {
         const std::string target(exchange->request().target());
         targets.push_back(target);
+        hosts.emplace_back(exchange->request()[http::field::host]);
         if (target == "/throw") {
             throw std::runtime_error("on purpose");
         }
@@ -61,6 +62,7 @@
     }
 
     std::vector<std::string> targets;
+    std::vector<std::string> hosts;
     std::size_t streamedBytes = 0;
     int cancelled = 0;
     /// Lets "/two-parts" end.
--- a/packages/net/tests/request_reader_test.cpp
+++ b/packages/net/tests/request_reader_test.cpp
@@ -23,13 +23,15 @@
 
 } // namespace
 
-/// Guards against callers that fill the memory together with unfinished requests.
+/// Guards against callers that fill the memory together with unfinished requests, and against proper forms of a request that are refused.
 class request_reader_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(request_reader_test);
     CPPUNIT_TEST(boundsTheMemoryOfUnfinishedHeaders);
     CPPUNIT_TEST(boundsTheMemoryOfUnfinishedLinesInBodies);
     CPPUNIT_TEST(boundsTheMemoryOfLongHeadersOfOpenRequests);
+    CPPUNIT_TEST(ignoresEmptyLinesBeforeARequest);
+    CPPUNIT_TEST(acceptsTargetsInAbsoluteForm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,6 +50,38 @@
         refusesSomeOf("GET /hang HTTP/1.1\r\nHost: a\r\nX: " + std::string(15'000, 'x') + "\r\n\r\n");
     }
 
+    void ignoresEmptyLinesBeforeARequest()
+    {
+        server_fixture fixture;
+        const std::string request = "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none";
+        const std::string answers =
+            fixture.sendAndReadAll("\r\n" + request + "\r\n\r\nPOST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answers, answers.starts_with("HTTP/1.1 200 ") && answers.find("one!HTTP/1.1 200 ") != std::string::npos);
+        // The empty line may come in pieces, and without a request behind it it asks for nothing.
+        runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(fixture.port);
+            co_await caller->send("\r");
+            co_await sleepFor(base::milliseconds(20));
+            co_await caller->send("\n" + request);
+            const std::string answer = co_await caller->readUntil("one!");
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 "));
+        });
+    }
+
+    void acceptsTargetsInAbsoluteForm()
+    {
+        server_fixture fixture;
+        const std::string rest = " HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n";
+        for (const std::string target :
+             {"http://a.example:80/echo?q=http://b", "HTTP://a.example", "https://a.example?q", "/echo?q=http://b", "http:///echo"}) {
+            fixture.sendAndReadAll("GET " + target + rest);
+        }
+        const std::vector<std::string> expected{"/echo?q=http://b", "/", "/?q", "/echo?q=http://b", "http:///echo"};
+        CPPUNIT_ASSERT(expected == fixture.handler.targets);
+        const std::vector<std::string> hosts{"a.example:80", "a.example", "a.example", "other", "other"};
+        CPPUNIT_ASSERT(hosts == fixture.handler.hosts);
+    }
+
 private:
     /// Sends @p beginning on more connections than the memory allows. Some must be refused, and a short request must still be answered.
     static void refusesSomeOf(const std::string &beginning)
