Answer requests on connections beyond the limit, and keep descriptors for endpoints

Cause: a limit that is not tied to what it protects, and a close that does not wait for the other side. A line connectionsRefused says when the limit is reached.

--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -295,7 +295,7 @@
                      gib,
                      "Maximum memory for the responses that are kept until they can be forwarded, and again for requests that are being read or answered",
                      &s::bufferLimit),
-        numberSetting("connectionLimit", "connections", 1, 1'000'000, "Maximum number of open connections of callers", &s::connectionLimit),
+        numberSetting("connectionLimit", "connections", 1, 1'000'000, "Maximum number of open connections of callers; three quarters of the file descriptors at most", &s::connectionLimit),
         durationSetting("readTimeout", 100ms, 10min, "Maximum time to receive a request's header, and again to receive its body", &s::readTimeout),
         durationSetting("writeTimeout", 100ms, 10min, "Maximum time for a caller to receive one part of a response", &s::writeTimeout),
         durationSetting("idleTimeout", 100ms, 1h, "Maximum time between two requests on a connection", &s::idleTimeout),
--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -1,19 +1,25 @@
 #include <chervilbend/net/http_server.hpp>
 
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/internal/http_session.hpp>
+#include <chervilbend/net/internal/lingering_close.hpp>
 #include <chervilbend/net/problem.hpp>
 #include <chervilbend/net/sleep.hpp>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace asio = boost::asio;
@@ -29,7 +35,14 @@
 /// One warning in ten seconds.
 constexpr int attemptsPerWarning = 100;
 
-/// Answer to connections beyond the limit; written without waiting, as far as the socket takes it.
+/// Connections beyond the limit that are being refused at a time. More stay in the kernel's queue.
+constexpr std::size_t maxOpenRefusals = 64;
+/// Time in which a refused caller can send its request and read the answer.
+constexpr base::milliseconds refusalTime{500};
+/// One warning for so many refused connections.
+constexpr std::uint64_t refusalsPerWarning = 1'000;
+
+/// Answer to connections beyond the limit.
 const std::string &connectionLimitAnswer()
 {
     static const std::string text = [] {
@@ -165,21 +178,48 @@
             return;
         }
         self->serve(std::move(socket));
-        self->startAccepting();
+        if (self->m_openRefusals < maxOpenRefusals) {
+            self->startAccepting();
+        } else {
+            self->m_acceptsLater = true;
+        }
     });
 }
 
 void http_server::serve(asio::ip::tcp::socket socket)
 {
+    if (m_sessions.size() >= m_limits.connections) {
+        refuseConnection(std::move(socket));
+        return;
+    }
     boost::system::error_code ignored;
-    if (m_sessions.size() < m_limits.connections) {
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        std::make_shared<http_session>(shared_from_this(), std::move(socket))->start();
-    } else {
-        ++m_refusedConnections;
-        socket.non_blocking(true, ignored);
-        socket.write_some(asio::buffer(connectionLimitAnswer()), ignored);
-        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    std::make_shared<http_session>(shared_from_this(), std::move(socket))->start();
+}
+
+void http_server::refuseConnection(asio::ip::tcp::socket socket)
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("http");
+    if (m_refusedConnections % refusalsPerWarning == 0) {
+        LOG4CXX_WARN(logger, base::log_event("connectionsRefused").with("limit", m_limits.connections).with("before", m_refusedConnections).text());
+    }
+    ++m_refusedConnections;
+    ++m_openRefusals;
+    const auto refused = std::make_shared<connection>(std::move(socket));
+    const auto refuse = [refused]() -> asio::awaitable<void> {
+        refused->expireAfter(refusalTime);
+        co_await asio::async_write(refused->socket(), asio::buffer(connectionLimitAnswer()), asio::as_tuple(asio::use_awaitable));
+        co_await lingeringClose(refused, refusalTime);
+        refused->close();
+    };
+    asio::co_spawn(m_executor, refuse, [self = shared_from_this()](const std::exception_ptr &) { self->refusalEnded(); });
+}
+
+void http_server::refusalEnded()
+{
+    --m_openRefusals;
+    if (std::exchange(m_acceptsLater, false) && m_acceptor.is_open()) {
+        startAccepting();
     }
 }
 
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -79,6 +79,8 @@
     boost::system::error_code tryToListen(const address &localAddress);
     void startAccepting();
     void serve(boost::asio::ip::tcp::socket socket);
+    void refuseConnection(boost::asio::ip::tcp::socket socket);
+    void refusalEnded();
     void acceptPending();
 
     boost::asio::any_io_executor m_executor;
@@ -89,6 +91,10 @@
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
     std::uint64_t m_refusedConnections = 0;
+    /// Refused connections that are not closed yet.
+    std::size_t m_openRefusals = 0;
+    /// No connection is accepted until a refused one is closed.
+    bool m_acceptsLater = false;
     unanswered_counts m_unanswered{};
     bool m_drainAnnounced = false;
     bool m_draining = false;
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/membership/message_signer.hpp>
 #include <chervilbend/net/background_task.hpp>
+#include <chervilbend/net/descriptor_limit.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/composition/listening_server.hpp>
 #include <chervilbend/node/composition/start_signals.hpp>
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -6,6 +6,7 @@
 #include <chervilbend/fleet/rate_limit_method.hpp>
 #include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/connect_probe.hpp>
+#include <chervilbend/net/descriptor_limit.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/node/composition/listening_server.hpp>
