--- a/packages/net/tests/request_reader_test.cpp
+++ b/packages/net/tests/request_reader_test.cpp
@@ -74,7 +74,9 @@
         const std::string rest = " HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n";
         for (const std::string target :
              {"http://a.example:80/echo?q=http://b", "HTTP://a.example", "https://a.example?q", "/echo?q=http://b", "http:///echo"}) {
-            fixture.sendAndReadAll("GET " + target + rest);
+            std::string request = "GET ";
+            request.append(target).append(rest);
+            fixture.sendAndReadAll(request);
         }
         const std::vector<std::string> expected{"/echo?q=http://b", "/", "/?q", "/echo?q=http://b", "http:///echo"};
         CPPUNIT_ASSERT(expected == fixture.handler.targets);
