Ignore the signal of a log file that reaches its size limit

A node whose standard output is a file ended by SIGXFSZ at the line that passed the limit of the file's size (ulimit -f), as it did by SIGPIPE once; the signal was not among those that ignores. Without it the write fails, and the node goes on without lines. outlivesTheSizeLimitOfItsLogFile failed before (ended by signal 25).

--- a/packages/node/src/chervilbend/node/composition/start_signals.cpp
+++ b/packages/node/src/chervilbend/node/composition/start_signals.cpp
@@ -22,7 +22,7 @@
 void holdAtStart(int /*argc*/, char ** /*argv*/, char ** /*environment*/)
 {
     start_signals::hold();
-    for (const int signal : {SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM}) {
+    for (const int signal : {SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGXFSZ}) {
         std::signal(signal, SIG_IGN);
     }
 }
--- a/packages/node/tests/node_program.hpp
+++ b/packages/node/tests/node_program.hpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -121,6 +122,13 @@
         CPPUNIT_ASSERT_EQUAL(0, ::kill(m_process, number));
     }
 
+    /// Sets the maximum size, in bytes, of files that the program writes.
+    void limitFileSize(rlim_t bytes) const
+    {
+        const rlimit limit{bytes, bytes};
+        CPPUNIT_ASSERT_EQUAL(0, ::prlimit(m_process, RLIMIT_FSIZE, &limit, nullptr));
+    }
+
     bool isRunning()
     {
         if (!m_status) {
--- a/packages/node/tests/process_start_test.cpp
+++ b/packages/node/tests/process_start_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(stopsWhileItWaitsForAPort);
     CPPUNIT_TEST(signalsAreHeldUntilTheyCanBeHandled);
     CPPUNIT_TEST(outlivesTheReaderOfItsLogLines);
+    CPPUNIT_TEST(outlivesTheSizeLimitOfItsLogFile);
     CPPUNIT_TEST(missingSettingsAreWaitedFor);
     CPPUNIT_TEST(stopsWhileItWaitsForItsSettings);
     CPPUNIT_TEST(signalsWithoutAMeaningDoNotEndIt);
@@ -100,6 +101,19 @@
     }
 
     /// The platform may replace the file, or write it, at the moment of the start.
+    void outlivesTheSizeLimitOfItsLogFile()
+    {
+        const log_file lines;
+        node_program program;
+        program.writeSettings();
+        program.releasePorts();
+        program.start(lines.handle());
+        CPPUNIT_ASSERT(eventually([&] { return isListening(program.callers.port()) || !program.isRunning(); }));
+        program.limitFileSize(1);
+        program.signal(SIGHUP);
+        CPPUNIT_ASSERT_EQUAL(0, program.stop());
+    }
+
     void missingSettingsAreWaitedFor()
     {
         node_program program;
