Go on accepting while refused callers keep their connections

Cause: bounds the refused connections by a pause of the accepting, which holds up all others. Now the oldest refused one is closed for a new one.

--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -35,7 +35,7 @@
 /// One warning in ten seconds.
 constexpr int attemptsPerWarning = 100;
 
-/// Connections beyond the limit that are being refused at a time. More stay in the kernel's queue.
+/// Connections beyond the limit that are being refused at a time. For one more, the oldest is closed.
 constexpr std::size_t maxOpenRefusals = 64;
 /// Time in which a refused caller can send its request and read the answer.
 constexpr base::milliseconds refusalTime{500};
@@ -178,11 +178,7 @@
             return;
         }
         self->serve(std::move(socket));
-        if (self->m_openRefusals < maxOpenRefusals) {
-            self->startAccepting();
-        } else {
-            self->m_acceptsLater = true;
-        }
+        self->startAccepting();
     });
 }
 
@@ -204,23 +200,19 @@
         LOG4CXX_WARN(logger, base::log_event("connectionsRefused").with("limit", m_limits.connections).with("before", m_refusedConnections).text());
     }
     ++m_refusedConnections;
-    ++m_openRefusals;
     const auto refused = std::make_shared<connection>(std::move(socket));
+    m_refusals.push_back(refused);
+    if (m_refusals.size() > maxOpenRefusals) {
+        m_refusals.front()->close();
+        m_refusals.pop_front();
+    }
     const auto refuse = [refused]() -> asio::awaitable<void> {
         refused->expireAfter(refusalTime);
         co_await asio::async_write(refused->socket(), asio::buffer(connectionLimitAnswer()), asio::as_tuple(asio::use_awaitable));
         co_await lingeringClose(refused, refusalTime);
         refused->close();
     };
-    asio::co_spawn(m_executor, refuse, [self = shared_from_this()](const std::exception_ptr &) { self->refusalEnded(); });
-}
-
-void http_server::refusalEnded()
-{
-    --m_openRefusals;
-    if (std::exchange(m_acceptsLater, false) && m_acceptor.is_open()) {
-        startAccepting();
-    }
+    asio::co_spawn(m_executor, refuse, [self = shared_from_this(), refused](const std::exception_ptr &) { self->m_refusals.remove(refused); });
 }
 
 /// Connections that wait to be accepted may have sent their requests; they would be reset with the acceptor.
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
@@ -19,6 +20,7 @@
 namespace chervilbend::net
 {
 
+class connection;
 class http_handler;
 class http_session;
 
@@ -80,7 +82,6 @@
     void startAccepting();
     void serve(boost::asio::ip::tcp::socket socket);
     void refuseConnection(boost::asio::ip::tcp::socket socket);
-    void refusalEnded();
     void acceptPending();
 
     boost::asio::any_io_executor m_executor;
@@ -91,10 +92,8 @@
     timer m_acceptRetryTimer;
     std::set<http_session *> m_sessions;
     std::uint64_t m_refusedConnections = 0;
-    /// Refused connections that are not closed yet.
-    std::size_t m_openRefusals = 0;
-    /// No connection is accepted until a refused one is closed.
-    bool m_acceptsLater = false;
+    /// Refused connections that are not closed yet, the oldest first.
+    std::list<std::shared_ptr<connection>> m_refusals;
     unanswered_counts m_unanswered{};
     bool m_drainAnnounced = false;
     bool m_draining = false;
--- a/packages/net/tests/connection_limit_test.cpp
+++ b/packages/net/tests/connection_limit_test.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(connection_limit_test);
     CPPUNIT_TEST(answersEveryRequestBeyondTheLimit);
+    CPPUNIT_TEST(acceptsWhileRefusedCallersStay);
     CPPUNIT_TEST(keepsDescriptorsForOtherConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -54,6 +55,30 @@
         });
     }
 
+    /// Refused callers that do not close their connections must not keep others waiting.
+    void acceptsWhileRefusedCallersStay()
+    {
+        constexpr std::size_t callers = 500;
+        constexpr base::milliseconds answerTime{1'000};
+        http_server_limits limits;
+        limits.connections = 1;
+        server_fixture fixture(limits);
+        runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
+            const auto held = co_await raw_peer::connect(fixture.port);
+            co_await waitUntil([&] { return fixture.server->openConnections() == limits.connections; });
+            std::vector<std::shared_ptr<raw_peer>> staying;
+            for (std::size_t i = 0; i < callers; ++i) {
+                staying.push_back(co_await raw_peer::connect(fixture.port));
+            }
+            const auto other = co_await raw_peer::connect(fixture.port);
+            const base::time_point sentAt = base::clock::now();
+            co_await other->send("GET /echo HTTP/1.1\r\nHost: a\r\n\r\n");
+            const std::string answer = co_await other->readUntil("\r\n");
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+            CPPUNIT_ASSERT(base::clock::now() - sentAt < answerTime);
+        });
+    }
+
     void keepsDescriptorsForOtherConnections()
     {
         rlimit before{};
