Answer the requests that are aborted at the end of a planned stop

Cause: the connection was closed first and the handler cancelled after it, so that nothing could be written any more. Ruled out: an answer 503, since such a request may run at its endpoint.

Requests whose answer has not begun get 504 with the run state unknown; shutdown_sequence gives these answers 200 ms, which come out of the reserve of 500 ms that the platform's node keeps.

--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -45,7 +45,8 @@
     /// Accepts no new connections, answers open requests with "Connection: close" and closes idle connections soon, when no request has come.
     void drain();
 
-    /// Closes all connections.
+    /// Aborts all requests and closes all connections. Requests whose answer has not begun get one that promises nothing, which takes until openRequests() is
+    /// 0.
     void closeAll();
 
     /// Number of requests that are being answered.
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -24,6 +24,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -111,7 +112,9 @@
     if (m_exchange) {
         m_exchange->cancel(unanswered_reason::aborted);
     }
-    m_connection->close();
+    if (!m_exchange || m_exchange->isStarted()) {
+        m_connection->close();
+    }
     // Posted to the event loop: outside of it, Asio defers the signal, and the task may have ended by then.
     asio::post(m_server->m_executor, [self = shared_from_this()] { self->cancelTask(unanswered_reason::aborted); });
 }
@@ -239,21 +242,36 @@
 {
     ++m_requestNumber;
     watchForDisconnect(m_requestNumber);
-    std::string failure;
+    const std::optional<std::string> failure = co_await runHandler(exchange);
+    const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
+    if (state.cancelled() != asio::cancellation_type::none) {
+        if (exchange->cancelReason() == unanswered_reason::aborted && !exchange->isStarted()) {
+            co_await asio::this_coro::reset_cancellation_state();
+            co_await answerAborted(exchange);
+        }
+    } else if (failure) {
+        static const log4cxx::LoggerPtr logger = base::partLogger("http");
+        LOG4CXX_ERROR(logger, "request handler failed: " << *failure);
+        const base::reason reason{base::error_kind::internal, "the request's handler failed"};
+        co_await exchange->respond(problemResponse(reason));
+    }
+}
+
+asio::awaitable<std::optional<std::string>> http_session::runHandler(std::shared_ptr<http_exchange> exchange)
+{
+    std::optional<std::string> failure;
     try {
         co_await m_server->m_handler.handle(exchange);
-        co_return;
     } catch (const std::exception &error) {
         failure = error.what();
     }
-    const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
-    if (state.cancelled() != asio::cancellation_type::none) {
-        // The caller disconnected; the connection is closed because the exchange is not finished.
-        co_return;
-    }
-    static const log4cxx::LoggerPtr logger = base::partLogger("http");
-    LOG4CXX_ERROR(logger, "request handler failed: " << failure);
-    const base::reason reason{base::error_kind::internal, "the request's handler failed"};
+    co_return failure;
+}
+
+asio::awaitable<void> http_session::answerAborted(std::shared_ptr<http_exchange> exchange)
+{
+    exchange->closeAfterAnswer();
+    const base::reason reason{base::error_kind::outcomeUnknown, "the node stops before the request has ended"};
     co_await exchange->respond(problemResponse(reason));
 }
 
--- a/packages/net/src/chervilbend/net/internal/http_session.hpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.hpp
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace chervilbend::base
 {
@@ -35,6 +37,7 @@
     void drain();
     /// Makes the answer to the open request carry "Connection: close" if it has not begun.
     void announceDrain();
+    /// Closes the connection. An open request whose answer has not begun is aborted and gets one that promises nothing.
     void close();
 
     bool isBusy() const
@@ -49,6 +52,9 @@
     boost::asio::awaitable<std::shared_ptr<http_exchange>> readRequest();
     boost::asio::awaitable<void> refuse(base::reason reason);
     boost::asio::awaitable<void> answer(std::shared_ptr<http_exchange> exchange);
+    /// The message of the exception that ended the handler, if any.
+    boost::asio::awaitable<std::optional<std::string>> runHandler(std::shared_ptr<http_exchange> exchange);
+    boost::asio::awaitable<void> answerAborted(std::shared_ptr<http_exchange> exchange);
 
     void resetIfTruncated(const http_exchange &exchange);
     void noteUnanswered(const http_exchange &exchange);
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
@@ -27,6 +27,8 @@
 
 /// Interval at which the sequence checks whether all requests have finished. A stop takes at most this much longer than necessary.
 constexpr base::milliseconds drainPollInterval{20};
+/// Time for the answers to requests that are aborted at the end.
+constexpr base::milliseconds lastAnswerTime{200};
 
 const log4cxx::LoggerPtr &nodeLog()
 {
@@ -67,6 +69,7 @@
         LOG4CXX_WARN(nodeLog(), "aborted: " << line);
     }
     m_server.closeAll();
+    co_await waitForLastAnswers();
 
     co_await handOverLeases(deadline);
     LOG4CXX_INFO(nodeLog(), "shut down, " << aborted.size() << " requests aborted");
@@ -86,6 +89,14 @@
     }
 }
 
+asio::awaitable<void> shutdown_sequence::waitForLastAnswers()
+{
+    const base::time_point deadline = base::clock::now() + lastAnswerTime;
+    while (m_server.openRequests() > 0 && base::clock::now() < deadline) {
+        co_await pause(drainPollInterval);
+    }
+}
+
 /// The hand-over runs in a separate task, so that a hanging one cannot delay the shutdown beyond its timeout. The objects that the task uses
 /// belong to the process, which stops the event loop after run().
 asio::awaitable<void> shutdown_sequence::handOverLeases(base::time_point deadline)
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.hpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.hpp
@@ -32,7 +32,8 @@
 };
 
 /// Graceful shutdown: reports the node as not ready, waits until the load balancer has noticed, stops accepting connections, waits until the
-/// open requests and orders have finished, and hands over the leases. At the timeout the remaining requests are logged and aborted.
+/// open requests and orders have finished, and hands over the leases. At the timeout the remaining requests are logged and aborted: they get an answer that
+/// promises nothing, or their answer breaks off if it has begun.
 ///
 /// The process runs it once, at the first SIGTERM or SIGINT, and stops its event loop when run() has returned. Further signals have no effect: supervisors
 /// repeat them, and only SIGKILL is meant to cut requests.
@@ -58,6 +59,7 @@
 private:
     boost::asio::awaitable<void> pause(base::milliseconds duration);
     boost::asio::awaitable<void> waitForOpenRequests(base::time_point deadline);
+    boost::asio::awaitable<void> waitForLastAnswers();
     boost::asio::awaitable<void> handOverLeases(base::time_point deadline);
     bool isDrained() const;
 
--- a/packages/node/tests/shutdown_sequence_test.cpp
+++ b/packages/node/tests/shutdown_sequence_test.cpp
@@ -122,7 +122,7 @@
             boost::asio::co_spawn(front.context, shutdown.run(), [&](const std::exception_ptr &, std::size_t aborted) { abortedRequests = aborted; });
             co_await waitUntil([&] { return !front.ready.isReady(); });
             const std::string response = co_await caller->readToEnd();
-            CPPUNIT_ASSERT_EQUAL(std::string(), response);
+            CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 504 ") && contains(response, "\"run\":\"unknown\""));
             co_await waitUntil([&] { return abortedRequests == 1; });
         });
         never.cancel();
