--- a/packages/net/src/chervilbend/net/internal/lingering_close.cpp
+++ b/packages/net/src/chervilbend/net/internal/lingering_close.cpp
@@ -17,7 +17,8 @@
 
 namespace
 {
-constexpr std::size_t maxDiscardedBytes = 1024 * 1024;
+/// More than the longest body that is accepted by default.
+constexpr std::size_t maxDiscardedBytes = 5 * 1024 * 1024;
 } // namespace
 
 asio::awaitable<void> lingeringClose(std::shared_ptr<connection> last, base::milliseconds duration)
--- a/packages/net/src/chervilbend/net/internal/request_reader.cpp
+++ b/packages/net/src/chervilbend/net/internal/request_reader.cpp
@@ -182,6 +182,9 @@
         if (error && (error != http::error::buffer_overflow || !growBuffer())) {
             co_return refuseFor(error);
         }
+        if (m_connection->hasExpired()) {
+            co_return refuseFor(asio::error::operation_aborted);
+        }
         const std::size_t bodyBytes = m_parser.get().body().size();
         if (!reserve(bodyBytes) && bodyBytes > guaranteedBodyBytes) {
             co_return refuse(outOfMemory());
--- a/packages/node/src/chervilbend/node/composition/node_process.cpp
+++ b/packages/node/src/chervilbend/node/composition/node_process.cpp
@@ -177,16 +177,15 @@
         if (error) {
             return;
         }
+        waitForSignal();
         if (signal == SIGHUP) {
             LOG4CXX_INFO(logger, "Signal " << signal << " received; the keys are read again every few seconds.");
-            waitForSignal();
             return;
         }
         LOG4CXX_INFO(logger, "Signal " << signal << (m_isStopping ? " received again, the shutdown goes on." : " received, shutting down."));
         if (!std::exchange(m_isStopping, true)) {
             startShutdown();
         }
-        waitForSignal();
     });
 }
 
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -347,13 +347,13 @@
         if (error) {
             return;
         }
+        waitForSignal();
         LOG4CXX_INFO(nodeLog(), base::log_event("signal").with("number", signal).with("stopping", m_isStopping).text());
         if (signal == SIGHUP) {
             LOG4CXX_INFO(nodeLog(), base::log_event("reload").with("why", "no setting that can change at run time has changed").text());
         } else if (!std::exchange(m_isStopping, true)) {
             startShutdown();
         }
-        waitForSignal();
     });
 }
 
--- a/packages/node/tests/process_start_test.cpp
+++ b/packages/node/tests/process_start_test.cpp
@@ -118,7 +118,7 @@
         CPPUNIT_ASSERT_EQUAL(0, program.stop());
     }
 
-    /// The platform may replace the file, or write it, at the moment of the start.
+    /// A write beyond the limit sends SIGXFSZ.
     void outlivesTheSizeLimitOfItsLogFile()
     {
         const log_file lines;
@@ -132,6 +132,7 @@
         CPPUNIT_ASSERT_EQUAL(0, program.stop());
     }
 
+    /// The platform may replace the file, or write it, at the moment of the start.
     void missingSettingsAreWaitedFor()
     {
         node_program program;
