Serve connections that are accepted just as the node drains

A caller that connects around a planned stop got a reset directly after its request, though the node was alive and still answered others.

Cause: after each accepted connection, Asio tries to accept the next one at once and queues its handler. If drain() runs before that handler, the acceptor is closed by then, and the handler dropped the socket that it was given; acceptPending() can't see this connection any more. The more connections wait, the more often it happens, as on a processor that is taken away for a while.

Ruled out: connections that still wait in the kernel's queue, which drainServesConnectionsThatWaitToBeAccepted covers and which passed before.

The handler now serves the connection unless all connections have been closed; the session sees that the server drains and closes after its answer. The stop waits for open connections, so it waits for this one too.

--- a/packages/net/src/chervilbend/net/http_server.cpp
+++ b/packages/net/src/chervilbend/net/http_server.cpp
@@ -150,6 +150,7 @@
 void http_server::closeAll()
 {
     drain();
+    m_closed = true;
     const std::vector<http_session *> sessions(m_sessions.begin(), m_sessions.end());
     for (http_session *session : sessions) {
         session->close();
@@ -164,6 +165,10 @@
 void http_server::startAccepting()
 {
     m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        // Asio may have accepted this connection before drain() closed the acceptor.
+        if (!error && !self->m_closed) {
+            self->serve(std::move(socket));
+        }
         if (!self->m_acceptor.is_open()) {
             return;
         }
@@ -177,7 +182,6 @@
             });
             return;
         }
-        self->serve(std::move(socket));
         self->startAccepting();
     });
 }
--- a/packages/net/src/chervilbend/net/http_server.hpp
+++ b/packages/net/src/chervilbend/net/http_server.hpp
@@ -98,6 +98,7 @@
     unanswered_counts m_unanswered{};
     bool m_drainAnnounced = false;
     bool m_draining = false;
+    bool m_closed = false;
 };
 
 } // namespace chervilbend::net
--- a/packages/net/tests/http_server_drain_test.cpp
+++ b/packages/net/tests/http_server_drain_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <vector>
+
 using namespace chervilbend;
 using namespace chervilbend::net;
 using namespace chervilbend::net::test;
@@ -18,6 +20,7 @@
     CPPUNIT_TEST(drainAnswersTheRequestAfterAnOpenStream);
     CPPUNIT_TEST(drainAnswersRequestsThatAreBeingRead);
     CPPUNIT_TEST(drainServesConnectionsThatWaitToBeAccepted);
+    CPPUNIT_TEST(drainServesTheConnectionThatIsBeingAccepted);
     CPPUNIT_TEST(drainClosesIdleConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -96,6 +99,31 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("wait!"));
     }
 
+    /// Guards against resetting a connection that has been accepted but not yet handed to the server when it drains.
+    void drainServesTheConnectionThatIsBeingAccepted()
+    {
+        server_fixture fixture;
+        asio::io_context callerContext;
+        std::vector<asio::ip::tcp::socket> callers;
+        for (int i = 0; i < 2; ++i) {
+            callers.emplace_back(callerContext).connect({asio::ip::address_v4::loopback(), fixture.port});
+            asio::write(callers.back(), asio::buffer(std::string("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nwait")));
+        }
+        // Asio accepts the second connection while the handler of the first one runs.
+        for (int i = 0; i < 50 && fixture.server->openConnections() == 0; ++i) {
+            fixture.context.run_one_for(std::chrono::milliseconds(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.server->openConnections());
+        fixture.server->drain();
+        runUntilDone(fixture.context, [&]() -> asio::awaitable<void> { co_await waitUntil([&] { return fixture.server->openConnections() == 0; }); });
+        for (asio::ip::tcp::socket &caller : callers) {
+            std::string answer;
+            boost::system::error_code error;
+            asio::read(caller, asio::dynamic_buffer(answer), error);
+            CPPUNIT_ASSERT_MESSAGE(error.message() + " " + answer, answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("wait!"));
+        }
+    }
+
     /// Guards against a stop that waits for callers which have nothing to ask.
     void drainClosesIdleConnections()
     {
