Call one piece of code for resident memory and for the waits of a stop

The proxy measurement read /proc/self/statm by itself beside base::residentBytes(), and gave 0 where nothing could be read (it is NaN now); shutdown_sequence had the same polling loop three times, now waitUntil(); each request allocated its reader on the heap only to be able to free it early, which std::optional does without. No decision changes.

--- a/packages/measure/src/chervilbend/measure/proxy/proxy_measurement.cpp
+++ b/packages/measure/src/chervilbend/measure/proxy/proxy_measurement.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/measure/proxy/proxy_measurement.hpp>
 
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/base/process_memory.hpp>
 #include <chervilbend/measure/proxy/blocking_caller.hpp>
 #include <chervilbend/measure/proxy/echo_endpoint.hpp>
 #include <chervilbend/measure/proxy/proxy_thread.hpp>
@@ -13,13 +14,12 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <fstream>
 #include <limits>
 #include <malloc.h>
 #include <memory>
+#include <optional>
 #include <sys/resource.h>
 #include <thread>
-#include <unistd.h>
 
 namespace chervilbend::measure
 {
@@ -53,11 +53,8 @@
 
 double residentMegabytes()
 {
-    std::ifstream statm("/proc/self/statm");
-    double size = 0;
-    double resident = 0;
-    statm >> size >> resident;
-    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+    const std::optional<std::size_t> bytes = base::residentBytes();
+    return bytes ? static_cast<double>(*bytes) / 1e6 : std::numeric_limits<double>::quiet_NaN();
 }
 
 double quantileOf(std::vector<double> &values, double probability)
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -195,7 +195,7 @@
 
 asio::awaitable<std::shared_ptr<http_exchange>> http_session::readRequest()
 {
-    auto reader = std::make_unique<request_reader>(m_connection, m_server->m_limits, m_server->m_requestBudget);
+    std::optional<request_reader> reader(std::in_place, m_connection, m_server->m_limits, m_server->m_requestBudget);
     while (!reader->hasBegun()) {
         const bool hasInput = co_await waitForRequest();
         if (!hasInput) {
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.cpp
@@ -63,13 +63,13 @@
 
     m_server.drain();
     LOG4CXX_INFO(nodeLog(), "shutting down: accepting no new connections, waiting for " << m_openRequests.size() << " open requests");
-    co_await waitForOpenRequests(deadline - m_settings.handOverTime);
+    co_await waitUntil([this] { return isDrained(); }, deadline - m_settings.handOverTime);
     const std::vector<std::string> aborted = m_openRequests.describe();
     for (const std::string &line : aborted) {
         LOG4CXX_WARN(nodeLog(), "aborted: " << line);
     }
     m_server.closeAll();
-    co_await waitForLastAnswers();
+    co_await waitUntil([this] { return m_server.openRequests() == 0; }, base::clock::now() + lastAnswerTime);
 
     co_await handOverLeases(deadline);
     LOG4CXX_INFO(nodeLog(), "shut down, " << aborted.size() << " requests aborted");
@@ -82,17 +82,9 @@
     co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> shutdown_sequence::waitForOpenRequests(base::time_point deadline)
+asio::awaitable<void> shutdown_sequence::waitUntil(std::function<bool()> condition, base::time_point deadline)
 {
-    while (!isDrained() && base::clock::now() < deadline) {
-        co_await pause(drainPollInterval);
-    }
-}
-
-asio::awaitable<void> shutdown_sequence::waitForLastAnswers()
-{
-    const base::time_point deadline = base::clock::now() + lastAnswerTime;
-    while (m_server.openRequests() > 0 && base::clock::now() < deadline) {
+    while (!condition() && base::clock::now() < deadline) {
         co_await pause(drainPollInterval);
     }
 }
@@ -111,9 +103,7 @@
             LOG4CXX_ERROR(nodeLog(), "handing over the leases failed; they remain held until they expire");
         }
     });
-    while (!*isDone && base::clock::now() < deadline) {
-        co_await pause(drainPollInterval);
-    }
+    co_await waitUntil([isDone] { return *isDone; }, deadline);
     if (!*isDone) {
         LOG4CXX_WARN(nodeLog(), "the leases were not handed over in time; they remain held until they expire");
     }
--- a/packages/node/src/chervilbend/node/health/shutdown_sequence.hpp
+++ b/packages/node/src/chervilbend/node/health/shutdown_sequence.hpp
@@ -58,8 +58,7 @@
 
 private:
     boost::asio::awaitable<void> pause(base::milliseconds duration);
-    boost::asio::awaitable<void> waitForOpenRequests(base::time_point deadline);
-    boost::asio::awaitable<void> waitForLastAnswers();
+    boost::asio::awaitable<void> waitUntil(std::function<bool()> condition, base::time_point deadline);
     boost::asio::awaitable<void> handOverLeases(base::time_point deadline);
     bool isDrained() const;
 
