Add a soak of real processes that looks for requests that run twice or after a refusal

The users saw REFUSED and TWICE on real processes and left no logs. scripts/soak runs nodes as processes and lets chervilbend-soak stand in for all around them: the metadata store, application servers whose answers come in sixteen faulty forms, relays whose links hold, silence or reset, and callers that keep their connections and repeat what was refused. The schedule follows from the seed. Servers and callers write to one ledger, which checks each attempt and each request.

No logic changed.

--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/fakes/platform/answer_form.hpp>
+#include <chervilbend/fakes/seeded_random.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilbend::fakes
+{
+
+class metadata_store;
+class raw_connection;
+class run_observer;
+struct served_run;
+
+struct application_server_options {
+    std::string name;
+    std::string service;
+    /// Where it listens on 127.0.0.1, and the port that it registers, which may be that of a relay before it.
+    std::uint16_t port = 0;
+    std::uint16_t registeredPort = 0;
+    int slots = 12;
+    base::milliseconds shortestWork{5};
+    base::milliseconds longestWork{60};
+    /// Share of the requests that are answered in one of the forms.
+    double faultyShare = 0;
+    std::vector<answer_form> forms;
+};
+
+/// Stand-in for a server of a plain service, which answers requests and streams of events as the platform's protocol says, and some of them in faulty forms.
+///
+/// A request whose target begins with "/streams/" is answered with events.
+class application_server
+{
+public:
+    /// The references must outlive the object, and the object the event loop.
+    application_server(
+        const boost::asio::any_io_executor &executor, metadata_store &store, run_observer &observer, application_server_options options, std::uint64_t seed);
+    ~application_server();
+
+    /// Starts under a new id, or under that of before.
+    void start(bool keepsId = false);
+    /// Resets all connections. The registration lapses.
+    void crash();
+    /// Stands still: neither reads nor writes, while the kernel still accepts connections.
+    void stall(base::milliseconds duration);
+    /// Refuses new connections.
+    void stopAccepting();
+    void resumeAccepting();
+    /// Serves another service from its next start on.
+    void setService(std::string service);
+
+    bool isRunning() const
+    {
+        return m_life != nullptr;
+    }
+
+private:
+    struct incarnation;
+
+    boost::asio::awaitable<void> accept(std::shared_ptr<incarnation> life);
+    boost::asio::awaitable<void> keepRegistered(std::shared_ptr<incarnation> life);
+    boost::asio::awaitable<void> serve(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller);
+    /// Whether the connection stays open.
+    boost::asio::awaitable<bool> answer(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller);
+    boost::asio::awaitable<bool> refuse(std::shared_ptr<raw_connection> caller, std::string attempt, answer_form form);
+    boost::asio::awaitable<bool> run(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, answer_form form);
+    boost::asio::awaitable<bool> writeAnswer(std::shared_ptr<raw_connection> caller, const served_run &run, std::string fields);
+    /// Waits for a slot. False if there is no room, or the caller has left.
+    boost::asio::awaitable<bool> takeSlot(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, base::time_point deadline);
+    boost::asio::awaitable<void> standStill();
+    /// Writes the text again some milliseconds later.
+    void writeLater(const std::shared_ptr<raw_connection> &caller, std::string text);
+    answer_form drawForm();
+
+    boost::asio::any_io_executor m_executor;
+    metadata_store &m_store;
+    run_observer &m_observer;
+    application_server_options m_options;
+    seeded_random m_random;
+    std::shared_ptr<incarnation> m_life;
+    int m_lives = 0;
+    base::time_point m_stalledUntil = base::clock::now();
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/fakes/src/chervilbend/fakes/platform/run_observer.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/fakes/platform/answer_form.hpp>
+
+#include <string>
+
+namespace chervilbend::fakes
+{
+
+/// A request that a server has begun to work on.
+struct served_run {
+    std::string attempt;
+    std::string target;
+    std::string server;
+    answer_form form = answer_form::proper;
+    base::time_point at = base::clock::now();
+};
+
+/// Is told what servers run.
+class run_observer
+{
+public:
+    virtual ~run_observer() = default;
+
+    virtual void onRun(const served_run &run) = 0;
+    /// A server has answered in another form than the proper one.
+    virtual void onFaultyAnswer(answer_form form) = 0;
+};
+
+} // namespace chervilbend::fakes
--- /dev/null
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -0,0 +1,146 @@
+#include <chervilbend/soak/attempt_ledger.hpp>
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace chervilbend::soak
+{
+
+namespace
+{
+
+constexpr int okStatus = 200;
+
+/// Statuses that promise that the request has not run and never will.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string_view toString(request_kind kind)
+{
+    switch (kind) {
+    case request_kind::order:
+        return "order";
+    case request_kind::stream:
+        return "stream";
+    case request_kind::query:
+        break;
+    }
+    return "query";
+}
+
+} // namespace
+
+void attempt_ledger::onSent(const caller_attempt &attempt)
+{
+    m_attempts[attempt.id].attempt = attempt;
+    if (attempt.kind != request_kind::query) {
+        m_requests[attempt.request].push_back(attempt.id);
+    }
+}
+
+void attempt_ledger::onEnded(const std::string &id, attempt_end end)
+{
+    attempt_record &record = m_attempts[id];
+    ++m_statuses[end.status];
+    ++m_ended;
+    m_served += end.status == okStatus ? 1 : 0;
+    record.end = std::move(end);
+    record.endedAt = base::clock::now();
+    record.hasEnded = true;
+    check(record);
+}
+
+void attempt_ledger::onWrongAnswer(const std::string &id, const std::string &what)
+{
+    report("MIXED (" + what + ")", m_attempts[id]);
+}
+
+void attempt_ledger::onRun(const fakes::served_run &run)
+{
+    ++m_runs;
+    const auto found = m_attempts.find(run.attempt);
+    if (found == m_attempts.end()) {
+        ++m_unknownRuns;
+        return;
+    }
+    found->second.runs.push_back(run);
+    check(found->second);
+}
+
+void attempt_ledger::onFaultyAnswer(fakes::answer_form form)
+{
+    ++m_forms[std::string(fakes::toString(form))];
+}
+
+/// Called after each run and at the end of the attempt, so that a run after the answer is found too.
+void attempt_ledger::check(const attempt_record &record)
+{
+    if (record.attempt.kind == request_kind::query || record.runs.empty()) {
+        return;
+    }
+    if (record.hasEnded && promisesNotRun(record.end.status)) {
+        report("REFUSED", record);
+    }
+    std::size_t runs = 0;
+    for (const std::string &id : m_requests[record.attempt.request]) {
+        runs += m_attempts[id].runs.size();
+    }
+    if (runs > 1) {
+        report("TWICE", record);
+    }
+}
+
+/// Reports each rule once for an attempt.
+void attempt_ledger::report(const std::string &rule, const attempt_record &record)
+{
+    const std::string story = storyOf(record);
+    const std::string key = record.attempt.id;
+    const bool isKnown = std::any_of(
+        m_breaches.begin(), m_breaches.end(), [&](const breach &known) { return known.rule == rule && known.story.find(key) != std::string::npos; });
+    if (!isKnown) {
+        m_breaches.push_back({rule, story});
+    }
+}
+
+std::string attempt_ledger::storyOf(const attempt_record &record) const
+{
+    std::ostringstream story;
+    const auto found = m_requests.find(record.attempt.request);
+    const std::vector<std::string> ids = found == m_requests.end() ? std::vector{record.attempt.id} : found->second;
+    story << toString(record.attempt.kind) << ' ' << record.attempt.request;
+    for (const std::string &id : ids) {
+        const attempt_record &one = m_attempts.at(id);
+        story << "; attempt " << id << " to front-" << one.attempt.node + 1 << " at " << (one.attempt.sentAt - m_startedAt).count() << " ms";
+        for (const fakes::served_run &run : one.runs) {
+            story << ", ran on " << run.server << " at " << (run.at - m_startedAt).count() << " ms (" << fakes::toString(run.form) << ')';
+        }
+        if (one.hasEnded) {
+            story << ", answered " << one.end.status << " at " << (one.endedAt - m_startedAt).count() << " ms " << one.end.note;
+        }
+    }
+    return story.str();
+}
+
+std::string attempt_ledger::summary() const
+{
+    std::ostringstream text;
+    text << "requests that may run once only " << m_requests.size() << ", attempts " << m_attempts.size() << ", runs " << m_runs;
+    if (m_unknownRuns > 0) {
+        text << ", runs of attempts that no caller sent " << m_unknownRuns;
+    }
+    text << "\nanswers by status, 0 for none:";
+    for (const auto &[status, count] : m_statuses) {
+        text << ' ' << status << ':' << count;
+    }
+    text << "\nforms of faulty answers:";
+    for (const auto &[form, count] : m_forms) {
+        text << ' ' << form << ':' << count;
+    }
+    text << '\n';
+    return text.str();
+}
+
+} // namespace chervilbend::soak
--- /dev/null
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <chervilbend/base/clock.hpp>
+#include <chervilbend/fakes/platform/run_observer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilbend::soak
+{
+
+enum class request_kind {
+    /// May run once only.
+    order,
+    /// A stream that can't be resumed, which may run once only as well.
+    stream,
+    /// May be repeated.
+    query,
+};
+
+/// One attempt of a caller, as the caller sees it.
+struct caller_attempt {
+    std::string id;
+    /// Of the request; its attempts share it.
+    std::uint64_t request = 0;
+    request_kind kind = request_kind::order;
+    std::size_t node = 0;
+    base::time_point sentAt = base::clock::now();
+};
+
+/// How an attempt ended for its caller.
+struct attempt_end {
+    /// 0 without an answer.
+    int status = 0;
+    std::string note;
+};
+
+/// A rule that did not hold, with the attempts and runs that show it.
+struct breach {
+    std::string rule;
+    std::string story;
+};
+
+/// What callers and servers have seen of each attempt; checks that what may run once only runs once, and that no request runs that was called not run.
+class attempt_ledger : public fakes::run_observer
+{
+public:
+    void onSent(const caller_attempt &attempt);
+    void onEnded(const std::string &id, attempt_end end);
+    /// An answer that belongs to another request, or that is not whole.
+    void onWrongAnswer(const std::string &id, const std::string &what);
+    void onRun(const fakes::served_run &run) override;
+    void onFaultyAnswer(fakes::answer_form form) override;
+
+    const std::vector<breach> &breaches() const
+    {
+        return m_breaches;
+    }
+    std::size_t served() const
+    {
+        return m_served;
+    }
+    std::size_t ended() const
+    {
+        return m_ended;
+    }
+    /// Numbers of requests, attempts, answers by status, runs and forms, in lines.
+    std::string summary() const;
+
+private:
+    struct attempt_record {
+        caller_attempt attempt;
+        std::vector<fakes::served_run> runs;
+        attempt_end end;
+        base::time_point endedAt;
+        bool hasEnded = false;
+    };
+
+    void check(const attempt_record &record);
+    void report(const std::string &rule, const attempt_record &record);
+    std::string storyOf(const attempt_record &record) const;
+
+    base::time_point m_startedAt = base::clock::now();
+    std::map<std::string, attempt_record> m_attempts;
+    /// The attempts of each request that may run once only, in their order.
+    std::map<std::uint64_t, std::vector<std::string>> m_requests;
+    std::vector<breach> m_breaches;
+    std::map<int, std::size_t> m_statuses;
+    std::map<std::string, std::size_t> m_forms;
+    std::size_t m_runs = 0;
+    std::size_t m_unknownRuns = 0;
+    std::size_t m_served = 0;
+    std::size_t m_ended = 0;
+};
+
+} // namespace chervilbend::soak
--- /dev/null
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -0,0 +1,92 @@
+#include <chervilbend/soak/node_processes.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace chervilbend::soak
+{
+
+namespace
+{
+
+/// As a shell reports them.
+constexpr int endedBySignal = 128;
+/// A stop that had to cut requests off.
+constexpr int cutOffStatus = 3;
+/// A signal before the program's own code runs has its default action (docs/incidents/process-start.md).
+constexpr long earlySignalMs = 100;
+
+std::string nameOf(std::size_t node)
+{
+    return "front-" + std::to_string(node + 1);
+}
+
+} // namespace
+
+node_processes::node_processes(const soak_options &options)
+    : m_options(options)
+{
+}
+
+void node_processes::writeSettings() const
+{
+    const soak_ports ports(m_options);
+    const auto address = [](std::uint16_t port) {
+        return "127.0.0.1:" + std::to_string(port) + "\n";
+    };
+    for (std::size_t node = 0; node < m_options.nodes; ++node) {
+        std::ofstream(m_options.folder + "/" + nameOf(node) + ".yaml")
+            << "node: " << nameOf(node) << "\nzone: a\nlisten: " << address(ports.callers(node)) << "readyListen: " << address(ports.ready(node))
+            << "peerListen: " << address(ports.peers(node)) << "metadataStore: " << address(ports.storeRelay(node))
+            << "metricsListen: " << address(ports.metrics(node))
+            << "jsonLog: true\nbalancerWait: 2500 ms\nprocessorShare: 0.25\nlinkRate: 1000.0\nshutdownBound: 8 s\ndrainTime: 2000 ms\ncommandGap: 3000 ms\n"
+               "enginesCheckFencing: true\nretryShare: 0.2\nretryBurst: 52\nloadWindow: 5 s\nloadOvershoot: 1.1\n";
+    }
+}
+
+std::optional<pid_t> node_processes::signal(std::size_t node, int number)
+{
+    std::ifstream file(m_options.folder + "/" + nameOf(node) + ".pid");
+    pid_t process = 0;
+    if (!(file >> process) || process <= 0) {
+        return std::nullopt;
+    }
+    signalProcess(process, number);
+    return process;
+}
+
+void node_processes::signalProcess(pid_t process, int number)
+{
+    if (::kill(process, number) != 0) {
+        return;
+    }
+    if (number == SIGKILL) {
+        m_killed.insert(process);
+    } else if (number == SIGTERM) {
+        m_stopped.insert(process);
+    }
+}
+
+std::vector<std::string> node_processes::unexpectedEnds() const
+{
+    std::vector<std::string> unexpected;
+    std::ifstream ends(m_options.folder + "/ends");
+    for (std::string line; std::getline(ends, line);) {
+        std::istringstream words(line);
+        std::string name;
+        pid_t process = 0;
+        int status = 0;
+        long lifetime = 0;
+        words >> name >> process >> status >> lifetime;
+        const bool wasKilled = status == endedBySignal + SIGKILL && m_killed.contains(process);
+        const bool wasStopped = (status == 0 || status == cutOffStatus) && m_stopped.contains(process);
+        const bool wasEarly = (status == endedBySignal + SIGTERM || status == endedBySignal + SIGHUP) && lifetime < earlySignalMs;
+        if (!wasKilled && !wasStopped && !wasEarly) {
+            unexpected.push_back(line);
+        }
+    }
+    return unexpected;
+}
+
+} // namespace chervilbend::soak
--- /dev/null
+++ b/packages/soak/src/chervilbend/soak/node_processes.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chervilbend/soak/soak_options.hpp>
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilbend::soak
+{
+
+/// The nodes' processes, which a supervisor starts and starts again: their settings, signals to them, and how they ended.
+///
+/// The supervisor writes each process id to "front-N.pid", and a line "front-N PID STATUS LIFETIME_MS" to "ends" for each end.
+class node_processes
+{
+public:
+    /// Keeps a reference to the options.
+    explicit node_processes(const soak_options &options);
+
+    void writeSettings() const;
+
+    /// Sends the signal to the process that runs now; returns its id, if there is one.
+    std::optional<pid_t> signal(std::size_t node, int number);
+    /// Sends it to a process that may have ended.
+    void signalProcess(pid_t process, int number);
+
+    /// Ends for which no signal of this object is the reason, one a line.
+    std::vector<std::string> unexpectedEnds() const;
+
+private:
+    const soak_options &m_options;
+    std::set<pid_t> m_stopped;
+    std::set<pid_t> m_killed;
+};
+
+} // namespace chervilbend::soak
--- /dev/null
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -0,0 +1,342 @@
+#include <chervilbend/soak/soak_run.hpp>
+
+#include <chervilbend/net/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::soak
+{
+
+namespace
+{
+
+constexpr base::milliseconds startTimeout{20'000};
+constexpr base::milliseconds pollInterval{100};
+/// After the start of the nodes, so that they know each other.
+constexpr base::milliseconds settlingTime{2'500};
+/// After the last answer, in which requests that were called not run may still run.
+constexpr base::milliseconds lateRunTime{2'500};
+constexpr base::milliseconds restartTimeout{15'000};
+constexpr base::milliseconds linkDelay{150};
+constexpr std::size_t maxPrintedBreaches = 12;
+/// How long another service has the address of a server.
+constexpr base::milliseconds reuseTime{3'000};
+constexpr std::string_view otherService = "other";
+
+std::vector<std::uint16_t> readyPorts(const soak_options &options)
+{
+    std::vector<std::uint16_t> ports;
+    for (std::size_t node = 0; node < options.nodes; ++node) {
+        ports.push_back(soak_ports(options).ready(node));
+    }
+    return ports;
+}
+
+} // namespace
+
+soak_run::soak_run(soak_options options)
+    : m_options(std::move(options))
+    , m_store(m_context.get_executor(), soak_ports(m_options).store(), m_options.seed)
+    , m_nodes(m_options)
+    , m_rotation(readyPorts(m_options))
+    , m_schedule(scheduleFor(m_options))
+{
+    const soak_ports ports(m_options);
+    for (std::size_t node = 0; node < m_options.nodes; ++node) {
+        m_storeRelays.push_back(std::make_unique<fakes::fault_relay>(m_context.get_executor(), ports.storeRelay(node), ports.store()));
+    }
+    for (std::size_t index = 0; index < m_options.servers; ++index) {
+        // Every second one is behind a relay.
+        const bool hasRelay = m_options.hasFaults && index % 2 == 1;
+        fakes::application_server_options server;
+        server.name = std::string(1, static_cast<char>('a' + index));
+        server.service = "desk";
+        server.port = ports.server(index);
+        server.registeredPort = hasRelay ? ports.serverRelay(index) : server.port;
+        server.faultyShare = m_options.faultyShare;
+        server.forms = m_options.forms;
+        m_serverRelays.push_back(hasRelay ? std::make_unique<fakes::fault_relay>(m_context.get_executor(), server.registeredPort, server.port) : nullptr);
+        m_servers.push_back(
+            std::make_unique<fakes::application_server>(m_context.get_executor(), m_store, m_ledger, std::move(server), m_options.seed * 1'000 + index));
+        m_servers.back()->start();
+    }
+    writeConfiguration();
+    m_nodes.writeSettings();
+}
+
+void soak_run::writeConfiguration()
+{
+    const std::string attempts = std::to_string(m_options.attempts);
+    const std::string timeout = std::to_string(m_options.orderTimeout.count());
+    m_store.put("keyed.op",
+                "config",
+                R"({"version":3,"routes":[)"
+                R"({"name":"order","host":"desk.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":)"
+                    + timeout + R"(,"targetLatencyMs":150,"priority":1,"service":"desk","attempts":)" + attempts
+                    + R"(},{"name":"stream","host":"desk.example","pathPrefix":"/streams/","kind":"streaming","canResume":false,"timeoutMs":6000,)"
+                      R"("targetLatencyMs":400,"gapAimMs":150,"priority":1,"service":"desk","attempts":)"
+                    + attempts + R"(},{"name":"status","host":"desk.example","pathPrefix":"/status/","kind":"safe","timeoutMs":)" + timeout
+                    + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2}],)"
+                      R"("services":[{"name":"desk","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
+                      R"({"name":"other","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false}],)"
+                      R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+}
+
+soak_run::verdict soak_run::run()
+{
+    asio::co_spawn(m_context, m_rotation.run(), asio::detached);
+    asio::co_spawn(m_context, play(), [this](const std::exception_ptr &failure) {
+        if (failure) {
+            m_failures.emplace_back("the soak itself failed");
+        }
+        m_context.stop();
+    });
+    m_context.run();
+    printResult();
+    if (!m_wasPlayed) {
+        return verdict::notPlayed;
+    }
+    return m_failures.empty() && m_ledger.breaches().empty() ? verdict::held : verdict::broken;
+}
+
+asio::awaitable<void> soak_run::play()
+{
+    std::cout << "ready" << std::endl;
+    const bool isReady = co_await waitUntilReady();
+    if (!isReady) {
+        m_failures.emplace_back("the nodes are not ready after the start");
+        co_return;
+    }
+    m_wasPlayed = true;
+    co_await net::sleepFor(settlingTime);
+    const base::time_point start = base::clock::now();
+    for (std::size_t i = 0; i < m_options.callers; ++i) {
+        ++m_openCallers;
+        const auto one = std::make_shared<caller>(m_options, m_rotation, m_ledger, m_options.seed * 1'000 + 500 + i);
+        asio::co_spawn(m_context, runCaller(one, start + m_options.duration), asio::detached);
+    }
+    co_await playSchedule(start);
+    while (m_openCallers > 0 || m_openFaults > 0) {
+        co_await net::sleepFor(pollInterval);
+    }
+    co_await net::sleepFor(lateRunTime);
+    const base::time_point restartEnd = base::clock::now() + restartTimeout;
+    while (!m_rotation.areAllReady() && base::clock::now() < restartEnd) {
+        co_await net::sleepFor(pollInterval);
+    }
+    if (!m_rotation.areAllReady()) {
+        m_failures.emplace_back("FAULT: not all nodes are ready at the end");
+    }
+    for (const std::string &end : m_nodes.unexpectedEnds()) {
+        m_failures.push_back("FAULT: ended by itself: " + end);
+    }
+    if (m_ledger.served() * 4 < m_ledger.ended()) {
+        m_failures.emplace_back("less than a quarter of the attempts were served");
+    }
+}
+
+asio::awaitable<bool> soak_run::waitUntilReady()
+{
+    const base::time_point end = base::clock::now() + startTimeout;
+    while (!m_rotation.areAllReady() && base::clock::now() < end) {
+        co_await net::sleepFor(pollInterval);
+    }
+    co_return m_rotation.areAllReady();
+}
+
+asio::awaitable<void> soak_run::runCaller(std::shared_ptr<caller> one, base::time_point end)
+{
+    co_await one->run(end);
+    --m_openCallers;
+}
+
+asio::awaitable<void> soak_run::playSchedule(base::time_point start)
+{
+    for (const scheduled_fault &fault : m_schedule) {
+        co_await net::sleepFor(start + fault.at - base::clock::now());
+        ++m_openFaults;
+        asio::co_spawn(m_context, playFault(fault), [this](const std::exception_ptr &) { --m_openFaults; });
+    }
+}
+
+asio::awaitable<void> soak_run::playFault(scheduled_fault fault)
+{
+    if (fault.kind <= fault_kind::hangUpNode) {
+        co_await playNodeFault(fault);
+    } else if (fault.kind <= fault_kind::hideServers) {
+        co_await playServerFault(fault);
+    } else if (fault.kind <= fault_kind::silenceStoreLink) {
+        co_await playLinkFault(fault);
+    } else {
+        co_await playStoreFault(fault);
+    }
+}
+
+asio::awaitable<void> soak_run::playNodeFault(scheduled_fault fault)
+{
+    constexpr int signalsInSeries = 6;
+    const std::size_t node = fault.target % m_options.nodes;
+    switch (fault.kind) {
+    case fault_kind::stopNode:
+        m_nodes.signal(node, SIGTERM);
+        break;
+    case fault_kind::stopNodeTwice:
+        if (const std::optional<pid_t> process = m_nodes.signal(node, SIGTERM)) {
+            co_await net::sleepFor(fault.duration);
+            m_nodes.signalProcess(*process, SIGTERM);
+        }
+        break;
+    case fault_kind::stopNodeInSeries:
+    case fault_kind::hangUpNode:
+        for (int i = 0; i < signalsInSeries; ++i) {
+            m_nodes.signal(node, fault.kind == fault_kind::hangUpNode ? SIGHUP : SIGTERM);
+            co_await net::sleepFor(fault.duration / signalsInSeries);
+        }
+        break;
+    case fault_kind::stopTwoNodes:
+        m_nodes.signal(node, SIGTERM);
+        co_await net::sleepFor(fault.duration);
+        m_nodes.signal((node + 1) % m_options.nodes, SIGTERM);
+        break;
+    case fault_kind::killNode:
+        m_nodes.signal(node, SIGKILL);
+        break;
+    case fault_kind::killAllNodes:
+        for (std::size_t one = 0; one < m_options.nodes; ++one) {
+            m_nodes.signal(one, SIGKILL);
+        }
+        break;
+    default:
+        if (const std::optional<pid_t> process = m_nodes.signal(node, SIGSTOP)) {
+            co_await net::sleepFor(fault.duration);
+            m_nodes.signalProcess(*process, SIGCONT);
+        }
+        break;
+    }
+}
+
+asio::awaitable<void> soak_run::playServerFault(scheduled_fault fault)
+{
+    fakes::application_server &server = *m_servers[fault.target % m_options.servers];
+    if (fault.kind == fault_kind::stallServer) {
+        server.stall(fault.duration);
+    } else if (fault.kind == fault_kind::hideServers) {
+        for (const auto &one : m_servers) {
+            one->stopAccepting();
+        }
+        co_await net::sleepFor(fault.duration);
+        for (const auto &one : m_servers) {
+            one->resumeAccepting();
+        }
+    } else if (server.isRunning()) {
+        server.crash();
+        co_await net::sleepFor(fault.duration);
+        if (fault.kind == fault_kind::reuseServerAddress) {
+            server.setService(std::string(otherService));
+            server.start();
+            co_await net::sleepFor(reuseTime);
+            server.crash();
+            server.setService("desk");
+        }
+        server.start(fault.kind == fault_kind::crashServerKeepingId);
+    }
+}
+
+asio::awaitable<void> soak_run::playLinkFault(scheduled_fault fault)
+{
+    const bool isStore = fault.kind >= fault_kind::holdStoreRequests;
+    // Servers with odd numbers are behind relays.
+    const std::size_t server = (fault.target % m_options.servers) | 1U;
+    fakes::fault_relay *const relay = isStore ? m_storeRelays[fault.target % m_options.nodes].get()
+        : server < m_options.servers          ? m_serverRelays[server].get()
+                                              : nullptr;
+    if (!relay) {
+        co_return;
+    }
+    fakes::link_state state;
+    switch (fault.kind) {
+    case fault_kind::silenceServerLink:
+    case fault_kind::silenceStoreLink:
+        relay->silence();
+        co_return;
+    case fault_kind::resetServerLink:
+        relay->resetConnections();
+        state.refusesConnections = true;
+        break;
+    case fault_kind::delayServerLink:
+        state.delay = linkDelay;
+        break;
+    case fault_kind::holdRequests:
+    case fault_kind::holdStoreRequests:
+        state.holdsRequests = true;
+        break;
+    default:
+        state.holdsAnswers = true;
+        break;
+    }
+    relay->setState(state);
+    co_await net::sleepFor(fault.duration);
+    relay->setState({});
+}
+
+asio::awaitable<void> soak_run::playStoreFault(scheduled_fault fault)
+{
+    switch (fault.kind) {
+    case fault_kind::busyStore:
+        m_store.setFault(fakes::store_fault::busy);
+        break;
+    case fault_kind::silentStore:
+        m_store.setFault(fakes::store_fault::silent);
+        break;
+    case fault_kind::slowStore:
+        m_store.setFault(fakes::store_fault::slow);
+        break;
+    default:
+        m_store.setFault(fakes::store_fault::lossy);
+        break;
+    }
+    co_await net::sleepFor(fault.duration);
+    m_store.setFault(fakes::store_fault::none);
+}
+
+void soak_run::printResult() const
+{
+    std::cout << "seed " << m_options.seed << ", " << m_options.nodes << " nodes, " << m_options.servers << " servers, " << m_options.callers
+              << " callers, attempts " << m_options.attempts << ", order timeout " << m_options.orderTimeout.count() << " ms, "
+              << m_options.duration.count() / 1'000 << " s\n"
+              << m_ledger.summary();
+    std::map<std::string, std::size_t> byRule;
+    for (const breach &one : m_ledger.breaches()) {
+        ++byRule[one.rule];
+    }
+    std::cout << "breaches:";
+    for (const auto &[rule, count] : byRule) {
+        std::cout << ' ' << rule << ':' << count;
+    }
+    std::cout << (byRule.empty() ? " none\n" : "\n");
+    std::size_t printed = 0;
+    for (const breach &one : m_ledger.breaches()) {
+        if (printed++ < maxPrintedBreaches) {
+            std::cout << one.rule << ": " << one.story << '\n';
+        }
+    }
+    for (const std::string &failure : m_failures) {
+        std::cout << failure << '\n';
+    }
+    if (!m_failures.empty() || !byRule.empty()) {
+        std::cout << "schedule, in ms from the start of traffic:\n" << describe(m_schedule);
+    }
+}
+
+} // namespace chervilbend::soak
--- /dev/null
+++ b/packages/soak/src/chervilbend/soak/soak_run.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chervilbend/fakes/platform/application_server.hpp>
+#include <chervilbend/fakes/platform/fault_relay.hpp>
+#include <chervilbend/fakes/platform/metadata_store.hpp>
+#include <chervilbend/soak/attempt_ledger.hpp>
+#include <chervilbend/soak/caller.hpp>
+#include <chervilbend/soak/fault_schedule.hpp>
+#include <chervilbend/soak/node_processes.hpp>
+#include <chervilbend/soak/node_rotation.hpp>
+#include <chervilbend/soak/soak_options.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chervilbend::soak
+{
+
+/// Plays a soak against nodes that a supervisor runs: stands in for everything around them, plays the schedule of faults, and checks what callers and servers
+/// have seen.
+class soak_run
+{
+public:
+    explicit soak_run(soak_options options);
+
+    enum class verdict {
+        held,
+        broken,
+        /// The nodes did not become ready at the start.
+        notPlayed,
+    };
+
+    /// Runs to the end and prints what was seen.
+    verdict run();
+
+private:
+    boost::asio::awaitable<void> play();
+    boost::asio::awaitable<bool> waitUntilReady();
+    boost::asio::awaitable<void> runCaller(std::shared_ptr<caller> one, base::time_point end);
+    boost::asio::awaitable<void> playSchedule(base::time_point start);
+    boost::asio::awaitable<void> playFault(scheduled_fault fault);
+    boost::asio::awaitable<void> playNodeFault(scheduled_fault fault);
+    boost::asio::awaitable<void> playServerFault(scheduled_fault fault);
+    boost::asio::awaitable<void> playLinkFault(scheduled_fault fault);
+    boost::asio::awaitable<void> playStoreFault(scheduled_fault fault);
+    void writeConfiguration();
+    void printResult() const;
+
+    const soak_options m_options;
+    boost::asio::io_context m_context{1};
+    attempt_ledger m_ledger;
+    fakes::metadata_store m_store;
+    std::vector<std::unique_ptr<fakes::fault_relay>> m_storeRelays;
+    std::vector<std::unique_ptr<fakes::application_server>> m_servers;
+    std::vector<std::unique_ptr<fakes::fault_relay>> m_serverRelays;
+    node_processes m_nodes;
+    node_rotation m_rotation;
+    const std::vector<scheduled_fault> m_schedule;
+    std::size_t m_openCallers = 0;
+    std::size_t m_openFaults = 0;
+    std::vector<std::string> m_failures;
+    bool m_wasPlayed = false;
+};
+
+} // namespace chervilbend::soak
--- /dev/null
+++ b/packages/soak/src/main.cpp
@@ -0,0 +1,71 @@
+#include <chervilbend/fakes/platform/answer_form.hpp>
+#include <chervilbend/soak/fault_schedule.hpp>
+#include <chervilbend/soak/soak_run.hpp>
+
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <string>
+
+DEFINE_uint64(seed, 1, "Seed of the schedule and of all random choices");
+DEFINE_int64(seconds, 60, "Duration of the traffic in seconds");
+DEFINE_string(folder, "", "Where the supervisor of the nodes reads their settings and writes their process ids and ends");
+DEFINE_uint64(nodes, 4, "Number of nodes, 1 to 40");
+DEFINE_uint64(servers, 6, "Number of servers, 1 to 26");
+DEFINE_uint64(callers, 48, "Number of callers");
+DEFINE_uint64(first_port, 21'000, "Lowest port of 127.0.0.1 that is used");
+DEFINE_double(faulty_share, 0.2, "Share of the requests that servers answer in a faulty form");
+DEFINE_string(forms, "", "Names of the faulty forms of answers, separated by commas; empty for all");
+DEFINE_bool(faults, true, "Whether processes and links fail besides the answers");
+DEFINE_int32(attempts, 1, "Attempts that the routes of requests that may run once only allow");
+DEFINE_int64(order_timeout_ms, 2'500, "Deadline of orders in milliseconds");
+DEFINE_bool(schedule, false, "Print the schedule of the seed, and end");
+
+namespace
+{
+
+constexpr int rulesBroken = 1;
+constexpr int cannotRun = 2;
+
+} // namespace
+
+/// Stands in for store, servers, links and callers of nodes that scripts/soak runs. Ends with 1 if a rule was broken, with 2 if it could not run.
+int main(int argc, char **argv)
+{
+    using namespace chervilbend;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    soak::soak_options options;
+    options.seed = FLAGS_seed;
+    options.duration = base::milliseconds(FLAGS_seconds * 1'000);
+    options.folder = FLAGS_folder;
+    options.nodes = FLAGS_nodes;
+    options.servers = FLAGS_servers;
+    options.callers = FLAGS_callers;
+    options.firstPort = static_cast<std::uint16_t>(FLAGS_first_port);
+    options.faultyShare = FLAGS_faulty_share;
+    options.forms = FLAGS_forms.empty() ? fakes::faultyForms() : fakes::parseForms(FLAGS_forms);
+    options.hasFaults = FLAGS_faults;
+    options.attempts = FLAGS_attempts;
+    options.orderTimeout = base::milliseconds(FLAGS_order_timeout_ms);
+    if (options.nodes < 1 || options.nodes > 40 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
+        std::cerr << "chervilbend-soak: nodes must be 1 to 40, servers 1 to 26, the seed above 0, and forms known names\n";
+        return cannotRun;
+    }
+    if (FLAGS_schedule) {
+        std::cout << soak::describe(soak::scheduleFor(options));
+        return EXIT_SUCCESS;
+    }
+    try {
+        soak::soak_run run(std::move(options));
+        const soak::soak_run::verdict verdict = run.run();
+        if (verdict == soak::soak_run::verdict::notPlayed) {
+            return cannotRun;
+        }
+        return verdict == soak::soak_run::verdict::held ? EXIT_SUCCESS : rulesBroken;
+    } catch (const std::exception &error) {
+        std::cerr << "chervilbend-soak: " << error.what() << '\n';
+        return cannotRun;
+    }
+}
