Log and count on what evidence an attempt is taken for one that has not run

A line attemptFailed did not say what the node concludes from the failure, nor on what ground, so a request that ran twice showed only "i-b-1 is overloaded". It has mayHaveRun, evidence (not sent, a refusal that names the attempt, one that names none, or nothing), the answer's status and whether its connection had carried another request; two counters show the same without logs. Nothing is decided otherwise.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -44,6 +44,7 @@
     , m_keepWaiting(options.keepWaiting)
     , m_release(std::move(release))
     , m_headOnly(headOnly)
+    , m_isFirstRequest(isFirstRequest)
     , m_isOnlyAnswer(isFirstRequest)
 {
     resetParser();
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -62,6 +62,12 @@
         return m_isOnlyAnswer;
     }
 
+    /// Whether the request is the first one on its connection.
+    bool isFirstRequest() const
+    {
+        return m_isFirstRequest;
+    }
+
     /// Whether a read failed because of a timeout rather than a broken connection.
     bool hasTimedOut() const;
 
@@ -80,6 +86,7 @@
     std::function<bool()> m_keepWaiting;
     release_callback m_release;
     bool m_headOnly;
+    bool m_isFirstRequest;
     bool m_isOnlyAnswer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_readBuffer;
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
@@ -30,9 +30,15 @@
 caller_metrics::caller_metrics(base::metric_registry &registry)
     : m_registry(registry)
     , m_retries(registry.counterFor("chervilbend_retries_total", "Attempts after the first one of a request"))
+    , m_skippedAnswers(registry.counterFor("chervilbend_skipped_answers_total", "Answers to other requests that came before the expected one"))
     , m_brokenStreams(registry.counterFor("chervilbend_broken_streams_total", "Streams that broke off after their first byte reached the caller"))
     , m_tokens(registry.counterFor("chervilbend_tokens_total", "Generated tokens passed on to callers"))
 {
+    for (const run_evidence evidence : {run_evidence::none, run_evidence::notSent, run_evidence::namedRefusal, run_evidence::unnamedRefusal}) {
+        m_failedAttempts[static_cast<std::size_t>(evidence)] = &registry.counterFor("chervilbend_failed_attempts_total",
+                                                                                    "Failed attempts by the evidence that they have not run the request",
+                                                                                    {{"evidence", std::string(toString(evidence))}});
+    }
     for (std::size_t i = 0; i < m_classes.size(); ++i) {
         const std::string name(config::nameOf(static_cast<base::work_class>(i)));
         for (std::size_t outcome = 0; outcome < outcomeNames.size(); ++outcome) {
@@ -89,6 +95,16 @@
     m_retries.add();
 }
 
+void caller_metrics::onFailedAttempt(run_evidence evidence)
+{
+    m_failedAttempts[static_cast<std::size_t>(evidence)]->add();
+}
+
+void caller_metrics::onSkippedAnswer()
+{
+    m_skippedAnswers.add();
+}
+
 void caller_metrics::onBrokenStream()
 {
     m_brokenStreams.add();
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.hpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/error_kind.hpp>
 #include <chervilbend/base/metric_registry.hpp>
 #include <chervilbend/base/work_class.hpp>
+#include <chervilbend/node/callers/run_evidence.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
 
 #include <array>
@@ -31,6 +32,10 @@
     void onFirstByte(base::work_class urgency, base::milliseconds elapsed);
     void onProblem(base::error_kind kind);
     void onRetry();
+    /// An attempt has failed, for which @p evidence tells whether it may have run.
+    void onFailedAttempt(run_evidence evidence);
+    /// An answer to another request has come before the expected one.
+    void onSkippedAnswer();
     void onBrokenStream();
     void onTokens(std::int64_t count);
     void onOrder(base::run_state state, bool replayed);
@@ -45,6 +50,9 @@
     base::metric_registry &m_registry;
     std::array<class_metrics, base::workClassCount> m_classes;
     base::counter &m_retries;
+    /// By evidence.
+    std::array<base::counter *, 4> m_failedAttempts{};
+    base::counter &m_skippedAnswers;
     base::counter &m_brokenStreams;
     base::counter &m_tokens;
 };
--- a/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
@@ -35,6 +35,12 @@
     /// @p isOnlyAnswer tells whether the connection has carried no other request or answer.
     virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const = 0;
 
+    /// Whether the answer names the attempt that it belongs to, and it is the one of the plan.
+    virtual bool namesAttempt(const net::http::response_header<> & /*answer*/, const forwarding_plan & /*plan*/) const
+    {
+        return false;
+    }
+
     /// What the endpoint says of itself in the header of an answer.
     virtual routing::endpoint_notice readNotice(const net::http::response_header<> & /*answer*/) const
     {
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -185,12 +185,17 @@
         co_return true;
     }
     progress.mayHaveRun = progress.mayHaveRun || result.mayHaveRun;
+    m_metrics.onFailedAttempt(result.evidence);
     progress.why = std::move(result.why);
     LOG4CXX_INFO(routeLog(),
                  eventFor("attemptFailed", request->plan)
                      .with("endpoint", target)
                      .with("hadFirstByte", request->hasFirstByte())
                      .with("promptParts", request->plan.sharedPromptParts)
+                     .with("mayHaveRun", result.mayHaveRun)
+                     .with("evidence", toString(result.evidence))
+                     .with("status", result.status)
+                     .with("usedConnection", result.isOnUsedConnection)
                      .with("why", progress.why.text)
                      .text());
     co_return false;
@@ -202,6 +207,7 @@
     result.why = client.lastReason();
     result.mayHaveRun = result.why.kind != base::error_kind::endpointRefused;
     if (!result.mayHaveRun) {
+        result.evidence = run_evidence::notSent;
         result.outcome = request_outcome::notSent;
     } else {
         result.outcome = client.hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
@@ -237,6 +243,7 @@
     request->startAttempt(target.endpoint);
     const std::optional<net::address> address = m_endpoints.find(target.endpoint);
     if (!address) {
+        result.evidence = run_evidence::notSent;
         result.outcome = request_outcome::notSent;
         result.why = {base::error_kind::endpointRefused, "the address of " + target.endpoint.value() + " is not known"};
         co_return result;
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -8,6 +8,7 @@
 #include <chervilbend/node/callers/endpoint_silence.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/native_protocol.hpp>
+#include <chervilbend/node/callers/run_evidence.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 
@@ -82,6 +83,11 @@
         /// The response to the caller is finished or cannot be continued, so there is no further attempt.
         bool isFinal = false;
         bool mayHaveRun = false;
+        run_evidence evidence = run_evidence::none;
+        /// Status of the answer; 0 without one.
+        int status = 0;
+        /// The answer came on a connection that had carried another request.
+        bool isOnUsedConnection = false;
         base::reason why;
     };
 
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -69,15 +69,20 @@
             result.why = answer->lastReason();
             co_return result;
         }
+        m_metrics.onSkippedAnswer();
         verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
     }
+    result.status = static_cast<int>(answer->header().result_int());
+    result.isOnUsedConnection = !answer->isFirstRequest();
     routing::endpoint_notice notice;
     if (verdict != fleet::answer_disposition::notExecutedMisdirected && verdict != fleet::answer_disposition::invalid) {
         notice = protocol.readNotice(answer->header());
         request->admitted.noteAnswer(notice);
     }
+    const run_evidence refusalEvidence = protocol.namesAttempt(answer->header(), plan) ? run_evidence::namedRefusal : run_evidence::unnamedRefusal;
     switch (verdict) {
     case fleet::answer_disposition::notExecutedOverloaded:
+        result.evidence = refusalEvidence;
         result.outcome = request_outcome::refused;
         result.why = {base::error_kind::overloaded, target.endpoint.value() + (notice.toleratedRefusals ? " is overloaded and brittle" : " is overloaded")};
         co_return result;
@@ -85,6 +90,7 @@
         if (m_missingItemListener) {
             m_missingItemListener(target.endpoint, plan.item);
         }
+        result.evidence = refusalEvidence;
         result.outcome = request_outcome::refused;
         result.why = {base::error_kind::noEndpoint, target.endpoint.value() + " does not hold " + plan.facts.pool + " any more"};
         co_return result;
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -20,6 +20,11 @@
     return m_codec.forEndpoint(request, metadata);
 }
 
+bool platform_protocol::namesAttempt(const net::http::response_header<> &answer, const forwarding_plan &plan) const
+{
+    return m_codec.namesAttempt(answer, plan.attemptId);
+}
+
 fleet::answer_disposition platform_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const
 {
     return m_codec.classifyAnswer(answer, plan.attemptId, isOnlyAnswer);
--- a/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
@@ -24,6 +24,11 @@
     return m_codec.forHelper(request, metadata);
 }
 
+bool relay_protocol::namesAttempt(const net::http::response_header<> &answer, const forwarding_plan &plan) const
+{
+    return m_codec.namesAttempt(answer, plan.attemptId);
+}
+
 fleet::answer_disposition relay_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const
 {
     const auto state = answer[runStateField];
