Add a test that fails: a refusal without a name on a new connection is believed

The endpoint runs an order, or a stream that cannot be resumed, and writes a refusal of something else before its answer. The node takes the refusal for the answer: with a retry left the request runs a second time (ran 2 or more, 1 expected), without one its caller gets 503 "not run". The case that is to be believed, a refusal with the name, keeps its test.

--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -12,7 +12,8 @@
     CPPUNIT_TEST_SUITE(faulty_endpoint_test);
     CPPUNIT_TEST(repeatedRefusalOfTheSameAttemptIsNotBelieved);
     CPPUNIT_TEST(unattributedRefusalOnAUsedConnectionIsNotBelieved);
-    CPPUNIT_TEST(unattributedRefusalOnANewConnectionIsBelieved);
+    CPPUNIT_TEST(unnamedRefusalOnANewConnectionIsNotBelieved);
+    CPPUNIT_TEST(namedRefusalOnANewConnectionIsBelieved);
     CPPUNIT_TEST(repeatedRefusalOfAnotherRequestIsSkipped);
     CPPUNIT_TEST(errorIsNotAppendedToAStream);
     CPPUNIT_TEST(failedResumptionDoesNotEndTheStream);
@@ -76,12 +77,37 @@
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 "));
     }
 
-    void unattributedRefusalOnANewConnectionIsBelieved()
+    /// The endpoint runs the request and writes a refusal of something else before its answer: the request ran twice, or was called not run.
+    void unnamedRefusalOnANewConnectionIsNotBelieved()
+    {
+        const std::string busy = "HTTP/1.1 503 Busy\r\nChervilbend-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string misdirected = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+        for (const std::string &path : {std::string("/order/x"), std::string("/report/x")}) {
+            for (const std::string &refusal : {busy, misdirected}) {
+                for (const int retries : {0, 3}) {
+                    route_api_fixture fixture;
+                    fixture.configure();
+                    fixture.director.retriesLeft = retries;
+                    int ran = 0;
+                    fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                        co_await caller->readUntil("{}");
+                        ++ran;
+                        co_await caller->send(refusal + sealedResponse("done"));
+                    });
+                    const std::string answer = fixture.ask(path);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 1, ran);
+                    CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 "));
+                }
+            }
+        }
+    }
+
+    void namedRefusalOnANewConnectionIsBelieved()
     {
         route_api_fixture fixture;
         fixture.configure();
         fixture.director.retriesLeft = 0;
-        fixture.addEndpoint(answerAndClose("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"));
+        fixture.addEndpoint(answerAndClose("HTTP/1.1 421 Misdirected\r\nChervilbend-Attempt-Id: own1\r\nContent-Length: 0\r\n\r\n"));
         CPPUNIT_ASSERT(contains(fixture.ask("/order/x"), " 503 "));
     }
 
