Believe a refusal only if it names the attempt

The server had run it, and a refusal of something else came before its answer.

With a retry left the node sent the request to the next server (TWICE), without one it answered "not run" (REFUSED), and the caller repeated it: one cause of both rules. The class is that evidence is attributed by position in place of identity.

Why it works: what a node concludes no longer depends on the connection; without the name the request may have run, and the caller gets 502. The question whether an answer is the only one on its connection is gone from the client, the protocols and the codec.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -45,7 +45,6 @@
     , m_release(std::move(release))
     , m_headOnly(headOnly)
     , m_isFirstRequest(isFirstRequest)
-    , m_isOnlyAnswer(isFirstRequest)
 {
     resetParser();
 }
@@ -160,7 +159,6 @@
 
 asio::awaitable<bool> http_client_stream::skipToNextAnswer()
 {
-    m_isOnlyAnswer = false;
     if (!isSelfDelimiting()) {
         fail(base::error_kind::endpointInvalidAnswer, "an answer to another request has neither a length nor chunked encoding");
         co_return false;
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -56,12 +56,6 @@
         return !m_parser->need_eof();
     }
 
-    /// Whether this is the only answer that has arrived on the connection, which has carried no other request, so that it must belong to this one.
-    bool isOnlyAnswer() const
-    {
-        return m_isOnlyAnswer;
-    }
-
     /// Whether the request is the first one on its connection.
     bool isFirstRequest() const
     {
@@ -87,7 +81,6 @@
     release_callback m_release;
     bool m_headOnly;
     bool m_isFirstRequest;
-    bool m_isOnlyAnswer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_readBuffer;
 };
--- a/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_protocol.hpp
@@ -32,8 +32,7 @@
     /// Builds the request of an attempt; @p request is the caller's.
     virtual net::http_request prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const = 0;
 
-    /// @p isOnlyAnswer tells whether the connection has carried no other request or answer.
-    virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const = 0;
+    virtual fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const = 0;
 
     /// Whether the answer names the attempt that it belongs to, and it is the one of the plan.
     virtual bool namesAttempt(const net::http::response_header<> & /*answer*/, const forwarding_plan & /*plan*/) const
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -60,7 +60,7 @@
 {
     attempt_result result;
     const forwarding_plan &plan = request->plan;
-    fleet::answer_disposition verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
+    fleet::answer_disposition verdict = protocol.classify(answer->header(), plan);
     while (verdict == fleet::answer_disposition::mismatched) {
         // The response to an earlier, abandoned request may precede the expected one on the connection.
         if (!co_await answer->skipToNextAnswer()) {
@@ -70,7 +70,7 @@
             co_return result;
         }
         m_metrics.onSkippedAnswer();
-        verdict = protocol.classify(answer->header(), plan, answer->isOnlyAnswer());
+        verdict = protocol.classify(answer->header(), plan);
     }
     result.status = static_cast<int>(answer->header().result_int());
     result.isOnUsedConnection = !answer->isFirstRequest();
--- a/packages/node/src/chervilbend/node/callers/native_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/native_protocol.cpp
@@ -13,7 +13,7 @@
     return requestForEndpoint(request, plan);
 }
 
-fleet::answer_disposition native_protocol::classify(const http::response_header<> &answer, const forwarding_plan &plan, bool /*isOnlyAnswer*/) const
+fleet::answer_disposition native_protocol::classify(const http::response_header<> &answer, const forwarding_plan &plan) const
 {
     // Plain services also use 429 for their own rate limits per account. Other instances would respond alike, so only engines are retried.
     const http::status status = answer.result();
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -25,9 +25,9 @@
     return m_codec.namesAttempt(answer, plan.attemptId);
 }
 
-fleet::answer_disposition platform_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const
+fleet::answer_disposition platform_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const
 {
-    return m_codec.classifyAnswer(answer, plan.attemptId, isOnlyAnswer);
+    return m_codec.classifyAnswer(answer, plan.attemptId);
 }
 
 routing::endpoint_notice platform_protocol::readNotice(const net::http::response_header<> &answer) const
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.hpp
@@ -14,7 +14,7 @@
 
     net::http_request prepare(const net::http_request &request, const forwarding_plan &plan, const attempt_terms &terms) const override;
     bool namesAttempt(const net::http::response_header<> &answer, const forwarding_plan &plan) const override;
-    fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const override;
+    fleet::answer_disposition classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const override;
     routing::endpoint_notice readNotice(const net::http::response_header<> &answer) const override;
 
 private:
--- a/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
@@ -29,10 +29,10 @@
     return m_codec.namesAttempt(answer, plan.attemptId);
 }
 
-fleet::answer_disposition relay_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan, bool isOnlyAnswer) const
+fleet::answer_disposition relay_protocol::classify(const net::http::response_header<> &answer, const forwarding_plan &plan) const
 {
     const auto state = answer[runStateField];
-    const fleet::answer_disposition ofEndpoint = m_codec.classifyAnswer(answer, plan.attemptId, isOnlyAnswer);
+    const fleet::answer_disposition ofEndpoint = m_codec.classifyAnswer(answer, plan.attemptId);
     if (ofEndpoint == fleet::answer_disposition::invalid && std::string_view(state.data(), state.size()) == base::toString(base::run_state::notRun)) {
         return fleet::answer_disposition::notExecutedOverloaded;
     }
