Name the attempt in refusals to other nodes, and believe only those

Change: the peer port names the attempt of a request that was passed on in each answer, by the same field as endpoints; the node that passed it on believes a refusal only with that name, and skips one with another name.

The refusals of the other tests there have the name now, as nodes send it. Not seen on real processes: a node writes one answer to a request.

Versions: the field is added, its meaning is unchanged. The version before ignores it.

--- a/packages/fleet/src/chervilbend/fleet/request_codec.hpp
+++ b/packages/fleet/src/chervilbend/fleet/request_codec.hpp
@@ -36,6 +36,12 @@
     std::optional<std::int64_t> lastEvent;
 };
 
+/// A header field of an answer.
+struct attempt_field {
+    std::string name;
+    std::string value;
+};
+
 /// What the header of an endpoint's answer says about the request that was sent.
 enum class answer_disposition {
     /// A valid answer, which is forwarded to the caller unchanged.
@@ -65,6 +71,8 @@
     virtual net::http_request forHelper(const net::http_request &request, const relay_metadata &metadata) const = 0;
     /// Whether another node has passed the request on.
     virtual bool isRelayed(const net::http_request &request) const = 0;
+    /// The field, with its value, by which an answer to the request names its attempt.
+    virtual attempt_field attemptField(const net::http_request &request) const = 0;
     /// Whether the answer names @p attempt as the one that it belongs to.
     virtual bool namesAttempt(const net::http::response_header<> &answer, const std::string &attempt) const = 0;
     /// @p attempt is the attempt ID of the request that was sent. A refusal that names no attempt may be that of another request, and is invalid.
--- a/packages/net/src/chervilbend/net/http_exchange.cpp
+++ b/packages/net/src/chervilbend/net/http_exchange.cpp
@@ -55,12 +55,22 @@
     return error && error != asio::error::would_block && error != asio::error::try_again;
 }
 
+void http_exchange::addDefaultFields(http::fields &answer) const
+{
+    for (const http::fields::value_type &field : m_defaultFields) {
+        if (answer.count(field.name_string()) == 0) {
+            answer.set(field.name_string(), field.value());
+        }
+    }
+}
+
 asio::awaitable<bool> http_exchange::respond(http_response response)
 {
     if (m_started) {
         co_return false;
     }
     m_started = true;
+    addDefaultFields(response);
     response.version(11);
     response.keep_alive(m_keepAlive);
     response.prepare_payload();
@@ -84,6 +94,7 @@
         co_return false;
     }
     m_started = true;
+    addDefaultFields(header);
     header.version(11);
     header.keep_alive(m_keepAlive);
     if (m_request.version() < 11) {
--- a/packages/net/src/chervilbend/net/http_exchange.hpp
+++ b/packages/net/src/chervilbend/net/http_exchange.hpp
@@ -38,6 +38,12 @@
     /// Whether the caller has closed its side of the connection, as far as this host knows. Consumes no data. Over TLS, a closed connection may go undetected.
     bool callerHasDisconnected() const;
 
+    /// Each answer gets the field, unless it has one of that name.
+    void setDefaultField(boost::beast::string_view name, boost::beast::string_view value)
+    {
+        m_defaultFields.set(name, value);
+    }
+
     /// Sends a complete answer. False when the caller has disconnected or an answer was already started.
     boost::asio::awaitable<bool> respond(http_response response);
 
@@ -87,12 +93,15 @@
     }
 
 private:
+    void addDefaultFields(http::fields &answer) const;
+
     std::shared_ptr<connection> m_connection;
     http_request m_request;
     std::unique_ptr<base::byte_reservation> m_bodyMemory;
     base::milliseconds m_writeTimeout;
     bool m_keepAlive;
     std::optional<unanswered_reason> m_cancelReason;
+    http::fields m_defaultFields;
     bool m_started = false;
     bool m_finished = false;
 };
--- a/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
@@ -33,7 +33,8 @@
 {
     const auto state = answer[runStateField];
     const fleet::answer_disposition ofEndpoint = m_codec.classifyAnswer(answer, plan.attemptId);
-    if (ofEndpoint == fleet::answer_disposition::invalid && std::string_view(state.data(), state.size()) == base::toString(base::run_state::notRun)) {
+    const bool claimsNotRun = std::string_view(state.data(), state.size()) == base::toString(base::run_state::notRun);
+    if (ofEndpoint == fleet::answer_disposition::invalid && claimsNotRun && namesAttempt(answer, plan)) {
         return fleet::answer_disposition::notExecutedOverloaded;
     }
     return ofEndpoint;
--- a/packages/node/src/chervilbend/node/callers/relay_protocol.hpp
+++ b/packages/node/src/chervilbend/node/callers/relay_protocol.hpp
@@ -5,8 +5,8 @@
 namespace chervilbend::node
 {
 
-/// Builds requests to another node that serves them for this one, and classifies its answers: its own refusals say whether the request ran, and all other
-/// answers are those of an endpoint.
+/// Builds requests to another node that serves them for this one, and classifies its answers: its own refusals say whether the request ran, and
+/// count if they name its attempt; all other answers are those of an endpoint.
 class relay_protocol : public endpoint_protocol
 {
 public:
--- a/packages/node/src/chervilbend/node/peer_api.cpp
+++ b/packages/node/src/chervilbend/node/peer_api.cpp
@@ -24,7 +24,12 @@
 {
     if (!m_codec.isRelayed(exchange->request())) {
         co_await m_calls.handle(std::move(exchange));
-    } else if (m_canHelp()) {
+        co_return;
+    }
+    // The other node believes a refusal only if it says which request it belongs to.
+    const fleet::attempt_field attempt = m_codec.attemptField(exchange->request());
+    exchange->setDefaultField(attempt.name, attempt.value);
+    if (m_canHelp()) {
         co_await m_routes.handleRelayed(std::move(exchange));
     } else {
         const base::reason why{base::error_kind::noEndpoint, "this node reaches no endpoint itself, or is stopping"};
--- a/packages/node/tests/request_relay_test.cpp
+++ b/packages/node/tests/request_relay_test.cpp
@@ -95,7 +95,7 @@
     std::shared_ptr<net::http_server> peerServer;
 };
 
-const std::string notRunRefusal = "HTTP/1.1 503 Busy\r\nX-Run-State: not run\r\nContent-Length: 0\r\n\r\n";
+const std::string notRunRefusal = "HTTP/1.1 503 Busy\r\nChervilbend-Attempt-Id: own1\r\nX-Run-State: not run\r\nContent-Length: 0\r\n\r\n";
 const std::string unknownFailure = "HTTP/1.1 502 Bad\r\nX-Run-State: unknown\r\nContent-Length: 0\r\n\r\n";
 
 } // namespace
@@ -111,6 +111,8 @@
     CPPUNIT_TEST(waitingRequestIsPassedOn);
     CPPUNIT_TEST(helperThatRefusesIsReplaced);
     CPPUNIT_TEST(refusalOfAllHelpersIsTrue);
+    CPPUNIT_TEST(unnamedRefusalOfAHelperIsNotBelieved);
+    CPPUNIT_TEST(refusalOfAnotherRequestByAHelperIsSkipped);
     CPPUNIT_TEST(lostHelperMeansThatTheRequestMayHaveRun);
     CPPUNIT_TEST(streamGoesOnAtTheHelper);
     CPPUNIT_TEST(streamWithoutEventsMayBeginAtAnyVersion);
@@ -118,6 +120,7 @@
     CPPUNIT_TEST(helperServesRequestsOfOthers);
     CPPUNIT_TEST(helperKeepsToTheAttemptsThatAreLeft);
     CPPUNIT_TEST(strandedHelperRefuses);
+    CPPUNIT_TEST(helperNamesTheAttemptInItsRefusals);
     CPPUNIT_TEST(callersCannotSendRelayedRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +185,29 @@
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 503 ") && contains(answer, "Retry-After"));
     }
 
+    /// The refusal may be that of an earlier request: the request ran at the first helper and at the next one.
+    void unnamedRefusalOfAHelperIsNotBelieved()
+    {
+        for (const std::string &path : {std::string("/order/x"), std::string("/report/x")}) {
+            stranded_fixture fixture;
+            fixture.strand();
+            fixture.addHelper("HTTP/1.1 503 Busy\r\nX-Run-State: not run\r\nContent-Length: 0\r\n\r\n" + sealedResponse("helped"));
+            fixture.addHelper(sealedResponse("helped again"));
+            const std::string answer = fixture.ask(path);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t(1), fixture.received.size());
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 "));
+        }
+    }
+
+    void refusalOfAnotherRequestByAHelperIsSkipped()
+    {
+        stranded_fixture fixture;
+        fixture.strand();
+        const std::string earlier = "HTTP/1.1 503 Busy\r\nChervilbend-Attempt-Id: other\r\nX-Run-State: not run\r\nContent-Length: 0\r\n\r\n";
+        fixture.addHelper(earlier + sealedResponse("helped"));
+        CPPUNIT_ASSERT(fixture.ask("/order/x").ends_with("helped"));
+    }
+
     void lostHelperMeansThatTheRequestMayHaveRun()
     {
         for (const std::string &lost : {std::string(), unknownFailure}) {
@@ -279,6 +305,16 @@
         CPPUNIT_ASSERT(fixture.director.submitted.empty());
     }
 
+    /// Whichever part of the node refuses.
+    void helperNamesTheAttemptInItsRefusals()
+    {
+        for (const std::string &path : {std::string("/order/x"), std::string("/nothing/x")}) {
+            helping_fixture fixture;
+            const std::string answer = fixture.ask(path, "Chervilbend-Relay-Attempts: 0\r\n");
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "Chervilbend-Attempt-Id: own1\r\n"));
+        }
+    }
+
     /// On the callers' port the header means nothing, and does not reach endpoints.
     void callersCannotSendRelayedRequests()
     {
