--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(unattributedRefusalOnAUsedConnectionIsNotBelieved);
     CPPUNIT_TEST(unnamedRefusalOnANewConnectionIsNotBelieved);
     CPPUNIT_TEST(namedRefusalOnANewConnectionIsBelieved);
+    CPPUNIT_TEST(successThatClaimsNotToHaveRunIsInvalid);
     CPPUNIT_TEST(repeatedRefusalOfAnotherRequestIsSkipped);
     CPPUNIT_TEST(errorIsNotAppendedToAStream);
     CPPUNIT_TEST(failedResumptionDoesNotEndTheStream);
@@ -111,6 +112,17 @@
         CPPUNIT_ASSERT(contains(fixture.ask("/order/x"), " 503 "));
     }
 
+    /// A success without a seal would reach the caller as one of the endpoint.
+    void successThatClaimsNotToHaveRunIsInvalid()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        fixture.director.retriesLeft = 0;
+        fixture.addEndpoint(answerAndClose("HTTP/1.1 200 OK\r\nChervilbend-Attempt-Id: own1\r\nChervilbend-Not-Executed: 1\r\nContent-Length: 4\r\n\r\ndone"));
+        const std::string answer = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 "));
+    }
+
     void repeatedRefusalOfAnotherRequestIsSkipped()
     {
         route_api_fixture fixture;
