--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -13,8 +13,9 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <cstdlib>
+#include <iomanip>
+#include <sstream>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -42,6 +43,8 @@
 /// Part of the time left that a caller waits at most before it repeats a request.
 constexpr int retryWaitShare = 3;
 constexpr int okStatus = 200;
+/// Odd, with bits all over the word: spreads consecutive numbers.
+constexpr std::uint64_t spreadingFactor = 0x9e3779b97f4a7c15U;
 
 std::uint64_t nextNumber()
 {
@@ -49,6 +52,14 @@
     return ++number;
 }
 
+/// 16 hexadecimal digits that no other attempt has.
+std::string attemptId(std::uint64_t seed)
+{
+    std::ostringstream text;
+    text << std::hex << std::setfill('0') << std::setw(16) << seed * spreadingFactor + nextNumber();
+    return text.str();
+}
+
 bool isPromise(int status)
 {
     return status == 429 || status == 503;
@@ -117,7 +128,7 @@
     , m_nodes(nodes)
     , m_ledger(ledger)
     , m_random(seed)
-    , m_hash(seed * 0x9e3779b97f4a7c15U >> 20)
+    , m_hash(seed * spreadingFactor >> 20)
 {
 }
 
@@ -190,8 +201,7 @@
     if (!connection) {
         co_return result;
     }
-    char id[24];
-    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(m_options.seed * 0x9e3779b97f4a7c15U + nextNumber()));
+    const std::string id = attemptId(m_options.seed);
     m_ledger.onSent({id, request.number, request.kind, connection->node});
     const base::milliseconds left = std::max(request.deadline - base::clock::now(), base::milliseconds(1));
     const std::string text = std::string(request.kind == request_kind::query ? "GET " : "POST ") + std::string(pathOf(request.kind))
--- a/packages/soak/src/chervilbend/soak/node_rotation.cpp
+++ b/packages/soak/src/chervilbend/soak/node_rotation.cpp
@@ -23,7 +23,7 @@
 constexpr int missesUntilOut = 2;
 } // namespace
 
-node_rotation::node_rotation(std::vector<std::uint16_t> readyPorts)
+node_rotation::node_rotation(const std::vector<std::uint16_t> &readyPorts)
 {
     for (const std::uint16_t port : readyPorts) {
         m_nodes.push_back({port, missesUntilOut});
--- a/packages/soak/src/chervilbend/soak/node_rotation.hpp
+++ b/packages/soak/src/chervilbend/soak/node_rotation.hpp
@@ -13,7 +13,7 @@
 class node_rotation
 {
 public:
-    explicit node_rotation(std::vector<std::uint16_t> readyPorts);
+    explicit node_rotation(const std::vector<std::uint16_t> &readyPorts);
 
     /// Asks the nodes until the task ends.
     boost::asio::awaitable<void> run();
