--- /dev/null
+++ b/packages/soak/tests/attempt_ledger_test.cpp
@@ -0,0 +1,123 @@
+#include <chervilbend/soak/attempt_ledger.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace chervilbend;
+using namespace chervilbend::soak;
+
+namespace
+{
+
+struct ledger_fixture {
+    void send(const std::string &id, std::uint64_t request, request_kind kind = request_kind::order)
+    {
+        ledger.onSent({id, request, kind, 0});
+    }
+
+    void run(const std::string &id)
+    {
+        ledger.onRun({id, "/orders/1", "i-a-1"});
+    }
+
+    void end(const std::string &id, int status)
+    {
+        ledger.onEnded(id, {status, {}});
+    }
+
+    /// The rules of all breaches, in their order.
+    std::string rules() const
+    {
+        std::string names;
+        for (const breach &one : ledger.breaches()) {
+            names += one.rule + ' ';
+        }
+        return names;
+    }
+
+    attempt_ledger ledger;
+};
+
+} // namespace
+
+/// Guards against a soak that holds although a request ran twice or ran after it was called not run.
+class attempt_ledger_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(attempt_ledger_test);
+    CPPUNIT_TEST(findsRunThatWasCalledNotRun);
+    CPPUNIT_TEST(findsRunAfterTheRefusal);
+    CPPUNIT_TEST(findsSecondRunOfAnAttempt);
+    CPPUNIT_TEST(findsSecondRunOfARepeatedRequest);
+    CPPUNIT_TEST(findsWrongAnswer);
+    CPPUNIT_TEST(holdsWhereNothingIsPromised);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void findsRunThatWasCalledNotRun()
+    {
+        for (const int status : {408, 421, 429, 503}) {
+            ledger_fixture fixture;
+            fixture.send("a", 1);
+            fixture.run("a");
+            fixture.end("a", status);
+            CPPUNIT_ASSERT_EQUAL(std::string("REFUSED "), fixture.rules());
+        }
+    }
+
+    void findsRunAfterTheRefusal()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1, request_kind::stream);
+        fixture.end("a", 503);
+        fixture.run("a");
+        CPPUNIT_ASSERT_EQUAL(std::string("REFUSED "), fixture.rules());
+    }
+
+    void findsSecondRunOfAnAttempt()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1);
+        fixture.run("a");
+        fixture.run("a");
+        fixture.end("a", 200);
+        CPPUNIT_ASSERT_EQUAL(std::string("TWICE "), fixture.rules());
+    }
+
+    void findsSecondRunOfARepeatedRequest()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1);
+        fixture.run("a");
+        fixture.end("a", 503);
+        fixture.send("b", 1);
+        fixture.run("b");
+        CPPUNIT_ASSERT_EQUAL(std::string("REFUSED TWICE "), fixture.rules());
+    }
+
+    void findsWrongAnswer()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1);
+        fixture.ledger.onWrongAnswer("a", "not whole");
+        CPPUNIT_ASSERT_EQUAL(std::string("MIXED (not whole) "), fixture.rules());
+    }
+
+    void holdsWhereNothingIsPromised()
+    {
+        ledger_fixture fixture;
+        for (const int status : {0, 200, 502, 504}) {
+            const std::string id = std::to_string(status);
+            fixture.send(id, static_cast<std::uint64_t>(status));
+            fixture.run(id);
+            fixture.end(id, status);
+        }
+        fixture.send("query", 7, request_kind::query);
+        fixture.run("query");
+        fixture.run("query");
+        fixture.end("query", 503);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.rules());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(attempt_ledger_test);
