--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -33,7 +33,6 @@
 constexpr base::milliseconds eventGap{20};
 constexpr int eventsPerStream = 6;
 constexpr int queuedPerSlot = 1;
-constexpr std::string_view serversTopic = "keyed.servers";
 
 std::string fieldOf(const net::http_request &request, std::string_view name)
 {
@@ -171,18 +170,17 @@
 asio::awaitable<void> application_server::keepRegistered(std::shared_ptr<incarnation> life)
 {
     while (life->isAlive) {
-        m_store.put(std::string(serversTopic),
-                    life->id,
-                    "{\"service\":\"" + m_options.service + "\",\"address\":\"127.0.0.1:" + std::to_string(m_options.registeredPort)
-                        + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + std::to_string(m_options.slots)
-                        + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":" + std::to_string(++life->heartbeats)
-                        + ",\"born\":" + std::to_string(life->bornAt.count()) + "}");
+        m_store.putServer(life->id,
+                          "{\"service\":\"" + m_options.service + "\",\"address\":\"127.0.0.1:" + std::to_string(m_options.registeredPort)
+                              + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + std::to_string(m_options.slots)
+                              + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":" + std::to_string(++life->heartbeats)
+                              + ",\"born\":" + std::to_string(life->bornAt.count()) + "}");
         co_await net::sleepFor(heartbeatInterval);
     }
     co_await net::sleepFor(registrationLife - heartbeatInterval);
     const bool hasIdOfAnotherLife = m_life && m_life->id == life->id;
     if (!hasIdOfAnotherLife) {
-        m_store.put(std::string(serversTopic), life->id, "");
+        m_store.putServer(life->id, "");
     }
 }
 
--- a/packages/fakes/src/chervilbend/fakes/platform/metadata_store.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/metadata_store.cpp
@@ -85,6 +85,16 @@
     asio::co_spawn(executor, accept(), asio::detached);
 }
 
+void metadata_store::putConfiguration(const std::string &json)
+{
+    put("keyed.op", "config", json);
+}
+
+void metadata_store::putServer(const std::string &id, const std::string &entry)
+{
+    put("keyed.servers", id, entry);
+}
+
 void metadata_store::put(const std::string &topic, const std::string &key, const std::string &value)
 {
     m_topics[topic].push_back(bigEndian(key.size(), 1) + key + value);
--- a/packages/fakes/src/chervilbend/fakes/platform/metadata_store.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/metadata_store.hpp
@@ -38,14 +38,17 @@
 public:
     metadata_store(const boost::asio::any_io_executor &executor, std::uint16_t port, std::uint64_t seed);
 
-    /// What the operator and the servers write. An empty value removes the key.
-    void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// What the operator writes.
+    void putConfiguration(const std::string &json);
+    /// What a server writes. An empty entry removes it.
+    void putServer(const std::string &id, const std::string &entry);
     void setFault(store_fault fault)
     {
         m_fault = fault;
     }
 
 private:
+    void put(const std::string &topic, const std::string &key, const std::string &value);
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<raw_connection> caller);
     boost::asio::awaitable<std::string> answer(std::string target, std::string body);
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/soak/caller.hpp>
 
+#include <chervilbend/fakes/platform/caller_message.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/net/timer.hpp>
 #include <chervilbend/soak/node_rotation.hpp>
@@ -203,10 +204,14 @@
     }
     const std::string id = attemptId(m_options.seed);
     m_ledger.onSent({id, request.number, request.kind, connection->node});
-    const base::milliseconds left = std::max(request.deadline - base::clock::now(), base::milliseconds(1));
-    const std::string text = std::string(request.kind == request_kind::query ? "GET " : "POST ") + std::string(pathOf(request.kind))
-        + std::to_string(request.number) + " HTTP/1.1\r\nHost: desk.example\r\nChervilbend-Attempt-Id: " + id + "\r\nChervilbend-Deadline-Milliseconds: "
-        + std::to_string(left.count()) + "\r\nContent-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+    fakes::caller_message message;
+    message.method = request.kind == request_kind::query ? "GET" : "POST";
+    message.host = "desk.example";
+    message.path = std::string(pathOf(request.kind)) + std::to_string(request.number);
+    message.attempt = id;
+    message.timeout = std::max(request.deadline - base::clock::now(), base::milliseconds(1));
+    message.body = request.body;
+    const std::string text = fakes::toText(message);
     connection->closeAt(request.leavesAt ? std::min(*request.leavesAt, request.deadline) : request.deadline);
     auto [error, size] = co_await asio::async_write(connection->socket, asio::buffer(text), awaitTuple);
     net::http::response_parser<net::http::string_body> parser;
@@ -244,7 +249,7 @@
     const std::string &body = answer.body();
     const std::string last = "id: 5\ndata: piece of " + id + "\n\n";
     const bool isWhole = request.kind == request_kind::stream ? body.ends_with(last) : body == "done " + id;
-    if (!isWhole || answer["Chervilbend-Response-Seal"].empty()) {
+    if (!isWhole || !fakes::isSealed(answer)) {
         m_ledger.onWrongAnswer(id, "an answer of another request, or one that is not whole: " + body.substr(0, 100));
     }
 }
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -79,18 +79,16 @@
 {
     const std::string attempts = std::to_string(m_options.attempts);
     const std::string timeout = std::to_string(m_options.orderTimeout.count());
-    m_store.put("keyed.op",
-                "config",
-                R"({"version":3,"routes":[)"
-                R"({"name":"order","host":"desk.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":)"
-                    + timeout + R"(,"targetLatencyMs":150,"priority":1,"service":"desk","attempts":)" + attempts
-                    + R"(},{"name":"stream","host":"desk.example","pathPrefix":"/streams/","kind":"streaming","canResume":false,"timeoutMs":6000,)"
-                      R"("targetLatencyMs":400,"gapAimMs":150,"priority":1,"service":"desk","attempts":)"
-                    + attempts + R"(},{"name":"status","host":"desk.example","pathPrefix":"/status/","kind":"safe","timeoutMs":)" + timeout
-                    + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2}],)"
-                      R"("services":[{"name":"desk","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
-                      R"({"name":"other","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false}],)"
-                      R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+    m_store.putConfiguration(R"({"version":3,"routes":[)"
+                             R"({"name":"order","host":"desk.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":)"
+                             + timeout + R"(,"targetLatencyMs":150,"priority":1,"service":"desk","attempts":)" + attempts
+                             + R"(},{"name":"stream","host":"desk.example","pathPrefix":"/streams/","kind":"streaming","canResume":false,"timeoutMs":6000,)"
+                               R"("targetLatencyMs":400,"gapAimMs":150,"priority":1,"service":"desk","attempts":)"
+                             + attempts + R"(},{"name":"status","host":"desk.example","pathPrefix":"/status/","kind":"safe","timeoutMs":)" + timeout
+                             + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2}],)"
+                               R"("services":[{"name":"desk","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
+                               R"({"name":"other","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false}],)"
+                               R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
 }
 
 soak_run::verdict soak_run::run()
