Treat each answer without an attempt's name as invalid

What callers would see: the answer to another request, as a success. A server that writes an answer without its attempt's id, late or once more, made the node pass it on as the answer to what it had sent last on that connection.

Now an answer without a name shows nothing, whatever its status: the request may have run, 502.

--- a/packages/fleet/src/chervilbend/fleet/request_codec.hpp
+++ b/packages/fleet/src/chervilbend/fleet/request_codec.hpp
@@ -75,7 +75,7 @@
     virtual attempt_field attemptField(const net::http_request &request) const = 0;
     /// Whether the answer names @p attempt as the one that it belongs to.
     virtual bool namesAttempt(const net::http::response_header<> &answer, const std::string &attempt) const = 0;
-    /// @p attempt is the attempt ID of the request that was sent. A refusal that names no attempt may be that of another request, and is invalid.
+    /// @p attempt is the attempt ID of the request that was sent. An answer that names no attempt may be that to another request, and is invalid.
     virtual answer_disposition classifyAnswer(const net::http::response_header<> &answer, const std::string &attempt) const = 0;
     /// What the endpoint says of itself in the header of an answer. Fields that cannot be read count as absent.
     virtual routing::endpoint_notice readNotice(const net::http::response_header<> &answer) const = 0;
--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(unnamedRefusalOnANewConnectionIsNotBelieved);
     CPPUNIT_TEST(namedRefusalOnANewConnectionIsBelieved);
     CPPUNIT_TEST(successThatClaimsNotToHaveRunIsInvalid);
+    CPPUNIT_TEST(unnamedAnswerDoesNotReachTheCaller);
     CPPUNIT_TEST(repeatedRefusalOfAnotherRequestIsSkipped);
     CPPUNIT_TEST(errorIsNotAppendedToAStream);
     CPPUNIT_TEST(failedResumptionDoesNotEndTheStream);
@@ -123,6 +124,23 @@
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 "));
     }
 
+    /// It may be that of the request before on the connection.
+    void unnamedAnswerDoesNotReachTheCaller()
+    {
+        const std::string fields = "Chervilbend-Response-Seal: s1\r\n";
+        const std::string complete = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 6\r\n\r\nothers";
+        const std::string streamed = "HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + chunk("id: 1\ndata: others\n\n") + lastChunk;
+        for (const std::string &unnamed : {complete, streamed}) {
+            route_api_fixture fixture;
+            fixture.configure();
+            fixture.director.retriesLeft = 0;
+            fixture.addEndpoint(answerAndClose(unnamed));
+            const std::string answer = fixture.ask("/report/x");
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 502 ") && !contains(answer, "others"));
+        }
+    }
+
     void repeatedRefusalOfAnotherRequestIsSkipped()
     {
         route_api_fixture fixture;
