--- a/packages/fakes/src/chervilbend/fakes/platform/raw_connection.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/raw_connection.hpp
@@ -23,10 +23,6 @@
     boost::asio::awaitable<bool> readHeader();
     /// Reads the rest of the request. False as for readHeader().
     boost::asio::awaitable<bool> readBody();
-    bool hasBody() const
-    {
-        return m_parser->is_done();
-    }
 
     const net::http_request &request() const
     {
