--- a/packages/net/src/chervilbend/net/connection.hpp
+++ b/packages/net/src/chervilbend/net/connection.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -53,6 +54,16 @@
         return m_expired;
     }
 
+    /// Number of the connection among those of its client, for log lines; 0 if it has none.
+    std::int64_t number() const
+    {
+        return m_number;
+    }
+    void setNumber(std::int64_t number)
+    {
+        m_number = number;
+    }
+
     /// Notes that a request is sent. Returns whether it is the first one on this connection.
     bool noteRequest()
     {
@@ -74,6 +85,7 @@
     bool m_closesAtDeadline = true;
     bool m_expired = false;
     bool m_isUsed = false;
+    std::int64_t m_number = 0;
 };
 
 } // namespace chervilbend::net
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -198,7 +198,7 @@
         co_return nullptr;
     }
     enableDeadPeerDetection(opened->socket());
-    ++m_opened;
+    opened->setNumber(++m_opened);
     co_return opened;
 }
 
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -73,6 +73,11 @@
     return std::max(base::milliseconds(seconds * millisecondsPerSecond) - idleMargin, base::milliseconds(0));
 }
 
+std::int64_t http_client_stream::connectionNumber() const
+{
+    return m_connection->number();
+}
+
 bool http_client_stream::hasTimedOut() const
 {
     return m_connection->hasExpired();
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -62,6 +63,9 @@
         return m_isFirstRequest;
     }
 
+    /// Number of the connection among those of its client, for log lines.
+    std::int64_t connectionNumber() const;
+
     /// Whether a read failed because of a timeout rather than a broken connection.
     bool hasTimedOut() const;
 
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -195,6 +195,7 @@
                      .with("mayHaveRun", result.mayHaveRun)
                      .with("evidence", toString(result.evidence))
                      .with("status", result.status)
+                     .with("connection", result.connection)
                      .with("usedConnection", result.isOnUsedConnection)
                      .with("why", progress.why.text)
                      .text());
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -86,7 +86,9 @@
         run_evidence evidence = run_evidence::none;
         /// Status of the answer; 0 without one.
         int status = 0;
-        /// The answer came on a connection that had carried another request.
+        /// Number of the connection that the answer came on; 0 without an answer.
+        std::int64_t connection = 0;
+        /// The connection had carried another request.
         bool isOnUsedConnection = false;
         base::reason why;
     };
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -73,6 +73,7 @@
         verdict = protocol.classify(answer->header(), plan);
     }
     result.status = static_cast<int>(answer->header().result_int());
+    result.connection = answer->connectionNumber();
     result.isOnUsedConnection = !answer->isFirstRequest();
     routing::endpoint_notice notice;
     if (verdict != fleet::answer_disposition::notExecutedMisdirected && verdict != fleet::answer_disposition::invalid) {
