Let the soak write copies of refusals when the attempt comes again

New forms write the copy with the next answer, before it or between its header and body, and in two parts; a quarter of the callers' repetitions bear the id of the refused attempt, and the result counts attempts that came again on the connection where they were refused.

--- a/packages/fakes/src/chervilbend/fakes/platform/answer_form.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/answer_form.cpp
@@ -11,13 +11,16 @@
 {
 
 /// In the order of the enumeration.
-constexpr std::array<std::string_view, 17> names{
+constexpr std::array<std::string_view, 20> names{
     "proper",
     "refused",
     "refusedAndClosed",
     "refusedTwice",
     "refusedWithLateCopy",
     "refusedWithUnnamedCopy",
+    "refusedWithCopyInParts",
+    "refusedWithCopyBeforeNext",
+    "refusedWithCopyWithinNext",
     "refusedBeforeBody",
     "refusedBeforeBodyAndReset",
     "ranAfterEarlierRefusal",
--- a/packages/fakes/src/chervilbend/fakes/platform/answer_form.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/answer_form.hpp
@@ -20,6 +20,12 @@
     refusedWithLateCopy,
     /// The same, and the copy names no attempt.
     refusedWithUnnamedCopy,
+    /// Writes the refusal a second time, in two parts, each some milliseconds later.
+    refusedWithCopyInParts,
+    /// Writes the refusal a second time when the next request has come on the connection, which may be the same attempt, and then serves that.
+    refusedWithCopyBeforeNext,
+    /// The same, between the header and the body of the answer to the next request.
+    refusedWithCopyWithinNext,
     /// Refuses it before its body has arrived, and reads the body later.
     refusedBeforeBody,
     /// Refuses it before its body has arrived, and resets the connection.
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -93,6 +94,16 @@
     int heartbeats = 0;
 };
 
+/// A connection with what an earlier refusal on it left behind.
+struct application_server::served_connection {
+    std::shared_ptr<raw_connection> caller;
+    /// The attempts that were refused on it.
+    std::set<std::string> refused;
+    /// The copy of a refusal that is written with the next answer; empty if none is.
+    std::string copyBeforeNext;
+    std::string copyWithinNext;
+};
+
 application_server::application_server(
     const asio::any_io_executor &executor, metadata_store &store, run_observer &observer, application_server_options options, std::uint64_t seed)
     : m_executor(executor)
@@ -186,20 +197,23 @@
 
 asio::awaitable<void> application_server::serve(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller)
 {
+    const auto served = std::make_shared<served_connection>();
+    served->caller = caller;
     bool isOpen = true;
     while (isOpen && life->isAlive) {
         isOpen = co_await caller->readHeader();
         co_await standStill();
         if (isOpen && life->isAlive) {
-            isOpen = co_await answer(life, caller);
+            isOpen = co_await answer(life, served);
         }
     }
     life->connections.erase(caller);
     caller->close();
 }
 
-asio::awaitable<bool> application_server::answer(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller)
+asio::awaitable<bool> application_server::answer(std::shared_ptr<incarnation> life, std::shared_ptr<served_connection> served)
 {
+    const std::shared_ptr<raw_connection> caller = served->caller;
     const std::string attempt = fieldOf(caller->request(), "Chervilbend-Attempt-Id");
     const std::string target(caller->request().target());
     if (target == "/health") {
@@ -207,14 +221,21 @@
     }
     const std::string expected = fieldOf(caller->request(), "Chervilbend-Expect-Instance");
     const bool isMisdirected = !expected.empty() && expected != life->id;
-    const answer_form form = attempt.empty() || isMisdirected ? answer_form::proper : drawForm();
+    const bool isRepeat = served->refused.contains(attempt);
+    if (isRepeat) {
+        m_observer.onRepeatOnConnection();
+    }
+    // What was refused here is served when it comes again, after the copy of its refusal.
+    const bool isProper = attempt.empty() || isMisdirected || isRepeat;
+    const answer_form form = isProper ? answer_form::proper : drawForm();
     if (form == answer_form::refusedBeforeBody || form == answer_form::refusedBeforeBodyAndReset) {
-        co_return co_await refuse(caller, attempt, form);
+        co_return co_await refuse(served, attempt, form);
     }
     const bool isComplete = co_await caller->readBody();
     if (!isComplete) {
         co_return false;
     }
+    caller->write(std::exchange(served->copyBeforeNext, {}));
     if (attempt.empty()) {
         co_return caller->write(message("400 Bad", "Chervilbend-Not-Executed: 1\r\n"));
     }
@@ -222,20 +243,22 @@
         co_return caller->write(message("421 Misdirected", "Chervilbend-Attempt-Id: " + attempt + "\r\nChervilbend-Instance-Id: " + life->id + "\r\n"));
     }
     if (!runs(form)) {
-        co_return co_await refuse(caller, attempt, form);
+        co_return co_await refuse(served, attempt, form);
     }
     const base::time_point deadline = base::clock::now() + timeFor(caller->request());
     const bool hasSlot = co_await takeSlot(life, caller, deadline);
     if (!hasSlot) {
         co_return caller->write(refusal(attempt));
     }
-    const bool isOpen = co_await run(life, caller, form);
+    const bool isOpen = co_await run(life, served, form);
     --life->running;
     co_return isOpen;
 }
 
-asio::awaitable<bool> application_server::refuse(std::shared_ptr<raw_connection> caller, std::string attempt, answer_form form)
+asio::awaitable<bool> application_server::refuse(std::shared_ptr<served_connection> served, std::string attempt, answer_form form)
 {
+    const std::shared_ptr<raw_connection> caller = served->caller;
+    served->refused.insert(attempt);
     const std::string text = refusal(attempt);
     bool isOpen = caller->write(text);
     switch (form) {
@@ -246,10 +269,19 @@
         isOpen = isOpen && caller->write(text);
         break;
     case answer_form::refusedWithLateCopy:
-        writeLater(caller, text);
+        writeLater(caller, {text});
         break;
     case answer_form::refusedWithUnnamedCopy:
-        writeLater(caller, refusal({}));
+        writeLater(caller, {refusal({})});
+        break;
+    case answer_form::refusedWithCopyInParts:
+        writeLater(caller, {text.substr(0, text.size() / 2), text.substr(text.size() / 2)});
+        break;
+    case answer_form::refusedWithCopyBeforeNext:
+        served->copyBeforeNext = text;
+        break;
+    case answer_form::refusedWithCopyWithinNext:
+        served->copyWithinNext = text;
         break;
     case answer_form::refusedBeforeBody:
         isOpen = isOpen && co_await caller->readBody();
@@ -264,8 +296,9 @@
     co_return isOpen;
 }
 
-asio::awaitable<bool> application_server::run(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, answer_form form)
+asio::awaitable<bool> application_server::run(std::shared_ptr<incarnation> life, std::shared_ptr<served_connection> served, answer_form form)
 {
+    const std::shared_ptr<raw_connection> caller = served->caller;
     served_run run;
     run.attempt = fieldOf(caller->request(), "Chervilbend-Attempt-Id");
     run.target = std::string(caller->request().target());
@@ -305,28 +338,32 @@
     default:
         break;
     }
-    co_return co_await writeAnswer(caller, run, fields);
+    co_return co_await writeAnswer(served, run, fields);
 }
 
-asio::awaitable<bool> application_server::writeAnswer(std::shared_ptr<raw_connection> caller, const served_run &run, std::string fields)
+asio::awaitable<bool> application_server::writeAnswer(std::shared_ptr<served_connection> served, const served_run &run, std::string fields)
 {
+    const std::shared_ptr<raw_connection> caller = served->caller;
+    const std::string copyWithin = std::exchange(served->copyWithinNext, {});
     const std::string attempt = run.attempt;
     const bool isCopied = run.form == answer_form::ranWithLateCopy;
     if (!run.target.starts_with("/streams/")) {
-        const std::string text = message("200 OK", fields + "Keep-Alive: timeout=30\r\n", "done " + attempt);
+        const std::string body = "done " + attempt;
+        std::string text = message("200 OK", fields + "Keep-Alive: timeout=30\r\n", body);
+        text.insert(text.size() - body.size(), copyWithin);
         if (isCopied) {
-            writeLater(caller, text);
+            writeLater(caller, {text});
         }
         co_return caller->write(text);
     }
-    bool isOpen = caller->write("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool isOpen = caller->write("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + copyWithin);
     for (int event = 0; isOpen && event < eventsPerStream; ++event) {
         isOpen = caller->write(chunk("id: " + std::to_string(event) + "\ndata: piece of " + attempt + "\n\n"));
         co_await net::sleepFor(eventGap);
         co_await standStill();
     }
     if (isCopied) {
-        writeLater(caller, refusal(attempt));
+        writeLater(caller, {refusal(attempt)});
     }
     co_return isOpen && caller->write("0\r\n\r\n");
 }
@@ -353,12 +390,14 @@
     }
 }
 
-void application_server::writeLater(const std::shared_ptr<raw_connection> &caller, std::string text)
+void application_server::writeLater(const std::shared_ptr<raw_connection> &caller, std::vector<std::string> parts)
 {
     const base::milliseconds delay(m_random.between(shortestCopyDelay.count(), longestCopyDelay.count()));
-    const auto write = [caller, delay, text = std::move(text)]() -> asio::awaitable<void> {
-        co_await net::sleepFor(delay);
-        caller->write(text);
+    const auto write = [caller, delay, parts = std::move(parts)]() -> asio::awaitable<void> {
+        for (const std::string &part : parts) {
+            co_await net::sleepFor(delay);
+            caller->write(part);
+        }
     };
     asio::co_spawn(m_executor, write, asio::detached);
 }
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
@@ -66,20 +66,21 @@
 
 private:
     struct incarnation;
+    struct served_connection;
 
     boost::asio::awaitable<void> accept(std::shared_ptr<incarnation> life);
     boost::asio::awaitable<void> keepRegistered(std::shared_ptr<incarnation> life);
     boost::asio::awaitable<void> serve(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller);
     /// Whether the connection stays open.
-    boost::asio::awaitable<bool> answer(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller);
-    boost::asio::awaitable<bool> refuse(std::shared_ptr<raw_connection> caller, std::string attempt, answer_form form);
-    boost::asio::awaitable<bool> run(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, answer_form form);
-    boost::asio::awaitable<bool> writeAnswer(std::shared_ptr<raw_connection> caller, const served_run &run, std::string fields);
+    boost::asio::awaitable<bool> answer(std::shared_ptr<incarnation> life, std::shared_ptr<served_connection> served);
+    boost::asio::awaitable<bool> refuse(std::shared_ptr<served_connection> served, std::string attempt, answer_form form);
+    boost::asio::awaitable<bool> run(std::shared_ptr<incarnation> life, std::shared_ptr<served_connection> served, answer_form form);
+    boost::asio::awaitable<bool> writeAnswer(std::shared_ptr<served_connection> served, const served_run &run, std::string fields);
     /// Waits for a slot. False if there is no room, or the caller has left.
     boost::asio::awaitable<bool> takeSlot(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, base::time_point deadline);
     boost::asio::awaitable<void> standStill();
-    /// Writes the text again some milliseconds later.
-    void writeLater(const std::shared_ptr<raw_connection> &caller, std::string text);
+    /// Writes the parts, each some milliseconds after the one before.
+    void writeLater(const std::shared_ptr<raw_connection> &caller, std::vector<std::string> parts);
     answer_form drawForm();
 
     boost::asio::any_io_executor m_executor;
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/soak/attempt_ledger.hpp>
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -35,15 +36,23 @@
 
 void attempt_ledger::onSent(const caller_attempt &attempt)
 {
-    m_attempts[attempt.id].attempt = attempt;
-    if (attempt.kind != request_kind::query) {
+    std::vector<attempt_record> &sendings = m_attempts[attempt.id];
+    if (attempt.kind != request_kind::query && sendings.empty()) {
         m_requests[attempt.request].push_back(attempt.id);
     }
+    sendings.emplace_back().attempt = attempt;
+    ++m_sendings;
+}
+
+attempt_ledger::attempt_record &attempt_ledger::lastOf(const std::string &id)
+{
+    std::vector<attempt_record> &sendings = m_attempts[id];
+    return sendings.empty() ? sendings.emplace_back() : sendings.back();
 }
 
 void attempt_ledger::onEnded(const std::string &id, attempt_end end)
 {
-    attempt_record &record = m_attempts[id];
+    attempt_record &record = lastOf(id);
     ++m_statuses[end.status];
     ++m_ended;
     m_served += end.status == okStatus ? 1 : 0;
@@ -55,7 +64,7 @@
 
 void attempt_ledger::onWrongAnswer(const std::string &id, const std::string &what)
 {
-    report("MIXED (" + what + ")", m_attempts[id]);
+    report("MIXED (" + what + ")", lastOf(id));
 }
 
 void attempt_ledger::onRun(const fakes::served_run &run)
@@ -66,8 +75,9 @@
         ++m_unknownRuns;
         return;
     }
-    found->second.runs.push_back(run);
-    check(found->second);
+    attempt_record &record = lastOf(run.attempt);
+    record.runs.push_back(run);
+    check(record);
 }
 
 void attempt_ledger::onFaultyAnswer(fakes::answer_form form)
@@ -75,6 +85,11 @@
     ++m_forms[std::string(fakes::toString(form))];
 }
 
+void attempt_ledger::onRepeatOnConnection()
+{
+    ++m_repeatsOnConnection;
+}
+
 /// Called after each run and at the end of the attempt, so that a run after the answer is found too.
 void attempt_ledger::check(const attempt_record &record)
 {
@@ -86,7 +101,9 @@
     }
     std::size_t runs = 0;
     for (const std::string &id : m_requests[record.attempt.request]) {
-        runs += m_attempts[id].runs.size();
+        for (const attempt_record &sending : m_attempts[id]) {
+            runs += sending.runs.size();
+        }
     }
     if (runs > 1) {
         report("TWICE", record);
@@ -96,24 +113,46 @@
 /// Reports each rule once for an attempt.
 void attempt_ledger::report(const std::string &rule, const attempt_record &record)
 {
-    const std::string story = storyOf(record);
     const std::string key = record.attempt.id;
     const bool isKnown = std::any_of(
         m_breaches.begin(), m_breaches.end(), [&](const breach &known) { return known.rule == rule && known.story.find(key) != std::string::npos; });
     if (!isKnown) {
-        m_breaches.push_back({rule, story});
+        m_breaches.push_back({rule, programsOf(record), storyOf(record)});
     }
 }
 
-std::string attempt_ledger::storyOf(const attempt_record &record) const
+std::vector<attempt_ledger::attempt_record> attempt_ledger::sendingsOf(const attempt_record &record) const
 {
-    std::ostringstream story;
     const auto found = m_requests.find(record.attempt.request);
     const std::vector<std::string> ids = found == m_requests.end() ? std::vector{record.attempt.id} : found->second;
-    story << toString(record.attempt.kind) << ' ' << record.attempt.request;
+    std::vector<attempt_record> all;
     for (const std::string &id : ids) {
-        const attempt_record &one = m_attempts.at(id);
-        story << "; attempt " << id << " to front-" << one.attempt.node + 1 << " at " << (one.attempt.sentAt - m_startedAt).count() << " ms";
+        const std::vector<attempt_record> &sendings = m_attempts.at(id);
+        all.insert(all.end(), sendings.begin(), sendings.end());
+    }
+    return all;
+}
+
+std::string attempt_ledger::programsOf(const attempt_record &record) const
+{
+    std::set<std::string> programs;
+    for (const attempt_record &one : sendingsOf(record)) {
+        programs.insert(one.attempt.program);
+    }
+    std::string names;
+    for (const std::string &name : programs) {
+        names += (names.empty() ? "" : " and ") + name;
+    }
+    return names;
+}
+
+std::string attempt_ledger::storyOf(const attempt_record &record) const
+{
+    std::ostringstream story;
+    story << toString(record.attempt.kind) << ' ' << record.attempt.request;
+    for (const attempt_record &one : sendingsOf(record)) {
+        story << "; attempt " << one.attempt.id << " to front-" << one.attempt.node + 1 << (one.attempt.program.empty() ? "" : ", ") << one.attempt.program
+              << " at " << (one.attempt.sentAt - m_startedAt).count() << " ms";
         for (const fakes::served_run &run : one.runs) {
             story << ", ran on " << run.server << " at " << (run.at - m_startedAt).count() << " ms (" << fakes::toString(run.form) << ')';
         }
@@ -127,10 +166,11 @@
 std::string attempt_ledger::summary() const
 {
     std::ostringstream text;
-    text << "requests that may run once only " << m_requests.size() << ", attempts " << m_attempts.size() << ", runs " << m_runs;
+    text << "requests that may run once only " << m_requests.size() << ", attempts " << m_attempts.size() << ", sent " << m_sendings << ", runs " << m_runs;
     if (m_unknownRuns > 0) {
         text << ", runs of attempts that no caller sent " << m_unknownRuns;
     }
+    text << "\nattempts that came again on the connection where they were refused: " << m_repeatsOnConnection;
     text << "\nanswers by status, 0 for none:";
     for (const auto &[status, count] : m_statuses) {
         text << ' ' << status << ':' << count;
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -28,6 +28,8 @@
     std::uint64_t request = 0;
     request_kind kind = request_kind::order;
     std::size_t node = 0;
+    /// The program that the node runs; see runningProgram().
+    std::string program;
     base::time_point sentAt = base::clock::now();
 };
 
@@ -41,6 +43,8 @@
 /// A rule that did not hold, with the attempts and runs that show it.
 struct breach {
     std::string rule;
+    /// The programs of the nodes that the request was sent to.
+    std::string programs;
     std::string story;
 };
 
@@ -54,6 +58,7 @@
     void onWrongAnswer(const std::string &id, const std::string &what);
     void onRun(const fakes::served_run &run) override;
     void onFaultyAnswer(fakes::answer_form form) override;
+    void onRepeatOnConnection() override;
 
     const std::vector<breach> &breaches() const
     {
@@ -71,6 +76,7 @@
     std::string summary() const;
 
 private:
+    /// Of one sending of an attempt.
     struct attempt_record {
         caller_attempt attempt;
         std::vector<fakes::served_run> runs;
@@ -79,19 +85,27 @@
         bool hasEnded = false;
     };
 
+    /// The record of the last sending of the attempt.
+    attempt_record &lastOf(const std::string &id);
     void check(const attempt_record &record);
     void report(const std::string &rule, const attempt_record &record);
+    /// Of all attempts of the record's request, in their order.
+    std::vector<attempt_record> sendingsOf(const attempt_record &record) const;
+    std::string programsOf(const attempt_record &record) const;
     std::string storyOf(const attempt_record &record) const;
 
     base::time_point m_startedAt = base::clock::now();
-    std::map<std::string, attempt_record> m_attempts;
-    /// The attempts of each request that may run once only, in their order.
+    /// All sendings of each attempt, in their order: callers may send an attempt again after it was refused.
+    std::map<std::string, std::vector<attempt_record>> m_attempts;
+    /// The attempts of each request that may run once only, in their order, each once.
     std::map<std::uint64_t, std::vector<std::string>> m_requests;
     std::vector<breach> m_breaches;
     std::map<int, std::size_t> m_statuses;
     std::map<std::string, std::size_t> m_forms;
     std::size_t m_runs = 0;
     std::size_t m_unknownRuns = 0;
+    std::size_t m_sendings = 0;
+    std::size_t m_repeatsOnConnection = 0;
     std::size_t m_served = 0;
     std::size_t m_ended = 0;
 };
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/fakes/platform/caller_message.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/net/timer.hpp>
+#include <chervilbend/soak/node_processes.hpp>
 #include <chervilbend/soak/node_rotation.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdlib>
 #include <iomanip>
 #include <sstream>
@@ -44,6 +46,8 @@
 /// Part of the time left that a caller waits at most before it repeats a request.
 constexpr int retryWaitShare = 3;
 constexpr int okStatus = 200;
+/// Of a wrong answer, in the list of breaches.
+constexpr std::size_t shownBytes = 20;
 /// Odd, with bits all over the word: spreads consecutive numbers.
 constexpr std::uint64_t spreadingFactor = 0x9e3779b97f4a7c15U;
 
@@ -121,6 +125,7 @@
     net::timer timer;
     boost::beast::flat_buffer buffer;
     std::size_t node = 0;
+    std::string program;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
@@ -162,7 +167,8 @@
 asio::awaitable<void> caller::send(caller_request request)
 {
     const std::shared_ptr<open_connection> kept = co_await keptConnection();
-    const attempt_answer answer = co_await attempt(request, kept);
+    const std::string id = attemptId(m_options.seed);
+    const attempt_answer answer = co_await attempt(request, id, kept);
     const bool mayRepeat = isPromise(answer.status) || (request.kind == request_kind::query && answer.status != okStatus);
     if (!mayRepeat || request.leavesAt) {
         co_return;
@@ -174,7 +180,8 @@
     co_await net::sleepFor(std::min(answer.retryAfter, left / retryWaitShare));
     const auto other = static_cast<std::uint64_t>(m_random.between(0, 1'000'000));
     const std::shared_ptr<open_connection> fresh = co_await connect(other);
-    co_await attempt(std::move(request), fresh);
+    std::string repeatedId = isPromise(answer.status) && m_random.chance(m_options.repeatedIdShare) ? id : attemptId(m_options.seed);
+    co_await attempt(std::move(request), std::move(repeatedId), fresh);
 }
 
 asio::awaitable<std::shared_ptr<caller::open_connection>> caller::keptConnection()
@@ -193,17 +200,17 @@
     const std::uint16_t port = soak_ports(m_options).callers(connection->node);
     const auto [error] = co_await connection->socket.async_connect({asio::ip::address_v4::loopback(), port}, awaitTuple);
     connection->timer.cancel();
+    connection->program = runningProgram(m_options, connection->node);
     co_return error || !connection->socket.is_open() ? nullptr : connection;
 }
 
-asio::awaitable<caller::attempt_answer> caller::attempt(caller_request request, std::shared_ptr<open_connection> connection)
+asio::awaitable<caller::attempt_answer> caller::attempt(caller_request request, std::string id, std::shared_ptr<open_connection> connection)
 {
     attempt_answer result;
     if (!connection) {
         co_return result;
     }
-    const std::string id = attemptId(m_options.seed);
-    m_ledger.onSent({id, request.number, request.kind, connection->node});
+    m_ledger.onSent({id, request.number, request.kind, connection->node, connection->program});
     fakes::caller_message message;
     message.method = request.kind == request_kind::query ? "GET" : "POST";
     message.host = "desk.example";
@@ -250,7 +257,10 @@
     const std::string last = "id: 5\ndata: piece of " + id + "\n\n";
     const bool isWhole = request.kind == request_kind::stream ? body.ends_with(last) : body == "done " + id;
     if (!isWhole || !fakes::isSealed(answer)) {
-        m_ledger.onWrongAnswer(id, "an answer of another request, or one that is not whole: " + body.substr(0, 100));
+        std::string beginning = body.substr(0, shownBytes);
+        std::replace_if(
+            beginning.begin(), beginning.end(), [](unsigned char byte) { return std::isprint(byte) == 0; }, ' ');
+        m_ledger.onWrongAnswer(id, "an answer of another request, or one that is not whole: " + beginning);
     }
 }
 
--- a/packages/soak/src/chervilbend/soak/caller.hpp
+++ b/packages/soak/src/chervilbend/soak/caller.hpp
@@ -23,7 +23,7 @@
 class node_rotation;
 
 /// A client of the nodes: sends one request after the other on a connection that it keeps until it is closed, and repeats a refused one once, on a new
-/// connection, as the platform's pages say.
+/// connection, as the platform's pages say. Some of these repetitions bear the id of the attempt that was refused, which the pages rule out.
 class caller
 {
 public:
@@ -54,7 +54,7 @@
 
     caller_request drawRequest();
     boost::asio::awaitable<void> send(caller_request request);
-    boost::asio::awaitable<attempt_answer> attempt(caller_request request, std::shared_ptr<open_connection> connection);
+    boost::asio::awaitable<attempt_answer> attempt(caller_request request, std::string id, std::shared_ptr<open_connection> connection);
     boost::asio::awaitable<std::shared_ptr<open_connection>> connect(std::uint64_t hash);
     /// The connection of the request before, if it is still open, or a new one; nullptr if none can be had.
     boost::asio::awaitable<std::shared_ptr<open_connection>> keptConnection();
--- a/packages/soak/src/chervilbend/soak/node_processes.cpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -89,4 +89,12 @@
     return unexpected;
 }
 
+std::string runningProgram(const soak_options &options, std::size_t node)
+{
+    std::ifstream file(options.folder + "/" + nameOf(node) + ".program");
+    std::string name;
+    file >> name;
+    return name;
+}
+
 } // namespace chervilbend::soak
--- a/packages/soak/src/chervilbend/soak/node_processes.hpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.hpp
@@ -38,4 +38,8 @@
     std::set<pid_t> m_killed;
 };
 
+/// What the supervisor calls the program that it started last for a node, from "front-N.program": during an upgrade nodes run different ones. Empty if there is
+/// no such file.
+std::string runningProgram(const soak_options &options, std::size_t node);
+
 } // namespace chervilbend::soak
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -28,6 +28,8 @@
     bool hasFaults = true;
     /// Maximum number of attempts that the routes of requests that may run only once allow.
     int attempts = 1;
+    /// Share of the repetitions of refused requests that bear the id of the attempt that was refused, 0 to 1. The platform's callers send none.
+    double repeatedIdShare = 0.25;
     /// How long callers wait for the answer to an order.
     base::milliseconds orderTimeout{2'500};
 };
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -316,7 +316,7 @@
               << m_ledger.summary();
     std::map<std::string, std::size_t> byRule;
     for (const breach &one : m_ledger.breaches()) {
-        ++byRule[one.rule];
+        ++byRule[one.rule + (one.programs.empty() ? "" : " (" + one.programs + ")")];
     }
     std::cout << "breaches:";
     for (const auto &[rule, count] : byRule) {
--- a/packages/soak/tests/attempt_ledger_test.cpp
+++ b/packages/soak/tests/attempt_ledger_test.cpp
@@ -13,7 +13,7 @@
 struct ledger_fixture {
     void send(const std::string &id, std::uint64_t request, request_kind kind = request_kind::order)
     {
-        ledger.onSent({id, request, kind, 0});
+        ledger.onSent({id, request, kind, 0, {}});
     }
 
     void run(const std::string &id)
@@ -49,6 +49,9 @@
     CPPUNIT_TEST(findsRunAfterTheRefusal);
     CPPUNIT_TEST(findsSecondRunOfAnAttempt);
     CPPUNIT_TEST(findsSecondRunOfARepeatedRequest);
+    CPPUNIT_TEST(findsSecondRunOfAnAttemptThatCameAgain);
+    CPPUNIT_TEST(holdsWhereARefusedAttemptRunsWhenItComesAgain);
+    CPPUNIT_TEST(findsRefusalOfAnAttemptThatCameAgain);
     CPPUNIT_TEST(findsWrongAnswer);
     CPPUNIT_TEST(holdsWhereNothingIsPromised);
     CPPUNIT_TEST_SUITE_END();
@@ -95,6 +98,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("REFUSED TWICE "), fixture.rules());
     }
 
+    void findsSecondRunOfAnAttemptThatCameAgain()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1);
+        fixture.run("a");
+        fixture.end("a", 502);
+        fixture.send("a", 1);
+        fixture.run("a");
+        CPPUNIT_ASSERT_EQUAL(std::string("TWICE "), fixture.rules());
+    }
+
+    void holdsWhereARefusedAttemptRunsWhenItComesAgain()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1);
+        fixture.end("a", 503);
+        fixture.send("a", 1);
+        fixture.run("a");
+        fixture.end("a", 200);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.rules());
+    }
+
+    void findsRefusalOfAnAttemptThatCameAgain()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1);
+        fixture.end("a", 503);
+        fixture.send("a", 1);
+        fixture.run("a");
+        fixture.end("a", 503);
+        CPPUNIT_ASSERT_EQUAL(std::string("REFUSED "), fixture.rules());
+    }
+
     void findsWrongAnswer()
     {
         ledger_fixture fixture;
