--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace chervilbend;
 using namespace chervilbend::net;
@@ -77,6 +79,7 @@
     CPPUNIT_TEST(reportsUnsentRequests);
     CPPUNIT_TEST(doesNotUseStaleConnections);
     CPPUNIT_TEST(freshConnectionIsNotPooled);
+    CPPUNIT_TEST(copyOfARefusalIsNotTheNextAnswer);
     CPPUNIT_TEST(abandonedStreamClosesItsConnection);
     CPPUNIT_TEST(deadlineEndsSlowStream);
     CPPUNIT_TEST(bodyOfKnownLengthArrivesInFewReads);
@@ -210,6 +213,43 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("one pooled connection and three new ones", 4, endpoint.connections);
     }
 
+    /// An endpoint writes a refusal once more when the next request has come, before its answer, in two parts or between its header and body.
+    void copyOfARefusalIsNotTheNextAnswer()
+    {
+        const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+        for (const int status : {400, 408, 409, 412, 421, 429, 503}) {
+            const std::string refusal = "HTTP/1.1 " + std::to_string(status) + " No\r\nContent-Length: 2\r\n\r\nno";
+            const std::vector<std::vector<std::string>> placements{
+                {refusal, header, "ok"}, {refusal.substr(0, 20), refusal.substr(20), header, "ok"}, {header, refusal, "ok"}};
+            for (const std::vector<std::string> &parts : placements) {
+                asio::io_context context;
+                bool hasRefused = false;
+                raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                    bool owesCopy = false;
+                    while (!(co_await caller->readUntil("\r\n\r\n")).empty()) {
+                        if (!std::exchange(hasRefused, true)) {
+                            owesCopy = true;
+                            co_await caller->send(refusal);
+                            continue;
+                        }
+                        for (const std::string &part : owesCopy ? parts : std::vector{header, std::string("ok")}) {
+                            co_await caller->send(part);
+                            co_await sleepFor(base::milliseconds(2));
+                        }
+                    }
+                });
+                http_client client;
+                const address endpointAddress = loopback(endpoint.port());
+                runUntilDone(context, [&]() -> asio::awaitable<void> {
+                    const auto refused = co_await client.send(endpointAddress, get(), withAnswerTimeout(2'000));
+                    CPPUNIT_ASSERT(refused && refused->result_int() == static_cast<unsigned>(status));
+                    const auto next = co_await client.send(endpointAddress, get(), withAnswerTimeout(2'000));
+                    CPPUNIT_ASSERT_MESSAGE(std::to_string(status), next && next->result_int() == 200 && next->body() == "ok");
+                });
+            }
+        }
+    }
+
     void abandonedStreamClosesItsConnection()
     {
         asio::io_context context;
--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility>
+
 using namespace chervilbend;
 using namespace chervilbend::node::test;
 namespace asio = boost::asio;
@@ -11,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(faulty_endpoint_test);
     CPPUNIT_TEST(repeatedRefusalOfTheSameAttemptIsNotBelieved);
+    CPPUNIT_TEST(copyOfARefusalIsNotBelievedWhenTheAttemptComesAgain);
     CPPUNIT_TEST(unattributedRefusalOnAUsedConnectionIsNotBelieved);
     CPPUNIT_TEST(unnamedRefusalOnANewConnectionIsNotBelieved);
     CPPUNIT_TEST(namedRefusalOnANewConnectionIsBelieved);
@@ -60,6 +63,38 @@
         CPPUNIT_ASSERT_MESSAGE(answer, !contains(answer, " 503 "));
     }
 
+    /// The endpoint refuses an attempt, and when it comes again on the same connection, writes the refusal once more before it runs and answers it: the caller
+    /// is told "not run" of a request that ran.
+    void copyOfARefusalIsNotBelievedWhenTheAttemptComesAgain()
+    {
+        for (const std::string &path : {std::string("/order/x"), std::string("/report/x"), std::string("/chat/x")}) {
+            for (const std::string &refusal : {notExecutedResponse, sealedResponse("", "own1", "421 Misdirected")}) {
+                route_api_fixture fixture;
+                fixture.configure();
+                fixture.director.retriesLeft = 0;
+                bool isRefused = false;
+                int ran = 0;
+                fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                    std::string copy;
+                    while (!(co_await caller->readUntil("{}")).empty()) {
+                        if (!std::exchange(isRefused, true)) {
+                            copy = refusal;
+                            co_await caller->send(refusal);
+                            continue;
+                        }
+                        ++ran;
+                        co_await caller->send(copy + sealedResponse("done"));
+                    }
+                });
+                const std::string refused = fixture.ask(path);
+                CPPUNIT_ASSERT_MESSAGE(refused, contains(refused, " 503 "));
+                const std::string answer = fixture.ask(path);
+                CPPUNIT_ASSERT_EQUAL(1, ran);
+                CPPUNIT_ASSERT_MESSAGE(path + ": " + answer, answer.ends_with("done"));
+            }
+        }
+    }
+
     /// The refusal names no request, so it may be that of an earlier one.
     void unattributedRefusalOnAUsedConnectionIsNotBelieved()
     {
