Keep no connection after a refusal

What callers saw: 503, "not run", for an order that runs (REFUSED), which runs again when the caller repeats it (TWICE); or an answer with the bytes of a refusal in its body (MIXED).

The node told answers apart by the attempt's name, and kept one attempt from coming twice to a connection by what the request object remembered of endpoint ids. A caller that repeats an id, an endpoint registered anew and another node begin without that memory, and no name helps against a copy that comes between the header and the body of the next answer. The class: a connection counts as in step although the peer may owe it more bytes than one answer a request.

Change: the evidence is used where it is. A connection that has carried a refusal, an invalid answer, an answer to another request or a stream without its end is closed; requests by http_client::send() (commands, the store, nodes) close after statuses that refuse. What forwarded_request remembered of tried endpoints is gone.

--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -54,6 +54,23 @@
     socket.set_option(asio::socket_base::receive_buffer_size(connection::receiveBufferBytes), ignored);
 }
 
+/// Whether the status refuses a request, which the peer has not carried out.
+bool isRefusal(http::status status)
+{
+    switch (status) {
+    case http::status::bad_request:
+    case http::status::request_timeout:
+    case http::status::conflict:
+    case http::status::precondition_failed:
+    case http::status::misdirected_request:
+    case http::status::too_many_requests:
+    case http::status::service_unavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /// Whether the peer closed an idle connection or sent unsolicited data since it was returned to the pool.
 bool isStale(connection &idle)
 {
@@ -83,6 +100,9 @@
         m_timedOut = false;
         co_return fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer has neither a length nor chunked encoding");
     }
+    if (isRefusal(stream->header().result())) {
+        stream->closeAfterAnswer();
+    }
     http_response response;
     response.base() = stream->header();
     while (true) {
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -51,7 +51,7 @@
 
 http_client_stream::~http_client_stream()
 {
-    if (m_parser->is_done() && m_parser->get().keep_alive()) {
+    if (m_isReusable && m_parser->is_done() && m_parser->get().keep_alive()) {
         m_connection->neverExpire();
         m_release(std::move(m_connection), idleLimit());
     } else {
@@ -164,6 +164,7 @@
 
 asio::awaitable<bool> http_client_stream::skipToNextAnswer()
 {
+    closeAfterAnswer();
     if (!isSelfDelimiting()) {
         fail(base::error_kind::endpointInvalidAnswer, "an answer to another request has neither a length nor chunked encoding");
         co_return false;
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -38,8 +38,8 @@
     /// Reads the header. False with a last reason when the connection fails or the answer is malformed.
     boost::asio::awaitable<bool> readHeader();
 
-    /// Discards the rest of this answer and reads the header of the next one on the connection, for an answer that belongs to another request. False as for
-    /// readHeader(), and when this answer is not self-delimiting or very long.
+    /// Discards the rest of this answer and reads the header of the next one on the connection, for an answer that belongs to another request. The connection
+    /// is not kept then. False as for readHeader(), and when this answer is not self-delimiting or very long.
     boost::asio::awaitable<bool> skipToNextAnswer();
 
     const http::response_header<> &header() const
@@ -57,6 +57,13 @@
         return !m_parser->need_eof();
     }
 
+    /// Closes the connection with this answer instead of keeping it for another request. For answers that the peer may write once more: the copy would be taken
+    /// for the answer to the next request, or for a part of it.
+    void closeAfterAnswer()
+    {
+        m_isReusable = false;
+    }
+
     /// Whether the request is the first one on its connection.
     bool isFirstRequest() const
     {
@@ -85,6 +92,7 @@
     release_callback m_release;
     bool m_headOnly;
     bool m_isFirstRequest;
+    bool m_isReusable = true;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_readBuffer;
 };
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -39,20 +39,19 @@
     finish(routing::request_outcome::cancelled);
 }
 
-void forwarded_request::startAttempt(const base::endpoint_id &target)
+void forwarded_request::startAttempt()
 {
-    m_tried.insert(target);
     m_isAtHelper = false;
-    startAttempt();
+    resetAttempt();
 }
 
 void forwarded_request::startRelayedAttempt()
 {
     m_isAtHelper = true;
-    startAttempt();
+    resetAttempt();
 }
 
-void forwarded_request::startAttempt()
+void forwarded_request::resetAttempt()
 {
     m_hasFirstByte = false;
     if (exchange->isStarted()) {
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace chervilbend::fleet
 {
@@ -43,16 +42,11 @@
     forwarded_request(const forwarded_request &) = delete;
     forwarded_request &operator=(const forwarded_request &) = delete;
 
-    void startAttempt(const base::endpoint_id &target);
+    void startAttempt();
     /// The same for an attempt that another node makes for this one, and that notes the beginning of the stream.
     void startRelayedAttempt();
     /// The first event of a stream that can be resumed is about to go out to the caller. Only the first call has an effect.
     void beginStream();
-    /// Whether an earlier attempt was made at the endpoint.
-    bool hasTried(const base::endpoint_id &target) const
-    {
-        return m_tried.contains(target);
-    }
     /// Only the first call of each attempt has an effect.
     void firstByte();
     /// To be called for every received part of a stream; measures the gap since the preceding part.
@@ -91,7 +85,7 @@
     base::byte_reservation keptBytes;
 
 private:
-    void startAttempt();
+    void resetAttempt();
     void resetEvents();
 
     caller_metrics &m_metrics;
@@ -99,7 +93,6 @@
     bool m_hasBegunStream = false;
     bool m_isAtHelper = false;
     base::time_point m_arrivedAt = base::clock::now();
-    std::set<base::endpoint_id> m_tried;
     std::int64_t m_tokens = 0;
     bool m_hasFirstByte = false;
     std::optional<base::milliseconds> m_timeToFirstByte;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -239,9 +239,7 @@
 asio::awaitable<forwarder::attempt_result> forwarder::attempt(std::shared_ptr<forwarded_request> request, routing::dispatch target, bool isLast)
 {
     attempt_result result;
-    // The answer to an earlier attempt may come once more, and names the same attempt ID.
-    const bool needsFreshConnection = request->hasTried(target.endpoint);
-    request->startAttempt(target.endpoint);
+    request->startAttempt();
     const std::optional<net::address> address = m_endpoints.find(target.endpoint);
     if (!address) {
         result.evidence = run_evidence::notSent;
@@ -252,7 +250,6 @@
     const forwarding_plan &plan = request->plan;
     net::http_send_options options;
     options.deadline = plan.facts.deadline;
-    options.freshConnection = needsFreshConnection;
     options.answerTimeout = plan.timeLeft();
     options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
     if (plan.hasStrictStatus) {
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -72,6 +72,10 @@
         m_metrics.onSkippedAnswer();
         verdict = protocol.classify(answer->header(), plan);
     }
+    if (verdict != fleet::answer_disposition::forwardToCaller) {
+        // The endpoint may write it once more. The attempt ID doesn't tell the copy from the answer if the same attempt is on the connection again.
+        answer->closeAfterAnswer();
+    }
     result.status = static_cast<int>(answer->header().result_int());
     result.connection = answer->connectionNumber();
     result.isOnUsedConnection = !answer->isFirstRequest();
@@ -237,6 +241,7 @@
         result.outcome = sent ? request_outcome::answered : request_outcome::cancelled;
         co_return result;
     }
+    answer->closeAfterAnswer();
     result.outcome = answer->hasTimedOut() ? request_outcome::timedOut : request_outcome::connectionLost;
     if (result.why.text.empty()) {
         result.why = answer->lastReason();
