Judge one of two programs in a soak of an upgrade

During an upgrade the version before may break what the new one keeps: it believes copies that the new one does not.

--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -1,7 +1,6 @@
 #include <chervilbend/soak/attempt_ledger.hpp>
 
 #include <algorithm>
-#include <set>
 #include <sstream>
 #include <utility>
 
@@ -133,17 +132,13 @@
     return all;
 }
 
-std::string attempt_ledger::programsOf(const attempt_record &record) const
+std::set<std::string> attempt_ledger::programsOf(const attempt_record &record) const
 {
     std::set<std::string> programs;
     for (const attempt_record &one : sendingsOf(record)) {
         programs.insert(one.attempt.program);
     }
-    std::string names;
-    for (const std::string &name : programs) {
-        names += (names.empty() ? "" : " and ") + name;
-    }
-    return names;
+    return programs;
 }
 
 std::string attempt_ledger::storyOf(const attempt_record &record) const
@@ -163,6 +158,11 @@
     return story.str();
 }
 
+bool attempt_ledger::hasBreachAt(const std::string &program) const
+{
+    return std::any_of(m_breaches.begin(), m_breaches.end(), [&](const breach &one) { return program.empty() || one.programs.contains(program); });
+}
+
 std::string attempt_ledger::summary() const
 {
     std::ostringstream text;
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +45,7 @@
 struct breach {
     std::string rule;
     /// The programs of the nodes that the request was sent to.
-    std::string programs;
+    std::set<std::string> programs;
     std::string story;
 };
 
@@ -64,6 +65,8 @@
     {
         return m_breaches;
     }
+    /// Whether a request broke a rule that met a node with the program; an empty name stands for all.
+    bool hasBreachAt(const std::string &program) const;
     std::size_t served() const
     {
         return m_served;
@@ -91,7 +94,7 @@
     void report(const std::string &rule, const attempt_record &record);
     /// Of all attempts of the record's request, in their order.
     std::vector<attempt_record> sendingsOf(const attempt_record &record) const;
-    std::string programsOf(const attempt_record &record) const;
+    std::set<std::string> programsOf(const attempt_record &record) const;
     std::string storyOf(const attempt_record &record) const;
 
     base::time_point m_startedAt = base::clock::now();
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -30,6 +30,8 @@
     int attempts = 1;
     /// Share of the repetitions of refused requests that bear the id of the attempt that was refused, 0 to 1. The platform's callers send none.
     double repeatedIdShare = 0.25;
+    /// Breaches of requests that only met nodes with other programs don't count; empty: all count. See runningProgram().
+    std::string judgedProgram;
     /// How long callers wait for the answer to an order.
     base::milliseconds orderTimeout{2'500};
 };
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -105,7 +105,7 @@
     if (!m_wasPlayed) {
         return verdict::notPlayed;
     }
-    return m_failures.empty() && m_ledger.breaches().empty() ? verdict::held : verdict::broken;
+    return m_failures.empty() && !m_ledger.hasBreachAt(m_options.judgedProgram) ? verdict::held : verdict::broken;
 }
 
 asio::awaitable<void> soak_run::play()
@@ -316,7 +316,11 @@
               << m_ledger.summary();
     std::map<std::string, std::size_t> byRule;
     for (const breach &one : m_ledger.breaches()) {
-        ++byRule[one.rule + (one.programs.empty() ? "" : " (" + one.programs + ")")];
+        std::string name = one.rule;
+        for (const std::string &program : one.programs) {
+            name += program.empty() ? "" : " (" + program + ")";
+        }
+        ++byRule[name];
     }
     std::cout << "breaches:";
     for (const auto &[rule, count] : byRule) {
--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(forms, "", "Names of the faulty forms of answers, separated by commas; empty for all");
 DEFINE_bool(faults, true, "Whether processes and links fail besides the answers");
 DEFINE_double(repeated_ids, 0.25, "Share of the repetitions of refused requests that bear the id of the refused attempt");
+DEFINE_string(judged, "", "Only breaches of requests that met nodes with this program, now or next, count; empty for all");
 DEFINE_int32(attempts, 1, "Attempts that the routes of requests that may run once only allow");
 DEFINE_int64(order_timeout_ms, 2'500, "Deadline of orders in milliseconds");
 DEFINE_bool(schedule, false, "Print the schedule of the seed, and end");
@@ -49,6 +50,7 @@
     options.forms = FLAGS_forms.empty() ? fakes::faultyForms() : fakes::parseForms(FLAGS_forms);
     options.hasFaults = FLAGS_faults;
     options.repeatedIdShare = FLAGS_repeated_ids;
+    options.judgedProgram = FLAGS_judged;
     options.attempts = FLAGS_attempts;
     options.orderTimeout = base::milliseconds(FLAGS_order_timeout_ms);
     if (options.nodes < 1 || options.nodes > 40 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
--- a/packages/soak/tests/attempt_ledger_test.cpp
+++ b/packages/soak/tests/attempt_ledger_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(findsSecondRunOfAnAttemptThatCameAgain);
     CPPUNIT_TEST(holdsWhereARefusedAttemptRunsWhenItComesAgain);
     CPPUNIT_TEST(findsRefusalOfAnAttemptThatCameAgain);
+    CPPUNIT_TEST(tellsTheProgramsOfABreach);
     CPPUNIT_TEST(findsWrongAnswer);
     CPPUNIT_TEST(holdsWhereNothingIsPromised);
     CPPUNIT_TEST_SUITE_END();
@@ -131,6 +132,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("REFUSED "), fixture.rules());
     }
 
+    /// During an upgrade, the version before may break what the new one keeps.
+    void tellsTheProgramsOfABreach()
+    {
+        ledger_fixture fixture;
+        fixture.ledger.onSent({"a", 1, request_kind::order, 0, "next"});
+        fixture.run("a");
+        fixture.run("a");
+        CPPUNIT_ASSERT(fixture.ledger.hasBreachAt("next") && fixture.ledger.hasBreachAt("") && !fixture.ledger.hasBreachAt("now"));
+        fixture.ledger.onSent({"b", 2, request_kind::order, 0, "next"});
+        fixture.end("b", 503);
+        fixture.ledger.onSent({"c", 2, request_kind::order, 1, "now"});
+        fixture.run("b");
+        fixture.run("c");
+        CPPUNIT_ASSERT(fixture.ledger.hasBreachAt("now"));
+    }
+
     void findsWrongAnswer()
     {
         ledger_fixture fixture;
