Date an entry by the request of the read before it, not by its answer

What would happen: the holder of the command lease takes an engine's entry for newer than it is when the store is slow. An entry counts as written after the read before it; the code took the time when that read's answer arrived, which is up to 0.9 s after the store answered. An entry of before a command then counts as one of 0.5 s after it, what the command loaded counts as gone, and the next load has no room (LIMIT).

Change: the registry gets the time of the request.

--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -86,7 +86,7 @@
     m_position = page.next;
     noteRead(requestedAt);
     const base::time_point now = base::clock::now();
-    notify(isSnapshot ? m_registry.replace(page.changes, now) : m_registry.apply(page.changes, now));
+    notify(isSnapshot ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
 }
 
 void endpoint_follower::noteRestorations(base::time_point now)
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -27,7 +27,7 @@
     }
 }
 
-std::set<base::endpoint_id> endpoint_registry::apply(const std::vector<endpoint_change> &changes, base::time_point now)
+std::set<base::endpoint_id> endpoint_registry::apply(const std::vector<endpoint_change> &changes, base::time_point now, base::time_point requestedAt)
 {
     noteStoreAvailable(now);
     std::set<base::endpoint_id> changed;
@@ -37,11 +37,11 @@
         }
     }
     changed.merge(expire(now));
-    m_lastRead = now;
+    m_lastRequest = requestedAt;
     return changed;
 }
 
-std::set<base::endpoint_id> endpoint_registry::replace(const std::vector<endpoint_change> &all, base::time_point now)
+std::set<base::endpoint_id> endpoint_registry::replace(const std::vector<endpoint_change> &all, base::time_point now, base::time_point requestedAt)
 {
     noteStoreAvailable(now);
     std::set<base::endpoint_id> registered;
@@ -58,7 +58,7 @@
         }
     }
     changed.merge(expire(now));
-    m_lastRead = now;
+    m_lastRequest = requestedAt;
     m_relayed = false;
     return changed;
 }
@@ -153,8 +153,8 @@
         known.drainingSince.reset();
         known.writtenAfter = base::time_point{};
     } else if (entry.heartbeat != known.entry.heartbeat) {
-        // At the last read, the previous entry was still the newest one.
-        known.writtenAfter = m_lastRead;
+        // When the last read was requested, the previous entry was still the newest one.
+        known.writtenAfter = m_lastRequest;
     }
     if (entry.draining && !known.drainingSince) {
         known.drainingSince = now;
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
@@ -43,10 +43,11 @@
 
     /// The store could not be read.
     void noteStoreUnavailable(base::time_point now);
-    /// Applies changes in the store's order. The first call after noteStoreUnavailable() marks the end of the outage.
-    std::set<base::endpoint_id> apply(const std::vector<endpoint_change> &changes, base::time_point now);
-    /// Applies the full list of registrations: endpoints that are not in it have ended theirs.
-    std::set<base::endpoint_id> replace(const std::vector<endpoint_change> &all, base::time_point now);
+    /// Applies changes in the store's order, which were read by a call that was sent at @p requestedAt. The first call after noteStoreUnavailable() marks the
+    /// end of the outage.
+    std::set<base::endpoint_id> apply(const std::vector<endpoint_change> &changes, base::time_point now, base::time_point requestedAt);
+    /// Applies the full list of registrations, read in the same way: endpoints that are not in it have ended theirs.
+    std::set<base::endpoint_id> replace(const std::vector<endpoint_change> &all, base::time_point now, base::time_point requestedAt);
     /// Applies what another node has read, which lacks the models that engines hold. With @p isSnapshot, endpoints that are not listed are gone.
     std::set<base::endpoint_id> applyRelayed(const std::vector<endpoint_change> &changes, bool isSnapshot, base::time_point now);
     /// Removes endpoints whose registration expired and that did not register again in time.
@@ -84,8 +85,8 @@
     std::map<base::endpoint_id, known_endpoint> m_endpoints;
     /// Registrations that ended recently.
     std::map<base::endpoint_id, ended_registration> m_ended;
-    /// Time of the last read before the one that is being applied.
-    base::time_point m_lastRead;
+    /// When the last read before the one that is being applied was requested. The store answered it some time between then and its arrival.
+    base::time_point m_lastRequest;
     bool m_storeUnavailable = false;
     bool m_relayed = false;
     /// End of the grace period after the last outage of the store.
--- a/packages/fleet/tests/engine_controller_test.cpp
+++ b/packages/fleet/tests/engine_controller_test.cpp
@@ -169,7 +169,7 @@
                 change.entry->heartbeat = heartbeat;
                 change.entry->models = test::fake_engines::statusOf(engine).models;
             }
-            node->controller.endpointsChanged(node->registry.apply(changes, base::clock::now()));
+            node->controller.endpointsChanged(node->registry.apply(changes, base::clock::now(), base::clock::now()));
         }
     }
 
--- a/packages/fleet/tests/fleet_rules_test.cpp
+++ b/packages/fleet/tests/fleet_rules_test.cpp
@@ -99,14 +99,14 @@
     {
         endpoint_registry registry;
         known_residency residency(registry);
-        registry.apply({engineOf("i-1", {{"tall", {}}})}, base::clock::now());
+        registry.apply({engineOf("i-1", {{"tall", {}}})}, base::clock::now(), base::clock::now());
         CPPUNIT_ASSERT(residency.isHeld({chat, "tall", ""}) && !residency.isHeld({chat, "tall", "a1"}));
         residency.apply({{base::endpoint_id("i-1"), 1, 7, 3, {{"tall", {"a1"}}}}});
         CPPUNIT_ASSERT(residency.isHeld({chat, "tall", "a1"}));
         CPPUNIT_ASSERT_MESSAGE("older updates are ignored", residency.apply({{base::endpoint_id("i-1"), 1, 7, 2, {}}}).empty());
-        registry.apply({engineOf("i-1", {}, 2)}, base::clock::now());
+        registry.apply({engineOf("i-1", {}, 2)}, base::clock::now(), base::clock::now());
         CPPUNIT_ASSERT_MESSAGE("updates of an earlier process are ignored", !residency.isHeld({chat, "tall", ""}));
-        registry.apply({engineOf("i-2", {{"tall", {}}})}, base::clock::now());
+        registry.apply({engineOf("i-2", {{"tall", {}}})}, base::clock::now(), base::clock::now());
         residency.apply({{base::endpoint_id("i-2"), 1, 7, 4, {}}});
         residency.discardUpdates();
         CPPUNIT_ASSERT_MESSAGE("without a holder the registrations are used", residency.isHeld({chat, "tall", ""}));
@@ -116,7 +116,7 @@
     {
         endpoint_registry registry;
         known_residency residency(registry);
-        registry.apply({engineOf("i-1", {{"tall", {"a1"}}})}, base::clock::now());
+        registry.apply({engineOf("i-1", {{"tall", {"a1"}}})}, base::clock::now(), base::clock::now());
         residency.noteMissing(base::endpoint_id("i-1"), "tall", "a1");
         CPPUNIT_ASSERT(!residency.isHeld({chat, "tall", "a1"}) && residency.isHeld({chat, "tall", ""}));
         m_time->advance(base::milliseconds(1'000));
@@ -154,7 +154,7 @@
         service.engine->adapterSlots = 1;
         service.engine->models.push_back({"tall", 10, {}, {}, {}, 4, 1});
         endpoint_registry registry;
-        registry.apply({engineOf("i-1", {{"tall", {"a1"}}}), engineOf("i-2", {{"tall", {}}})}, base::clock::now());
+        registry.apply({engineOf("i-1", {{"tall", {"a1"}}}), engineOf("i-2", {{"tall", {}}})}, base::clock::now(), base::clock::now());
         engine_inventory inventory;
         for (const auto &[id, known] : registry.endpoints()) {
             inventory.sync(known);
--- a/packages/fleet/tests/stream_cluster.hpp
+++ b/packages/fleet/tests/stream_cluster.hpp
@@ -145,7 +145,7 @@
         for (const endpoint_entry &entry : entries) {
             changes.push_back({entry.id, entry});
         }
-        registry.replace(changes, base::clock::now());
+        registry.replace(changes, base::clock::now(), base::clock::now());
         versions.endpointsChanged();
     }
 
