--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -160,6 +160,9 @@
         }
     };
     const auto stream = std::make_shared<http_client_stream>(endpoint, options, headOnly, isFirstRequest, releaseToPool);
+    if (options.freshConnection) {
+        stream->closeAfterAnswer();
+    }
     const bool answered = co_await stream->readHeader();
     if (!answered) {
         m_timedOut = stream->hasTimedOut();
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -32,8 +32,8 @@
     base::time_point deadline = base::time_point::max();
     /// Maximum size of the body of an answer that send() collects.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
-    /// Never uses a pooled connection. A pooled one may turn out to be closed only after the request was written; it is then unknown whether the request was
-    /// executed.
+    /// Uses a connection that carries nothing else, before or after. A pooled one may turn out to be closed only after the request was written; it is then
+    /// unknown whether the request was executed. And where answers don't say which request they belong to, a copy of another one can't be told from them.
     bool freshConnection = false;
     /// Maximum idle time of a pooled connection. A peer may have dropped an idle connection silently.
     base::milliseconds maxIdleTime{60'000};
--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(reportsUnsentRequests);
     CPPUNIT_TEST(doesNotUseStaleConnections);
     CPPUNIT_TEST(freshConnectionIsNotPooled);
+    CPPUNIT_TEST(freshConnectionIsNotKept);
     CPPUNIT_TEST(copyOfARefusalIsNotTheNextAnswer);
     CPPUNIT_TEST(abandonedStreamClosesItsConnection);
     CPPUNIT_TEST(deadlineEndsSlowStream);
@@ -213,6 +214,27 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("one pooled connection and three new ones", 4, endpoint.connections);
     }
 
+    /// A copy of the answer would be taken for the answer to the next request.
+    void freshConnectionIsNotKept()
+    {
+        asio::io_context context;
+        raw_server endpoint(context, [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            while (!caller->closed) {
+                co_await caller->readUntil("\r\n\r\n");
+                co_await caller->send(ok);
+            }
+        });
+        http_client client;
+        const address endpointAddress = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            http_send_options options = withAnswerTimeout(2'000);
+            options.freshConnection = true;
+            CPPUNIT_ASSERT(co_await client.send(endpointAddress, get(), options));
+            CPPUNIT_ASSERT(co_await client.send(endpointAddress, get(), withAnswerTimeout(2'000)));
+        });
+        CPPUNIT_ASSERT_EQUAL(2, endpoint.connections);
+    }
+
     /// An endpoint writes a refusal once more when the next request has come, before its answer, in two parts or between its header and body.
     void copyOfARefusalIsNotTheNextAnswer()
     {
