Keep no connection after a refused read of the native services either, and test the places that believe answers

What would happen: a service of the product's own interface (log, host list, engines, weight store) looks unavailable for one read more when its refusal comes once more. Cause: json_client opens streams itself, so that the rule of http_client::send() did not reach it. Change: it closes after any status but 200.

Calls between nodes are not open to it: their answers are signed over the request. The product takes no holds and asks no server for its health on the platform (it opens connections only).

--- a/packages/external/src/chervilbend/external/http/internal/json_client.cpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_client.cpp
@@ -53,6 +53,10 @@
     if (!answer) {
         co_return fail(m_client.lastReason());
     }
+    if (answer->header().result() != http::status::ok) {
+        // The service may write a refusal once more.
+        answer->closeAfterAnswer();
+    }
     std::string body;
     while (true) {
         const std::optional<std::string_view> part = co_await answer->read();
--- a/packages/external/tests/http_adapters_test.cpp
+++ b/packages/external/tests/http_adapters_test.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace asio = boost::asio;
@@ -24,6 +25,7 @@
     CPPUNIT_TEST_SUITE(http_adapters_test);
     CPPUNIT_TEST(sendsTheDocumentedRequests);
     CPPUNIT_TEST(distinguishesRefusedAppendsFromUnknownOnes);
+    CPPUNIT_TEST(copyOfARefusedReadIsNotTheNextAnswer);
     CPPUNIT_TEST(refusesMalformedPages);
     CPPUNIT_TEST(distinguishesUnsentCommandsFromUnknownOnes);
     CPPUNIT_TEST(refusesMalformedReports);
@@ -71,6 +73,23 @@
         CPPUNIT_ASSERT(append().status == append_status::refused);
     }
 
+    /// The service writes a refusal once more before the answer to the next read on the connection, so that it looks unavailable for longer than it is.
+    void copyOfARefusedReadIsNotTheNextAnswer()
+    {
+        bool hasRefused = false;
+        serve([&](std::shared_ptr<raw_peer> peer) -> asio::awaitable<void> {
+            std::string copy;
+            while (!(co_await peer->readUntil("\r\n\r\n")).empty()) {
+                const bool refuses = !std::exchange(hasRefused, true);
+                const std::string answer = refuses ? withStatus("503 Busy", "{}") : ok(R"({"firstRetained":1,"head":9,"records":[]})");
+                co_await peer->send(copy + answer);
+                copy = answer;
+            }
+        });
+        CPPUNIT_ASSERT(!readPage(9));
+        CPPUNIT_ASSERT(readPage(9));
+    }
+
     void refusesMalformedPages()
     {
         const std::vector<std::string> bodies{
--- a/packages/node/tests/request_relay_test.cpp
+++ b/packages/node/tests/request_relay_test.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/detached.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility>
+
 using namespace chervilbend;
 using namespace chervilbend::node::test;
 namespace asio = boost::asio;
@@ -44,10 +46,15 @@
     /// Answers each request with @p answer.
     void addHelper(const std::string &answer)
     {
-        helperServers.push_back(std::make_unique<raw_server>(context, [this, answer](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+        addHelper([this, answer](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
             received.push_back(co_await caller->readUntil("{}"));
             co_await caller->send(answer);
-        }));
+        });
+    }
+
+    void addHelper(raw_server::script script)
+    {
+        helperServers.push_back(std::make_unique<raw_server>(context, std::move(script)));
         std::vector<routing::helper_node> all = helpers.helpers();
         all.push_back({"127.0.0.1:" + std::to_string(helperServers.back()->port()), base::zone_id("a"), true});
         helpers.setHelpers(all);
@@ -113,6 +120,7 @@
     CPPUNIT_TEST(refusalOfAllHelpersIsTrue);
     CPPUNIT_TEST(unnamedRefusalOfAHelperIsNotBelieved);
     CPPUNIT_TEST(refusalOfAnotherRequestByAHelperIsSkipped);
+    CPPUNIT_TEST(copyOfAHelpersRefusalIsNotBelieved);
     CPPUNIT_TEST(lostHelperMeansThatTheRequestMayHaveRun);
     CPPUNIT_TEST(streamGoesOnAtTheHelper);
     CPPUNIT_TEST(streamWithoutEventsMayBeginAtAnyVersion);
@@ -208,6 +216,26 @@
         CPPUNIT_ASSERT(fixture.ask("/order/x").ends_with("helped"));
     }
 
+    /// The helper refuses an attempt, and when it comes again on the same connection, writes the refusal once more before it serves it.
+    void copyOfAHelpersRefusalIsNotBelieved()
+    {
+        stranded_fixture fixture;
+        fixture.strand();
+        bool hasRefused = false;
+        fixture.addHelper([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            std::string copy;
+            while (!(co_await caller->readUntil("{}")).empty()) {
+                const std::string answer = std::exchange(hasRefused, true) ? sealedResponse("helped") : notRunRefusal;
+                co_await caller->send(copy + answer);
+                copy = answer;
+            }
+        });
+        const std::string refused = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(refused, contains(refused, " 503 "));
+        const std::string answer = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("helped"));
+    }
+
     void lostHelperMeansThatTheRequestMayHaveRun()
     {
         for (const std::string &lost : {std::string(), unknownFailure}) {
