Don't take the lost answer of one command for that of the next

What would happen: a load's answer is lost, the engine is out of reach until its registration shows the model, and the next command, an unload, meets a count of commands that is one higher. The refusal was taken for the acceptance of that command: it was never sent again, and its model counted as leaving for good, so no request reached it.

Change: once a command's effect is seen, the mark goes, and the engine is asked for its count before it gets another command.

--- a/packages/fleet/src/chervilbend/fleet/command_dispatcher.cpp
+++ b/packages/fleet/src/chervilbend/fleet/command_dispatcher.cpp
@@ -188,9 +188,12 @@
     }
     if (!record->commands) {
         co_await resolveCommandCount(engine, generation);
-        co_return isComplete(engine, command) ? send_result::done : send_result::retry;
+        if (!isComplete(engine, command)) {
+            co_return send_result::retry;
+        }
     }
     if (isComplete(engine, command)) {
+        m_inventory.forgetLostAnswer(engine);
         co_return send_result::done;
     }
     // A status or registration received after the command was planned may have used up the memory.
--- a/packages/fleet/src/chervilbend/fleet/engine_inventory.cpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_inventory.cpp
@@ -21,6 +21,13 @@
     });
 }
 
+/// The engine is asked for its count before it gets another command.
+void forgetCommandCount(engine_record &engine)
+{
+    engine.commands.reset();
+    engine.observedCommands.reset();
+}
+
 /// Whether the inventory has an item as loaded that is not among the models.
 bool holdsMoreThan(const engine_record &engine, const std::vector<resident_model> &models)
 {
@@ -159,8 +166,7 @@
         mergeItems(engine, entry.models, {}, false);
         if (holdsMoreThan(engine, entry.models)) {
             // A slow store accepts an entry long after the engine wrote it. Only a status shows that an item is gone.
-            engine.commands.reset();
-            engine.observedCommands.reset();
+            forgetCommandCount(engine);
         }
         return;
     }
@@ -302,6 +308,15 @@
     }
 }
 
+void engine_inventory::forgetLostAnswer(const base::endpoint_id &id)
+{
+    engine_record *const engine = get(id);
+    if (engine && engine->hasLostAnswer) {
+        engine->hasLostAnswer = false;
+        forgetCommandCount(*engine);
+    }
+}
+
 void engine_inventory::addPending(const base::endpoint_id &id, int change)
 {
     if (engine_record *const engine = get(id)) {
@@ -327,8 +342,7 @@
 {
     const base::time_point now = base::clock::now();
     if (status.busy) {
-        engine.commands.reset();
-        engine.observedCommands.reset();
+        forgetCommandCount(engine);
     } else if (engine.commands == status.commands) {
         return;
     } else if (engine.observedCommands && engine.observedCommands->first == status.commands && now - engine.observedCommands->second >= statusLag) {
--- a/packages/fleet/src/chervilbend/fleet/engine_inventory.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_inventory.hpp
@@ -98,6 +98,8 @@
     /// A command did not reach the engine, or was refused permanently; the engine is avoided for a while.
     void recordFailure(const base::endpoint_id &engine);
     void recordCommand(const base::endpoint_id &engine, bool accepted);
+    /// The effect of a command whose answer was lost has been seen; whether the engine counted it is asked before the next one.
+    void forgetLostAnswer(const base::endpoint_id &engine);
     /// Applies the engine's status, which overrides what was assumed. Items of queued commands are kept. While the engine executes a command
     /// that this inventory does not know of, the command count stays unknown, because the status does not yet show what that command loads.
     /// False when the status may be older than the last command and was ignored.
