--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -46,12 +46,12 @@
     http_client();
     ~http_client();
 
-    /// Sends a request and reads the whole answer. A connection is not kept after a refusal, which the peer may write once more. Without a value, lastReason() has the kind endpointRefused when nothing was written,
-    /// otherwise endpointFailed or endpointInvalidAnswer.
+    /// Sends a request and reads the whole answer. A connection is not kept after a refusal, which the peer may write once more. Without a value, lastReason()
+    /// has the kind endpointRefused when nothing was written, otherwise endpointFailed or endpointInvalidAnswer.
     boost::asio::awaitable<std::optional<http_response>> send(address server, http_request request, http_send_options options = {});
 
-    /// Sends a request and reads the header of the answer; the body is read from the stream, which also decides whether the connection is kept. Destroying the stream before its end
-    /// closes the connection, which cancels the work at the endpoint.
+    /// Sends a request and reads the header of the answer; the body is read from the stream, which also decides whether the connection is kept. Destroying the
+    /// stream before its end closes the connection, which cancels the work at the endpoint.
     boost::asio::awaitable<std::shared_ptr<http_client_stream>> open(address server, http_request request, http_send_options options = {});
 
     void closeIdleConnections();
--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -90,7 +90,7 @@
                 CPPUNIT_ASSERT_MESSAGE(refused, contains(refused, " 503 "));
                 const std::string answer = fixture.ask(path);
                 CPPUNIT_ASSERT_EQUAL(1, ran);
-                CPPUNIT_ASSERT_MESSAGE(path + ": " + answer, answer.ends_with("done"));
+                CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("done"));
             }
         }
     }
