--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -12,7 +12,7 @@
 DEFINE_uint64(seed, 1, "Seed of the schedule and of all random choices");
 DEFINE_int64(seconds, 60, "Duration of the traffic in seconds");
 DEFINE_string(folder, "", "Where the supervisor of the nodes reads their settings and writes their process ids and ends");
-DEFINE_uint64(nodes, 4, "Number of nodes, 1 to 40");
+DEFINE_uint64(nodes, 4, "Number of nodes, 1 to 80");
 DEFINE_uint64(servers, 6, "Number of servers, 1 to 26");
 DEFINE_uint64(callers, 48, "Number of callers");
 DEFINE_uint64(first_port, 21'000, "Lowest port of 127.0.0.1 that is used");
@@ -53,8 +53,8 @@
     options.judgedProgram = FLAGS_judged;
     options.attempts = FLAGS_attempts;
     options.orderTimeout = base::milliseconds(FLAGS_order_timeout_ms);
-    if (options.nodes < 1 || options.nodes > 40 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
-        std::cerr << "chervilbend-soak: nodes must be 1 to 40, servers 1 to 26, the seed above 0, and forms known names\n";
+    if (options.nodes < 1 || options.nodes > 80 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
+        std::cerr << "chervilbend-soak: nodes must be 1 to 80, servers 1 to 26, the seed above 0, and forms known names\n";
         return cannotRun;
     }
     if (FLAGS_schedule) {
