--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -88,6 +88,14 @@
     CPPUNIT_TEST(bodyWithoutEndIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
+    static asio::awaitable<void> answerEachRequest(std::shared_ptr<raw_peer> caller)
+    {
+        while (!caller->closed) {
+            co_await caller->readUntil("\r\n\r\n");
+            co_await caller->send(ok);
+        }
+    }
+
     /// Sends blocks until the other side closes; adds up their sizes.
     static asio::awaitable<void> sendWithoutEnd(std::shared_ptr<raw_peer> caller, std::string start, std::string block, std::size_t &sent)
     {
@@ -195,12 +203,7 @@
     void freshConnectionIsNotPooled()
     {
         asio::io_context context;
-        raw_server endpoint(context, [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
-            while (!caller->closed) {
-                co_await caller->readUntil("\r\n\r\n");
-                co_await caller->send(ok);
-            }
-        });
+        raw_server endpoint(context, answerEachRequest);
         http_client client;
         const address endpointAddress = loopback(endpoint.port());
         runUntilDone(context, [&]() -> asio::awaitable<void> {
@@ -218,12 +221,7 @@
     void freshConnectionIsNotKept()
     {
         asio::io_context context;
-        raw_server endpoint(context, [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
-            while (!caller->closed) {
-                co_await caller->readUntil("\r\n\r\n");
-                co_await caller->send(ok);
-            }
-        });
+        raw_server endpoint(context, answerEachRequest);
         http_client client;
         const address endpointAddress = loopback(endpoint.port());
         runUntilDone(context, [&]() -> asio::awaitable<void> {
