--- a/packages/soak/src/chervilbend/soak/fault_schedule.cpp
+++ b/packages/soak/src/chervilbend/soak/fault_schedule.cpp
@@ -13,11 +13,11 @@
 {
 
 /// In the order of the enumeration.
-constexpr std::array<std::string_view, 25> names{
-    "stopNode",          "stopNodeTwice",        "stopNodeInSeries",   "stopTwoNodes",     "killNode",         "killAllNodes",    "freezeNode",   "hangUpNode",
-    "crashServer",       "crashServerKeepingId", "reuseServerAddress", "stallServer",      "hideServers",      "delayServerLink", "holdRequests", "holdAnswers",
-    "silenceServerLink", "resetServerLink",      "holdStoreRequests",  "holdStoreAnswers", "silenceStoreLink", "busyStore",       "silentStore",  "slowStore",
-    "lossyStore",
+constexpr std::array<std::string_view, 26> names{
+    "stopNode",    "stopNodeTwice",     "stopNodeInSeries",     "stopTwoNodes",       "killNode",         "killAllNodes",     "freezeNode",      "hangUpNode",
+    "starveNode",  "crashServer",       "crashServerKeepingId", "reuseServerAddress", "stallServer",      "hideServers",      "delayServerLink", "holdRequests",
+    "holdAnswers", "silenceServerLink", "resetServerLink",      "holdStoreRequests",  "holdStoreAnswers", "silenceStoreLink", "busyStore",       "silentStore",
+    "slowStore",   "lossyStore",
 };
 
 static_assert(names.size() == static_cast<std::size_t>(fault_kind::lossyStore) + 1);
@@ -37,6 +37,12 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+std::optional<fault_kind> faultNamed(std::string_view name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? std::nullopt : std::optional(static_cast<fault_kind>(found - names.begin()));
+}
+
 std::vector<scheduled_fault> scheduleFor(const soak_options &options)
 {
     std::vector<scheduled_fault> schedule;
@@ -47,7 +53,8 @@
     const auto lastTarget = static_cast<std::int64_t>(options.nodes * options.servers) - 1;
     base::milliseconds at = firstFault;
     while (at < options.duration - quietEnd) {
-        const auto kind = static_cast<fault_kind>(random.between(0, static_cast<std::int64_t>(names.size()) - 1));
+        const auto drawn = static_cast<fault_kind>(random.between(0, static_cast<std::int64_t>(names.size()) - 1));
+        const fault_kind kind = faultNamed(options.onlyFault).value_or(drawn);
         const auto target = static_cast<std::size_t>(random.between(0, lastTarget));
         const base::milliseconds duration(random.between(shortestDuration.count(), longestDuration.count()));
         schedule.push_back({at, kind, target, duration});
--- a/packages/soak/src/chervilbend/soak/fault_schedule.hpp
+++ b/packages/soak/src/chervilbend/soak/fault_schedule.hpp
@@ -4,6 +4,7 @@
 #include <chervilbend/soak/soak_options.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
     killAllNodes,
     freezeNode,
     hangUpNode,
+    /// The node can open no more descriptors, so that it reaches no server over a new connection.
+    starveNode,
     crashServer,
     /// The server starts again under its id.
     crashServerKeepingId,
@@ -46,6 +49,8 @@
 };
 
 std::string_view toString(fault_kind kind);
+/// No value if no kind has the name.
+std::optional<fault_kind> faultNamed(std::string_view name);
 
 struct scheduled_fault {
     /// Since the start of traffic.
--- a/packages/soak/src/chervilbend/soak/node_processes.cpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -1,8 +1,14 @@
 #include <chervilbend/soak/node_processes.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
+#include <system_error>
 
 namespace chervilbend::soak
 {
@@ -22,6 +28,16 @@
     return "front-" + std::to_string(node + 1);
 }
 
+/// Fails if the process has ended.
+void limitDescriptors(pid_t process, rlim_t count)
+{
+    rlimit limit{};
+    if (::prlimit(process, RLIMIT_NOFILE, nullptr, &limit) == 0) {
+        limit.rlim_cur = std::min(count, limit.rlim_max);
+        ::prlimit(process, RLIMIT_NOFILE, &limit, nullptr);
+    }
+}
+
 } // namespace
 
 node_processes::node_processes(const soak_options &options)
@@ -46,16 +62,44 @@
 }
 
 std::optional<pid_t> node_processes::signal(std::size_t node, int number)
+{
+    const std::optional<pid_t> process = processOf(node);
+    if (process) {
+        signalProcess(*process, number);
+    }
+    return process;
+}
+
+std::optional<pid_t> node_processes::processOf(std::size_t node) const
 {
     std::ifstream file(m_options.folder + "/" + nameOf(node) + ".pid");
     pid_t process = 0;
     if (!(file >> process) || process <= 0) {
         return std::nullopt;
     }
-    signalProcess(process, number);
     return process;
 }
 
+std::optional<pid_t> node_processes::stopOpeningDescriptors(std::size_t node)
+{
+    const std::optional<pid_t> process = processOf(node);
+    std::error_code error;
+    const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(process.value_or(0)) + "/fd", error);
+    if (!process || error) {
+        return std::nullopt;
+    }
+    limitDescriptors(*process, static_cast<rlim_t>(std::distance(begin(descriptors), end(descriptors))));
+    return process;
+}
+
+void node_processes::resumeOpeningDescriptors(pid_t process)
+{
+    rlimit limit{};
+    if (::prlimit(process, RLIMIT_NOFILE, nullptr, &limit) == 0) {
+        limitDescriptors(process, limit.rlim_max);
+    }
+}
+
 void node_processes::signalProcess(pid_t process, int number)
 {
     if (::kill(process, number) != 0) {
--- a/packages/soak/src/chervilbend/soak/node_processes.hpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.hpp
@@ -26,6 +26,10 @@
 
     /// Sends the signal to the process that runs now; returns its id, if there is one.
     std::optional<pid_t> signal(std::size_t node, int number);
+    /// Lets the process that runs now open no more descriptors than it has; returns its id, if there is one.
+    std::optional<pid_t> stopOpeningDescriptors(std::size_t node);
+    /// Ends that for a process, which may have ended.
+    void resumeOpeningDescriptors(pid_t process);
     /// Sends it to a process that may have ended.
     void signalProcess(pid_t process, int number);
 
@@ -33,6 +37,9 @@
     std::vector<std::string> unexpectedEnds() const;
 
 private:
+    /// The process that the supervisor started last for the node.
+    std::optional<pid_t> processOf(std::size_t node) const;
+
     const soak_options &m_options;
     std::set<pid_t> m_stopped;
     std::set<pid_t> m_killed;
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -26,6 +26,8 @@
     std::vector<fakes::answer_form> forms;
     /// Faults of processes and links besides the answers.
     bool hasFaults = true;
+    /// The name of the only kind of fault that is played; empty: all kinds. See fault_kind.
+    std::string onlyFault;
     /// Maximum number of attempts that the routes of requests that may run only once allow.
     int attempts = 1;
     /// Share of the repetitions of refused requests that bear the id of the attempt that was refused, 0 to 1. The platform's callers send none.
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -170,7 +170,7 @@
 
 asio::awaitable<void> soak_run::playFault(scheduled_fault fault)
 {
-    if (fault.kind <= fault_kind::hangUpNode) {
+    if (fault.kind <= fault_kind::starveNode) {
         co_await playNodeFault(fault);
     } else if (fault.kind <= fault_kind::hideServers) {
         co_await playServerFault(fault);
@@ -215,6 +215,12 @@
             m_nodes.signal(one, SIGKILL);
         }
         break;
+    case fault_kind::starveNode:
+        if (const std::optional<pid_t> process = m_nodes.stopOpeningDescriptors(node)) {
+            co_await net::sleepFor(fault.duration);
+            m_nodes.resumeOpeningDescriptors(*process);
+        }
+        break;
     default:
         if (const std::optional<pid_t> process = m_nodes.signal(node, SIGSTOP)) {
             co_await net::sleepFor(fault.duration);
--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -21,6 +21,7 @@
 DEFINE_bool(faults, true, "Whether processes and links fail besides the answers");
 DEFINE_double(repeated_ids, 0.25, "Share of the repetitions of refused requests that bear the id of the refused attempt");
 DEFINE_string(judged, "", "Only breaches of requests that met nodes with this program, now or next, count; empty for all");
+DEFINE_string(only_fault, "", "Name of the only kind of fault that is played, such as starveNode; empty for all");
 DEFINE_int32(attempts, 1, "Attempts that the routes of requests that may run once only allow");
 DEFINE_int64(order_timeout_ms, 2'500, "Deadline of orders in milliseconds");
 DEFINE_bool(schedule, false, "Print the schedule of the seed, and end");
@@ -51,12 +52,17 @@
     options.hasFaults = FLAGS_faults;
     options.repeatedIdShare = FLAGS_repeated_ids;
     options.judgedProgram = FLAGS_judged;
+    options.onlyFault = FLAGS_only_fault;
     options.attempts = FLAGS_attempts;
     options.orderTimeout = base::milliseconds(FLAGS_order_timeout_ms);
     if (options.nodes < 1 || options.nodes > 80 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
         std::cerr << "chervilbend-soak: nodes must be 1 to 80, servers 1 to 26, the seed above 0, and forms known names\n";
         return cannotRun;
     }
+    if (!options.onlyFault.empty() && !soak::faultNamed(options.onlyFault)) {
+        std::cerr << "chervilbend-soak: no fault is named " << options.onlyFault << '\n';
+        return cannotRun;
+    }
     if (FLAGS_schedule) {
         std::cout << soak::describe(soak::scheduleFor(options));
         return EXIT_SUCCESS;
--- a/packages/soak/tests/fault_schedule_test.cpp
+++ b/packages/soak/tests/fault_schedule_test.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(fault_schedule_test);
     CPPUNIT_TEST(seedGivesTheSchedule);
+    CPPUNIT_TEST(oneKindOfFaultCanBePlayed);
     CPPUNIT_TEST(endOfTheTrafficIsQuiet);
     CPPUNIT_TEST_SUITE_END();
 
@@ -25,6 +26,18 @@
         CPPUNIT_ASSERT(first != describe(scheduleFor(options)));
     }
 
+    void oneKindOfFaultCanBePlayed()
+    {
+        soak_options options;
+        options.onlyFault = "starveNode";
+        const std::vector<scheduled_fault> schedule = scheduleFor(options);
+        CPPUNIT_ASSERT(!schedule.empty());
+        for (const scheduled_fault &fault : schedule) {
+            CPPUNIT_ASSERT(fault.kind == fault_kind::starveNode);
+        }
+        CPPUNIT_ASSERT(!faultNamed("no fault"));
+    }
+
     void endOfTheTrafficIsQuiet()
     {
         constexpr base::milliseconds restartTime{6'000};
