Lay a repetition of what was refused untruly to the node that refused it

The ledger names the nodes that refused untruly or ran an attempt twice, and all nodes where there are none.

--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -134,11 +134,16 @@
 
 std::set<std::string> attempt_ledger::programsOf(const attempt_record &record) const
 {
-    std::set<std::string> programs;
+    std::set<std::string> all;
+    std::set<std::string> atFault;
     for (const attempt_record &one : sendingsOf(record)) {
-        programs.insert(one.attempt.program);
+        all.insert(one.attempt.program);
+        const bool wasFalselyRefused = one.hasEnded && promisesNotRun(one.end.status) && !one.runs.empty();
+        if (wasFalselyRefused || one.runs.size() > 1) {
+            atFault.insert(one.attempt.program);
+        }
     }
-    return programs;
+    return atFault.empty() ? all : atFault;
 }
 
 std::string attempt_ledger::storyOf(const attempt_record &record) const
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -44,7 +44,7 @@
 /// A rule that did not hold, with the attempts and runs that show it.
 struct breach {
     std::string rule;
-    /// The programs of the nodes that the request was sent to.
+    /// The programs of the nodes that refused the request although it ran, or that ran an attempt twice; without such nodes, of all that it was sent to.
     std::set<std::string> programs;
     std::string story;
 };
