--- a/packages/soak/src/chervilbend/soak/node_processes.cpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -28,7 +28,7 @@
     return "front-" + std::to_string(node + 1);
 }
 
-/// Fails if the process has ended.
+/// At most the hard limit. Does nothing if the process has ended.
 void limitDescriptors(pid_t process, rlim_t count)
 {
     rlimit limit{};
@@ -94,10 +94,7 @@
 
 void node_processes::resumeOpeningDescriptors(pid_t process)
 {
-    rlimit limit{};
-    if (::prlimit(process, RLIMIT_NOFILE, nullptr, &limit) == 0) {
-        limitDescriptors(process, limit.rlim_max);
-    }
+    limitDescriptors(process, RLIM_INFINITY);
 }
 
 void node_processes::signalProcess(pid_t process, int number)
