Log which attempts a node gives up, and name the request of an answer that is cut

Now the reason of a given up attempt is its own, 'aborted' lines name the request, and a line brokenOff with the last event, the attempts and the longest gap ends such a request. No decision changes.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -101,13 +101,18 @@
     }
 }
 
-bool http_client_stream::shouldKeepWaiting(const boost::system::error_code &error) const
+bool http_client_stream::shouldKeepWaiting(const boost::system::error_code &error)
 {
-    return error == asio::error::operation_aborted && m_connection->hasExpired() && m_connection->socket().is_open() && m_keepWaiting && m_keepWaiting();
+    const bool isInterrupted = error == asio::error::operation_aborted && m_connection->hasExpired() && m_connection->socket().is_open() && m_keepWaiting;
+    m_wasGivenUp = isInterrupted && !m_keepWaiting();
+    return isInterrupted && !m_wasGivenUp;
 }
 
 std::nullopt_t http_client_stream::failWith(const boost::system::error_code &error)
 {
+    if (m_wasGivenUp) {
+        return fail(base::error_kind::endpointFailed, "the endpoint was silent, and the attempt was given up");
+    }
     if (m_connection->hasExpired()) {
         return fail(base::error_kind::endpointFailed, "the endpoint did not answer in time");
     }
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -76,11 +76,17 @@
     /// Whether a read failed because of a timeout rather than a broken connection.
     bool hasTimedOut() const;
 
+    /// Whether a read failed because http_send_options::keepWaiting ended the wait. The connection is still open then, and the wait may be taken up again.
+    bool wasGivenUp() const
+    {
+        return m_wasGivenUp;
+    }
+
 private:
     void reserveForBody();
     void armReadDeadline();
     /// Whether to repeat an operation that has timed out.
-    bool shouldKeepWaiting(const boost::system::error_code &error) const;
+    bool shouldKeepWaiting(const boost::system::error_code &error);
     base::milliseconds idleLimit() const;
     void resetParser();
     std::nullopt_t failWith(const boost::system::error_code &error);
@@ -93,6 +99,7 @@
     bool m_headOnly;
     bool m_isFirstRequest;
     bool m_isReusable = true;
+    bool m_wasGivenUp = false;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_readBuffer;
 };
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -117,7 +117,11 @@
     }
     if (!isFinished) {
         request->finish(progress.outcome);
-        co_await refuse(request, std::move(progress.why), progress.mayHaveRun);
+        if (request->exchange->isStarted()) {
+            noteBrokenOff(*request, progress);
+        } else {
+            co_await refuse(request, std::move(progress.why), progress.mayHaveRun);
+        }
     }
 }
 
@@ -216,6 +220,19 @@
     return result;
 }
 
+void forwarder::noteBrokenOff(const forwarded_request &request, const forwarding_progress &progress)
+{
+    m_metrics.onBrokenStream();
+    LOG4CXX_INFO(routeLog(),
+                 eventFor("brokenOff", request.plan)
+                     .with("lastEvent", request.events.lastEvent().value_or(-1))
+                     .with("attempts", progress.attempts)
+                     .with("tookMs", (base::clock::now() - progress.startedAt).count())
+                     .with("longestGapMs", request.longestGap().count())
+                     .with("why", progress.why.text)
+                     .text());
+}
+
 asio::awaitable<void> forwarder::refuse(std::shared_ptr<forwarded_request> request, base::reason why, bool mayHaveRun)
 {
     const forwarding_plan &plan = request->plan;
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -124,6 +124,8 @@
     void noteFailure(const base::endpoint_id &endpoint, routing::request_outcome outcome);
     void noteAnswer(bool hasConnected);
 
+    /// The answer to the caller has begun, and ends without its end.
+    void noteBrokenOff(const forwarded_request &request, const forwarding_progress &progress);
     boost::asio::awaitable<void> refuse(std::shared_ptr<forwarded_request> request, base::reason why, bool mayHaveRun);
     /// Whether an attempt that has received nothing for its silence timeout may be given up for another endpoint: a stream only if the endpoint
     /// itself has fallen silent, because a stream may be queued or preempted for seconds.
--- a/packages/node/src/chervilbend/node/callers/open_requests.hpp
+++ b/packages/node/src/chervilbend/node/callers/open_requests.hpp
@@ -20,6 +20,7 @@
 {
     struct entry {
         std::shared_ptr<net::http_exchange> exchange;
+        std::string attempt;
         base::time_point since;
     };
 
@@ -28,7 +29,8 @@
     class registration
     {
     public:
-        registration(open_requests &all, std::shared_ptr<net::http_exchange> exchange);
+        /// @p attempt names the request in log lines; empty if it has no id.
+        registration(open_requests &all, std::shared_ptr<net::http_exchange> exchange, std::string attempt = {});
         ~registration();
         registration(const registration &) = delete;
         registration &operator=(const registration &) = delete;
@@ -49,7 +51,7 @@
         return m_entries->size();
     }
 
-    /// One line per request: method, path, caller, account, age and state of the response.
+    /// One line per request: method, path, id, caller, account, age and state of the response.
     std::vector<std::string> describe() const;
 
 private:
