Soak: read long streams that may be resumed, and find answers that nodes cut

Now 40 callers read feeds of 20 to 80 events from three servers whose feeds pause together for up to 2.5 s, as those of an engine that reads a long prompt, and the ledger reports a connection that a node ends without a whole answer, but beside a fault of a node, a server or a link, at the deadline, and at the end of a stop (still at work 6.67 s after the SIGTERM, sent up to 3 s after it). New cases in attempt_ledger_test.

--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/fakes/platform/application_server.hpp>
 
+#include <chervilbend/base/hash.hpp>
 #include <chervilbend/fakes/platform/metadata_store.hpp>
 #include <chervilbend/fakes/platform/raw_connection.hpp>
 #include <chervilbend/fakes/platform/run_observer.hpp>
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -34,19 +36,32 @@
 constexpr base::milliseconds eventGap{20};
 constexpr int eventsPerStream = 6;
 constexpr int queuedPerSlot = 1;
+constexpr int shortestFeed = 20; // Events.
+constexpr int longestFeed = 80;
+constexpr base::milliseconds shortestFeedGap{20};
+constexpr base::milliseconds longestFeedGap{120};
+constexpr base::milliseconds shortestFeedPause{200};
+constexpr base::milliseconds longestFeedPause{2'500};
+constexpr base::milliseconds shortestTimeBetweenPauses{1'500};
+constexpr base::milliseconds longestTimeBetweenPauses{6'000};
 
 std::string fieldOf(const net::http_request &request, std::string_view name)
 {
     return std::string(request[boost::beast::string_view(name.data(), name.size())]);
 }
 
-base::milliseconds timeFor(const net::http_request &request)
+std::optional<std::int64_t> numberOf(const net::http_request &request, std::string_view name)
 {
-    constexpr base::milliseconds withoutDeadline{10'000};
-    const std::string text = fieldOf(request, "Chervilbend-Deadline-Milliseconds");
+    const std::string text = fieldOf(request, name);
     std::int64_t number = 0;
     const bool isNumber = std::from_chars(text.data(), text.data() + text.size(), number).ec == std::errc{};
-    return isNumber ? base::milliseconds(number) : withoutDeadline;
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+base::milliseconds timeFor(const net::http_request &request)
+{
+    constexpr std::int64_t msWithoutDeadline = 10'000;
+    return base::milliseconds(numberOf(request, "Chervilbend-Deadline-Milliseconds").value_or(msWithoutDeadline));
 }
 
 std::string message(std::string_view status, const std::string &fields, const std::string &body = {})
@@ -102,6 +117,8 @@
     /// The copy of a refusal that is written with the next answer; empty if none is.
     std::string copyBeforeNext;
     std::string copyWithinNext;
+    /// A copy of an answer comes at any time.
+    bool hasLateCopy = false;
 };
 
 application_server::application_server(
@@ -122,6 +139,9 @@
     m_life = std::make_shared<incarnation>(m_executor, "i-" + m_options.name + "-" + std::to_string(m_lives), m_options.port);
     asio::co_spawn(m_executor, accept(m_life), asio::detached);
     asio::co_spawn(m_executor, keepRegistered(m_life), asio::detached);
+    if (m_options.feedsPause) {
+        asio::co_spawn(m_executor, pauseFeeds(m_life), asio::detached);
+    }
 }
 
 void application_server::crash()
@@ -166,6 +186,16 @@
     m_options.service = std::move(service);
 }
 
+int application_server::eventsOfFeed(std::string_view target)
+{
+    return shortestFeed + static_cast<int>(base::hash64(target) % (longestFeed - shortestFeed + 1));
+}
+
+std::string application_server::eventOfFeed(std::string_view target, int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece of " + std::string(target) + "\n\n";
+}
+
 asio::awaitable<void> application_server::accept(std::shared_ptr<incarnation> life)
 {
     while (life->isAlive && life->accepts) {
@@ -269,13 +299,13 @@
         isOpen = isOpen && caller->write(text);
         break;
     case answer_form::refusedWithLateCopy:
-        writeLater(caller, {text});
+        writeLater(served, {text});
         break;
     case answer_form::refusedWithUnnamedCopy:
-        writeLater(caller, {refusal({})});
+        writeLater(served, {refusal({})});
         break;
     case answer_form::refusedWithCopyInParts:
-        writeLater(caller, {text.substr(0, text.size() / 2), text.substr(text.size() / 2)});
+        writeLater(served, {text.substr(0, text.size() / 2), text.substr(text.size() / 2)});
         break;
     case answer_form::refusedWithCopyBeforeNext:
         served->copyBeforeNext = text;
@@ -305,6 +335,9 @@
     run.server = life->id;
     run.form = form;
     m_observer.onRun(run);
+    if (served->hasLateCopy || !served->copyWithinNext.empty()) {
+        m_observer.onSpoiltAnswer(run.attempt);
+    }
     const base::milliseconds time = timeFor(caller->request());
     co_await net::sleepFor(base::milliseconds(m_random.between(m_options.shortestWork.count(), m_options.longestWork.count())));
     co_await standStill();
@@ -338,9 +371,39 @@
     default:
         break;
     }
+    if (run.target.starts_with("/feeds/")) {
+        co_return co_await writeFeed(life, caller, fields);
+    }
     co_return co_await writeAnswer(served, run, fields);
 }
 
+/// Goes on after the last event that the caller has.
+asio::awaitable<bool> application_server::writeFeed(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, std::string fields)
+{
+    const std::string target(caller->request().target());
+    const base::time_point deadline = base::clock::now() + timeFor(caller->request());
+    const int events = eventsOfFeed(target);
+    int event = static_cast<int>(numberOf(caller->request(), "Last-Event-Id").value_or(-1)) + 1;
+    bool isOpen = caller->write("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (; isOpen && event < events; ++event) {
+        co_await standStill();
+        while (base::clock::now() < m_feedsPausedUntil) {
+            co_await net::sleepFor(m_feedsPausedUntil - base::clock::now());
+        }
+        isOpen = life->isAlive && base::clock::now() < deadline && !caller->hasCallerLeft() && caller->write(chunk(eventOfFeed(target, event)));
+        co_await net::sleepFor(base::milliseconds(m_random.between(shortestFeedGap.count(), longestFeedGap.count())));
+    }
+    co_return isOpen && caller->write("0\r\n\r\n");
+}
+
+asio::awaitable<void> application_server::pauseFeeds(std::shared_ptr<incarnation> life)
+{
+    while (life->isAlive) {
+        co_await net::sleepFor(base::milliseconds(m_random.between(shortestTimeBetweenPauses.count(), longestTimeBetweenPauses.count())));
+        m_feedsPausedUntil = base::clock::now() + base::milliseconds(m_random.between(shortestFeedPause.count(), longestFeedPause.count()));
+    }
+}
+
 asio::awaitable<bool> application_server::writeAnswer(std::shared_ptr<served_connection> served, const served_run &run, std::string fields)
 {
     const std::shared_ptr<raw_connection> caller = served->caller;
@@ -352,7 +415,7 @@
         std::string text = message("200 OK", fields + "Keep-Alive: timeout=30\r\n", body);
         text.insert(text.size() - body.size(), copyWithin);
         if (isCopied) {
-            writeLater(caller, {text});
+            writeLater(served, {text});
         }
         co_return caller->write(text);
     }
@@ -363,7 +426,7 @@
         co_await standStill();
     }
     if (isCopied) {
-        writeLater(caller, {refusal(attempt)});
+        writeLater(served, {refusal(attempt)});
     }
     co_return isOpen && caller->write("0\r\n\r\n");
 }
@@ -390,10 +453,11 @@
     }
 }
 
-void application_server::writeLater(const std::shared_ptr<raw_connection> &caller, std::vector<std::string> parts)
+void application_server::writeLater(const std::shared_ptr<served_connection> &served, std::vector<std::string> parts)
 {
+    served->hasLateCopy = true;
     const base::milliseconds delay(m_random.between(shortestCopyDelay.count(), longestCopyDelay.count()));
-    const auto write = [caller, delay, parts = std::move(parts)]() -> asio::awaitable<void> {
+    const auto write = [caller = served->caller, delay, parts = std::move(parts)]() -> asio::awaitable<void> {
         for (const std::string &part : parts) {
             co_await net::sleepFor(delay);
             caller->write(part);
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chervilbend::fakes
@@ -31,6 +32,8 @@
     int slots = 12;
     base::milliseconds shortestWork{5};
     base::milliseconds longestWork{60};
+    /// Whether its feeds pause together now and then, as the streams of an engine do while it reads a long prompt.
+    bool feedsPause = false;
     /// Share of the requests that are answered in one of the forms.
     double faultyShare = 0;
     std::vector<answer_form> forms;
@@ -38,7 +41,7 @@
 
 /// Stand-in for a server of a plain service, which answers requests and streams of events as the platform's protocol says, and some of them in faulty forms.
 ///
-/// A request whose target begins with "/streams/" is answered with events.
+/// A request whose target begins with "/streams/" is answered with some events, one that begins with "/feeds/" with many, which may be resumed.
 class application_server
 {
 public:
@@ -59,6 +62,10 @@
     /// Serves another service from its next start on.
     void setService(std::string service);
 
+    /// Number of events of a feed. They have the ids from 0 on.
+    static int eventsOfFeed(std::string_view target);
+    static std::string eventOfFeed(std::string_view target, int id);
+
     bool isRunning() const
     {
         return m_life != nullptr;
@@ -76,11 +83,13 @@
     boost::asio::awaitable<bool> refuse(std::shared_ptr<served_connection> served, std::string attempt, answer_form form);
     boost::asio::awaitable<bool> run(std::shared_ptr<incarnation> life, std::shared_ptr<served_connection> served, answer_form form);
     boost::asio::awaitable<bool> writeAnswer(std::shared_ptr<served_connection> served, const served_run &run, std::string fields);
+    boost::asio::awaitable<bool> writeFeed(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, std::string fields);
+    boost::asio::awaitable<void> pauseFeeds(std::shared_ptr<incarnation> life);
     /// Waits for a slot. False if there is no room, or the caller has left.
     boost::asio::awaitable<bool> takeSlot(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, base::time_point deadline);
     boost::asio::awaitable<void> standStill();
     /// Writes the parts, each some milliseconds after the one before.
-    void writeLater(const std::shared_ptr<raw_connection> &caller, std::vector<std::string> parts);
+    void writeLater(const std::shared_ptr<served_connection> &served, std::vector<std::string> parts);
     answer_form drawForm();
 
     boost::asio::any_io_executor m_executor;
@@ -91,6 +100,7 @@
     std::shared_ptr<incarnation> m_life;
     int m_lives = 0;
     base::time_point m_stalledUntil = base::clock::now();
+    base::time_point m_feedsPausedUntil = base::clock::now();
 };
 
 } // namespace chervilbend::fakes
--- a/packages/fakes/src/chervilbend/fakes/platform/run_observer.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/run_observer.hpp
@@ -26,6 +26,8 @@
     virtual void onRun(const served_run &run) = 0;
     /// A server has answered in another form than the proper one.
     virtual void onFaultyAnswer(answer_form form) = 0;
+    /// Bytes that don't belong to it may come within the answer to the attempt.
+    virtual void onSpoiltAnswer(const std::string &attempt) = 0;
     /// An attempt has come again on the connection on which it was refused.
     virtual void onRepeatOnConnection() = 0;
 };
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -11,6 +11,17 @@
 {
 
 constexpr int okStatus = 200;
+/// A stop may cut what an endpoint is still at work on so long after its SIGTERM, if it was sent no later than that.
+constexpr base::milliseconds lastSixthOfStop{6'667};
+constexpr base::milliseconds latestSentInStop{3'000};
+constexpr base::milliseconds longestStop{9'000};
+/// A connection that ends sooner after a request was sent, before that was passed on, crosses the request.
+constexpr base::milliseconds crossingTime{200};
+
+bool mayRunOnceOnly(request_kind kind)
+{
+    return kind == request_kind::order || kind == request_kind::stream;
+}
 
 /// Statuses that promise that the request has not run and never will.
 bool promisesNotRun(int status)
@@ -25,6 +36,8 @@
         return "order";
     case request_kind::stream:
         return "stream";
+    case request_kind::feed:
+        return "feed";
     case request_kind::query:
         break;
     }
@@ -36,7 +49,7 @@
 void attempt_ledger::onSent(const caller_attempt &attempt)
 {
     std::vector<attempt_record> &sendings = m_attempts[attempt.id];
-    if (attempt.kind != request_kind::query && sendings.empty()) {
+    if (mayRunOnceOnly(attempt.kind) && sendings.empty()) {
         m_requests[attempt.request].push_back(attempt.id);
     }
     sendings.emplace_back().attempt = attempt;
@@ -59,6 +72,35 @@
     record.endedAt = base::clock::now();
     record.hasEnded = true;
     check(record);
+    const bool isCrossed = record.runs.empty() && record.endedAt - record.attempt.sentAt <= crossingTime;
+    if (record.end.cut == cut_cause::byNode && !isCrossed) {
+        const bool isExcused = mayBeCut(record);
+        ++(isExcused ? m_cutBesideFaults : m_cut);
+        if (!isExcused) {
+            report("LOST", record);
+        }
+    }
+}
+
+void attempt_ledger::onDisruption()
+{
+    m_lastDisruption = base::clock::now();
+}
+
+void attempt_ledger::onStop(std::size_t node, base::time_point at)
+{
+    m_stops[node].push_back(at);
+}
+
+bool attempt_ledger::mayBeCut(const attempt_record &record) const
+{
+    if (record.isSpoilt || m_lastDisruption >= record.attempt.sentAt - disruptionEffect) {
+        return true;
+    }
+    const auto stops = m_stops.find(record.attempt.node);
+    return stops != m_stops.end() && std::any_of(stops->second.begin(), stops->second.end(), [&](base::time_point stop) {
+               return record.endedAt - stop >= lastSixthOfStop && record.endedAt - stop < longestStop && record.attempt.sentAt - stop <= latestSentInStop;
+           });
 }
 
 void attempt_ledger::onWrongAnswer(const std::string &id, const std::string &what)
@@ -84,6 +126,11 @@
     ++m_forms[std::string(fakes::toString(form))];
 }
 
+void attempt_ledger::onSpoiltAnswer(const std::string &attempt)
+{
+    lastOf(attempt).isSpoilt = true;
+}
+
 void attempt_ledger::onRepeatOnConnection()
 {
     ++m_repeatsOnConnection;
@@ -92,7 +139,7 @@
 /// Called after each run and at the end of the attempt, so that a run after the answer is found too.
 void attempt_ledger::check(const attempt_record &record)
 {
-    if (record.attempt.kind == request_kind::query || record.runs.empty()) {
+    if (!mayRunOnceOnly(record.attempt.kind) || record.runs.empty()) {
         return;
     }
     if (record.hasEnded && promisesNotRun(record.end.status)) {
@@ -176,6 +223,7 @@
         text << ", runs of attempts that no caller sent " << m_unknownRuns;
     }
     text << "\nattempts that came again on the connection where they were refused: " << m_repeatsOnConnection;
+    text << "\nanswers that nodes cut: " << m_cut << ", beside faults and at the end of stops: " << m_cutBesideFaults;
     text << "\nanswers by status, 0 for none:";
     for (const auto &[status, count] : m_statuses) {
         text << ' ' << status << ':' << count;
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -20,6 +20,17 @@
     stream,
     /// May be repeated.
     query,
+    /// A long stream that may be resumed, and so be repeated.
+    feed,
+};
+
+/// How an attempt ends without a whole answer.
+enum class cut_cause {
+    none,
+    /// The caller has closed its connection, or its deadline has passed.
+    byCaller,
+    /// The connection was closed by the node.
+    byNode,
 };
 
 /// One attempt of a caller, as the caller sees it.
@@ -36,9 +47,10 @@
 
 /// How an attempt ended for its caller.
 struct attempt_end {
-    /// 0 without an answer.
+    /// 0 without a whole answer.
     int status = 0;
     std::string note;
+    cut_cause cut = cut_cause::none;
 };
 
 /// A rule that did not hold, with the attempts and runs that show it.
@@ -49,17 +61,26 @@
     std::string story;
 };
 
-/// What callers and servers have seen of each attempt; checks that what may run once only runs once, and that no request runs that was called not run.
+/// What callers and servers have seen of each attempt; checks that what may run once only runs once, that no request runs that was called not run, and that
+/// nodes cut no answers (LOST).
 class attempt_ledger : public fakes::run_observer
 {
 public:
+    /// Before a request is sent; a node may take so long to get over a fault.
+    static constexpr base::milliseconds disruptionEffect{3'000};
+
     void onSent(const caller_attempt &attempt);
     void onEnded(const std::string &id, attempt_end end);
     /// An answer that belongs to another request, or that is not whole.
     void onWrongAnswer(const std::string &id, const std::string &what);
     void onRun(const fakes::served_run &run) override;
     void onFaultyAnswer(fakes::answer_form form) override;
+    void onSpoiltAnswer(const std::string &attempt) override;
     void onRepeatOnConnection() override;
+    /// A fault of a node, a server or a link begins or goes on now. Nodes may cut answers beside it. A server that is silent for a while is none.
+    void onDisruption();
+    /// A process of the node has got its first SIGTERM.
+    void onStop(std::size_t node, base::time_point at = base::clock::now());
 
     const std::vector<breach> &breaches() const
     {
@@ -86,6 +107,7 @@
         attempt_end end;
         base::time_point endedAt;
         bool hasEnded = false;
+        bool isSpoilt = false;
     };
 
     /// The record of the last sending of the attempt.
@@ -95,6 +117,8 @@
     /// Of all attempts of the record's request, in their order.
     std::vector<attempt_record> sendingsOf(const attempt_record &record) const;
     std::set<std::string> programsOf(const attempt_record &record) const;
+    /// Whether a fault, a server's answer, or the end of a stop allows that the node has cut the answer that ends now.
+    bool mayBeCut(const attempt_record &record) const;
     std::string storyOf(const attempt_record &record) const;
 
     base::time_point m_startedAt = base::clock::now();
@@ -103,6 +127,10 @@
     /// The attempts of each request that may run once only, in their order, each once.
     std::map<std::uint64_t, std::vector<std::string>> m_requests;
     std::vector<breach> m_breaches;
+    base::time_point m_lastDisruption = base::time_point::min();
+    std::map<std::size_t, std::vector<base::time_point>> m_stops;
+    std::size_t m_cut = 0;
+    std::size_t m_cutBesideFaults = 0;
     std::map<int, std::size_t> m_statuses;
     std::map<std::string, std::size_t> m_forms;
     std::size_t m_runs = 0;
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/soak/caller.hpp>
 
+#include <chervilbend/fakes/platform/application_server.hpp>
 #include <chervilbend/fakes/platform/caller_message.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/net/timer.hpp>
@@ -34,6 +35,9 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr base::milliseconds connectTimeout{1'000};
 constexpr base::milliseconds streamTimeout{6'000};
+constexpr base::milliseconds feedTimeout{12'000};
+/// The node's deadline is earlier than the caller's, by rounding and by the time that a request is on its way.
+constexpr base::milliseconds deadlineMargin{100};
 constexpr base::milliseconds shortestPause{20};
 constexpr base::milliseconds longestPause{160};
 constexpr double orderShare = 0.6;
@@ -77,6 +81,8 @@
         return "/orders/";
     case request_kind::stream:
         return "/streams/";
+    case request_kind::feed:
+        return "/feeds/";
     case request_kind::query:
         break;
     }
@@ -129,12 +135,13 @@
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
-caller::caller(const soak_options &options, const node_rotation &nodes, attempt_ledger &ledger, std::uint64_t seed)
+caller::caller(const soak_options &options, const node_rotation &nodes, attempt_ledger &ledger, std::uint64_t seed, bool readsFeeds)
     : m_options(options)
     , m_nodes(nodes)
     , m_ledger(ledger)
     , m_random(seed)
     , m_hash(seed * spreadingFactor >> 20)
+    , m_readsFeeds(readsFeeds)
 {
 }
 
@@ -147,13 +154,29 @@
     }
 }
 
+std::string caller::targetOf(const caller_request &request)
+{
+    return std::string(pathOf(request.kind)) + std::to_string(request.number);
+}
+
+request_kind caller::drawKind()
+{
+    if (m_readsFeeds) {
+        return request_kind::feed;
+    }
+    if (m_random.chance(orderShare)) {
+        return request_kind::order;
+    }
+    return m_random.chance(streamShare) ? request_kind::stream : request_kind::query;
+}
+
 caller::caller_request caller::drawRequest()
 {
     caller_request request;
     request.number = nextNumber();
-    request.kind = m_random.chance(orderShare) ? request_kind::order : m_random.chance(streamShare) ? request_kind::stream : request_kind::query;
+    request.kind = drawKind();
     const base::time_point now = base::clock::now();
-    request.deadline = now + (request.kind == request_kind::stream ? streamTimeout : m_options.orderTimeout);
+    request.deadline = now + (request.kind == request_kind::feed ? feedTimeout : request.kind == request_kind::stream ? streamTimeout : m_options.orderTimeout);
     request.body = "request " + std::to_string(request.number);
     if (request.kind == request_kind::order && m_random.chance(longBodyShare)) {
         request.body.resize(static_cast<std::size_t>(m_random.between(shortestLongBody, longestLongBody)), '.');
@@ -169,7 +192,8 @@
     const std::shared_ptr<open_connection> kept = co_await keptConnection();
     const std::string id = attemptId(m_options.seed);
     const attempt_answer answer = co_await attempt(request, id, kept);
-    const bool mayRepeat = isPromise(answer.status) || (request.kind == request_kind::query && answer.status != okStatus);
+    const bool isOnceOnly = request.kind == request_kind::order || request.kind == request_kind::stream;
+    const bool mayRepeat = isPromise(answer.status) || (!isOnceOnly && answer.status != okStatus);
     if (!mayRepeat || request.leavesAt) {
         co_return;
     }
@@ -214,7 +238,7 @@
     fakes::caller_message message;
     message.method = request.kind == request_kind::query ? "GET" : "POST";
     message.host = "desk.example";
-    message.path = std::string(pathOf(request.kind)) + std::to_string(request.number);
+    message.path = targetOf(request);
     message.attempt = id;
     message.timeout = std::max(request.deadline - base::clock::now(), base::milliseconds(1));
     message.body = request.body;
@@ -231,6 +255,9 @@
     attempt_end end;
     if (error) {
         end.note = error.message() + (parser.is_header_done() ? ", after " + std::to_string(parser.get().result_int()) : "");
+        // Only the caller's own timer cancels its operations.
+        const bool isOver = error == asio::error::operation_aborted || base::clock::now() >= request.deadline - deadlineMargin;
+        end.cut = isOver ? cut_cause::byCaller : cut_cause::byNode;
     } else {
         end.status = result.status = static_cast<int>(parser.get().result_int());
         end.note = end.status == okStatus ? std::string() : parser.get().body();
@@ -248,14 +275,26 @@
     co_return result;
 }
 
+std::string caller::expectedBody(const caller_request &request, const std::string &id)
+{
+    if (request.kind != request_kind::feed) {
+        return "done " + id;
+    }
+    const std::string target = targetOf(request);
+    std::string body;
+    for (int event = 0; event < fakes::application_server::eventsOfFeed(target); ++event) {
+        body += fakes::application_server::eventOfFeed(target, event);
+    }
+    return body;
+}
+
 void caller::checkAnswer(const caller_request &request, const std::string &id, const net::http_response &answer)
 {
     if (answer.result_int() != okStatus) {
         return;
     }
     const std::string &body = answer.body();
-    const std::string last = "id: 5\ndata: piece of " + id + "\n\n";
-    const bool isWhole = request.kind == request_kind::stream ? body.ends_with(last) : body == "done " + id;
+    const bool isWhole = body == expectedBody(request, id) || (request.kind == request_kind::stream && body.ends_with("id: 5\ndata: piece of " + id + "\n\n"));
     if (!isWhole || !fakes::isSealed(answer)) {
         std::string beginning = body.substr(0, shownBytes);
         std::replace_if(
--- a/packages/soak/src/chervilbend/soak/caller.hpp
+++ b/packages/soak/src/chervilbend/soak/caller.hpp
@@ -27,8 +27,8 @@
 class caller
 {
 public:
-    /// The references must outlive the object.
-    caller(const soak_options &options, const node_rotation &nodes, attempt_ledger &ledger, std::uint64_t seed);
+    /// The references must outlive the object. A caller that reads feeds sends nothing else.
+    caller(const soak_options &options, const node_rotation &nodes, attempt_ledger &ledger, std::uint64_t seed, bool readsFeeds = false);
 
     /// Sends requests until @p end.
     boost::asio::awaitable<void> run(base::time_point end);
@@ -53,11 +53,15 @@
     };
 
     caller_request drawRequest();
+    request_kind drawKind();
     boost::asio::awaitable<void> send(caller_request request);
     boost::asio::awaitable<attempt_answer> attempt(caller_request request, std::string id, std::shared_ptr<open_connection> connection);
     boost::asio::awaitable<std::shared_ptr<open_connection>> connect(std::uint64_t hash);
     /// The connection of the request before, if it is still open, or a new one; nullptr if none can be had.
     boost::asio::awaitable<std::shared_ptr<open_connection>> keptConnection();
+    static std::string targetOf(const caller_request &request);
+    /// But for a stream that is no feed.
+    static std::string expectedBody(const caller_request &request, const std::string &id);
     void checkAnswer(const caller_request &request, const std::string &id, const net::http_response &answer);
 
     const soak_options &m_options;
@@ -66,6 +70,7 @@
     fakes::seeded_random m_random;
     std::shared_ptr<open_connection> m_connection;
     std::uint64_t m_hash;
+    bool m_readsFeeds;
 };
 
 } // namespace chervilbend::soak
--- a/packages/soak/src/chervilbend/soak/fault_schedule.cpp
+++ b/packages/soak/src/chervilbend/soak/fault_schedule.cpp
@@ -43,6 +43,13 @@
     return found == names.end() ? std::nullopt : std::optional(static_cast<fault_kind>(found - names.begin()));
 }
 
+bool isDisruption(fault_kind kind)
+{
+    const bool isPlanned = kind <= fault_kind::stopTwoNodes || kind == fault_kind::hangUpNode;
+    const bool isOfStoreAlone = kind >= fault_kind::holdStoreRequests;
+    return !isPlanned && !isOfStoreAlone && kind != fault_kind::stallServer;
+}
+
 std::vector<scheduled_fault> scheduleFor(const soak_options &options)
 {
     std::vector<scheduled_fault> schedule;
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -18,6 +18,9 @@
     std::size_t nodes = 4;
     std::size_t servers = 6;
     std::size_t callers = 48;
+    /// Callers that read feeds, besides the others, and servers of feeds.
+    std::size_t feedReaders = 40;
+    std::size_t feedServers = 3;
     /// Ports from this one on are used.
     std::uint16_t firstPort = 21'000;
     /// With the settings "front-N.yaml", the process ids "front-N.pid" and the list "ends".
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -33,6 +33,7 @@
 /// How long another service has the address of a server.
 constexpr base::milliseconds reuseTime{3'000};
 constexpr std::string_view otherService = "other";
+constexpr int feedSlots = 16;
 
 std::vector<std::uint16_t> readyPorts(const soak_options &options)
 {
@@ -71,6 +72,19 @@
             std::make_unique<fakes::application_server>(m_context.get_executor(), m_store, m_ledger, std::move(server), m_options.seed * 1'000 + index));
         m_servers.back()->start();
     }
+    for (std::size_t index = 0; index < m_options.feedServers; ++index) {
+        fakes::application_server_options server;
+        server.name = "feed" + std::to_string(index);
+        server.service = "press";
+        server.port = server.registeredPort = ports.server(m_options.servers + index);
+        server.slots = feedSlots;
+        server.feedsPause = true;
+        server.faultyShare = m_options.faultyShare / 2;
+        server.forms = m_options.forms;
+        const std::uint64_t seed = m_options.seed * 1'000 + 200 + index;
+        m_feedServers.push_back(std::make_unique<fakes::application_server>(m_context.get_executor(), m_store, m_ledger, std::move(server), seed));
+        m_feedServers.back()->start();
+    }
     writeConfiguration();
     m_nodes.writeSettings();
 }
@@ -85,8 +99,11 @@
                              + R"(},{"name":"stream","host":"desk.example","pathPrefix":"/streams/","kind":"streaming","canResume":false,"timeoutMs":6000,)"
                                R"("targetLatencyMs":400,"gapAimMs":150,"priority":1,"service":"desk","attempts":)"
                              + attempts + R"(},{"name":"status","host":"desk.example","pathPrefix":"/status/","kind":"safe","timeoutMs":)" + timeout
-                             + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2}],)"
+                             + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2},)"
+                               R"({"name":"feed","host":"desk.example","pathPrefix":"/feeds/","kind":"streaming","canResume":true,"timeoutMs":12000,)"
+                               R"("targetLatencyMs":400,"gapAimMs":200,"priority":1,"service":"press","attempts":2}],)"
                                R"("services":[{"name":"desk","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
+                               R"({"name":"press","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
                                R"({"name":"other","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false}],)"
                                R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
 }
@@ -124,6 +141,11 @@
         const auto one = std::make_shared<caller>(m_options, m_rotation, m_ledger, m_options.seed * 1'000 + 500 + i);
         asio::co_spawn(m_context, runCaller(one, start + m_options.duration), asio::detached);
     }
+    for (std::size_t i = 0; i < m_options.feedReaders; ++i) {
+        ++m_openCallers;
+        const auto one = std::make_shared<caller>(m_options, m_rotation, m_ledger, m_options.seed * 1'000 + 700 + i, true);
+        asio::co_spawn(m_context, runCaller(one, start + m_options.duration), asio::detached);
+    }
     co_await playSchedule(start);
     while (m_openCallers > 0 || m_openFaults > 0) {
         co_await net::sleepFor(pollInterval);
@@ -170,6 +192,9 @@
 
 asio::awaitable<void> soak_run::playFault(scheduled_fault fault)
 {
+    if (isDisruption(fault.kind)) {
+        asio::co_spawn(m_context, noteDisruption(fault.duration), asio::detached);
+    }
     if (fault.kind <= fault_kind::starveNode) {
         co_await playNodeFault(fault);
     } else if (fault.kind <= fault_kind::hideServers) {
@@ -181,16 +206,34 @@
     }
 }
 
+asio::awaitable<void> soak_run::noteDisruption(base::milliseconds duration)
+{
+    const base::time_point end = base::clock::now() + duration;
+    do {
+        m_ledger.onDisruption();
+        co_await net::sleepFor(pollInterval);
+    } while (base::clock::now() < end);
+    m_ledger.onDisruption();
+}
+
+void soak_run::stopNode(std::size_t node)
+{
+    if (m_nodes.signal(node, SIGTERM)) {
+        m_ledger.onStop(node);
+    }
+}
+
 asio::awaitable<void> soak_run::playNodeFault(scheduled_fault fault)
 {
     constexpr int signalsInSeries = 6;
     const std::size_t node = fault.target % m_options.nodes;
     switch (fault.kind) {
     case fault_kind::stopNode:
-        m_nodes.signal(node, SIGTERM);
+        stopNode(node);
         break;
     case fault_kind::stopNodeTwice:
         if (const std::optional<pid_t> process = m_nodes.signal(node, SIGTERM)) {
+            m_ledger.onStop(node);
             co_await net::sleepFor(fault.duration);
             m_nodes.signalProcess(*process, SIGTERM);
         }
@@ -198,14 +241,18 @@
     case fault_kind::stopNodeInSeries:
     case fault_kind::hangUpNode:
         for (int i = 0; i < signalsInSeries; ++i) {
-            m_nodes.signal(node, fault.kind == fault_kind::hangUpNode ? SIGHUP : SIGTERM);
+            if (fault.kind == fault_kind::hangUpNode) {
+                m_nodes.signal(node, SIGHUP);
+            } else {
+                stopNode(node);
+            }
             co_await net::sleepFor(fault.duration / signalsInSeries);
         }
         break;
     case fault_kind::stopTwoNodes:
-        m_nodes.signal(node, SIGTERM);
+        stopNode(node);
         co_await net::sleepFor(fault.duration);
-        m_nodes.signal((node + 1) % m_options.nodes, SIGTERM);
+        stopNode((node + 1) % m_options.nodes);
         break;
     case fault_kind::killNode:
         m_nodes.signal(node, SIGKILL);
--- a/packages/soak/src/chervilbend/soak/soak_run.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.hpp
@@ -44,6 +44,9 @@
     boost::asio::awaitable<void> runCaller(std::shared_ptr<caller> one, base::time_point end);
     boost::asio::awaitable<void> playSchedule(base::time_point start);
     boost::asio::awaitable<void> playFault(scheduled_fault fault);
+    /// Tells the ledger of it for so long.
+    boost::asio::awaitable<void> noteDisruption(base::milliseconds duration);
+    void stopNode(std::size_t node);
     boost::asio::awaitable<void> playNodeFault(scheduled_fault fault);
     boost::asio::awaitable<void> playServerFault(scheduled_fault fault);
     boost::asio::awaitable<void> playLinkFault(scheduled_fault fault);
@@ -58,6 +61,7 @@
     std::vector<std::unique_ptr<fakes::fault_relay>> m_storeRelays;
     std::vector<std::unique_ptr<fakes::application_server>> m_servers;
     std::vector<std::unique_ptr<fakes::fault_relay>> m_serverRelays;
+    std::vector<std::unique_ptr<fakes::application_server>> m_feedServers;
     node_processes m_nodes;
     node_rotation m_rotation;
     const std::vector<scheduled_fault> m_schedule;
--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint64(nodes, 4, "Number of nodes, 1 to 80");
 DEFINE_uint64(servers, 6, "Number of servers, 1 to 26");
 DEFINE_uint64(callers, 48, "Number of callers");
+DEFINE_uint64(feed_readers, 40, "Number of callers that read long streams besides");
 DEFINE_uint64(first_port, 21'000, "Lowest port of 127.0.0.1 that is used");
 DEFINE_double(faulty_share, 0.2, "Share of the requests that servers answer in a faulty form");
 DEFINE_string(forms, "", "Names of the faulty forms of answers, separated by commas; empty for all");
@@ -46,6 +47,7 @@
     options.nodes = FLAGS_nodes;
     options.servers = FLAGS_servers;
     options.callers = FLAGS_callers;
+    options.feedReaders = FLAGS_feed_readers;
     options.firstPort = static_cast<std::uint16_t>(FLAGS_first_port);
     options.faultyShare = FLAGS_faulty_share;
     options.forms = FLAGS_forms.empty() ? fakes::faultyForms() : fakes::parseForms(FLAGS_forms);
--- a/packages/soak/tests/attempt_ledger_test.cpp
+++ b/packages/soak/tests/attempt_ledger_test.cpp
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(tellsTheProgramsOfABreach);
     CPPUNIT_TEST(falseRefusalIsTheFaultOfTheNodeThatRefuses);
     CPPUNIT_TEST(findsWrongAnswer);
+    CPPUNIT_TEST(findsAnswerThatANodeCuts);
+    CPPUNIT_TEST(cutIsExcusedByCallersFaultsAndTheEndOfAStop);
     CPPUNIT_TEST(holdsWhereNothingIsPromised);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +173,44 @@
         CPPUNIT_ASSERT_EQUAL(std::string("MIXED (not whole) "), fixture.rules());
     }
 
+    void findsAnswerThatANodeCuts()
+    {
+        ledger_fixture fixture;
+        fixture.send("a", 1, request_kind::feed);
+        fixture.run("a");
+        fixture.ledger.onStop(0);
+        fixture.ledger.onEnded("a", {0, "after 200", cut_cause::byNode});
+        CPPUNIT_ASSERT_EQUAL(std::string("LOST "), fixture.rules());
+    }
+
+    void cutIsExcusedByCallersFaultsAndTheEndOfAStop()
+    {
+        ledger_fixture left;
+        left.send("a", 1, request_kind::feed);
+        left.run("a");
+        left.ledger.onEnded("a", {0, {}, cut_cause::byCaller});
+        CPPUNIT_ASSERT_EQUAL(std::string(), left.rules());
+
+        ledger_fixture disrupted;
+        disrupted.ledger.onDisruption();
+        disrupted.send("a", 1, request_kind::feed);
+        disrupted.run("a");
+        disrupted.ledger.onEnded("a", {0, {}, cut_cause::byNode});
+        CPPUNIT_ASSERT_EQUAL(std::string(), disrupted.rules());
+
+        ledger_fixture stopped;
+        const base::time_point now = base::clock::now();
+        stopped.ledger.onStop(0, now - base::milliseconds(7'000));
+        stopped.ledger.onSent({"a", 1, request_kind::feed, 0, {}, now - base::milliseconds(4'500)});
+        stopped.run("a");
+        stopped.ledger.onEnded("a", {0, {}, cut_cause::byNode});
+        CPPUNIT_ASSERT_EQUAL(std::string(), stopped.rules());
+        stopped.ledger.onSent({"b", 2, request_kind::feed, 0, {}, now - base::milliseconds(3'500)});
+        stopped.run("b");
+        stopped.ledger.onEnded("b", {0, {}, cut_cause::byNode});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it was sent too late to be begun", std::string("LOST "), stopped.rules());
+    }
+
     void holdsWhereNothingIsPromised()
     {
         ledger_fixture fixture;
