Keep a stream whose endpoint is silent until another endpoint has continued it

Cause: a node closed the response of a silent endpoint before it knew that another one would continue the stream; when that one refused, broke off or was as silent, the answer that had begun was cut. The class: something that one has is given away for something that one only hopes for. Now the response is kept, unread, while others are asked. It is dropped when another endpoint's first events go out, and forwarded again when no other one is left, when its endpoint is chosen once more, or as soon as it sends again. Line keptOn, chervilbend_kept_streams_total. Not solved: the director does not count such a stream at its endpoint until its end.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
@@ -108,6 +110,18 @@
     return isInterrupted && !m_wasGivenUp;
 }
 
+bool http_client_stream::hasInput()
+{
+    char byte = 0;
+    return m_connection->socket().is_open() && ::recv(m_connection->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void http_client_stream::waitUntilDeadline()
+{
+    m_keepWaiting = nullptr;
+    m_readTimeout = base::milliseconds::max();
+}
+
 std::nullopt_t http_client_stream::failWith(const boost::system::error_code &error)
 {
     if (m_wasGivenUp) {
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -82,6 +82,11 @@
         return m_wasGivenUp;
     }
 
+    /// Whether bytes that have not been read have come after a wait that was given up.
+    bool hasInput();
+    /// From now on only the deadline ends the waits.
+    void waitUntilDeadline();
+
 private:
     void reserveForBody();
     void armReadDeadline();
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
@@ -32,6 +32,7 @@
     , m_retries(registry.counterFor("chervilbend_retries_total", "Attempts after the first one of a request"))
     , m_skippedAnswers(registry.counterFor("chervilbend_skipped_answers_total", "Answers to other requests that came before the expected one"))
     , m_brokenStreams(registry.counterFor("chervilbend_broken_streams_total", "Streams that broke off after their first byte reached the caller"))
+    , m_keptStreams(registry.counterFor("chervilbend_kept_streams_total", "Streams that went on at a silent endpoint since no other one continued them"))
     , m_tokens(registry.counterFor("chervilbend_tokens_total", "Generated tokens passed on to callers"))
 {
     for (const run_evidence evidence : {run_evidence::none, run_evidence::notSent, run_evidence::namedRefusal, run_evidence::unnamedRefusal}) {
@@ -110,6 +111,11 @@
     m_brokenStreams.add();
 }
 
+void caller_metrics::onKeptStream()
+{
+    m_keptStreams.add();
+}
+
 void caller_metrics::onTokens(std::int64_t count)
 {
     m_tokens.add(count);
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.hpp
@@ -37,6 +37,8 @@
     /// An answer to another request has come before the expected one.
     void onSkippedAnswer();
     void onBrokenStream();
+    /// A stream goes on at its endpoint, which had been silent, since no other one has continued it.
+    void onKeptStream();
     void onTokens(std::int64_t count);
     void onOrder(base::run_state state, bool replayed);
 
@@ -54,6 +56,7 @@
     std::array<base::counter *, 4> m_failedAttempts{};
     base::counter &m_skippedAnswers;
     base::counter &m_brokenStreams;
+    base::counter &m_keptStreams;
     base::counter &m_tokens;
 };
 
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/node/callers/forwarded_request.hpp>
 
 #include <chervilbend/fleet/stream_origins.hpp>
+#include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 
@@ -62,6 +63,33 @@
     m_tokens = events.tokens().count() * plan.tokensPerEvent;
 }
 
+void forwarded_request::keep(std::shared_ptr<net::http_client_stream> answer)
+{
+    m_kept = kept_response{std::move(answer), endpoint, softwareVersion, events};
+}
+
+kept_response forwarded_request::takeKept()
+{
+    kept_response kept = std::move(*m_kept);
+    m_kept.reset();
+    endpoint = kept.endpoint;
+    softwareVersion = kept.softwareVersion;
+    events = kept.events;
+    m_tokens = events.tokens().count() * plan.tokensPerEvent;
+    m_hasFirstByte = true;
+    return kept;
+}
+
+void forwarded_request::dropKept()
+{
+    m_kept.reset();
+}
+
+bool forwarded_request::hasKeptGoneOn() const
+{
+    return m_kept && m_kept->answer->hasInput();
+}
+
 void forwarded_request::beginStream()
 {
     if (m_hasBegunStream || m_isAtHelper || !plan.resumable) {
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -5,6 +5,7 @@
 #include <chervilbend/node/callers/admitted_request.hpp>
 #include <chervilbend/node/callers/event_scanner.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
+#include <chervilbend/node/callers/kept_response.hpp>
 #include <chervilbend/routing/request_outcome.hpp>
 
 #include <cstdint>
@@ -45,6 +46,22 @@
     void startAttempt();
     /// The same for an attempt that another node makes for this one, and that notes the beginning of the stream.
     void startRelayedAttempt();
+    /// Keeps the response that is being forwarded, for the case that no other endpoint continues it.
+    void keep(std::shared_ptr<net::http_client_stream> answer);
+    /// The kept response, which is forwarded again from now on. There must be one.
+    kept_response takeKept();
+    /// Closes the kept response, if any: another endpoint has continued it.
+    void dropKept();
+    bool hasKept() const
+    {
+        return m_kept.has_value();
+    }
+    bool isKeptAt(const base::endpoint_id &at) const
+    {
+        return m_kept && m_kept->endpoint == at;
+    }
+    /// Whether the endpoint of the kept response sends again.
+    bool hasKeptGoneOn() const;
     /// The first event of a stream that can be resumed is about to go out to the caller. Only the first call has an effect.
     void beginStream();
     /// Only the first call of each attempt has an effect.
@@ -98,6 +115,7 @@
     std::optional<base::milliseconds> m_timeToFirstByte;
     std::optional<base::time_point> m_lastPartAt;
     base::milliseconds m_longestGap{0};
+    std::optional<kept_response> m_kept;
     bool m_finished = false;
 };
 
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -11,6 +11,7 @@
 #include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/node/callers/endpoint_reachability.hpp>
 #include <chervilbend/node/callers/forwarded_request.hpp>
+#include <chervilbend/node/callers/kept_response.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
 #include <chervilbend/node/callers/request_relay.hpp>
 
@@ -37,6 +38,8 @@
 constexpr base::milliseconds maxIdleForNonRepeatable{1'500};
 /// `Retry-After` of refusals to callers of the platform's protocol, in seconds.
 constexpr const char *retryAfterSeconds = "0.2";
+/// Interval at which is looked whether the endpoint of a kept response sends again.
+constexpr base::milliseconds keptCheckInterval{50};
 /// Additional attempts beyond the route's limit, available only as long as attempts provably did not execute the request.
 constexpr int maxUnexecutedAttempts = 2;
 
@@ -112,9 +115,12 @@
     if (!mayRelay(*request, progress)) {
         isFinished = co_await forwardToEndpoints(request, progress);
     }
-    if (!isFinished && mayRelay(*request, progress)) {
+    if (!isFinished && mayRelay(*request, progress) && !request->hasKeptGoneOn()) {
         isFinished = co_await forwardToHelpers(request, progress);
     }
+    if (!isFinished && request->hasKept() && !isStranded()) {
+        isFinished = co_await forwardKept(request, progress);
+    }
     if (!isFinished) {
         request->finish(progress.outcome);
         if (request->exchange->isStarted()) {
@@ -154,10 +160,14 @@
             && (progress.countedAttempts >= request->plan.maxAttempts || progress.attempts >= request->plan.maxAttempts + maxUnexecutedAttempts);
         const bool deadlinePassed = base::clock::now() >= facts.deadline;
         if (attemptsExhausted || deadlinePassed || (progress.outcome == request_outcome::timedOut && request->plan.maxAttempts == 0)
-            || (mayHaveRun && !facts.repeatable)) {
+            || (mayHaveRun && !facts.repeatable) || request->hasKeptGoneOn()) {
             break;
         }
         target = co_await request->admitted.retry(progress.outcome);
+        if (target && request->isKeptAt(target->endpoint)) {
+            progress.isBackAtKept = true;
+            break;
+        }
         if (target) {
             m_metrics.onRetry();
         } else {
@@ -170,6 +180,24 @@
     co_return false;
 }
 
+asio::awaitable<bool> forwarder::forwardKept(std::shared_ptr<forwarded_request> request, forwarding_progress &progress)
+{
+    if (!progress.isBackAtKept) {
+        request->admitted.finish(progress.outcome);
+    }
+    const kept_response kept = request->takeKept();
+    LOG4CXX_INFO(routeLog(),
+                 eventFor("keptOn", request->plan)
+                     .with("endpoint", kept.endpoint.value())
+                     .with("lastEvent", request->events.lastEvent().value_or(-1))
+                     .with("why", progress.why.text)
+                     .text());
+    m_metrics.onKeptStream();
+    kept.answer->waitUntilDeadline();
+    attempt_result result = co_await forwardStream(request, kept.answer, std::string(), false);
+    co_return co_await concludeAttempt(request, std::move(result), kept.endpoint.value(), progress);
+}
+
 asio::awaitable<bool>
     forwarder::concludeAttempt(std::shared_ptr<forwarded_request> request, attempt_result result, std::string target, forwarding_progress &progress)
 {
@@ -281,6 +309,13 @@
             return waiting && !isStranded() && !(isAbandonable(*waiting, endpoint) && waiting->admitted.allowsRetry());
         };
     }
+    if (request->hasKept()) {
+        options.answerTimeout = std::min(options.answerTimeout, keptCheckInterval);
+        options.keepWaiting = [others = std::move(options.keepWaiting), weak = std::weak_ptr(request)] {
+            const std::shared_ptr<forwarded_request> waiting = weak.lock();
+            return waiting && !waiting->hasKeptGoneOn() && (!others || others());
+        };
+    }
     const endpoint_protocol &protocol = plan.protocol ? *plan.protocol : m_nativeProtocol;
     attempt_terms terms;
     terms.endpoint = target.endpoint;
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -46,8 +46,8 @@
 ///
 /// Non-streamed responses are buffered completely before the first byte is sent to the caller, up to a size limit. Streams are forwarded
 /// incrementally, with backpressure: each piece must be accepted by the caller's socket before the next is read. A broken stream is resumed at
-/// another endpoint if possible. Otherwise the caller's connection is closed without the terminating chunk; in the native protocol, an error
-/// event is sent first.
+/// another endpoint if possible; one whose endpoint is merely silent is kept until another endpoint has continued it. Otherwise the caller's connection is
+/// closed without the terminating chunk; in the native protocol, an error event is sent first.
 class forwarder
 {
 public:
@@ -99,6 +99,8 @@
         /// Attempts that may have executed the request; only these count towards the route's limit.
         int countedAttempts = 0;
         bool mayHaveRun = false;
+        /// The director has chosen the endpoint of the kept response once more.
+        bool isBackAtKept = false;
         routing::request_outcome outcome = routing::request_outcome::refused;
         base::reason why;
         base::time_point startedAt = base::clock::now();
@@ -111,6 +113,8 @@
     boost::asio::awaitable<attempt_result> attemptAtHelper(std::shared_ptr<forwarded_request> request, net::address helper, int attemptsUsed);
     /// Whether the request is to be passed on to another node now.
     bool mayRelay(const forwarded_request &request, const forwarding_progress &progress) const;
+    /// Forwards the rest of the response that was kept. Returns whether the answer to the caller is finished.
+    boost::asio::awaitable<bool> forwardKept(std::shared_ptr<forwarded_request> request, forwarding_progress &progress);
     /// Logs and adds up the result of an attempt. Returns whether the answer to the caller is finished.
     boost::asio::awaitable<bool>
         concludeAttempt(std::shared_ptr<forwarded_request> request, attempt_result result, std::string target, forwarding_progress &progress);
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -186,6 +186,7 @@
         bool sent = true;
         if (!ready.empty()) {
             request->beginStream();
+            request->dropKept();
         }
         if (!ready.empty() && !exchange->isStarted()) {
             sent = co_await startStream(exchange, answer);
@@ -250,6 +251,9 @@
         result.why = {base::error_kind::endpointInvalidAnswer, "the stream ended without its end marker"};
     }
     // A response that has been started can only be continued if the stream can be resumed.
+    if (answer->wasGivenUp() && exchange->isStarted() && !request->hasKept()) {
+        request->keep(answer);
+    }
     result.isFinal = exchange->isStarted() && !(plan.resumable && scanner.lastEvent() && !scanner.isOutOfOrder());
     if (result.isFinal) {
         m_metrics.onBrokenStream();
