Bound the writing of a request that is watched in short steps, and blame no endpoint for a kept one that was faster

While a kept stream waits, the next endpoint's answer is looked at every 50 ms; the same time bounded the writing of the request. Now at least 400 ms, or what the deadline leaves. And the attempt that ends because the kept stream goes on first is reported as cancelled, not as timed out, which would count as a slow sample of an endpoint that was asked a moment ago. Both found by reading the fix again; abandoned_stream_test, route_api_test and the tests of node and net pass.

--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -33,6 +33,8 @@
 constexpr unsigned millisecondsPerSecond = 1'000;
 constexpr unsigned userTimeoutMs = (keepAliveIdleSeconds + keepAliveProbes * keepAliveIntervalSeconds) * millisecondsPerSecond;
 
+/// Time for writing a request where the answer is waited for in short steps.
+constexpr base::milliseconds minWriteTimeout{400};
 /// Makes the kernel end a connection whose peer no longer responds: a wait for its answer would otherwise last until the deadline.
 void enableDeadPeerDetection(asio::ip::tcp::socket &socket)
 {
@@ -136,7 +138,7 @@
         request.set(http::field::host, toString(server));
     }
     request.prepare_payload();
-    endpoint->expireAfter(options.answerTimeout);
+    endpoint->expireAfter(std::max(options.answerTimeout, std::min(minWriteTimeout, options.deadline - base::clock::now())));
     const bool isFirstRequest = endpoint->noteRequest();
     const bool headOnly = request.method() == http::verb::head;
     const auto [error, size] = co_await http::async_write(endpoint->socket(), request, awaitTuple);
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -183,7 +183,8 @@
 asio::awaitable<bool> forwarder::forwardKept(std::shared_ptr<forwarded_request> request, forwarding_progress &progress)
 {
     if (!progress.isBackAtKept) {
-        request->admitted.finish(progress.outcome);
+        // The other endpoint is not to blame where the kept one was faster.
+        request->admitted.finish(request->hasKeptGoneOn() ? request_outcome::cancelled : progress.outcome);
     }
     const kept_response kept = request->takeKept();
     LOG4CXX_INFO(routeLog(),
--- a/packages/node/tests/abandoned_stream_test.cpp
+++ b/packages/node/tests/abandoned_stream_test.cpp
@@ -15,6 +15,9 @@
 /// More than the silence timeout of the fixture's routes, 450 ms.
 constexpr base::milliseconds silence{1'000};
 
+const std::string startWithPartOfAnEvent = sealedStream + numberedEvent(1) + chunk("id: 2\nda");
+const std::string restOfTheEvent = chunk("ta: word2\n\n") + lastChunk;
+
 /// An endpoint on which two streams fall silent together, and another one, to which the second of them is given.
 struct silent_endpoint_fixture : route_api_fixture {
     /// The silent endpoint writes @p start on both streams and, after the silence, @p rest on the second one.
@@ -104,9 +107,6 @@
     }
 
 private:
-    inline static const std::string startWithPartOfAnEvent = sealedStream + numberedEvent(1) + chunk("id: 2\nda");
-    inline static const std::string restOfTheEvent = chunk("ta: word2\n\n") + lastChunk;
-
     static void checkIsWhole(const std::string &answer)
     {
         const std::size_t first = answer.find("data: word1\n\n");
