--- a/packages/node/tests/abandoned_stream_test.cpp
+++ b/packages/node/tests/abandoned_stream_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(silentStreamIsKeptWhenItsSuccessorBreaksOff);
     CPPUNIT_TEST(silentStreamThatGoesOnFirstIsKept);
     CPPUNIT_TEST(silentStreamGoesOnAtAnotherEndpoint);
+    CPPUNIT_TEST(streamThatNobodyContinuesIsCountedAsBroken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,16 @@
         net::test::runUntilDone(fixture.context, [&]() -> asio::awaitable<void> { co_await net::test::waitUntil([&] { return fixture.wasClosed; }); });
     }
 
+    /// The silent endpoint ends without its stream's end, and the other one refuses.
+    void streamThatNobodyContinuesIsCountedAsBroken()
+    {
+        silent_endpoint_fixture fixture(startWithPartOfAnEvent, "broken off\r\n", answerAndClose(notExecutedResponse));
+        const std::string answer = fixture.askBesideNeighbour();
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word1") && !answer.ends_with("0\r\n\r\n"));
+        const std::string metrics = fixture.registry.text();
+        CPPUNIT_ASSERT_MESSAGE(metrics, contains(metrics, "chervilbend_broken_streams_total 1\n") && contains(metrics, "chervilbend_kept_streams_total 1\n"));
+    }
+
 private:
     static void checkIsWhole(const std::string &answer)
     {
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(silentEndpointIsAbandonedForRepeatableRequest);
     CPPUNIT_TEST(queuedStreamIsNotAbandoned);
     CPPUNIT_TEST(preemptedStreamIsNotAbandoned);
+    CPPUNIT_TEST(openRequestIsNamed);
     CPPUNIT_TEST(endlessHeaderIsRefusedAtOnce);
     CPPUNIT_TEST(endlessInterimResponsesAreRefusedAtOnce);
     CPPUNIT_TEST(endlessEventIsRefusedAtOnce);
@@ -304,6 +305,20 @@
         checkPausedStream(sealedStream + numberedEvent(1), numberedEvent(2) + lastChunk);
     }
 
+    /// Guards against a log line of a cut request that doesn't tell which one it was.
+    void openRequestIsNamed()
+    {
+        route_api_fixture fixture;
+        fixture.configure();
+        std::string line;
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            line = fixture.open.describe().at(0);
+        });
+        fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(line, line.starts_with("POST /order/x, request own1 from 127.0.0.1:"));
+    }
+
     void endlessHeaderIsRefusedAtOnce()
     {
         checkEndlessResponse("/order/x", "HTTP/1.1 200 OK\r\n", "X-Field: " + std::string(1'000, 'a') + "\r\n");
