--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -1,6 +1,5 @@
 #include <chervilbend/fakes/platform/application_server.hpp>
 
-#include <chervilbend/base/hash.hpp>
 #include <chervilbend/fakes/platform/metadata_store.hpp>
 #include <chervilbend/fakes/platform/raw_connection.hpp>
 #include <chervilbend/fakes/platform/run_observer.hpp>
@@ -36,14 +35,6 @@
 constexpr base::milliseconds eventGap{20};
 constexpr int eventsPerStream = 6;
 constexpr int queuedPerSlot = 1;
-constexpr int shortestFeed = 20; // Events.
-constexpr int longestFeed = 80;
-constexpr base::milliseconds shortestFeedGap{20};
-constexpr base::milliseconds longestFeedGap{120};
-constexpr base::milliseconds shortestFeedPause{200};
-constexpr base::milliseconds longestFeedPause{2'500};
-constexpr base::milliseconds shortestTimeBetweenPauses{1'500};
-constexpr base::milliseconds longestTimeBetweenPauses{6'000};
 
 std::string fieldOf(const net::http_request &request, std::string_view name)
 {
@@ -128,6 +119,7 @@
     , m_observer(observer)
     , m_options(std::move(options))
     , m_random(seed)
+    , m_feed(seed + 1)
 {
 }
 
@@ -140,7 +132,7 @@
     asio::co_spawn(m_executor, accept(m_life), asio::detached);
     asio::co_spawn(m_executor, keepRegistered(m_life), asio::detached);
     if (m_options.feedsPause) {
-        asio::co_spawn(m_executor, pauseFeeds(m_life), asio::detached);
+        asio::co_spawn(m_executor, m_feed.pauseNowAndThen([life = m_life] { return life->isAlive; }), asio::detached);
     }
 }
 
@@ -186,16 +178,6 @@
     m_options.service = std::move(service);
 }
 
-int application_server::eventsOfFeed(std::string_view target)
-{
-    return shortestFeed + static_cast<int>(base::hash64(target) % (longestFeed - shortestFeed + 1));
-}
-
-std::string application_server::eventOfFeed(std::string_view target, int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: piece of " + std::string(target) + "\n\n";
-}
-
 asio::awaitable<void> application_server::accept(std::shared_ptr<incarnation> life)
 {
     while (life->isAlive && life->accepts) {
@@ -382,28 +364,16 @@
 {
     const std::string target(caller->request().target());
     const base::time_point deadline = base::clock::now() + timeFor(caller->request());
-    const int events = eventsOfFeed(target);
     int event = static_cast<int>(numberOf(caller->request(), "Last-Event-Id").value_or(-1)) + 1;
     bool isOpen = caller->write("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for (; isOpen && event < events; ++event) {
+    for (; isOpen && event < event_feed::eventsOf(target); ++event) {
+        co_await m_feed.waitForNext();
         co_await standStill();
-        while (base::clock::now() < m_feedsPausedUntil) {
-            co_await net::sleepFor(m_feedsPausedUntil - base::clock::now());
-        }
-        isOpen = life->isAlive && base::clock::now() < deadline && !caller->hasCallerLeft() && caller->write(chunk(eventOfFeed(target, event)));
-        co_await net::sleepFor(base::milliseconds(m_random.between(shortestFeedGap.count(), longestFeedGap.count())));
+        isOpen = life->isAlive && base::clock::now() < deadline && !caller->hasCallerLeft() && caller->write(chunk(event_feed::eventText(target, event)));
     }
     co_return isOpen && caller->write("0\r\n\r\n");
 }
 
-asio::awaitable<void> application_server::pauseFeeds(std::shared_ptr<incarnation> life)
-{
-    while (life->isAlive) {
-        co_await net::sleepFor(base::milliseconds(m_random.between(shortestTimeBetweenPauses.count(), longestTimeBetweenPauses.count())));
-        m_feedsPausedUntil = base::clock::now() + base::milliseconds(m_random.between(shortestFeedPause.count(), longestFeedPause.count()));
-    }
-}
-
 asio::awaitable<bool> application_server::writeAnswer(std::shared_ptr<served_connection> served, const served_run &run, std::string fields)
 {
     const std::shared_ptr<raw_connection> caller = served->caller;
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/fakes/platform/answer_form.hpp>
+#include <chervilbend/fakes/platform/event_feed.hpp>
 #include <chervilbend/fakes/seeded_random.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -12,7 +13,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace chervilbend::fakes
@@ -62,10 +62,6 @@
     /// Serves another service from its next start on.
     void setService(std::string service);
 
-    /// Number of events of a feed. They have the ids from 0 on.
-    static int eventsOfFeed(std::string_view target);
-    static std::string eventOfFeed(std::string_view target, int id);
-
     bool isRunning() const
     {
         return m_life != nullptr;
@@ -84,7 +80,6 @@
     boost::asio::awaitable<bool> run(std::shared_ptr<incarnation> life, std::shared_ptr<served_connection> served, answer_form form);
     boost::asio::awaitable<bool> writeAnswer(std::shared_ptr<served_connection> served, const served_run &run, std::string fields);
     boost::asio::awaitable<bool> writeFeed(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, std::string fields);
-    boost::asio::awaitable<void> pauseFeeds(std::shared_ptr<incarnation> life);
     /// Waits for a slot. False if there is no room, or the caller has left.
     boost::asio::awaitable<bool> takeSlot(std::shared_ptr<incarnation> life, std::shared_ptr<raw_connection> caller, base::time_point deadline);
     boost::asio::awaitable<void> standStill();
@@ -100,7 +95,7 @@
     std::shared_ptr<incarnation> m_life;
     int m_lives = 0;
     base::time_point m_stalledUntil = base::clock::now();
-    base::time_point m_feedsPausedUntil = base::clock::now();
+    event_feed m_feed;
 };
 
 } // namespace chervilbend::fakes
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -1,7 +1,7 @@
 #include <chervilbend/soak/caller.hpp>
 
-#include <chervilbend/fakes/platform/application_server.hpp>
 #include <chervilbend/fakes/platform/caller_message.hpp>
+#include <chervilbend/fakes/platform/event_feed.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/net/timer.hpp>
 #include <chervilbend/soak/node_processes.hpp>
@@ -282,8 +282,8 @@
     }
     const std::string target = targetOf(request);
     std::string body;
-    for (int event = 0; event < fakes::application_server::eventsOfFeed(target); ++event) {
-        body += fakes::application_server::eventOfFeed(target, event);
+    for (int event = 0; event < fakes::event_feed::eventsOf(target); ++event) {
+        body += fakes::event_feed::eventText(target, event);
     }
     return body;
 }
