--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -77,7 +77,7 @@
         const bool isExcused = mayBeCut(record);
         ++(isExcused ? m_cutBesideFaults : m_cut);
         if (!isExcused) {
-            report("LOST", record);
+            report("LOST", record, {record.attempt.program});
         }
     }
 }
@@ -105,7 +105,8 @@
 
 void attempt_ledger::onWrongAnswer(const std::string &id, const std::string &what)
 {
-    report("MIXED (" + what + ")", lastOf(id));
+    const attempt_record &record = lastOf(id);
+    report("MIXED (" + what + ")", record, {record.attempt.program});
 }
 
 void attempt_ledger::onRun(const fakes::served_run &run)
@@ -143,7 +144,7 @@
         return;
     }
     if (record.hasEnded && promisesNotRun(record.end.status)) {
-        report("REFUSED", record);
+        report("REFUSED", record, programsOf(record));
     }
     std::size_t runs = 0;
     for (const std::string &id : m_requests[record.attempt.request]) {
@@ -152,18 +153,18 @@
         }
     }
     if (runs > 1) {
-        report("TWICE", record);
+        report("TWICE", record, programsOf(record));
     }
 }
 
 /// Reports each rule once for an attempt.
-void attempt_ledger::report(const std::string &rule, const attempt_record &record)
+void attempt_ledger::report(const std::string &rule, const attempt_record &record, std::set<std::string> programs)
 {
     const std::string key = record.attempt.id;
     const bool isKnown = std::any_of(
         m_breaches.begin(), m_breaches.end(), [&](const breach &known) { return known.rule == rule && known.story.find(key) != std::string::npos; });
     if (!isKnown) {
-        m_breaches.push_back({rule, programsOf(record), storyOf(record)});
+        m_breaches.push_back({rule, std::move(programs), storyOf(record)});
     }
 }
 
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -56,7 +56,8 @@
 /// A rule that did not hold, with the attempts and runs that show it.
 struct breach {
     std::string rule;
-    /// The programs of the nodes that refused the request although it ran, or that ran an attempt twice; without such nodes, of all that it was sent to.
+    /// Of a wrong or cut answer: the program of the node that it came from. Else the programs of the nodes that refused the request although it ran, or that
+    /// ran an attempt twice; without such nodes, of all that it was sent to.
     std::set<std::string> programs;
     std::string story;
 };
@@ -113,7 +114,7 @@
     /// The record of the last sending of the attempt.
     attempt_record &lastOf(const std::string &id);
     void check(const attempt_record &record);
-    void report(const std::string &rule, const attempt_record &record);
+    void report(const std::string &rule, const attempt_record &record, std::set<std::string> programs);
     /// Of all attempts of the record's request, in their order.
     std::vector<attempt_record> sendingsOf(const attempt_record &record) const;
     std::set<std::string> programsOf(const attempt_record &record) const;
--- a/packages/soak/tests/attempt_ledger_test.cpp
+++ b/packages/soak/tests/attempt_ledger_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(findsRefusalOfAnAttemptThatCameAgain);
     CPPUNIT_TEST(tellsTheProgramsOfABreach);
     CPPUNIT_TEST(falseRefusalIsTheFaultOfTheNodeThatRefuses);
+    CPPUNIT_TEST(wrongAnswerIsTheFaultOfTheNodeThatGivesIt);
     CPPUNIT_TEST(findsWrongAnswer);
     CPPUNIT_TEST(findsAnswerThatANodeCuts);
     CPPUNIT_TEST(cutIsExcusedByCallersFaultsAndTheEndOfAStop);
@@ -165,6 +166,17 @@
         CPPUNIT_ASSERT(fixture.ledger.hasBreachAt("next") && !fixture.ledger.hasBreachAt("now"));
     }
 
+    /// The caller repeats a request at a node of the version before, whose answer is another one's.
+    void wrongAnswerIsTheFaultOfTheNodeThatGivesIt()
+    {
+        ledger_fixture fixture;
+        fixture.ledger.onSent({"a", 1, request_kind::order, 0, "now"});
+        fixture.end("a", 503);
+        fixture.ledger.onSent({"b", 1, request_kind::order, 1, "next"});
+        fixture.ledger.onWrongAnswer("b", "not whole");
+        CPPUNIT_ASSERT(fixture.ledger.hasBreachAt("next") && !fixture.ledger.hasBreachAt("now"));
+    }
+
     void findsWrongAnswer()
     {
         ledger_fixture fixture;
