Report the first byte after a kept stream goes on

Found by reading the fix of the abandoned streams again: where the director chooses the endpoint of a kept stream once more, the attempt that it counts never reported its first byte, so that its whole duration would have become the first-byte sample of the endpoint's limit. Now the next part of the stream reports it, as for each attempt. abandoned_stream_test passes (5 cases).

--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -76,7 +76,7 @@
     softwareVersion = kept.softwareVersion;
     events = kept.events;
     m_tokens = events.tokens().count() * plan.tokensPerEvent;
-    m_hasFirstByte = true;
+    m_hasFirstByte = false;
     return kept;
 }
 
