Log a request whose caller left, or that the end of a stop cuts

Now they are logged where the cancellation passes, with the request's id, whether its answer had begun, and its time; the code that could not be reached is gone, and concludeAttempt() is a plain function. callerThatLeavesIsLogged failed before; test_node passes (169).

--- a/packages/node/src/chervilbend/node/callers/caller_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_api.cpp
@@ -51,7 +51,7 @@
 asio::awaitable<void> caller_api::handle(std::shared_ptr<net::http_exchange> exchange)
 {
     const open_requests::registration registration(m_open, exchange);
-    const std::optional<std::string> failure = co_await failureOf(serve(exchange));
+    const std::optional<std::string> failure = co_await failureOf(serve(exchange), exchange, std::string());
     if (!failure) {
         co_return;
     }
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -15,8 +15,6 @@
 #include <chervilbend/node/callers/problem_answer.hpp>
 #include <chervilbend/node/callers/request_relay.hpp>
 
-#include <boost/asio/this_coro.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -60,18 +58,6 @@
     return event;
 }
 
-/// The event that ends a cancelled request in the log.
-std::string_view cancelEvent(const net::http_exchange &exchange)
-{
-    return exchange.cancelReason() == net::unanswered_reason::aborted ? "aborted" : "callerLeft";
-}
-
-asio::awaitable<bool> isCancelled()
-{
-    const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
-    co_return state.cancelled() != asio::cancellation_type::none;
-}
-
 } // namespace
 
 forwarder::forwarder(admission &requestAdmission, endpoint_directory &endpoints, net::http_client &client, caller_metrics &metrics)
@@ -123,7 +109,7 @@
     }
     if (!isFinished) {
         request->finish(progress.outcome);
-        if (request->exchange->isStarted()) {
+        if (request->exchange->isStarted() && !request->exchange->cancelReason()) {
             noteBrokenOff(*request, progress);
         } else {
             co_await refuse(request, std::move(progress.why), progress.mayHaveRun);
@@ -148,7 +134,7 @@
         const bool isLast = request->plan.maxAttempts != 0 && progress.countedAttempts + 1 >= request->plan.maxAttempts;
         attempt_result result = co_await attempt(request, *target, isLast);
         const bool mayHaveRun = result.mayHaveRun;
-        const bool isFinished = co_await concludeAttempt(request, std::move(result), target->endpoint.value(), progress);
+        const bool isFinished = concludeAttempt(*request, std::move(result), target->endpoint.value(), progress);
         if (isFinished) {
             co_return true;
         }
@@ -196,35 +182,33 @@
     m_metrics.onKeptStream();
     kept.answer->waitUntilDeadline();
     attempt_result result = co_await forwardStream(request, kept.answer, std::string(), false);
-    co_return co_await concludeAttempt(request, std::move(result), kept.endpoint.value(), progress);
+    co_return concludeAttempt(*request, std::move(result), kept.endpoint.value(), progress);
 }
 
-asio::awaitable<bool>
-    forwarder::concludeAttempt(std::shared_ptr<forwarded_request> request, attempt_result result, std::string target, forwarding_progress &progress)
+bool forwarder::concludeAttempt(forwarded_request &request, attempt_result result, const std::string &target, forwarding_progress &progress)
 {
     progress.countedAttempts += result.mayHaveRun ? 1 : 0;
-    const bool cancelled = co_await isCancelled();
-    progress.outcome = cancelled ? request_outcome::cancelled : result.outcome;
-    if (cancelled || result.isFinal) {
+    progress.outcome = result.outcome;
+    if (result.isFinal) {
         LOG4CXX_INFO(routeLog(),
-                     eventFor(cancelled ? cancelEvent(*request->exchange) : "ended", request->plan)
+                     eventFor("ended", request.plan)
                          .with("endpoint", target)
                          .with("tookMs", (base::clock::now() - progress.startedAt).count())
-                         .with("firstByteMs", request->timeToFirstByte().value_or(base::milliseconds(-1)).count())
-                         .with("longestGapMs", request->longestGap().count())
+                         .with("firstByteMs", request.timeToFirstByte().value_or(base::milliseconds(-1)).count())
+                         .with("longestGapMs", request.longestGap().count())
                          .with("why", result.why.text)
                          .text());
-        request->finish(progress.outcome);
-        co_return true;
+        request.finish(progress.outcome);
+        return true;
     }
     progress.mayHaveRun = progress.mayHaveRun || result.mayHaveRun;
     m_metrics.onFailedAttempt(result.evidence);
     progress.why = std::move(result.why);
     LOG4CXX_INFO(routeLog(),
-                 eventFor("attemptFailed", request->plan)
+                 eventFor("attemptFailed", request.plan)
                      .with("endpoint", target)
-                     .with("hadFirstByte", request->hasFirstByte())
-                     .with("promptParts", request->plan.sharedPromptParts)
+                     .with("hadFirstByte", request.hasFirstByte())
+                     .with("promptParts", request.plan.sharedPromptParts)
                      .with("mayHaveRun", result.mayHaveRun)
                      .with("evidence", toString(result.evidence))
                      .with("status", result.status)
@@ -232,7 +216,7 @@
                      .with("usedConnection", result.isOnUsedConnection)
                      .with("why", progress.why.text)
                      .text());
-    co_return false;
+    return false;
 }
 
 forwarder::attempt_result forwarder::failedAttempt(const net::http_client &client)
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -116,8 +116,7 @@
     /// Forwards the rest of the response that was kept. Returns whether the answer to the caller is finished.
     boost::asio::awaitable<bool> forwardKept(std::shared_ptr<forwarded_request> request, forwarding_progress &progress);
     /// Logs and adds up the result of an attempt. Returns whether the answer to the caller is finished.
-    boost::asio::awaitable<bool>
-        concludeAttempt(std::shared_ptr<forwarded_request> request, attempt_result result, std::string target, forwarding_progress &progress);
+    bool concludeAttempt(forwarded_request &request, attempt_result result, const std::string &target, forwarding_progress &progress);
     /// The result of an attempt without an answer.
     static attempt_result failedAttempt(const net::http_client &client);
 
--- a/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
@@ -58,7 +58,7 @@
                          .with("attemptsUsed", progress.countedAttempts)
                          .text());
         attempt_result result = co_await attemptAtHelper(request, *helper, progress.countedAttempts);
-        const bool isFinished = co_await concludeAttempt(request, std::move(result), net::toString(*helper), progress);
+        const bool isFinished = concludeAttempt(*request, std::move(result), net::toString(*helper), progress);
         if (isFinished) {
             co_return true;
         }
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -135,8 +135,9 @@
 
 asio::awaitable<void> route_api::handleGuarded(std::shared_ptr<net::http_exchange> exchange, bool isRelayed)
 {
-    const open_requests::registration registration(m_open, exchange, m_codec.attemptField(exchange->request()).value);
-    const std::optional<std::string> failure = co_await failureOf(serve(exchange, isRelayed));
+    const std::string attempt = m_codec.attemptField(exchange->request()).value;
+    const open_requests::registration registration(m_open, exchange, attempt);
+    const std::optional<std::string> failure = co_await failureOf(serve(exchange, isRelayed), exchange, attempt);
     if (!failure) {
         co_return;
     }
--- a/packages/node/tests/log_file.hpp
+++ b/packages/node/tests/log_file.hpp
@@ -34,6 +34,11 @@
     log_file(const log_file &) = delete;
     log_file &operator=(const log_file &) = delete;
 
+    const std::string &path() const
+    {
+        return m_path;
+    }
+
     int handle() const
     {
         return m_handle;
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -1,6 +1,11 @@
+#include "log_file.hpp"
 #include "route_api_fixture.hpp"
 
+#include <chervilbend/base/log.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/patternlayout.h>
 
 #include <cstdint>
 #include <set>
@@ -39,6 +44,7 @@
     CPPUNIT_TEST(queuedStreamIsNotAbandoned);
     CPPUNIT_TEST(preemptedStreamIsNotAbandoned);
     CPPUNIT_TEST(openRequestIsNamed);
+    CPPUNIT_TEST(callerThatLeavesIsLogged);
     CPPUNIT_TEST(endlessHeaderIsRefusedAtOnce);
     CPPUNIT_TEST(endlessInterimResponsesAreRefusedAtOnce);
     CPPUNIT_TEST(endlessEventIsRefusedAtOnce);
@@ -319,6 +325,32 @@
         CPPUNIT_ASSERT_MESSAGE(line, line.starts_with("POST /order/x, request own1 from 127.0.0.1:"));
     }
 
+    /// Guards against a request whose log ends with the line of its last attempt, as if it had been lost.
+    void callerThatLeavesIsLogged()
+    {
+        const log_file lines;
+        const auto appender = std::make_shared<log4cxx::FileAppender>(std::make_shared<log4cxx::PatternLayout>("%m%n"), lines.path(), true);
+        const log4cxx::LoggerPtr logger = base::partLogger("route");
+        logger->addAppender(appender);
+        route_api_fixture fixture;
+        fixture.configure();
+        bool isAsked = false;
+        fixture.addEndpoint([&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            co_await caller->readUntil("{}");
+            isAsked = true;
+            co_await caller->readToEnd();
+        });
+        net::test::runUntilDone(fixture.context, [&]() -> asio::awaitable<void> {
+            const auto caller = co_await raw_peer::connect(fixture.port);
+            co_await caller->send("POST /order/x HTTP/1.1\r\nHost: h.example\r\nChervilbend-Attempt-Id: own1\r\nContent-Length: 2\r\n\r\n{}");
+            co_await net::test::waitUntil([&] { return isAsked; });
+            caller->close();
+            co_await net::test::waitUntil([&] { return fixture.open.size() == 0; });
+        });
+        logger->removeAppender(appender);
+        CPPUNIT_ASSERT(lines.contains("callerLeft") && lines.contains("own1"));
+    }
+
     void endlessHeaderIsRefusedAtOnce()
     {
         checkEndlessResponse("/order/x", "HTTP/1.1 200 OK\r\n", "X-Field: " + std::string(1'000, 'a') + "\r\n");
