Test: hold the closed port that a call must not reach

Cause: the test took a port, released it, and called it; another test program that runs beside it may get the same port in between, accept, and answer. No product code changes.

--- a/packages/ctl/tests/signed_node_client_test.cpp
+++ b/packages/ctl/tests/signed_node_client_test.cpp
@@ -112,12 +112,12 @@
 
     void closedPortIsReportedAsNotReached()
     {
-        boost::asio::ip::tcp::acceptor unused(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-        m_node.port = unused.local_endpoint().port();
-        unused.close();
+        // Bound, so that no other socket gets the port, and not listening.
+        const boost::asio::ip::tcp::socket reserved(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        m_node.port = reserved.local_endpoint().port();
         ctl::signed_node_client client({"new key", ""});
         CPPUNIT_ASSERT(!call(client, "a"));
-        CPPUNIT_ASSERT(client.lastReason().kind == base::error_kind::endpointRefused);
+        CPPUNIT_ASSERT_MESSAGE(client.lastReason().text, client.lastReason().kind == base::error_kind::endpointRefused);
     }
 
     void unresponsiveNodeTimesOut()
