--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
+#include <chervilbend/net/internal/peer_state.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -13,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -73,16 +75,6 @@
     }
 }
 
-/// Whether the peer closed an idle connection or sent unsolicited data since it was returned to the pool.
-bool isStale(connection &idle)
-{
-    boost::system::error_code error;
-    idle.socket().non_blocking(true, error);
-    char byte = 0;
-    idle.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error != asio::error::would_block;
-}
-
 } // namespace
 
 http_client::http_client()
@@ -190,7 +182,8 @@
     while (!idle.empty() && base::clock::now() - idle.back().since <= maxIdleTime) {
         std::shared_ptr<connection> candidate = std::move(idle.back().pooled);
         idle.pop_back();
-        if (!isStale(*candidate)) {
+        // A peer that has closed, or has sent what was not asked for, is of no use.
+        if (peerStateOf(candidate->socket()) == peer_state::connected) {
             return candidate;
         }
     }
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -3,13 +3,12 @@
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/internal/message_framing.hpp>
+#include <chervilbend/net/internal/peer_state.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
@@ -110,10 +109,9 @@
     return isInterrupted && !m_wasGivenUp;
 }
 
-bool http_client_stream::hasInput()
+bool http_client_stream::hasInput() const
 {
-    char byte = 0;
-    return m_connection->socket().is_open() && ::recv(m_connection->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return peerStateOf(m_connection->socket()) == peer_state::hasPendingData;
 }
 
 void http_client_stream::waitUntilDeadline()
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -83,7 +83,7 @@
     }
 
     /// Whether bytes that have not been read have come after a wait that was given up.
-    bool hasInput();
+    bool hasInput() const;
     /// From now on only the deadline ends the waits.
     void waitUntilDeadline();
 
--- a/packages/net/src/chervilbend/net/http_exchange.cpp
+++ b/packages/net/src/chervilbend/net/http_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/connection.hpp>
+#include <chervilbend/net/internal/peer_state.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -46,13 +47,7 @@
 
 bool http_exchange::callerHasDisconnected() const
 {
-    boost::system::error_code error;
-    asio::ip::tcp::socket &socket = m_connection->socket();
-    // Affects only this call: asynchronous operations do not depend on the mode.
-    socket.non_blocking(true, error);
-    char next = 0;
-    socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
-    return error && error != asio::error::would_block && error != asio::error::try_again;
+    return peerStateOf(m_connection->socket()) == peer_state::disconnected;
 }
 
 void http_exchange::addDefaultFields(http::fields &answer) const
--- a/packages/net/src/chervilbend/net/internal/http_session.cpp
+++ b/packages/net/src/chervilbend/net/internal/http_session.cpp
@@ -8,6 +8,7 @@
 #include <chervilbend/net/http_handler.hpp>
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/net/internal/lingering_close.hpp>
+#include <chervilbend/net/internal/peer_state.hpp>
 #include <chervilbend/net/internal/request_reader.hpp>
 #include <chervilbend/net/problem.hpp>
 
@@ -23,7 +24,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <cerrno>
 #include <exception>
 #include <memory>
 #include <optional>
@@ -47,22 +47,6 @@
 /// Time for which what still comes after the last answer, such as a refusal, is read and discarded.
 constexpr base::milliseconds maxLingerTime{2'000};
 
-enum class peer_state {
-    connected,
-    hasPendingData,
-    disconnected,
-};
-
-peer_state peerStateOf(asio::ip::tcp::socket &socket)
-{
-    char byte = 0;
-    const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
-        return peer_state::disconnected;
-    }
-    return size > 0 ? peer_state::hasPendingData : peer_state::connected;
-}
-
 /// Detects a disconnect even while unread data is pending.
 bool isConnected(asio::ip::tcp::socket &socket)
 {
@@ -190,7 +174,7 @@
     const auto [error] = co_await m_connection->socket().async_wait(asio::ip::tcp::socket::wait_read, awaitTuple);
     m_isIdle = false;
     // A request may have arrived just as the wait ended.
-    co_return !error || (m_connection->socket().is_open() && peerStateOf(m_connection->socket()) == peer_state::hasPendingData);
+    co_return !error || peerStateOf(m_connection->socket()) == peer_state::hasPendingData;
 }
 
 asio::awaitable<std::shared_ptr<http_exchange>> http_session::readRequest()
@@ -288,7 +272,7 @@
     if (requestNumber != m_requestNumber || !m_exchange) {
         return;
     }
-    const peer_state state = m_connection->socket().is_open() ? peerStateOf(m_connection->socket()) : peer_state::disconnected;
+    const peer_state state = peerStateOf(m_connection->socket());
     if (state == peer_state::disconnected) {
         cancelTask(unanswered_reason::callerLeft);
     } else if (state == peer_state::connected) {
