--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -33,7 +33,6 @@
 constexpr base::milliseconds shortestCopyDelay{1};
 constexpr base::milliseconds longestCopyDelay{60};
 constexpr base::milliseconds eventGap{20};
-constexpr int eventsPerStream = 6;
 constexpr int queuedPerSlot = 1;
 
 std::string fieldOf(const net::http_request &request, std::string_view name)
@@ -60,6 +59,11 @@
     return "HTTP/1.1 " + std::string(status) + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string streamHeader(const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
 /// Names no attempt if @p attempt is empty.
 std::string refusal(const std::string &attempt)
 {
@@ -365,7 +369,7 @@
     const std::string target(caller->request().target());
     const base::time_point deadline = base::clock::now() + timeFor(caller->request());
     int event = static_cast<int>(numberOf(caller->request(), "Last-Event-Id").value_or(-1)) + 1;
-    bool isOpen = caller->write("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool isOpen = caller->write(streamHeader(fields));
     for (; isOpen && event < event_feed::eventsOf(target); ++event) {
         co_await m_feed.waitForNext();
         co_await standStill();
@@ -389,9 +393,9 @@
         }
         co_return caller->write(text);
     }
-    bool isOpen = caller->write("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + copyWithin);
+    bool isOpen = caller->write(streamHeader(fields) + copyWithin);
     for (int event = 0; isOpen && event < eventsPerStream; ++event) {
-        isOpen = caller->write(chunk("id: " + std::to_string(event) + "\ndata: piece of " + attempt + "\n\n"));
+        isOpen = caller->write(chunk(event_feed::eventText(attempt, event)));
         co_await net::sleepFor(eventGap);
         co_await standStill();
     }
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
@@ -45,6 +45,9 @@
 class application_server
 {
 public:
+    /// Of a stream that is no feed; they have the texts of event_feed, with the attempt in place of the target.
+    static constexpr int eventsPerStream = 6;
+
     /// The references must outlive the object, and the object the event loop.
     application_server(
         const boost::asio::any_io_executor &executor, metadata_store &store, run_observer &observer, application_server_options options, std::uint64_t seed);
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -18,11 +18,6 @@
 /// A connection that ends sooner after a request was sent, before that was passed on, crosses the request.
 constexpr base::milliseconds crossingTime{200};
 
-bool mayRunOnceOnly(request_kind kind)
-{
-    return kind == request_kind::order || kind == request_kind::stream;
-}
-
 /// Statuses that promise that the request has not run and never will.
 bool promisesNotRun(int status)
 {
@@ -46,6 +41,11 @@
 
 } // namespace
 
+bool mayRunOnceOnly(request_kind kind)
+{
+    return kind == request_kind::order || kind == request_kind::stream;
+}
+
 void attempt_ledger::onSent(const caller_attempt &attempt)
 {
     std::vector<attempt_record> &sendings = m_attempts[attempt.id];
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -24,6 +24,8 @@
     feed,
 };
 
+bool mayRunOnceOnly(request_kind kind);
+
 /// How an attempt ends without a whole answer.
 enum class cut_cause {
     none,
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/soak/caller.hpp>
 
+#include <chervilbend/fakes/platform/application_server.hpp>
 #include <chervilbend/fakes/platform/caller_message.hpp>
 #include <chervilbend/fakes/platform/event_feed.hpp>
 #include <chervilbend/net/sleep.hpp>
@@ -74,6 +75,15 @@
     return status == 429 || status == 503;
 }
 
+std::string eventTexts(const std::string &target, int events)
+{
+    std::string texts;
+    for (int event = 0; event < events; ++event) {
+        texts += fakes::event_feed::eventText(target, event);
+    }
+    return texts;
+}
+
 std::string_view pathOf(request_kind kind)
 {
     switch (kind) {
@@ -170,13 +180,25 @@
     return m_random.chance(streamShare) ? request_kind::stream : request_kind::query;
 }
 
+base::milliseconds caller::timeoutOf(request_kind kind) const
+{
+    switch (kind) {
+    case request_kind::feed:
+        return feedTimeout;
+    case request_kind::stream:
+        return streamTimeout;
+    default:
+        return m_options.orderTimeout;
+    }
+}
+
 caller::caller_request caller::drawRequest()
 {
     caller_request request;
     request.number = nextNumber();
     request.kind = drawKind();
     const base::time_point now = base::clock::now();
-    request.deadline = now + (request.kind == request_kind::feed ? feedTimeout : request.kind == request_kind::stream ? streamTimeout : m_options.orderTimeout);
+    request.deadline = now + timeoutOf(request.kind);
     request.body = "request " + std::to_string(request.number);
     if (request.kind == request_kind::order && m_random.chance(longBodyShare)) {
         request.body.resize(static_cast<std::size_t>(m_random.between(shortestLongBody, longestLongBody)), '.');
@@ -192,8 +214,7 @@
     const std::shared_ptr<open_connection> kept = co_await keptConnection();
     const std::string id = attemptId(m_options.seed);
     const attempt_answer answer = co_await attempt(request, id, kept);
-    const bool isOnceOnly = request.kind == request_kind::order || request.kind == request_kind::stream;
-    const bool mayRepeat = isPromise(answer.status) || (!isOnceOnly && answer.status != okStatus);
+    const bool mayRepeat = isPromise(answer.status) || (!mayRunOnceOnly(request.kind) && answer.status != okStatus);
     if (!mayRepeat || request.leavesAt) {
         co_return;
     }
@@ -277,15 +298,15 @@
 
 std::string caller::expectedBody(const caller_request &request, const std::string &id)
 {
-    if (request.kind != request_kind::feed) {
-        return "done " + id;
-    }
     const std::string target = targetOf(request);
-    std::string body;
-    for (int event = 0; event < fakes::event_feed::eventsOf(target); ++event) {
-        body += fakes::event_feed::eventText(target, event);
+    switch (request.kind) {
+    case request_kind::feed:
+        return eventTexts(target, fakes::event_feed::eventsOf(target));
+    case request_kind::stream:
+        return eventTexts(id, fakes::application_server::eventsPerStream);
+    default:
+        return "done " + id;
     }
-    return body;
 }
 
 void caller::checkAnswer(const caller_request &request, const std::string &id, const net::http_response &answer)
@@ -294,8 +315,7 @@
         return;
     }
     const std::string &body = answer.body();
-    const bool isWhole = body == expectedBody(request, id) || (request.kind == request_kind::stream && body.ends_with("id: 5\ndata: piece of " + id + "\n\n"));
-    if (!isWhole || !fakes::isSealed(answer)) {
+    if (body != expectedBody(request, id) || !fakes::isSealed(answer)) {
         std::string beginning = body.substr(0, shownBytes);
         std::replace_if(
             beginning.begin(), beginning.end(), [](unsigned char byte) { return std::isprint(byte) == 0; }, ' ');
--- a/packages/soak/src/chervilbend/soak/caller.hpp
+++ b/packages/soak/src/chervilbend/soak/caller.hpp
@@ -54,13 +54,13 @@
 
     caller_request drawRequest();
     request_kind drawKind();
+    base::milliseconds timeoutOf(request_kind kind) const;
     boost::asio::awaitable<void> send(caller_request request);
     boost::asio::awaitable<attempt_answer> attempt(caller_request request, std::string id, std::shared_ptr<open_connection> connection);
     boost::asio::awaitable<std::shared_ptr<open_connection>> connect(std::uint64_t hash);
     /// The connection of the request before, if it is still open, or a new one; nullptr if none can be had.
     boost::asio::awaitable<std::shared_ptr<open_connection>> keptConnection();
     static std::string targetOf(const caller_request &request);
-    /// But for a stream that is no feed.
     static std::string expectedBody(const caller_request &request, const std::string &id);
     void checkAnswer(const caller_request &request, const std::string &id, const net::http_response &answer);
 
