--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -152,14 +152,10 @@
     void reportsUnsentRequests()
     {
         asio::io_context context;
-        std::uint16_t closedPort = 0;
-        {
-            const raw_server closedServer(context, {});
-            closedPort = closedServer.port();
-        }
+        const closed_port closedPort(context);
         http_client client;
         runUntilDone(context, [&]() -> asio::awaitable<void> {
-            const address closed = loopback(closedPort);
+            const address closed = loopback(closedPort.number());
             const auto refused = co_await client.send(closed, get(), withAnswerTimeout(100));
             CPPUNIT_ASSERT(!refused && client.lastReason().kind == base::error_kind::endpointRefused);
             const address name = {"localhost", 80};
--- a/packages/net/tests/raw_peer.hpp
+++ b/packages/net/tests/raw_peer.hpp
@@ -154,4 +154,22 @@
     script m_script;
 };
 
+/// A loopback port on which nobody listens, and which nobody else gets meanwhile.
+class closed_port
+{
+public:
+    explicit closed_port(boost::asio::io_context &context)
+        : m_reserved(context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    std::uint16_t number() const
+    {
+        return m_reserved.local_endpoint().port();
+    }
+
+private:
+    boost::asio::ip::tcp::socket m_reserved;
+};
+
 } // namespace chervilbend::net::test
--- a/packages/node/tests/caller_api_test.cpp
+++ b/packages/node/tests/caller_api_test.cpp
@@ -111,12 +111,8 @@
     void retriesWhenNothingWasSent()
     {
         caller_api_fixture fixture;
-        std::uint16_t closedPort = 0;
-        {
-            const raw_server closedServer(fixture.context, {});
-            closedPort = closedServer.port();
-        }
-        fixture.addAddress("tall@3", closedPort);
+        const net::test::closed_port closedPort(fixture.context);
+        fixture.addAddress("tall@3", closedPort.number());
         fixture.addEndpoint("tall@3", answerAndClose(completeResponse("{\"id\":7,\"usage\":{\"completion_tokens\": 12}}")));
         fixture.director.retriesLeft = 1;
         const std::string answer = fixture.ask(caller_api_fixture::post("/v1/chat/completions", chatBody));
--- a/packages/node/tests/order_handler_test.cpp
+++ b/packages/node/tests/order_handler_test.cpp
@@ -106,16 +106,13 @@
 
     void reportsNotRunOnlyWhenNothingWasSent()
     {
-        std::uint16_t closedPort = 0;
-        {
-            boost::asio::io_context context;
-            closedPort = raw_server(context, {}).port();
-        }
+        boost::asio::io_context context;
+        const net::test::closed_port closedPort(context);
         for (const bool refused : {true, false}) {
             caller_api_fixture fixture;
             raw_server *broken = nullptr;
             if (refused) {
-                fixture.addAddress("service/shop", closedPort);
+                fixture.addAddress("service/shop", closedPort.number());
             } else {
                 broken = &fixture.addEndpoint("service/shop", answerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"));
             }
