--- a/packages/fleet/src/chervilbend/fleet/route_rule.hpp
+++ b/packages/fleet/src/chervilbend/fleet/route_rule.hpp
@@ -46,6 +46,8 @@
     /// Maximum number of endpoints that one attempt of a caller is sent to; 1 or more.
     int attempts = 1;
     std::vector<traffic_share> shares;
+    /// Requests need no key, although the configuration has accounts.
+    bool isPublic = false;
 
     bool isRepeatable() const
     {
--- a/packages/fleet/src/chervilbend/fleet/traffic_configuration.hpp
+++ b/packages/fleet/src/chervilbend/fleet/traffic_configuration.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <chervilbend/fleet/account_rule.hpp>
 #include <chervilbend/fleet/route_rule.hpp>
 #include <chervilbend/fleet/service_rule.hpp>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace chervilbend::fleet
@@ -16,6 +18,8 @@
     std::int64_t version = 0;
     std::vector<route_rule> routes;
     std::map<base::service_id, service_rule> services;
+    /// No value if the configuration has no accounts; requests need no key then.
+    std::optional<std::vector<account_rule>> accounts;
     /// How long a caller's connection may stay idle.
     base::milliseconds idleTimeout{60'000};
 };
