Divide the quotas of accounts among the nodes

An account may use a rate and a burst over all nodes together. The holder of the command lease keeps a token bucket for each account and grants units with the exchange that exists; a node without an allocator spends its share, and reports what it has spent. Nothing charges requests yet.

--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/quota_json.cpp
@@ -0,0 +1,132 @@
+#include <chervilbend/fleet/quota_json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+/// Units are sent as whole thousandths, which are exact and much shorter than the digits of a floating-point number.
+constexpr double scale = 1'000;
+constexpr std::int64_t largestNumber = std::int64_t{1} << 50U;
+
+constexpr std::size_t usageNumbers = 10;
+constexpr std::size_t grantNumbers = 5;
+
+template<std::size_t Count>
+Json::Value writeNumbers(const std::array<double, Count> &numbers)
+{
+    Json::Value list(Json::arrayValue);
+    for (const double number : numbers) {
+        const double scaled = std::min(std::max(0.0, number) * scale, static_cast<double>(largestNumber));
+        list.append(static_cast<Json::Int64>(std::llround(scaled)));
+    }
+    return list;
+}
+
+/// False if there are fewer numbers, or one is not valid. Later versions may add some.
+template<std::size_t Count>
+bool readNumbers(const Json::Value &list, std::array<double, Count> &numbers)
+{
+    if (!list.isArray() || list.size() < Count) {
+        return false;
+    }
+    for (std::size_t i = 0; i < Count; ++i) {
+        const Json::Value &number = list[static_cast<Json::ArrayIndex>(i)];
+        if (!number.isInt64() || number.asInt64() < 0 || number.asInt64() > largestNumber) {
+            return false;
+        }
+        numbers[i] = static_cast<double>(number.asInt64()) / scale;
+    }
+    return true;
+}
+
+bool hasText(const Json::Value &object, const char *name)
+{
+    return object.isObject() && object[name].isString();
+}
+
+} // namespace
+
+Json::Value toJson(const routing::quota_report &report)
+{
+    Json::Value json(Json::objectValue);
+    json["node"] = report.node.value();
+    json["process"] = static_cast<Json::Int64>(report.process);
+    if (report.answerAge) {
+        json["answerAgeMs"] = static_cast<Json::Int64>(report.answerAge->count());
+    }
+    Json::Value &accounts = json["accounts"] = Json::Value(Json::objectValue);
+    for (const auto &[id, usage] : report.accounts) {
+        accounts[id.value()] = writeNumbers<usageNumbers>({usage.balance,
+                                                           usage.returned,
+                                                           usage.waiting,
+                                                           usage.firstWaiting,
+                                                           usage.expected,
+                                                           usage.demandRate,
+                                                           usage.spentIsolated,
+                                                           usage.share.rate,
+                                                           usage.share.sumOfRates,
+                                                           usage.share.level});
+    }
+    return json;
+}
+
+routing::quota_report readQuotaReport(const Json::Value &json)
+{
+    routing::quota_report report;
+    if (!hasText(json, "node") || !json["process"].isInt64() || !json["accounts"].isObject()) {
+        return report;
+    }
+    report.node = base::node_id(json["node"].asString());
+    report.process = json["process"].asInt64();
+    if (json["answerAgeMs"].isInt64() && json["answerAgeMs"].asInt64() >= 0) {
+        report.answerAge = base::milliseconds(json["answerAgeMs"].asInt64());
+    }
+    for (const std::string &name : json["accounts"].getMemberNames()) {
+        std::array<double, usageNumbers> numbers{};
+        if (readNumbers(json["accounts"][name], numbers)) {
+            const auto [balance, returned, waiting, firstWaiting, expected, demandRate, spentIsolated, rate, sumOfRates, level] = numbers;
+            report.accounts[base::account_id(name)] = {
+                balance, returned, waiting, firstWaiting, expected, demandRate, spentIsolated, {rate, sumOfRates, level}};
+        }
+    }
+    return report;
+}
+
+Json::Value toJson(const routing::quota_answer &answer)
+{
+    Json::Value json(Json::objectValue);
+    json["granting"] = answer.isGranting;
+    Json::Value &accounts = json["accounts"] = Json::Value(Json::objectValue);
+    for (const auto &[id, grant] : answer.accounts) {
+        const double retryAfterSeconds = static_cast<double>(grant.retryAfter.count()) / scale;
+        accounts[id.value()] = writeNumbers<grantNumbers>({grant.granted, grant.share.rate, grant.share.sumOfRates, grant.share.level, retryAfterSeconds});
+    }
+    return json;
+}
+
+routing::quota_answer readQuotaAnswer(const Json::Value &json)
+{
+    routing::quota_answer answer;
+    if (!json.isObject() || !json["granting"].isBool() || !json["accounts"].isObject()) {
+        return answer;
+    }
+    answer.isGranting = json["granting"].asBool();
+    for (const std::string &name : json["accounts"].getMemberNames()) {
+        std::array<double, grantNumbers> numbers{};
+        if (readNumbers(json["accounts"][name], numbers)) {
+            const auto [granted, rate, sumOfRates, level, retryAfterSeconds] = numbers;
+            answer.accounts[base::account_id(name)] = {granted, {rate, sumOfRates, level}, base::milliseconds(std::llround(retryAfterSeconds * scale))};
+        }
+    }
+    return answer;
+}
+
+} // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
@@ -7,6 +7,7 @@
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/peers/rpc_caller.hpp>
+#include <chervilbend/routing/account_quotas.hpp>
 #include <chervilbend/routing/endpoint_rate_limits.hpp>
 
 #include <utility>
@@ -35,18 +36,33 @@
 
 } // namespace
 
-rate_limit_exchange::rate_limit_exchange(
-    base::node_id node, std::int64_t incarnation, const command_lease &lease, peers::rpc_caller &peers, routing::endpoint_rate_limits &limits)
+rate_limit_exchange::rate_limit_exchange(base::node_id node,
+                                         std::int64_t incarnation,
+                                         const command_lease &lease,
+                                         peers::rpc_caller &peers,
+                                         routing::endpoint_rate_limits &limits,
+                                         routing::account_quotas &quotas)
     : m_node(std::move(node))
     , m_lease(lease)
     , m_peers(peers)
     , m_limits(limits)
-    , m_allocator(allocatorId(m_node, incarnation))
+    , m_quotas(quotas)
+    , m_allocatorId(allocatorId(m_node, incarnation))
+    , m_allocator(m_allocatorId)
 {
-    m_limits.onGrantsWanted([this] {
+    const auto askNow = [this] {
         m_isUrgent = true;
         m_grantsWanted.notify();
-    });
+    };
+    m_limits.onGrantsWanted(askNow);
+    m_quotas.onGrantsWanted(askNow);
+    m_quotas.setIdentity(m_node, incarnation);
+}
+
+void rate_limit_exchange::setQuotaLimits(const std::map<base::account_id, routing::quota_limit> &limits)
+{
+    m_quotas.setLimits(limits);
+    m_quotaAllocator.setLimits(limits);
 }
 
 void rate_limit_exchange::onDecision(std::function<void()> listener)
@@ -67,7 +83,7 @@
         if (!m_isUrgent) {
             co_await m_grantsWanted.wait(base::clock::now() + reportInterval);
         }
-        const bool isPeriodic = !m_lease.holder() && m_limits.hasNews();
+        const bool isPeriodic = !m_lease.holder() && (m_limits.hasNews() || m_quotas.hasNews());
         if (std::exchange(m_isUrgent, false) || isPeriodic) {
             co_await exchange();
             co_await net::sleepFor(leastInterval);
@@ -100,18 +116,22 @@
 
 routing::rate_limit_report rate_limit_exchange::takeReport()
 {
-    return m_limits.takeReport();
+    routing::rate_limit_report report = m_limits.takeReport();
+    report.quotas = m_quotas.takeReport();
+    return report;
 }
 
 void rate_limit_exchange::apply(const routing::rate_limit_report &report, const routing::rate_limit_answer &answer, base::time_point requestedAt)
 {
     m_limits.apply(report, answer, requestedAt);
+    m_quotas.apply(report.quotas, answer.quotas);
     notify();
 }
 
 void rate_limit_exchange::noteUnanswered(const routing::rate_limit_report &report)
 {
     m_limits.noteUnanswered(report);
+    m_quotas.noteUnanswered(report.quotas);
     notify();
 }
 
@@ -123,7 +143,9 @@
 
 routing::rate_limit_answer rate_limit_exchange::answer(const routing::rate_limit_report &report)
 {
-    return m_allocator.answer(report, m_lease.isHolder());
+    routing::rate_limit_answer answer = m_allocator.answer(report, m_lease.isHolder());
+    answer.quotas = m_quotaAllocator.answer(report.quotas, report.allocator == m_allocatorId, m_lease.isHolder());
+    return answer;
 }
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/fleet/rate_limit_json.hpp>
 
+#include <chervilbend/fleet/quota_json.hpp>
+
 #include <cmath>
 #include <utility>
 
@@ -144,6 +146,7 @@
     json["waiting"] = toJson(report.waiting);
     json["expected"] = toJson(report.expected);
     json["unused"] = toJson(report.unused);
+    json["quotas"] = toJson(report.quotas);
     return json;
 }
 
@@ -157,6 +160,7 @@
     }
     report.allocator = json["allocator"].asInt64();
     report.version = json["version"].asInt64();
+    report.quotas = readQuotaReport(json["quotas"]);
     return report;
 }
 
@@ -167,6 +171,7 @@
     json["version"] = static_cast<Json::Int64>(answer.version);
     json["statements"] = toJson(answer.statements);
     json["granted"] = toJson(answer.granted);
+    json["quotas"] = toJson(answer.quotas);
     return json;
 }
 
@@ -180,6 +185,7 @@
     }
     answer.allocator = json["allocator"].asInt64();
     answer.version = json["version"].asInt64();
+    answer.quotas = readQuotaAnswer(json["quotas"]);
     return answer;
 }
 
--- a/packages/fleet/tests/exchange_method_test.cpp
+++ b/packages/fleet/tests/exchange_method_test.cpp
@@ -190,7 +190,7 @@
     routing::cluster_knowledge knowledge;
     routing::prompt_part_tracker &prompts = *knowledge.promptParts;
     silent_peers peers;
-    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, peers, *knowledge.rateLimits};
+    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, peers, *knowledge.rateLimits, *knowledge.quotas};
     exchange_method method{lease, controller, relay, knowledge, rateLimits, linkMegabits};
     std::vector<reporting_node> nodes;
 
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -128,7 +128,7 @@
     fake_holder holder;
     routing::cluster_knowledge knowledge;
     routing::prompt_part_tracker &prompts = *knowledge.promptParts;
-    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, holder, *knowledge.rateLimits};
+    rate_limit_exchange rateLimits{base::node_id("a"), 1, lease, holder, *knowledge.rateLimits, *knowledge.quotas};
     holder_client client{base::node_id("a"), lease, controller, holder, residency, usage, relay, knowledge, rateLimits};
     std::int64_t offset = 0;
 };
--- a/packages/routing/src/chervilbend/routing/cluster_knowledge.hpp
+++ b/packages/routing/src/chervilbend/routing/cluster_knowledge.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilbend/routing/account_quotas.hpp>
 #include <chervilbend/routing/endpoint_rate_limits.hpp>
 #include <chervilbend/routing/helper_nodes.hpp>
 #include <chervilbend/routing/leaving_endpoints.hpp>
@@ -14,6 +15,7 @@
 struct cluster_knowledge {
     std::shared_ptr<prompt_part_tracker> promptParts = std::make_shared<prompt_part_tracker>();
     std::shared_ptr<endpoint_rate_limits> rateLimits = std::make_shared<endpoint_rate_limits>();
+    std::shared_ptr<account_quotas> quotas = std::make_shared<account_quotas>();
     std::shared_ptr<helper_nodes> helpers = std::make_shared<helper_nodes>();
     std::shared_ptr<leaving_endpoints> leaving = std::make_shared<leaving_endpoints>();
 };
--- a/packages/routing/src/chervilbend/routing/rate_limit_messages.hpp
+++ b/packages/routing/src/chervilbend/routing/rate_limit_messages.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/routing/endpoint_process.hpp>
+#include <chervilbend/routing/quota_messages.hpp>
 
 #include <cstdint>
 #include <map>
@@ -41,6 +42,8 @@
     /// The last allocator that answered this node, and the version of the statements that it sent; 0 for none.
     std::int64_t allocator = 0;
     std::int64_t version = 0;
+    /// The node's use of the accounts' quotas.
+    quota_report quotas;
 };
 
 /// The answer to a report.
@@ -52,6 +55,7 @@
     std::vector<rate_limit_statement> statements;
     /// Number of requests that the node may send to the endpoint until its next report.
     std::map<endpoint_process, int> granted;
+    quota_answer quotas;
 };
 
 } // namespace chervilbend::routing
--- /dev/null
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -0,0 +1,311 @@
+#include "quota_cluster.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace chervilbend;
+using namespace chervilbend::routing;
+using namespace chervilbend::routing::test;
+
+namespace
+{
+
+constexpr quota_limit largeLimit{300'000, 300'000};
+constexpr quota_limit smallLimit{12'000, 12'000};
+
+/// The same demand at each of the first @p nodes nodes.
+std::function<double(std::size_t)> evenly(double total, std::size_t nodes)
+{
+    return [=](std::size_t node) {
+        return node < nodes ? total / static_cast<double>(nodes) : 0.0;
+    };
+}
+
+std::function<double(std::size_t)> onlyAt(double total, std::size_t at)
+{
+    return [=](std::size_t node) {
+        return node == at ? total : 0.0;
+    };
+}
+
+void assertWithinLimit(const quota_cluster &cluster, const std::string &account, const quota_limit &limit, base::time_point since = {})
+{
+    const double most = cluster.mostInWindow(account, since);
+    const double allowed = quota_cluster::allowedInWindow(limit);
+    CPPUNIT_ASSERT_MESSAGE(account + ": " + std::to_string(most) + " units in 8 s, allowed " + std::to_string(allowed), most <= allowed);
+}
+
+double refusedShare(const account_result &result)
+{
+    return result.refused / std::max(1.0, result.offered);
+}
+
+} // namespace
+
+/// Guards against accounts that get more than their quota from all nodes together, and against requests within a quota that are refused.
+class account_quota_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(account_quota_test);
+    CPPUNIT_TEST(accountOfAllNodesKeepsItsLimit);
+    CPPUNIT_TEST(quotaIsUsableAtOneNodeThenAtAnother);
+    CPPUNIT_TEST(smallAccountIsUsableAtManyNodes);
+    CPPUNIT_TEST(accountBeyondItsQuotaUsesItWhole);
+    CPPUNIT_TEST(otherAccountsKeepWhatTheyHad);
+    CPPUNIT_TEST(refusalsAreFastAndSayWhenToComeBack);
+    CPPUNIT_TEST(lostHolderKeepsTheLimit);
+    CPPUNIT_TEST(cutOffNodesKeepTheLimit);
+    CPPUNIT_TEST(frozenNodeSpendsNoOldGrants);
+    CPPUNIT_TEST(changingHoldersKeepTheLimit);
+    CPPUNIT_TEST(restartOfAllNodesIsServed);
+    CPPUNIT_TEST(loweredLimitTakesEffect);
+    CPPUNIT_TEST(raisedLimitIsUsed);
+    CPPUNIT_TEST(refundedUnitsAreUsable);
+    CPPUNIT_TEST(randomHistoriesKeepTheLimit);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void accountOfAllNodesKeepsItsLimit()
+    {
+        for (const std::size_t nodes : {6U, 62U, 300U}) {
+            quota_cluster cluster(nodes, {{"large", {largeLimit, 1'000, evenly(1'800'000, nodes)}}});
+            cluster.run(milliseconds(20'000));
+            assertWithinLimit(cluster, "large", largeLimit);
+        }
+    }
+
+    void quotaIsUsableAtOneNodeThenAtAnother()
+    {
+        for (const quota_limit &limit : {largeLimit, smallLimit}) {
+            quota_cluster cluster(62, {{"a", {limit, limit.rate / 100, evenly(0, 62)}}});
+            cluster.run(milliseconds(2'000));
+            cluster.load("a").demand = onlyAt(limit.rate * 0.95, 3);
+            cluster.run(milliseconds(6'000));
+            cluster.load("a").demand = onlyAt(limit.rate * 0.95, 17);
+            cluster.run(milliseconds(6'000));
+            const double refused = refusedShare(cluster.results["a"]);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " refused", refused < 0.01);
+            assertWithinLimit(cluster, "a", limit);
+        }
+    }
+
+    /// 12 requests a second at 62 nodes: no node has a share that it could use.
+    void smallAccountIsUsableAtManyNodes()
+    {
+        quota_cluster cluster(62, {{"small", {smallLimit, 1'000, evenly(smallLimit.rate * 0.8, 62)}}});
+        cluster.run(milliseconds(20'000));
+        const double refused = refusedShare(cluster.results["small"]);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " refused", refused < 0.02);
+        assertWithinLimit(cluster, "small", smallLimit);
+    }
+
+    void accountBeyondItsQuotaUsesItWhole()
+    {
+        for (const std::size_t nodes : {4U, 62U}) {
+            quota_cluster cluster(62, {{"large", {largeLimit, 1'000, evenly(2'000'000, nodes)}}});
+            cluster.run(milliseconds(20'000));
+            double used = 0;
+            for (const admitted_units &each : cluster.results["large"].admitted) {
+                used += each.cost;
+            }
+            const double share = used / (largeLimit.rate * 20);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(share) + " of the rate is used", share >= 0.95);
+        }
+    }
+
+    /// One account sends many times its usual.
+    void otherAccountsKeepWhatTheyHad()
+    {
+        quota_cluster cluster(62,
+                              {{"large", {largeLimit, 1'000, evenly(200'000, 62)}},
+                               {"small", {smallLimit, 1'000, evenly(6'000, 4)}},
+                               {"middle", {{60'000, 60'000}, 1'000, evenly(40'000, 20)}}});
+        cluster.run(milliseconds(3'000));
+        cluster.load("large").demand = evenly(1'500'000, 62);
+        cluster.run(milliseconds(8'000));
+        for (const char *account : {"small", "middle"}) {
+            const double refused = refusedShare(cluster.results[account]);
+            CPPUNIT_ASSERT_MESSAGE(account + std::string(": ") + std::to_string(refused), refused < 0.01);
+        }
+        assertWithinLimit(cluster, "large", largeLimit);
+    }
+
+    void refusalsAreFastAndSayWhenToComeBack()
+    {
+        quota_cluster cluster(8, {{"small", {smallLimit, 1'000, evenly(60'000, 8)}}});
+        cluster.run(milliseconds(10'000));
+        CPPUNIT_ASSERT(cluster.results["small"].refused > 0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(cluster.results["small"].longestWaitOfRefused.count()) + " ms",
+                               cluster.results["small"].longestWaitOfRefused <= milliseconds(120));
+        CPPUNIT_ASSERT(cluster.results["small"].leastRetryAfter > milliseconds(0));
+    }
+
+    /// The nodes go on at their shares while there is no holder, and the next one begins with what the first had left.
+    void lostHolderKeepsTheLimit()
+    {
+        quota_cluster cluster(62, {{"usual", {largeLimit, 1'000, evenly(180'000, 62)}}, {"hot", {largeLimit, 1'000, evenly(900'000, 62)}}});
+        cluster.run(milliseconds(9'000));
+        const double refusedBefore = cluster.results["usual"].refused;
+        const double offeredBefore = cluster.results["usual"].offered;
+        cluster.setAllocator(std::nullopt);
+        cluster.run(milliseconds(4'500));
+        cluster.setAllocator(5);
+        cluster.run(milliseconds(10'000));
+        assertWithinLimit(cluster, "hot", largeLimit);
+        assertWithinLimit(cluster, "usual", largeLimit);
+        const double refused = (cluster.results["usual"].refused - refusedBefore) / (cluster.results["usual"].offered - offeredBefore);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " refused", refused < 0.03);
+    }
+
+    void cutOffNodesKeepTheLimit()
+    {
+        quota_cluster cluster(62, {{"hot", {largeLimit, 1'000, evenly(1'500'000, 62)}}});
+        cluster.run(milliseconds(9'000));
+        for (std::size_t i = 20; i < 31; ++i) {
+            cluster.cutOff[i] = true;
+        }
+        cluster.run(milliseconds(20'000));
+        cluster.cutOff.clear();
+        cluster.run(milliseconds(9'000));
+        assertWithinLimit(cluster, "hot", largeLimit);
+    }
+
+    void frozenNodeSpendsNoOldGrants()
+    {
+        base::manual_time_source time;
+        account_quotas quotas;
+        quota_allocator allocator;
+        const std::map<base::account_id, quota_limit> limits{{base::account_id("a"), {1'000, 1'000}}};
+        quotas.setLimits(limits);
+        allocator.setLimits(limits);
+        for (int i = 0; i < 20; ++i) {
+            time.advance(milliseconds(100));
+            const auto request = quotas.charge(base::account_id("a"), 10);
+            const quota_report report = quotas.takeReport();
+            quotas.apply(report, allocator.answer(report, false, true));
+            CPPUNIT_ASSERT(request->decision == quota_decision::admitted);
+        }
+        const double held = quotas.balance(base::account_id("a"));
+        CPPUNIT_ASSERT(held > 0);
+        time.suspend(milliseconds(3'000));
+        CPPUNIT_ASSERT_EQUAL(0.0, quotas.balance(base::account_id("a")));
+        CPPUNIT_ASSERT(quotas.charge(base::account_id("a"), held)->decision == quota_decision::waiting);
+    }
+
+    void changingHoldersKeepTheLimit()
+    {
+        quota_cluster cluster(30, {{"hot", {largeLimit, 1'000, evenly(1'500'000, 30)}}});
+        cluster.run(milliseconds(9'000));
+        for (std::size_t round = 0; round < 8; ++round) {
+            cluster.setAllocator(std::nullopt);
+            cluster.run(milliseconds(700));
+            cluster.setAllocator(round % 3);
+            cluster.run(milliseconds(2'500));
+        }
+        assertWithinLimit(cluster, "hot", largeLimit);
+    }
+
+    /// After a loss of power no node knows anything, and there is no holder for a while.
+    void restartOfAllNodesIsServed()
+    {
+        quota_cluster cluster(62, {{"usual", {largeLimit, 1'000, evenly(150'000, 62)}}});
+        cluster.run(milliseconds(9'000));
+        cluster.setAllocator(std::nullopt);
+        for (std::size_t i = 0; i < 62; ++i) {
+            cluster.startNode(i);
+        }
+        const double refusedBefore = cluster.results["usual"].refused;
+        cluster.run(milliseconds(1'500));
+        cluster.setAllocator(2);
+        cluster.run(milliseconds(2'500));
+        const double refused = (cluster.results["usual"].refused - refusedBefore) / (150'000 * 4);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " refused", refused < 0.05);
+        assertWithinLimit(cluster, "usual", largeLimit);
+    }
+
+    void loweredLimitTakesEffect()
+    {
+        quota_cluster cluster(62, {{"a", {largeLimit, 1'000, evenly(250'000, 62)}}});
+        cluster.run(milliseconds(6'000));
+        const quota_limit lowered{50'000, 50'000};
+        cluster.setLimit("a", lowered);
+        const base::time_point since = quota_cluster::now();
+        cluster.run(milliseconds(20'000));
+        assertWithinLimit(cluster, "a", lowered, since);
+    }
+
+    void raisedLimitIsUsed()
+    {
+        quota_cluster cluster(20, {{"a", {smallLimit, 1'000, evenly(100'000, 20)}}});
+        cluster.run(milliseconds(6'000));
+        cluster.setLimit("a", largeLimit);
+        cluster.run(milliseconds(1'000));
+        const double refusedBefore = cluster.results["a"].refused;
+        cluster.run(milliseconds(5'000));
+        const double refused = (cluster.results["a"].refused - refusedBefore) / (100'000 * 5);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " refused", refused < 0.01);
+    }
+
+    void refundedUnitsAreUsable()
+    {
+        base::manual_time_source time;
+        account_quotas quotas;
+        quota_allocator allocator;
+        const std::map<base::account_id, quota_limit> limits{{base::account_id("a"), {1'000, 1'000}}};
+        quotas.setLimits(limits);
+        allocator.setLimits(limits);
+        time.advance(milliseconds(2'000));
+        const auto first = quotas.charge(base::account_id("a"), 700);
+        const quota_report report = quotas.takeReport();
+        quotas.apply(report, allocator.answer(report, false, true));
+        CPPUNIT_ASSERT(first->decision == quota_decision::admitted);
+        quotas.refund(*first);
+        CPPUNIT_ASSERT(quotas.charge(base::account_id("a"), 700)->decision == quota_decision::admitted);
+        CPPUNIT_ASSERT_MESSAGE("accounts without a limit", quotas.charge(base::account_id("b"), 1e9)->decision == quota_decision::admitted);
+    }
+
+    /// Nodes come, go, stand still and are cut off with grants in hand, and the holder changes, all at random.
+    void randomHistoriesKeepTheLimit()
+    {
+        for (const std::uint64_t seed : {11U, 12U, 13U, 14U, 15U, 16U}) {
+            std::mt19937_64 random(seed);
+            const std::size_t nodes = 20 + random() % 40;
+            quota_cluster cluster(nodes, {{"hot", {largeLimit, 1'000, evenly(1'200'000, nodes)}}, {"small", {smallLimit, 1'000, evenly(40'000, 5)}}}, seed);
+            for (int event = 0; event < 25; ++event) {
+                cluster.run(milliseconds(200 + random() % 1'500));
+                const std::size_t node = random() % nodes;
+                switch (random() % 6) {
+                case 0:
+                    cluster.setAllocator(std::nullopt);
+                    break;
+                case 1:
+                    cluster.setAllocator(node);
+                    break;
+                case 2:
+                    cluster.startNode(node);
+                    break;
+                case 3:
+                    // A sixth of the nodes at most, as links fail.
+                    cluster.cutOff.clear();
+                    for (std::size_t i = 0; i < nodes / 6; ++i) {
+                        cluster.cutOff[random() % nodes] = true;
+                    }
+                    break;
+                case 4:
+                    cluster.frozen.clear();
+                    cluster.frozen[node] = true;
+                    break;
+                default:
+                    cluster.cutOff.clear();
+                    cluster.frozen.clear();
+                }
+            }
+            for (const auto &[account, limit] : {std::pair{"hot", largeLimit}, std::pair{"small", smallLimit}}) {
+                const double most = cluster.mostInWindow(account);
+                const double allowed = quota_cluster::allowedInWindow(limit);
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ", " + account + ": " + std::to_string(most) + " of " + std::to_string(allowed),
+                                       most <= allowed);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(account_quota_test);
