Tell client accounts apart by their keys

The key of a request is looked up in the version in force, the endpoint gets the account's name in its place, and a request without a valid key gets 401, or 503 from a node whose configuration has not been confirmed lately. A request that is passed on to another node carries its account; nodes of an earlier version are not asked then. The account's priority goes before the route's, and its name into the fair queues. New settings configurationBound, strictRevocation and revocationBound. Configurations without accounts are served as before.

--- a/packages/base/src/chervilbend/base/error_kind.hpp
+++ b/packages/base/src/chervilbend/base/error_kind.hpp
@@ -11,6 +11,10 @@
     unknownRoute,
     unknownModel,
     unauthorized,
+    /// The caller has no key, or one that identifies no account.
+    unknownKey,
+    /// A node can't tell whether a key is valid, since the store has not confirmed its configuration lately.
+    configurationUnconfirmed,
     headerTooLarge,
     bodyTooLarge,
     requestTimeout,
--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -323,6 +323,16 @@
         fractionSetting("retryBurst", "requests", 0, 1'000'000, "Retries that are allowed in addition to retryShare, over all nodes", &s::retryBurst),
         durationSetting("loadWindow", 100ms, 10min, "Period over which loads from the weight store are counted", &s::loadWindow),
         fractionSetting("loadOvershoot", "of the store's rate", 0.1, 10, "Loads from the weight store that may start within loadWindow", &s::loadOvershoot),
+        durationSetting(
+            "configurationBound",
+            100ms,
+            10min,
+            "Time after which a new version of the configuration is in force on all nodes; a node that has not heard of it for longer does not call "
+            "a key unknown",
+            &s::configurationBound),
+        flagSetting(
+            "strictRevocation", "Refuse requests that need a key when the configuration has not been confirmed for revocationBound", &s::strictRevocation),
+        durationSetting("revocationBound", 100ms, 10min, "With strictRevocation, how long a removed key may still be accepted", &s::revocationBound),
         numberSetting("seed", "number", 0, 1'000'000'000, "Seed of the random number generator, for tests; 0 uses a random seed", &s::seed),
     };
 }
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -65,6 +65,9 @@
     double retryBurst = 50;
     base::milliseconds loadWindow{5'000};
     double loadOvershoot = 1.0;
+    base::milliseconds configurationBound{3'000};
+    bool strictRevocation = false;
+    base::milliseconds revocationBound{5'000};
 };
 
 } // namespace chervilbend::config
--- a/packages/fleet/src/chervilbend/fleet/caller_request.hpp
+++ b/packages/fleet/src/chervilbend/fleet/caller_request.hpp
@@ -31,6 +31,10 @@
     base::token_count promptTokens;
     /// Maximum number of generated tokens.
     base::token_count maxTokens;
+    /// Whether the request states both numbers of tokens.
+    bool hasTokenCounts = false;
+    /// Identifies the caller's account; empty if there is none, or more than one. It must not be logged or sent on.
+    std::string key;
     /// In the order of the prompt; the last one is private to the session.
     std::vector<prompt_part> prompt;
     /// The last event of a stream that the caller has received.
@@ -40,6 +44,9 @@
     /// Attempts that another node has made, and the software version that it knows to have begun the stream. To be believed only from other nodes.
     int attemptsUsed = 0;
     base::software_version softwareVersion;
+    /// The account that another node has found by the caller's key, empty for a public route without one; no value if that node knows no accounts.
+    /// To be believed only from other nodes.
+    std::optional<base::account_id> relayedAccount;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -66,6 +66,7 @@
     json["address"] = helper.address;
     json["zone"] = helper.zone.value();
     json["canHelp"] = helper.canHelp;
+    json["takesAccounts"] = helper.takesAccounts;
     return json;
 }
 
@@ -74,7 +75,9 @@
     if (!hasText(json, "address") || !hasText(json, "zone") || !json["canHelp"].isBool()) {
         return std::nullopt;
     }
-    return routing::helper_node{json["address"].asString(), base::zone_id(json["zone"].asString()), json["canHelp"].asBool()};
+    const Json::Value &takesAccounts = json["takesAccounts"];
+    return routing::helper_node{
+        json["address"].asString(), base::zone_id(json["zone"].asString()), json["canHelp"].asBool(), takesAccounts.isBool() && takesAccounts.asBool()};
 }
 
 } // namespace
--- a/packages/fleet/src/chervilbend/fleet/request_codec.hpp
+++ b/packages/fleet/src/chervilbend/fleet/request_codec.hpp
@@ -24,6 +24,9 @@
     std::optional<int> urgency;
     /// The last event of the stream that the caller has received.
     std::optional<std::int64_t> lastEvent;
+    /// The caller's account, empty for a public route without one; no value if the configuration has no accounts. With a value, the endpoint is not
+    /// shown the caller's key.
+    std::optional<base::account_id> account{};
 };
 
 /// Metadata that is added to the caller's request when it is passed on to another node, which serves it as its own.
@@ -34,6 +37,8 @@
     /// The version that began the stream that the request continues; empty if it begins one, or if that is not known.
     base::software_version softwareVersion;
     std::optional<std::int64_t> lastEvent;
+    /// As in attempt_metadata. With a value, the other node is not shown the caller's key.
+    std::optional<base::account_id> account{};
 };
 
 /// A header field of an answer.
--- a/packages/fleet/src/chervilbend/fleet/route_table.cpp
+++ b/packages/fleet/src/chervilbend/fleet/route_table.cpp
@@ -13,6 +13,9 @@
     for (const route_rule &route : m_configuration->routes) {
         m_byHost[route.host][route.pathPrefix] = &route;
     }
+    if (m_configuration->accounts) {
+        m_accounts.emplace(*m_configuration->accounts);
+    }
 }
 
 const route_rule *route_table::find(std::string_view host, std::string_view path) const
--- a/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
@@ -44,7 +44,7 @@
 {
     std::set<net::address> tried;
     while (tried.size() < maxHelpers && mayRelay(*request, progress)) {
-        const std::optional<net::address> helper = m_relay->chooseHelper(tried);
+        const std::optional<net::address> helper = m_relay->chooseHelper(tried, request->plan.account.has_value());
         if (!helper) {
             progress.why = {base::error_kind::noEndpoint, "this node reaches no endpoint and knows no other node that could help"};
             break;
--- a/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
@@ -39,6 +39,8 @@
     /// Identifies the stream over all attempts of the caller: the hash of the attempt ID that brought, or will bring, its first event.
     std::uint64_t stream = 0;
     base::service_id service;
+    /// The caller's account, empty for a public route without one; no value if the configuration has no accounts.
+    std::optional<base::account_id> account;
     /// Another node that reaches no endpoint has passed the request on; it is not passed on again.
     bool isRelayed = false;
     /// Id of the last event that the caller has received.
--- a/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/platform_protocol.cpp
@@ -17,6 +17,7 @@
     metadata.instance = terms.endpoint;
     metadata.urgency = plan.urgency;
     metadata.lastEvent = terms.lastEvent;
+    metadata.account = plan.account;
     return m_codec.forEndpoint(request, metadata);
 }
 
--- a/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
+++ b/packages/node/src/chervilbend/node/callers/relay_protocol.cpp
@@ -21,6 +21,7 @@
     metadata.attemptsUsed = terms.attemptsUsed;
     metadata.softwareVersion = terms.softwareVersion;
     metadata.lastEvent = terms.lastEvent;
+    metadata.account = plan.account;
     return m_codec.forHelper(request, metadata);
 }
 
--- a/packages/node/src/chervilbend/node/callers/request_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/request_relay.cpp
@@ -20,12 +20,13 @@
     return m_reachability.isStranded();
 }
 
-std::optional<net::address> request_relay::chooseHelper(const std::set<net::address> &tried)
+std::optional<net::address> request_relay::chooseHelper(const std::set<net::address> &tried, bool hasAccount)
 {
     const std::vector<routing::helper_node> &helpers = m_helpers.helpers();
     for (std::size_t i = 0; i < helpers.size(); ++i) {
-        std::optional<net::address> address = net::parseAddress(helpers[(m_rotation + i) % helpers.size()].address);
-        if (address && !tried.contains(*address)) {
+        const routing::helper_node &helper = helpers[(m_rotation + i) % helpers.size()];
+        std::optional<net::address> address = net::parseAddress(helper.address);
+        if (address && !tried.contains(*address) && (helper.takesAccounts || !hasAccount)) {
             ++m_rotation;
             return address;
         }
--- a/packages/node/src/chervilbend/node/callers/request_relay.hpp
+++ b/packages/node/src/chervilbend/node/callers/request_relay.hpp
@@ -26,8 +26,9 @@
     request_relay(const fleet::request_codec &codec, const endpoint_reachability &reachability, const routing::helper_nodes &helpers);
 
     bool isNeeded() const;
-    /// A node that is not in @p tried; no value if there is none. Requests are spread over the helpers.
-    std::optional<net::address> chooseHelper(const std::set<net::address> &tried);
+    /// A node that is not in @p tried; no value if there is none. Requests are spread over the helpers. @p hasAccount: the request is sent on with its
+    /// account, which nodes of earlier versions would not pass to the endpoint.
+    std::optional<net::address> chooseHelper(const std::set<net::address> &tried, bool hasAccount);
 
     const relay_protocol &protocol() const
     {
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/pool_name.hpp>
 #include <chervilbend/fleet/request_codec.hpp>
+#include <chervilbend/fleet/request_urgency.hpp>
 #include <chervilbend/fleet/stream_origins.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
@@ -32,7 +33,6 @@
 constexpr int silenceTimeoutFactor = 3;
 constexpr base::milliseconds minSilenceTimeout{400};
 constexpr base::milliseconds maxSilenceTimeout{2'000};
-constexpr int lowestUrgencyLevel = 9;
 /// Callers abandon a stream if its first event does not arrive within the longest of these: the minimum, and multiples of the route's target
 /// latency and of its longest gap. The request may be queued for half of that time; the rest is left for the endpoint.
 constexpr base::milliseconds minFirstEventTimeout{2'000};
@@ -48,11 +48,6 @@
     return logger;
 }
 
-base::work_class classOf(int priority)
-{
-    return static_cast<base::work_class>(std::clamp(priority, 0, base::workClassCount - 1));
-}
-
 /// Hash of all prompt parts but the last, which requests may share; 0 if there are fewer than two parts.
 std::uint64_t sharedPrefix(const fleet::caller_request &caller, std::string_view pool)
 {
@@ -100,7 +95,8 @@
                      fleet::usage_meter &usage,
                      open_requests &open,
                      fleet::stream_origins &origins,
-                     caller_metrics &metrics)
+                     caller_metrics &metrics,
+                     base::metric_registry &registry)
     : m_codec(codec)
     , m_protocol(codec)
     , m_forwarder(requestForwarder)
@@ -109,7 +105,14 @@
     , m_open(open)
     , m_origins(origins)
     , m_metrics(metrics)
+    , m_accountMetrics(registry)
+{
+}
+
+void route_api::setAuthentication(authentication_settings settings, std::function<base::time_point()> confirmedAt)
 {
+    m_authentication = caller_authentication(settings);
+    m_confirmedAt = std::move(confirmedAt);
 }
 
 void route_api::setRoutes(std::shared_ptr<const fleet::route_table> routes)
@@ -188,8 +191,13 @@
         co_await refuse(exchange, caller->attempt, base::error_kind::unknownRoute, "no route matches this host and path");
         co_return;
     }
+    const authentication identity = authenticate(*routes, *route, *caller, isRelayed);
+    if (identity.refusal) {
+        co_await refuse(exchange, caller->attempt, identity.refusal->kind, identity.refusal->text);
+        co_return;
+    }
     const auto rule = routes->configuration().services.find(*service);
-    forwarding_plan plan = planFor(request, *caller, *route, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
+    forwarding_plan plan = planFor(request, *caller, *route, identity, *service, rule == routes->configuration().services.end() ? nullptr : &rule->second);
     if (isRelayed) {
         plan.isRelayed = true;
         plan.maxAttempts = std::max(1, plan.maxAttempts - caller->attemptsUsed);
@@ -217,6 +225,18 @@
     co_await m_forwarder.forward(exchange, std::move(plan));
 }
 
+authentication route_api::authenticate(const fleet::route_table &routes, const fleet::route_rule &route, const fleet::caller_request &caller, bool isRelayed)
+{
+    const base::milliseconds configurationAge = m_confirmedAt ? base::clock::now() - m_confirmedAt() : base::milliseconds(0);
+    authentication identity = m_authentication.authenticate(routes, route, caller, isRelayed, configurationAge);
+    if (identity.account) {
+        const bool isUnconfirmed = identity.refusal && identity.refusal->kind == base::error_kind::configurationUnconfirmed;
+        const account_decision refused = isUnconfirmed ? account_decision::configurationUnconfirmed : account_decision::noKey;
+        m_accountMetrics.count(*identity.account, identity.refusal ? refused : account_decision::admitted);
+    }
+    return identity;
+}
+
 asio::awaitable<bool> route_api::bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why)
 {
     const base::time_point now = base::clock::now();
@@ -241,6 +261,7 @@
 forwarding_plan route_api::planFor(const net::http_request &request,
                                    const fleet::caller_request &caller,
                                    const fleet::route_rule &route,
+                                   const authentication &identity,
                                    const base::service_id &service,
                                    const fleet::service_rule *rule) const
 {
@@ -249,7 +270,9 @@
     plan.hasStrictStatus = true;
     plan.attemptId = caller.attempt;
     plan.maxAttempts = route.attempts;
-    plan.urgency = std::clamp(route.priority, 0, lowestUrgencyLevel);
+    const fleet::request_urgency urgency = fleet::urgencyOf(identity.rule, route);
+    plan.urgency = urgency.level;
+    plan.account = identity.account;
     plan.resumable = route.kind == fleet::route_kind::stream && route.resumable;
     plan.lastEvent = caller.lastEvent;
     plan.stream = base::hash64(caller.resumedAttempt.empty() ? caller.attempt : caller.resumedAttempt);
@@ -257,7 +280,8 @@
     plan.tokensPerEvent = rule && rule->engine ? rule->engine->tokensPerEvent : 1;
     plan.facts.pool = fleet::poolName(service, caller.model, caller.adapter);
     plan.facts.retryGroup = service.value();
-    plan.facts.urgency = classOf(route.priority);
+    plan.facts.account = identity.account.value_or(base::account_id());
+    plan.facts.urgency = urgency.queueClass;
     plan.facts.deadline = std::min(base::clock::now() + std::min(caller.timeout.value_or(defaultCallerTimeout), route.timeout), m_latestEnd);
     if (route.kind == fleet::route_kind::stream) {
         const base::milliseconds firstEventTimeout =
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -5,11 +5,14 @@
 #include <chervilbend/fleet/route_table.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/http_handler.hpp>
+#include <chervilbend/node/callers/account_metrics.hpp>
+#include <chervilbend/node/callers/caller_authentication.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/platform_protocol.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -39,7 +42,11 @@
               fleet::usage_meter &usage,
               open_requests &open,
               fleet::stream_origins &origins,
-              caller_metrics &metrics);
+              caller_metrics &metrics,
+              base::metric_registry &registry);
+
+    /// How keys are checked. @p confirmedAt tells when the store last confirmed the configuration.
+    void setAuthentication(authentication_settings settings, std::function<base::time_point()> confirmedAt);
 
     /// Replaces the routing configuration. Requests that are already being served keep the previous version.
     void setRoutes(std::shared_ptr<const fleet::route_table> routes);
@@ -55,12 +62,14 @@
 private:
     boost::asio::awaitable<void> handleGuarded(std::shared_ptr<net::http_exchange> exchange, bool isRelayed);
     boost::asio::awaitable<void> serve(std::shared_ptr<net::http_exchange> exchange, bool isRelayed);
+    authentication authenticate(const fleet::route_table &routes, const fleet::route_rule &route, const fleet::caller_request &caller, bool isRelayed);
     /// Binds a request that takes up a stream to the software version that began it. False, with @p why set, if that is not known.
     boost::asio::awaitable<bool> bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why);
     boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text);
     forwarding_plan planFor(const net::http_request &request,
                             const fleet::caller_request &caller,
                             const fleet::route_rule &route,
+                            const authentication &identity,
                             const base::service_id &service,
                             const fleet::service_rule *rule) const;
 
@@ -72,6 +81,10 @@
     open_requests &m_open;
     fleet::stream_origins &m_origins;
     caller_metrics &m_metrics;
+    account_metrics m_accountMetrics;
+    caller_authentication m_authentication{authentication_settings{}};
+    /// Without it, the configuration counts as confirmed.
+    std::function<base::time_point()> m_confirmedAt;
     std::shared_ptr<const fleet::route_table> m_routes;
     base::time_point m_latestArrival = base::time_point::max();
     base::time_point m_latestEnd = base::time_point::max();
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -156,7 +156,7 @@
     , m_relayToHelpers(m_requestCodec, m_reachability, *m_knowledge.helpers)
     , m_forwarder(m_admission, m_directory, m_client, m_metrics)
     , m_itemProvider(m_residency, m_holderClient)
-    , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_streamOrigins, m_metrics)
+    , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_streamOrigins, m_metrics, m_registry)
     , m_readinessHandler([this] { return m_readiness.isReady(); })
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_routeApi, callerLimits(settings)))
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
@@ -194,13 +194,15 @@
     m_forwarder.setReachability(m_reachability);
     m_forwarder.setRelay(m_relayToHelpers);
     m_reachability.onChange([this] { strandedChanged(); });
-    m_knowledge.helpers->setOwn(base::node_id(m_settings.node), {m_settings.peerListen, base::zone_id(m_settings.zone), true});
+    m_knowledge.helpers->setOwn(base::node_id(m_settings.node), {m_settings.peerListen, base::zone_id(m_settings.zone), true, true});
     m_publishedVersions.setRegistrationsReadAt([this] { return m_endpointFollower.readAt().boot; });
     m_publishedVersions.onChange([this] {
         m_streamOrigins.versionsChanged();
         m_endpointFeed.updateAll();
     });
     m_endpointFeed.onChange([this] { m_admission.deliverDecisions(); });
+    m_routeApi.setAuthentication({m_settings.configurationBound, m_settings.strictRevocation, m_settings.revocationBound},
+                                 [this] { return m_configuration.confirmedAt(); });
     m_configuration.onChange([this](const fleet::traffic_configuration & /*newest*/) {
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
         m_readiness.setMet("configuration");
--- a/packages/node/tests/request_relay_test.cpp
+++ b/packages/node/tests/request_relay_test.cpp
@@ -52,11 +52,11 @@
         });
     }
 
-    void addHelper(raw_server::script script)
+    void addHelper(raw_server::script script, bool takesAccounts = true)
     {
         helperServers.push_back(std::make_unique<raw_server>(context, std::move(script)));
         std::vector<routing::helper_node> all = helpers.helpers();
-        all.push_back({"127.0.0.1:" + std::to_string(helperServers.back()->port()), base::zone_id("a"), true});
+        all.push_back({"127.0.0.1:" + std::to_string(helperServers.back()->port()), base::zone_id("a"), true, takesAccounts});
         helpers.setHelpers(all);
     }
 
@@ -130,6 +130,7 @@
     CPPUNIT_TEST(strandedHelperRefuses);
     CPPUNIT_TEST(helperNamesTheAttemptInItsRefusals);
     CPPUNIT_TEST(callersCannotSendRelayedRequests);
+    CPPUNIT_TEST(earlierVersionGetsNoRequestWithAnAccount);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -344,6 +345,30 @@
     }
 
     /// On the callers' port the header means nothing, and does not reach endpoints.
+    /// A helper of an earlier version would send the request to the endpoint without its account.
+    void earlierVersionGetsNoRequestWithAnAccount()
+    {
+        stranded_fixture fixture;
+        auto withAccounts = std::make_shared<fleet::traffic_configuration>(*fixture.configuration);
+        withAccounts->accounts.emplace().push_back({base::account_id("print"), {"k1"}, std::nullopt, {}});
+        fixture.configuration = withAccounts;
+        fixture.configure();
+        fixture.strand();
+        bool isAsked = false;
+        fixture.addHelper(
+            [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                isAsked = true;
+                co_await caller->send(sealedResponse("without account"));
+            },
+            false);
+        const std::string withKey = "Authorization: Token k1\r\n";
+        CPPUNIT_ASSERT(contains(fixture.ask("/order/x", withKey), " 503 ") && !isAsked);
+        fixture.addHelper(sealedResponse("helped"));
+        CPPUNIT_ASSERT(fixture.ask("/order/x", withKey).ends_with("helped") && !isAsked);
+        const std::string &request = fixture.received.at(0);
+        CPPUNIT_ASSERT_MESSAGE(request, contains(request, "Chervilbend-Relay-Account: print\r\n") && !contains(request, "k1"));
+    }
+
     void callersCannotSendRelayedRequests()
     {
         route_api_fixture fixture;
--- a/packages/routing/src/chervilbend/routing/helper_nodes.hpp
+++ b/packages/routing/src/chervilbend/routing/helper_nodes.hpp
@@ -18,6 +18,8 @@
     base::zone_id zone;
     /// It reaches endpoints and is not stopping.
     bool canHelp = false;
+    /// It takes the account of a request from the node that passes it on; nodes of earlier versions do not.
+    bool takesAccounts = false;
 
     friend bool operator==(const helper_node &, const helper_node &) = default;
 };
