Charge requests to the quotas of their accounts

Requests beyond an account's quota were served. A request is charged before it is queued, waits for a grant for at most 300 ms, and gets 429 with the time after which it would pass; what was charged for a request that has not run is given back. A relayed request was charged by the node that took it. Accounts that the allocator lacks, or of which an isolated node had no share, may use a part of their burst. New setting quotaOvershoot.

--- a/packages/base/src/chervilbend/base/error_answer.cpp
+++ b/packages/base/src/chervilbend/base/error_answer.cpp
@@ -18,6 +18,7 @@
     error_answer{unauthorized, "unauthorized", 401, "The message is not signed with a valid key", run_state::notRun, false},
     error_answer{unknownKey, "unknown-key", 401, "The request has no valid key", run_state::notRun, false},
     error_answer{configurationUnconfirmed, "configuration-unconfirmed", 503, "The key cannot be checked now", run_state::notRun, true},
+    error_answer{quotaExceeded, "quota-exceeded", 429, "The account has used its quota", run_state::notRun, true},
     error_answer{headerTooLarge, "header-too-large", 431, "The request header is too large", run_state::notRun, false},
     error_answer{bodyTooLarge, "body-too-large", 413, "The request body is too large", run_state::notRun, false},
     error_answer{requestTimeout, "request-timeout", 408, "The request did not arrive in time", run_state::notRun, false},
--- a/packages/base/src/chervilbend/base/error_kind.hpp
+++ b/packages/base/src/chervilbend/base/error_kind.hpp
@@ -15,6 +15,8 @@
     unknownKey,
     /// A node can't tell whether a key is valid, since the store has not confirmed its configuration lately.
     configurationUnconfirmed,
+    /// The account has used its quota.
+    quotaExceeded,
     headerTooLarge,
     bodyTooLarge,
     requestTimeout,
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -68,6 +68,7 @@
     base::milliseconds configurationBound{3'000};
     bool strictRevocation = false;
     base::milliseconds revocationBound{5'000};
+    double quotaOvershoot = 0;
 };
 
 } // namespace chervilbend::config
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
@@ -1,6 +1,8 @@
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
 
 #include <chervilbend/base/hash.hpp>
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/command_lease.hpp>
 #include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/rate_limit_method.hpp>
@@ -10,6 +12,7 @@
 #include <chervilbend/routing/account_quotas.hpp>
 #include <chervilbend/routing/endpoint_rate_limits.hpp>
 
+#include <cmath>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -27,6 +30,12 @@
 /// A request that waits for a grant is better refused than kept waiting for an allocator that does not answer.
 constexpr base::milliseconds answerTimeout{300};
 
+const log4cxx::LoggerPtr &limitLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("limits");
+    return logger;
+}
+
 std::int64_t allocatorId(const base::node_id &node, std::int64_t incarnation)
 {
     // Positive, so that it is never 0, and exact in every JSON implementation.
@@ -61,6 +70,18 @@
 
 void rate_limit_exchange::setQuotaLimits(const std::map<base::account_id, routing::quota_limit> &limits)
 {
+    for (const auto &[account, limit] : limits) {
+        const auto known = m_quotaLimits.find(account);
+        if (known == m_quotaLimits.end() || known->second != limit) {
+            LOG4CXX_INFO(limitLog(),
+                         base::log_event("quotaChanged")
+                             .with("account", account.value())
+                             .with("unitsPerSecond", std::llround(limit.rate))
+                             .with("burst", std::llround(limit.burst))
+                             .text());
+        }
+    }
+    m_quotaLimits = limits;
     m_quotas.setLimits(limits);
     m_quotaAllocator.setLimits(limits);
 }
@@ -77,6 +98,13 @@
     }
 }
 
+void rate_limit_exchange::leaseChanged(bool isHolder)
+{
+    if (isHolder) {
+        m_quotaAllocator.start();
+    }
+}
+
 asio::awaitable<void> rate_limit_exchange::run()
 {
     while (true) {
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
@@ -55,6 +55,8 @@
     /// The accounts' limits, for this node and for the time in which it is the allocator.
     void setQuotaLimits(const std::map<base::account_id, routing::quota_limit> &limits);
 
+    void leaseChanged(bool isHolder);
+
     /// The part of the periodic exchange.
     routing::rate_limit_report takeReport();
     void apply(const routing::rate_limit_report &report, const routing::rate_limit_answer &answer, base::time_point requestedAt);
@@ -77,6 +79,7 @@
     std::int64_t m_allocatorId;
     routing::rate_limit_allocator m_allocator;
     routing::quota_allocator m_quotaAllocator;
+    std::map<base::account_id, routing::quota_limit> m_quotaLimits;
     net::change_signal m_grantsWanted;
     bool m_isUrgent = false;
     std::function<void()> m_listener;
--- a/packages/node/src/chervilbend/node/callers/account_metrics.hpp
+++ b/packages/node/src/chervilbend/node/callers/account_metrics.hpp
@@ -14,6 +14,7 @@
     admitted,
     noKey,
     configurationUnconfirmed,
+    overQuota,
 };
 
 /// Counts the requests of each account. An account without a name stands for requests without a valid key.
@@ -26,7 +27,7 @@
 
 private:
     /// Looked up once for each account, since this is on the path of each request.
-    using counters = std::array<base::counter *, 3>;
+    using counters = std::array<base::counter *, 4>;
 
     base::metric_registry &m_registry;
     std::unordered_map<base::account_id, counters> m_accounts;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -13,6 +13,7 @@
 #include <chervilbend/node/callers/forwarded_request.hpp>
 #include <chervilbend/node/callers/kept_response.hpp>
 #include <chervilbend/node/callers/problem_answer.hpp>
+#include <chervilbend/node/callers/quota_charge.hpp>
 #include <chervilbend/node/callers/request_relay.hpp>
 
 #include <algorithm>
@@ -188,6 +189,9 @@
 bool forwarder::concludeAttempt(forwarded_request &request, attempt_result result, const std::string &target, forwarding_progress &progress)
 {
     progress.countedAttempts += result.mayHaveRun ? 1 : 0;
+    if (request.plan.charge) {
+        request.plan.charge->endAttempt(result.isFinal || result.mayHaveRun);
+    }
     progress.outcome = result.outcome;
     if (result.isFinal) {
         LOG4CXX_INFO(routeLog(),
@@ -270,6 +274,9 @@
 {
     attempt_result result;
     request->startAttempt();
+    if (request->plan.charge) {
+        request->plan.charge->startAttempt();
+    }
     const std::optional<net::address> address = m_endpoints.find(target.endpoint);
     if (!address) {
         result.evidence = run_evidence::notSent;
--- a/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_relay.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/forwarded_request.hpp>
+#include <chervilbend/node/callers/quota_charge.hpp>
 #include <chervilbend/node/callers/request_relay.hpp>
 
 #include <boost/asio/this_coro.hpp>
@@ -70,6 +71,9 @@
 {
     const forwarding_plan &plan = request->plan;
     request->startRelayedAttempt();
+    if (plan.charge) {
+        plan.charge->startAttempt();
+    }
     net::http_send_options options;
     options.deadline = plan.facts.deadline;
     options.answerTimeout = plan.timeLeft();
--- a/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarding_plan.hpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -14,6 +15,7 @@
 {
 
 class endpoint_protocol;
+class quota_charge;
 
 /// How one request is to be forwarded.
 struct forwarding_plan {
@@ -41,6 +43,8 @@
     base::service_id service;
     /// The caller's account, empty for a public route without one; no value if the configuration has no accounts.
     std::optional<base::account_id> account;
+    /// nullptr if the account has no quota, or another node has charged the request.
+    std::shared_ptr<quota_charge> charge;
     /// Another node that reaches no endpoint has passed the request on; it is not passed on again.
     bool isRelayed = false;
     /// Id of the last event that the caller has received.
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -5,6 +5,7 @@
 #include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/pool_name.hpp>
 #include <chervilbend/fleet/request_codec.hpp>
+#include <chervilbend/fleet/request_cost.hpp>
 #include <chervilbend/fleet/request_urgency.hpp>
 #include <chervilbend/fleet/stream_origins.hpp>
 #include <chervilbend/net/http_exchange.hpp>
@@ -16,6 +17,7 @@
 #include <chervilbend/node/callers/problem_answer.hpp>
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -71,6 +73,14 @@
     }
 }
 
+/// Seconds with three decimals.
+std::string secondsText(base::milliseconds duration)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(duration.count()) / 1'000);
+    return text;
+}
+
 std::string_view textOf(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -96,7 +106,8 @@
                      open_requests &open,
                      fleet::stream_origins &origins,
                      caller_metrics &metrics,
-                     base::metric_registry &registry)
+                     base::metric_registry &registry,
+                     std::shared_ptr<routing::account_quotas> quotas)
     : m_codec(codec)
     , m_protocol(codec)
     , m_forwarder(requestForwarder)
@@ -106,6 +117,7 @@
     , m_origins(origins)
     , m_metrics(metrics)
     , m_accountMetrics(registry)
+    , m_quotaAdmission(std::move(quotas))
 {
 }
 
@@ -203,6 +215,14 @@
         plan.maxAttempts = std::max(1, plan.maxAttempts - caller->attemptsUsed);
         plan.facts.softwareVersion = caller->softwareVersion;
     }
+    if (!isRelayed && identity.rule && identity.rule->quota.isLimited()) {
+        const bool isCharged = co_await charge(exchange, *caller, plan, *identity.rule);
+        if (!isCharged) {
+            co_return;
+        }
+    } else if (identity.account) {
+        m_accountMetrics.count(*identity.account, account_decision::admitted);
+    }
     if (plan.resumable && caller->lastEvent && plan.facts.softwareVersion.empty()) {
         const bool isBound = co_await bindToOrigin(plan, *caller, why);
         if (!isBound) {
@@ -229,14 +249,45 @@
 {
     const base::milliseconds configurationAge = m_confirmedAt ? base::clock::now() - m_confirmedAt() : base::milliseconds(0);
     authentication identity = m_authentication.authenticate(routes, route, caller, isRelayed, configurationAge);
-    if (identity.account) {
-        const bool isUnconfirmed = identity.refusal && identity.refusal->kind == base::error_kind::configurationUnconfirmed;
-        const account_decision refused = isUnconfirmed ? account_decision::configurationUnconfirmed : account_decision::noKey;
-        m_accountMetrics.count(*identity.account, identity.refusal ? refused : account_decision::admitted);
+    if (identity.account && identity.refusal) {
+        const bool isUnconfirmed = identity.refusal->kind == base::error_kind::configurationUnconfirmed;
+        m_accountMetrics.count(*identity.account, isUnconfirmed ? account_decision::configurationUnconfirmed : account_decision::noKey);
     }
     return identity;
 }
 
+asio::awaitable<bool> route_api::charge(std::shared_ptr<net::http_exchange> exchange,
+                                        const fleet::caller_request &caller,
+                                        forwarding_plan &plan,
+                                        const fleet::account_rule &account)
+{
+    const routing::account_quotas &quotas = *m_quotaAdmission.quotas();
+    const double cost = fleet::costOf(caller, account.quota);
+    std::shared_ptr<routing::quota_request> request = co_await m_quotaAdmission.charge(account.id, cost);
+    const bool isAdmitted = request->decision == routing::quota_decision::admitted;
+    m_accountMetrics.count(account.id, isAdmitted ? account_decision::admitted : account_decision::overQuota);
+    if (isAdmitted) {
+        plan.charge = std::make_shared<quota_charge>(m_quotaAdmission.quotas(), std::move(request));
+        co_return true;
+    }
+    LOG4CXX_INFO(routeLog(),
+                 base::log_event("overQuota")
+                     .with("request", caller.attempt)
+                     .with("account", account.id.value())
+                     .with("cost", static_cast<std::int64_t>(cost))
+                     .with("balance", static_cast<std::int64_t>(quotas.balance(account.id)))
+                     .with("isolated", quotas.isIsolated())
+                     .with("answerAgeMs", quotas.answerAge().count())
+                     .with("retryAfterMs", request->retryAfter.count())
+                     .text());
+    const base::reason why{base::error_kind::quotaExceeded, "account " + account.id.value() + " has used its quota"};
+    m_metrics.onProblem(why.kind);
+    net::http_response answer = problemAnswer(why);
+    answer.set(http::field::retry_after, secondsText(request->retryAfter));
+    co_await exchange->respond(std::move(answer));
+    co_return false;
+}
+
 asio::awaitable<bool> route_api::bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why)
 {
     const base::time_point now = base::clock::now();
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -9,6 +9,7 @@
 #include <chervilbend/node/callers/caller_authentication.hpp>
 #include <chervilbend/node/callers/forwarding_plan.hpp>
 #include <chervilbend/node/callers/platform_protocol.hpp>
+#include <chervilbend/node/callers/quota_admission.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -43,7 +44,8 @@
               open_requests &open,
               fleet::stream_origins &origins,
               caller_metrics &metrics,
-              base::metric_registry &registry);
+              base::metric_registry &registry,
+              std::shared_ptr<routing::account_quotas> quotas);
 
     /// How keys are checked. @p confirmedAt tells when the store last confirmed the configuration.
     void setAuthentication(authentication_settings settings, std::function<base::time_point()> confirmedAt);
@@ -65,6 +67,9 @@
     authentication authenticate(const fleet::route_table &routes, const fleet::route_rule &route, const fleet::caller_request &caller, bool isRelayed);
     /// Binds a request that takes up a stream to the software version that began it. False, with @p why set, if that is not known.
     boost::asio::awaitable<bool> bindToOrigin(forwarding_plan &plan, const fleet::caller_request &caller, base::reason &why);
+    /// Charges the request to its account's quota. False if it was refused.
+    boost::asio::awaitable<bool>
+        charge(std::shared_ptr<net::http_exchange> exchange, const fleet::caller_request &caller, forwarding_plan &plan, const fleet::account_rule &account);
     boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text);
     forwarding_plan planFor(const net::http_request &request,
                             const fleet::caller_request &caller,
@@ -82,6 +87,7 @@
     fleet::stream_origins &m_origins;
     caller_metrics &m_metrics;
     account_metrics m_accountMetrics;
+    quota_admission m_quotaAdmission;
     caller_authentication m_authentication{authentication_settings{}};
     /// Without it, the configuration counts as confirmed.
     std::function<base::time_point()> m_confirmedAt;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -120,6 +120,17 @@
     return std::max(minReadInterval, base::milliseconds(static_cast<std::int64_t>(static_cast<double>(settings.drainTime.count()) * readIntervalFraction)));
 }
 
+std::map<base::account_id, routing::quota_limit> quotaLimitsOf(const fleet::traffic_configuration &configuration)
+{
+    std::map<base::account_id, routing::quota_limit> limits;
+    for (const fleet::account_rule &account : configuration.accounts.value_or(std::vector<fleet::account_rule>())) {
+        if (account.quota.isLimited()) {
+            limits[account.id] = {account.quota.rate, account.quota.burst};
+        }
+    }
+    return limits;
+}
+
 std::uint64_t seedOf(const config::node_settings &settings)
 {
     return settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
@@ -146,7 +157,7 @@
     , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
     , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
     , m_peers(m_signer, std::make_shared<net::http_client>())
-    , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_knowledge.rateLimits)
+    , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_knowledge.rateLimits, *m_knowledge.quotas)
     , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, m_knowledge, m_rateLimitExchange)
     , m_director(seedOf(settings), directorSettings(settings), m_knowledge)
     , m_admission(m_context.get_executor(), m_director)
@@ -156,7 +167,7 @@
     , m_relayToHelpers(m_requestCodec, m_reachability, *m_knowledge.helpers)
     , m_forwarder(m_admission, m_directory, m_client, m_metrics)
     , m_itemProvider(m_residency, m_holderClient)
-    , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_streamOrigins, m_metrics, m_registry)
+    , m_routeApi(m_requestCodec, m_forwarder, m_itemProvider, m_usage, m_openRequests, m_streamOrigins, m_metrics, m_registry, m_knowledge.quotas)
     , m_readinessHandler([this] { return m_readiness.isReady(); })
     , m_callerServer(std::make_shared<net::http_server>(m_context.get_executor(), m_routeApi, callerLimits(settings)))
     , m_readyServer(std::make_shared<net::http_server>(m_context.get_executor(), m_readinessHandler))
@@ -203,7 +214,10 @@
     m_endpointFeed.onChange([this] { m_admission.deliverDecisions(); });
     m_routeApi.setAuthentication({m_settings.configurationBound, m_settings.strictRevocation, m_settings.revocationBound},
                                  [this] { return m_configuration.confirmedAt(); });
-    m_configuration.onChange([this](const fleet::traffic_configuration & /*newest*/) {
+    m_knowledge.quotas->setOvershoot(m_settings.quotaOvershoot);
+    m_knowledge.quotas->onIsolation([](bool isIsolated) { LOG4CXX_INFO(nodeLog(), base::log_event(isIsolated ? "quotasIsolated" : "quotasGranted").text()); });
+    m_configuration.onChange([this](const fleet::traffic_configuration &newest) {
+        m_rateLimitExchange.setQuotaLimits(quotaLimitsOf(newest));
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
         m_readiness.setMet("configuration");
     });
@@ -217,6 +231,7 @@
     });
     m_lease.onChange([this](bool isHolder) {
         m_relay.leaseChanged(isHolder);
+        m_rateLimitExchange.leaseChanged(isHolder);
         m_controller.leaseChanged(isHolder);
         m_publishedVersions.setHolder(isHolder);
     });
@@ -259,6 +274,7 @@
 void platform_node::setNodeCount(int nodes)
 {
     m_director.setNodeCount(nodes);
+    m_knowledge.quotas->setNodeCount(nodes);
     m_publishedVersions.setNodeCount(nodes);
     m_streamOrigins.setNodeCount(nodes);
 }
--- a/packages/node/tests/account_test.cpp
+++ b/packages/node/tests/account_test.cpp
@@ -57,6 +57,17 @@
         configure();
     }
 
+    /// The accounts as before, with a quota of @p rate tokens a second for the first.
+    void setQuota(double rate)
+    {
+        std::vector<fleet::account_rule> accounts = *configuration->accounts;
+        accounts.at(0).quota = {fleet::quota_unit::tokens, rate, rate, 50};
+        setAccounts(accounts);
+        quotas->setLimits({{accounts.at(0).id, {rate, rate}}});
+        // The account counts as used from its first request on.
+        quotas->abandon(*quotas->charge(accounts.at(0).id, 0.001));
+    }
+
     void setStrict()
     {
         api.setAuthentication({base::milliseconds(3'000), true, base::milliseconds(5'000)}, [this] { return base::clock::now() - configurationAge; });
@@ -67,6 +78,16 @@
     std::vector<std::string> received;
 };
 
+/// Grants a node what it holds to the account, as the answer of an allocator.
+void grant(routing::account_quotas &quotas, const std::string &account, double units)
+{
+    const routing::quota_report report = quotas.takeReport();
+    routing::quota_answer answer;
+    answer.isGranting = true;
+    answer.accounts[base::account_id(account)] = {units, {units, units, 0}, base::milliseconds(units > 0 ? 0 : 2'500)};
+    quotas.apply(report, answer);
+}
+
 std::size_t countOf(const std::string &text, const std::string &part)
 {
     std::size_t count = 0;
@@ -93,6 +114,9 @@
     CPPUNIT_TEST(relayedRequestKeepsItsAccount);
     CPPUNIT_TEST(accountsShareAQueue);
     CPPUNIT_TEST(noKeyIsLogged);
+    CPPUNIT_TEST(requestBeyondTheQuotaIsToldWhenToComeBack);
+    CPPUNIT_TEST(refusedRequestIsNotCharged);
+    CPPUNIT_TEST(relayedRequestIsNotChargedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -212,6 +236,46 @@
         CPPUNIT_ASSERT_EQUAL(std::string("print"), fixture.director.submitted.at(0).account.value());
     }
 
+    void requestBeyondTheQuotaIsToldWhenToComeBack()
+    {
+        account_fixture fixture;
+        fixture.setQuota(1'000);
+        grant(*fixture.quotas, "print", 150);
+        CPPUNIT_ASSERT(fixture.ask("/order/x", ownKey + "Chervilbend-Token-Counts: 60,40\r\n").ends_with("done"));
+        CPPUNIT_ASSERT_MESSAGE("without counts", fixture.ask("/order/x", ownKey).ends_with("done"));
+        // The allocator has nothing left.
+        fixture.quotas->onGrantsWanted([&] { grant(*fixture.quotas, "print", 0); });
+        const std::string refused = fixture.ask("/order/x", ownKey);
+        CPPUNIT_ASSERT_MESSAGE(refused, contains(refused, " 429 ") && contains(refused, "quota-exceeded") && contains(refused, "not run"));
+        CPPUNIT_ASSERT_MESSAGE(refused, contains(refused, "Retry-After: 2.500\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.received.size());
+        CPPUNIT_ASSERT_MESSAGE("an account without a quota", fixture.ask("/order/x", "Authorization: Token k3\r\n").ends_with("done"));
+        CPPUNIT_ASSERT(contains(fixture.registry.text(), "{account=\"print\",decision=\"over_quota\"} 1"));
+    }
+
+    void refusedRequestIsNotCharged()
+    {
+        account_fixture fixture;
+        fixture.setQuota(1'000);
+        grant(*fixture.quotas, "print", 150);
+        fixture.director.pools.clear();
+        CPPUNIT_ASSERT(contains(fixture.ask("/order/x", ownKey), " 503 "));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(150, fixture.quotas->balance(base::account_id("print")), 0.1);
+    }
+
+    void relayedRequestIsNotChargedAgain()
+    {
+        account_fixture fixture;
+        fixture.setQuota(1'000);
+        const fleet::route_rule &route = fixture.configuration->routes.at(1);
+        fleet::caller_request caller;
+        caller.relayedAccount = base::account_id("print");
+        const fleet::route_table table(fixture.configuration);
+        const node::authentication relayed = node::caller_authentication({}).authenticate(table, route, caller, true, base::milliseconds(0));
+        CPPUNIT_ASSERT(relayed.account == base::account_id("print") && relayed.rule && !relayed.refusal);
+        CPPUNIT_ASSERT_EQUAL(0.0, fixture.quotas->balance(base::account_id("print")));
+    }
+
     void noKeyIsLogged()
     {
         const log_file log;
--- a/packages/node/tests/route_api_fixture.hpp
+++ b/packages/node/tests/route_api_fixture.hpp
@@ -143,7 +143,8 @@
     fleet::usage_meter usage;
     test_stream_origins origins;
     platform::platform_request_codec codec;
-    node::route_api api{codec, requestForwarder, itemProvider, usage, open, origins, metrics, registry};
+    std::shared_ptr<routing::account_quotas> quotas = std::make_shared<routing::account_quotas>();
+    node::route_api api{codec, requestForwarder, itemProvider, usage, open, origins, metrics, registry, quotas};
     std::shared_ptr<net::http_server> server;
     std::vector<std::unique_ptr<raw_server>> endpoints;
     std::uint16_t port = 0;
--- a/packages/routing/src/chervilbend/routing/account_quotas.cpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.cpp
@@ -101,7 +101,7 @@
     state.usedAt = now;
     if (state.waiting.empty() && spend(state, cost, now)) {
         request->decision = quota_decision::admitted;
-    } else if (m_isIsolated) {
+    } else if (isIsolated(state)) {
         refuse(*request, retryAfter(cost - state.isolatedBalance, isolatedRate(state, now)));
     } else if (now < state.askAgainAt) {
         refuse(*request, std::max(state.askAgainAt - now, retryAfter(cost, state.share.rate)));
@@ -127,16 +127,27 @@
         state.balance = std::max(0.0, state.balance - cost);
         return true;
     }
-    return m_isIsolated && spendIsolated(state, cost, now);
+    return isIsolated(state) && spendIsolated(state, cost, now);
+}
+
+bool account_quotas::isIsolated(const account_state &state) const
+{
+    return m_isIsolated || state.isUnknownToAllocator;
+}
+
+bool account_quotas::isFresh(const account_state &state) const
+{
+    return !m_answeredAt || state.sharedRate <= 0;
 }
 
 double account_quotas::isolatedRate(const account_state &state, base::time_point now) const
 {
     const double equalShare = state.limit.rate / std::max(m_nodes, leastNodes);
-    if (!m_answeredAt) {
+    const bool isRecent = !m_answeredAt || now < *m_answeredAt + quotaShareLifetime;
+    if (isRecent && isFresh(state)) {
         return equalShare * freshPart;
     }
-    if (now < *m_answeredAt + quotaShareLifetime) {
+    if (isRecent) {
         // The configuration of this node may have a lower limit than the one that the share is a part of.
         return state.share.rate * (state.sharedRate > state.limit.rate ? state.limit.rate / state.sharedRate : 1);
     }
@@ -145,14 +156,14 @@
 
 double account_quotas::isolatedCapacity(const account_state &state, base::time_point now) const
 {
-    const double burstPart = m_answeredAt ? 0 : state.limit.burst / std::max(m_nodes, leastNodes);
+    const double burstPart = !isFresh(state) ? 0 : state.limit.burst / std::max(m_nodes, leastNodes);
     return std::max(burstPart, isolatedRate(state, now) * isolatedSeconds);
 }
 
 void account_quotas::startIsolation(account_state &state, base::time_point now) const
 {
     state.isolatedAt = now;
-    if (!m_answeredAt) {
+    if (isFresh(state)) {
         state.isolatedBalance = isolatedCapacity(state, now);
         return;
     }
@@ -205,7 +216,7 @@
     expire(state, now);
     if (now < state.grantedUntil) {
         state.balance += request.cost;
-    } else if (m_isIsolated && state.spentIsolated >= request.cost) {
+    } else if (isIsolated(state) && state.spentIsolated >= request.cost) {
         state.isolatedBalance += request.cost;
         state.spentIsolated -= request.cost;
     }
@@ -270,8 +281,12 @@
         const auto grant = answer.accounts.find(id);
         if (usage == report.accounts.end() || grant == answer.accounts.end()) {
             state.share = {};
+            state.sharedRate = 0;
+            setUnknown(state, usage != report.accounts.end(), now);
+            decideWaiting(state, 0, base::milliseconds(0), now);
             continue;
         }
+        setUnknown(state, false, now);
         expire(state, now);
         state.balance += grant->second.granted;
         state.grantedUntil = report.takenAt + quotaGrantLifetime;
@@ -319,6 +334,13 @@
     }
 }
 
+void account_quotas::setUnknown(account_state &state, bool isUnknown, base::time_point now) const
+{
+    if (std::exchange(state.isUnknownToAllocator, isUnknown) != isUnknown && isUnknown) {
+        startIsolation(state, now);
+    }
+}
+
 void account_quotas::setIsolated(bool isIsolated)
 {
     if (std::exchange(m_isIsolated, isIsolated) == isIsolated) {
--- a/packages/routing/src/chervilbend/routing/account_quotas.hpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.hpp
@@ -35,7 +35,7 @@
 /// The quotas of accounts as far as this node is concerned: what the allocator has granted it, and what it may spend while it reaches none.
 ///
 /// A node that reaches no allocator is isolated. It spends its share of the rate, which came with the last answer, for quotaShareLifetime, and a residual
-/// rate after that. A node that never had an answer may spend a part of the burst, which nobody has used yet, and half of an equal share.
+/// rate after that. For an account of which it never had an answer, it may spend a part of the burst, which nobody has used yet, and half of an equal share.
 class account_quotas
 {
 public:
@@ -100,16 +100,22 @@
         double isolatedBalance = 0;
         double spentIsolated = 0;
         base::time_point isolatedAt;
+        /// The allocator has a configuration without the account.
+        bool isUnknownToAllocator = false;
         std::deque<std::shared_ptr<quota_request>> waiting;
     };
 
     void expire(account_state &state, base::time_point now) const;
     bool spend(account_state &state, double cost, base::time_point now);
     bool spendIsolated(account_state &state, double cost, base::time_point now) const;
+    bool isIsolated(const account_state &state) const;
+    /// Whether the last answer named no share of the account, or there was none.
+    bool isFresh(const account_state &state) const;
     double isolatedRate(const account_state &state, base::time_point now) const;
     double isolatedCapacity(const account_state &state, base::time_point now) const;
     void startIsolation(account_state &state, base::time_point now) const;
     void setIsolated(bool isIsolated);
+    void setUnknown(account_state &state, bool isUnknown, base::time_point now) const;
     static void refuse(quota_request &request, base::milliseconds retryAfter);
     /// Decides the requests that wait, as far as they are covered; those of @p decidedReport and before are refused otherwise.
     void decideWaiting(account_state &state, std::uint64_t decidedReport, base::milliseconds retryAfter, base::time_point now);
--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -55,6 +55,7 @@
         account_bucket &bucket = known->second;
         if (isNew) {
             bucket.refilledAt = now;
+            bucket.available = fullCapacityOf(limit);
         } else {
             refill(bucket, now);
         }
--- a/packages/routing/tests/account_quota_test.cpp
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(loweredLimitTakesEffect);
     CPPUNIT_TEST(raisedLimitIsUsed);
     CPPUNIT_TEST(refundedUnitsAreUsable);
+    CPPUNIT_TEST(accountThatTheAllocatorLacksIsServed);
     CPPUNIT_TEST(randomHistoriesKeepTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,29 @@
         CPPUNIT_ASSERT_MESSAGE("accounts without a limit", quotas.charge(base::account_id("b"), 1e9)->decision == quota_decision::admitted);
     }
 
+    /// The node has a newer configuration than the allocator.
+    void accountThatTheAllocatorLacksIsServed()
+    {
+        base::manual_time_source time;
+        account_quotas quotas;
+        quota_allocator allocator;
+        const std::map<base::account_id, quota_limit> limits{{base::account_id("added"), {6'400, 6'400}}};
+        quotas.setLimits(limits);
+        time.advance(milliseconds(2'000));
+        const auto first = quotas.charge(base::account_id("added"), 100);
+        const quota_report report = quotas.takeReport();
+        quotas.apply(report, allocator.answer(report, false, true));
+        CPPUNIT_ASSERT(first->decision == quota_decision::admitted);
+        CPPUNIT_ASSERT_MESSAGE("no more than a part of the burst", quotas.charge(base::account_id("added"), 100)->decision == quota_decision::refused);
+        allocator.setLimits(limits);
+        const quota_report next = quotas.takeReport();
+        quotas.apply(next, allocator.answer(next, true, true));
+        const auto second = quotas.charge(base::account_id("added"), 100);
+        const quota_report last = quotas.takeReport();
+        quotas.apply(last, allocator.answer(last, true, true));
+        CPPUNIT_ASSERT(second->decision == quota_decision::admitted);
+    }
+
     /// Nodes come, go, stand still and are cut off with grants in hand, and the holder changes, all at random.
     void randomHistoriesKeepTheLimit()
     {
