--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -333,6 +333,12 @@
         flagSetting(
             "strictRevocation", "Refuse requests that need a key when the configuration has not been confirmed for revocationBound", &s::strictRevocation),
         durationSetting("revocationBound", 100ms, 10min, "With strictRevocation, how long a removed key may still be accepted", &s::revocationBound),
+        numberSetting("configurationCopies",
+                      "copies",
+                      0,
+                      8,
+                      "Copies of the configuration that the nodes keep in the metadata store, for nodes that start while a part of it is unavailable",
+                      &s::configurationCopies),
         fractionSetting(
             "quotaOvershoot", "of an account's quota", 0, 1, "By how much all nodes together may exceed the quota of an account", &s::quotaOvershoot),
         numberSetting("seed", "number", 0, 1'000'000'000, "Seed of the random number generator, for tests; 0 uses a random seed", &s::seed),
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -69,6 +69,7 @@
     bool strictRevocation = false;
     base::milliseconds revocationBound{5'000};
     double quotaOvershoot = 0;
+    std::int64_t configurationCopies = 0;
 };
 
 } // namespace chervilbend::config
--- /dev/null
+++ b/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
@@ -0,0 +1,90 @@
+#include <chervilbend/fleet/configuration_backup.hpp>
+
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/configuration_copies.hpp>
+#include <chervilbend/fleet/configuration_follower.hpp>
+#include <chervilbend/net/sleep.hpp>
+
+#include <string>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace chervilbend::fleet
+{
+
+namespace
+{
+
+/// A node that reads the operators' record has it after this time, and needs no copy.
+constexpr base::milliseconds startDelay{150};
+constexpr base::milliseconds readInterval{250};
+/// Changes that follow each other closely are written once.
+constexpr base::milliseconds writeInterval{1'000};
+/// A copy is out of date while it can't be written, which is no reason to press on.
+constexpr base::milliseconds writeRetryInterval{3'000};
+
+const log4cxx::LoggerPtr &configLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("config");
+    return logger;
+}
+
+} // namespace
+
+configuration_backup::configuration_backup(configuration_copies &copies, configuration_follower &follower, const command_lease &lease, base::counter &restored)
+    : m_copies(copies)
+    , m_follower(follower)
+    , m_lease(lease)
+    , m_restored(restored)
+{
+}
+
+asio::awaitable<void> configuration_backup::run(int index)
+{
+    co_await net::sleepFor(startDelay);
+    co_await restore(index);
+    std::int64_t writtenVersion = 0;
+    while (true) {
+        co_await net::sleepFor(writeInterval);
+        if (!m_lease.isHolder()) {
+            // Another holder may have written a later version since.
+            writtenVersion = 0;
+        } else {
+            co_await update(index, writtenVersion);
+        }
+    }
+}
+
+asio::awaitable<void> configuration_backup::restore(int index)
+{
+    while (!m_follower.current()) {
+        std::optional<configuration_copy> copy = co_await m_copies.read(index);
+        if (copy && m_follower.applyCopy(std::move(copy->configuration), std::move(copy->record))) {
+            m_restored.add();
+            LOG4CXX_WARN(configLog(), base::log_event("configurationRestored").with("version", m_follower.current()->version).with("copy", index).text());
+        }
+        if (!m_follower.current()) {
+            co_await net::sleepFor(readInterval);
+        }
+    }
+}
+
+asio::awaitable<void> configuration_backup::update(int index, std::int64_t &writtenVersion)
+{
+    const std::int64_t version = m_follower.current()->version;
+    const std::string record = m_follower.record();
+    if (version <= writtenVersion || record.empty()) {
+        co_return;
+    }
+    const bool isWritten = co_await m_copies.write(index, record);
+    if (isWritten) {
+        writtenVersion = version;
+    } else {
+        co_await net::sleepFor(writeRetryInterval);
+    }
+}
+
+} // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -65,7 +65,7 @@
             m_store.recovery().noteSuccess();
             m_position = before ? std::max(*before, page->next) : page->next;
             m_confirmedAt = base::clock::now();
-            applyConfiguration(std::move(page->newest));
+            applyConfiguration(std::move(page->newest), std::move(page->record));
             if (!m_current) {
                 co_await net::sleepFor(backoff.minimum());
             }
@@ -133,12 +133,21 @@
     }
 }
 
+bool configuration_follower::applyCopy(traffic_configuration copy, std::string record)
+{
+    if (m_current) {
+        return false;
+    }
+    applyConfiguration(std::move(copy), std::move(record));
+    return true;
+}
+
 void configuration_follower::noteStoreProblem()
 {
     m_shortPollUntil = base::clock::now() + shortPollPeriod;
 }
 
-void configuration_follower::applyConfiguration(std::optional<traffic_configuration> newest)
+void configuration_follower::applyConfiguration(std::optional<traffic_configuration> newest, std::string record)
 {
     if (!newest || (m_current && newest->version <= m_current->version)) {
         return;
@@ -147,6 +156,7 @@
                  "Configuration " << newest->version << " is in force: " << newest->routes.size() << " routes and " << newest->services.size()
                                   << " services; previous version " << (m_current ? m_current->version : 0) << '.');
     m_current = std::make_shared<const traffic_configuration>(std::move(*newest));
+    m_record = std::move(record);
     if (m_listener) {
         m_listener(*m_current);
     }
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace chervilbend::fleet
 {
@@ -33,6 +34,8 @@
     void setHolder(bool isHolder);
     /// The holder has read up to @p position; the store confirmed at @p confirmedAt that there was nothing newer.
     void noteHolderPosition(std::int64_t position, base::time_point confirmedAt);
+    /// Takes a copy of the configuration, which may be out of date, if this node has none at all. Returns whether it is in force now.
+    bool applyCopy(traffic_configuration copy, std::string record);
     /// A read of the store has failed or was slow.
     void noteStoreProblem();
     /// The listener is called after each change of the version in force.
@@ -46,6 +49,12 @@
         return m_current;
     }
 
+    /// The operators' record of the version in force.
+    const std::string &record() const
+    {
+        return m_record;
+    }
+
     /// Position in the store up to which the configuration is known.
     std::optional<std::int64_t> position() const
     {
@@ -62,12 +71,13 @@
     /// Waits while a confirmation of the holder makes a read by this node unnecessary. False when this node has to read.
     boost::asio::awaitable<bool> waitForHolder();
     boost::asio::awaitable<std::optional<configuration_page>> read(bool afterFailure);
-    void applyConfiguration(std::optional<traffic_configuration> newest);
+    void applyConfiguration(std::optional<traffic_configuration> newest, std::string record);
 
     fleet_store &m_store;
     std::uint64_t m_seed;
     std::function<void(const traffic_configuration &)> m_listener;
     std::shared_ptr<const traffic_configuration> m_current;
+    std::string m_record;
     std::optional<std::int64_t> m_position;
     base::time_point m_confirmedAt;
     base::time_point m_shortPollUntil;
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace chervilbend::fleet
@@ -21,6 +22,8 @@
 struct configuration_page {
     /// The newest version that was read; no value when there was no readable one.
     std::optional<traffic_configuration> newest;
+    /// The record that it was read from.
+    std::string record;
     /// Position at which the next read continues.
     std::int64_t next = 0;
 };
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -146,6 +146,7 @@
     , m_storeClient(storeClient(settings))
     , m_store(m_storeClient)
     , m_streamStore(m_storeClient)
+    , m_configurationCopies(m_storeClient, static_cast<int>(settings.configurationCopies))
     , m_configuration(m_store, seedOf(settings))
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings), seedOf(settings) + 1)
     , m_publishedVersions(m_streamStore, m_endpoints, seedOf(settings) + 2)
@@ -154,6 +155,10 @@
     , m_residency(m_endpoints)
     , m_engines(std::make_shared<net::http_client>())
     , m_lease(m_store, leaseOptions(settings))
+    , m_configurationBackup(m_configurationCopies,
+                            m_configuration,
+                            m_lease,
+                            m_registry.counterFor("chervilbend_configuration_restored_total", "Configurations taken from a copy in the store"))
     , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
     , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
     , m_peers(m_signer, std::make_shared<net::http_client>())
@@ -288,6 +293,9 @@
     start_signals::release();
     LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
     runInBackground("configuration", [this] { return m_configuration.run(); });
+    for (int copy = 0; copy < m_configurationCopies.count(); ++copy) {
+        runInBackground("configuration copy", [this, copy] { return m_configurationBackup.run(copy); });
+    }
     runInBackground("endpoints", [this] { return m_endpointFollower.run(); });
     runInBackground("versions", [this] { return m_publishedVersions.run(); });
     runInBackground("origins", [this] { return m_streamOrigins.run(); });
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/reason_holder.hpp>
 #include <chervilbend/config/node_settings.hpp>
 #include <chervilbend/fleet/command_lease.hpp>
+#include <chervilbend/fleet/configuration_backup.hpp>
 #include <chervilbend/fleet/configuration_follower.hpp>
 #include <chervilbend/fleet/endpoint_follower.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
@@ -34,6 +35,7 @@
 #include <chervilbend/node/peer_api.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 #include <chervilbend/peers/rpc_server.hpp>
+#include <chervilbend/platform/platform_configuration_copies.hpp>
 #include <chervilbend/platform/platform_engine_client.hpp>
 #include <chervilbend/platform/platform_request_codec.hpp>
 #include <chervilbend/platform/platform_store.hpp>
@@ -103,6 +105,7 @@
     std::shared_ptr<platform::store_client> m_storeClient;
     platform::platform_store m_store;
     platform::platform_stream_store m_streamStore;
+    platform::platform_configuration_copies m_configurationCopies;
     platform::platform_request_codec m_requestCodec;
     fleet::configuration_follower m_configuration;
     fleet::endpoint_registry m_endpoints;
@@ -114,6 +117,7 @@
     fleet::usage_meter m_usage;
     platform::platform_engine_client m_engines;
     fleet::command_lease m_lease;
+    fleet::configuration_backup m_configurationBackup;
     fleet::engine_controller m_controller;
     std::shared_ptr<membership::message_signer> m_signer;
     peers::rpc_client m_peers;
