Take the configuration from the lease holder while the store cannot be read

A node that was partitioned from the store kept its configuration, or had none, although the holder of the command lease answered it and had a newer one. The follower asks the holder after a failed read of the store, if the holder has reported a newer position or the node has no configuration, and applies only newer versions. The record is kept as it is in the store, so that both nodes decode it with the same reader. One log line and the counter chervilbend_configurations_from_nodes_total per version taken.

Not run: two processes over the network.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/fleet/configuration_follower.hpp>
 
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/fleet/configuration_provider.hpp>
 #include <chervilbend/fleet/fleet_store.hpp>
 #include <chervilbend/fleet/retry_backoff.hpp>
 #include <chervilbend/net/sleep.hpp>
@@ -28,6 +29,8 @@
 constexpr base::milliseconds holderConfirmationLifetime{1'200};
 /// A read that does not wait is normally answered within a few ms.
 constexpr base::milliseconds slowReadThreshold{150};
+/// Upper bound of a wait that changes of the state end.
+constexpr base::milliseconds idleWait{10'000};
 
 const log4cxx::LoggerPtr &configLog()
 {
@@ -48,6 +51,11 @@
     m_listener = std::move(listener);
 }
 
+void configuration_follower::onTakenFromNode(std::function<void()> listener)
+{
+    m_takenListener = std::move(listener);
+}
+
 asio::awaitable<void> configuration_follower::run()
 {
     retry_backoff backoff(m_seed);
@@ -63,22 +71,31 @@
             }
             backoff.reset();
             m_store.recovery().noteSuccess();
-            m_position = before ? std::max(*before, page->next) : page->next;
-            m_confirmedAt = base::clock::now();
-            applyConfiguration(std::move(page->newest));
+            m_isReadFailing = false;
+            // The read does not confirm a version that has been taken from another node meanwhile.
+            if (m_position == before) {
+                m_confirmedAt = base::clock::now();
+            }
+            m_position = std::max(m_position.value_or(page->next), page->next);
+            applyConfiguration(std::move(page->newest), std::move(page->record));
             if (!m_current) {
                 co_await net::sleepFor(backoff.minimum());
             }
             continue;
         }
-        if (m_store.lastReason().kind == base::error_kind::recordInvalid && m_position) {
+        if (m_store.lastReason().kind == base::error_kind::recordInvalid && before) {
             LOG4CXX_INFO(configLog(), "Reading the newest configuration, because " << m_store.lastReason().text << '.');
-            m_position.reset();
+            if (m_position == before) {
+                m_position.reset();
+            }
             continue;
         }
         if (backoff.failures() == 0) {
             LOG4CXX_WARN(configLog(), "Cannot read the configuration, keeping the version in force: " << m_store.lastReason().text);
         }
+        if (!std::exchange(m_isReadFailing, true)) {
+            m_nodeNeeded.notify();
+        }
         co_await m_store.recovery().waitForRetry(store_task::configuration, backoff.next());
     }
 }
@@ -120,6 +137,7 @@
 {
     m_isHolder = isHolder;
     m_wake.notify();
+    m_nodeNeeded.notify();
 }
 
 void configuration_follower::noteHolderPosition(std::int64_t position, base::time_point confirmedAt)
@@ -130,6 +148,7 @@
     } else if (position > m_holderPosition) {
         m_holderPosition = position;
         m_wake.notify();
+        m_nodeNeeded.notify();
     }
 }
 
@@ -138,7 +157,62 @@
     m_shortPollUntil = base::clock::now() + shortPollPeriod;
 }
 
-void configuration_follower::applyConfiguration(std::optional<traffic_configuration> newest)
+asio::awaitable<void> configuration_follower::followNodes(configuration_provider &provider)
+{
+    retry_backoff backoff(m_seed);
+    while (true) {
+        if (!needsNode()) {
+            backoff.reset();
+            co_await m_nodeNeeded.wait(base::clock::now() + idleWait);
+        } else if (co_await askNode(provider)) {
+            backoff.reset();
+        } else {
+            // A newer position of the holder ends the wait: the holder has answered a moment ago.
+            co_await m_nodeNeeded.wait(base::clock::now() + backoff.next());
+        }
+    }
+}
+
+bool configuration_follower::needsNode() const
+{
+    return m_isReadFailing && !m_isHolder && (!m_current || m_position.value_or(-1) < m_holderPosition);
+}
+
+asio::awaitable<bool> configuration_follower::askNode(configuration_provider &provider)
+{
+    const base::time_point requestedAt = base::clock::now();
+    std::optional<std::int64_t> known;
+    if (m_current) {
+        known = m_current->version;
+    }
+    std::optional<remote_configuration> answer = co_await provider.newerThan(known);
+    if (!answer) {
+        co_return false;
+    }
+    std::optional<traffic_configuration> newest = m_store.decodeConfiguration(answer->record);
+    if (!newest || newest->version != answer->version) {
+        LOG4CXX_WARN(configLog(), "Ignored the configuration " << answer->version << " of node " << answer->node.value() << ": its record is not valid");
+        co_return false;
+    }
+    if (m_current && newest->version <= m_current->version) {
+        co_return false;
+    }
+    LOG4CXX_INFO(configLog(),
+                 "Took configuration " << newest->version << " from node " << answer->node.value() << ", which the store confirmed " << answer->age.count()
+                                       << " ms ago.");
+    // A smaller position is that of a store which has since come back from an older copy: its confirmation does not hold for the present one.
+    if (answer->position >= m_position.value_or(-1)) {
+        m_position = answer->position;
+        m_confirmedAt = std::max(m_confirmedAt, requestedAt - answer->age);
+    }
+    applyConfiguration(std::move(newest), std::move(answer->record));
+    if (m_takenListener) {
+        m_takenListener();
+    }
+    co_return true;
+}
+
+void configuration_follower::applyConfiguration(std::optional<traffic_configuration> newest, std::string record)
 {
     if (!newest || (m_current && newest->version <= m_current->version)) {
         return;
@@ -147,6 +221,7 @@
                  "Configuration " << newest->version << " is in force: " << newest->routes.size() << " routes and " << newest->services.size()
                                   << " services; previous version " << (m_current ? m_current->version : 0) << '.');
     m_current = std::make_shared<const traffic_configuration>(std::move(*newest));
+    m_record = std::move(record);
     if (m_listener) {
         m_listener(*m_current);
     }
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -11,14 +11,17 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace chervilbend::fleet
 {
 
+class configuration_provider;
 class fleet_store;
 struct configuration_page;
 
-/// Keeps the operators' configuration up to date from the platform's store. A version once in force is never replaced by an older one.
+/// Keeps the operators' configuration up to date from the platform's store, and from another node while the store cannot be read here. A version once in
+/// force is never replaced by an older one.
 class configuration_follower
 {
 public:
@@ -29,6 +32,9 @@
 
     /// Follows the store. Does not return.
     boost::asio::awaitable<void> run();
+    /// Follows another node while reads of the store fail and the holder of the command lease has read further, or this node has no configuration. Does
+    /// not return. @p provider must outlive the follower.
+    boost::asio::awaitable<void> followNodes(configuration_provider &provider);
     /// This node has become the holder of the command lease, whose reads are relayed to the other nodes, or has ceased to be.
     void setHolder(bool isHolder);
     /// The holder has read up to @p position; the store confirmed at @p confirmedAt that there was nothing newer.
@@ -37,6 +43,8 @@
     void noteStoreProblem();
     /// The listener is called after each change of the version in force.
     void onChange(std::function<void(const traffic_configuration &)> listener);
+    /// The listener is called each time a version has been taken from another node.
+    void onTakenFromNode(std::function<void()> listener);
 
     /// Queries.
 
@@ -46,6 +54,12 @@
         return m_current;
     }
 
+    /// The record of the version in force, as it is in the store; empty before the first one was read.
+    const std::string &record() const
+    {
+        return m_record;
+    }
+
     /// Position in the store up to which the configuration is known.
     std::optional<std::int64_t> position() const
     {
@@ -62,12 +76,18 @@
     /// Waits while a confirmation of the holder makes a read by this node unnecessary. False when this node has to read.
     boost::asio::awaitable<bool> waitForHolder();
     boost::asio::awaitable<std::optional<configuration_page>> read(bool afterFailure);
-    void applyConfiguration(std::optional<traffic_configuration> newest);
+    void applyConfiguration(std::optional<traffic_configuration> newest, std::string record);
+    /// Whether this node cannot read a version that another node has, as far as is known.
+    bool needsNode() const;
+    /// False when no newer version was taken.
+    boost::asio::awaitable<bool> askNode(configuration_provider &provider);
 
     fleet_store &m_store;
     std::uint64_t m_seed;
     std::function<void(const traffic_configuration &)> m_listener;
+    std::function<void()> m_takenListener;
     std::shared_ptr<const traffic_configuration> m_current;
+    std::string m_record;
     std::optional<std::int64_t> m_position;
     base::time_point m_confirmedAt;
     base::time_point m_shortPollUntil;
@@ -75,7 +95,11 @@
     std::int64_t m_holderPosition = -1;
     base::time_point m_holderConfirmedUntil;
     bool m_isHolder = false;
+    /// Whether the last read of the store has failed.
+    bool m_isReadFailing = false;
     net::change_signal m_wake;
+    /// Notified when needsNode() may have become true.
+    net::change_signal m_nodeNeeded;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -12,6 +12,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace chervilbend::fleet
@@ -21,6 +23,8 @@
 struct configuration_page {
     /// The newest version that was read; no value when there was no readable one.
     std::optional<traffic_configuration> newest;
+    /// The record that @c newest was decoded from.
+    std::string record;
     /// Position at which the next read continues.
     std::int64_t next = 0;
 };
@@ -84,6 +88,8 @@
     virtual boost::asio::awaitable<std::optional<configuration_page>> newestConfiguration() = 0;
     /// The records at or after @p position; waits up to @p wait for the first one.
     virtual boost::asio::awaitable<std::optional<configuration_page>> configurationFrom(std::int64_t position, base::milliseconds wait) = 0;
+    /// Decodes a record of the configuration that another node has read. Does not call the store.
+    virtual std::optional<traffic_configuration> decodeConfiguration(std::string_view record) = 0;
 
     virtual boost::asio::awaitable<std::optional<endpoint_page>> allEndpoints() = 0;
     virtual boost::asio::awaitable<std::optional<endpoint_page>> endpointsFrom(std::int64_t position) = 0;
--- a/packages/fleet/tests/memory_store.hpp
+++ b/packages/fleet/tests/memory_store.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace chervilbend::fleet::test
 {
@@ -43,6 +44,11 @@
         co_return fail(base::error_kind::logUnavailable, "not simulated");
     }
 
+    std::optional<traffic_configuration> decodeConfiguration(std::string_view /*record*/) override
+    {
+        return fail(base::error_kind::recordInvalid, "not simulated");
+    }
+
     boost::asio::awaitable<std::optional<endpoint_page>> allEndpoints() override
     {
         co_return fail(base::error_kind::logUnavailable, "not simulated");
--- a/packages/fleet/tests/restorable_store.hpp
+++ b/packages/fleet/tests/restorable_store.hpp
@@ -4,10 +4,14 @@
 #include <chervilbend/net/sleep.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace chervilbend::fleet::test
@@ -75,6 +79,14 @@
         co_return isAnswered ? std::optional(versionsFrom(offsetOf(position))) : std::nullopt;
     }
 
+    /// The records are version numbers.
+    std::optional<traffic_configuration> decodeConfiguration(std::string_view record) override
+    {
+        traffic_configuration configuration;
+        const std::from_chars_result result = std::from_chars(record.data(), record.data() + record.size(), configuration.version);
+        return result.ec == std::errc{} ? std::optional(configuration) : std::nullopt;
+    }
+
     boost::asio::awaitable<std::optional<endpoint_page>> allEndpoints() override
     {
         const bool isAnswered = co_await answer();
@@ -176,6 +188,7 @@
         page.next = positionAt(m_content.versions.size());
         if (offset < m_content.versions.size()) {
             page.newest.emplace().version = m_content.versions.back();
+            page.record = std::to_string(m_content.versions.back());
         }
         return page;
     }
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/configuration_read_method.hpp>
 #include <chervilbend/fleet/rate_limit_method.hpp>
 #include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/connect_probe.hpp>
@@ -148,6 +149,7 @@
     , m_peers(m_signer, std::make_shared<net::http_client>())
     , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_knowledge.rateLimits)
     , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, m_knowledge, m_rateLimitExchange)
+    , m_holderConfiguration(base::node_id(settings.node), m_lease, m_peers)
     , m_director(seedOf(settings), directorSettings(settings), m_knowledge)
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
@@ -236,6 +238,7 @@
         LOG4CXX_WARN(nodeLog(), base::log_event("promptPartRefused").with("part", part).with("lostEndpoints", losses).text());
     });
     m_rpc.add(std::make_shared<fleet::rate_limit_method>(m_rateLimitExchange));
+    m_rpc.add(std::make_shared<fleet::configuration_read_method>(base::node_id(m_settings.node), m_configuration, m_settings.linkRate));
     m_knowledge.rateLimits->onChange([](const routing::endpoint_process &process, std::optional<double> requestRate) {
         base::log_event event(requestRate ? "endpointLimited" : "endpointLimitEnded");
         event.with("endpoint", process.endpoint.value());
@@ -272,6 +275,7 @@
     start_signals::release();
     LOG4CXX_INFO(nodeLog(), base::log_event("started").with("node", m_settings.node).with("zone", m_settings.zone).with("listen", m_settings.listen).text());
     runInBackground("configuration", [this] { return m_configuration.run(); });
+    runInBackground("configuration from nodes", [this] { return m_configuration.followNodes(m_holderConfiguration); });
     runInBackground("endpoints", [this] { return m_endpointFollower.run(); });
     runInBackground("versions", [this] { return m_publishedVersions.run(); });
     runInBackground("origins", [this] { return m_streamOrigins.run(); });
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -10,6 +10,7 @@
 #include <chervilbend/fleet/engine_controller.hpp>
 #include <chervilbend/fleet/exchange_methods.hpp>
 #include <chervilbend/fleet/holder_client.hpp>
+#include <chervilbend/fleet/holder_configuration_provider.hpp>
 #include <chervilbend/fleet/known_residency.hpp>
 #include <chervilbend/fleet/published_versions.hpp>
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
@@ -120,6 +121,7 @@
     const routing::cluster_knowledge m_knowledge;
     fleet::rate_limit_exchange m_rateLimitExchange;
     fleet::holder_client m_holderClient;
+    fleet::holder_configuration_provider m_holderConfiguration;
 
     routing::adaptive_director m_director;
     admission m_admission;
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -52,6 +52,9 @@
     m_registry.gaugeFor("chervilbend_configuration_version", "Version of the configuration in force").readFrom([this] {
         return m_configuration.current() ? static_cast<double>(m_configuration.current()->version) : 0.0;
     });
+    base::counter &configurationsFromNodes = m_registry.counterFor(
+        "chervilbend_configurations_from_nodes_total", "Versions of the configuration that were taken from another node, because the store could not be read");
+    m_configuration.onTakenFromNode([&configurationsFromNodes] { configurationsFromNodes.add(); });
     m_registry.gaugeFor("chervilbend_configuration_age_seconds", "Since the store last confirmed the configuration").readFrom([this, ageSeconds] {
         return ageSeconds(m_configuration.confirmedAt());
     });
