--- a/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
@@ -18,8 +18,7 @@
 namespace
 {
 
-/// A node that reads the operators' record has it after this time, and needs no copy.
-constexpr base::milliseconds startDelay{150};
+constexpr base::milliseconds checkInterval{50};
 constexpr base::milliseconds readInterval{250};
 /// Changes that follow each other closely are written once.
 constexpr base::milliseconds writeInterval{1'000};
@@ -44,7 +43,6 @@
 
 asio::awaitable<void> configuration_backup::run(int index)
 {
-    co_await net::sleepFor(startDelay);
     co_await restore(index);
     std::int64_t writtenVersion = 0;
     while (true) {
@@ -61,6 +59,11 @@
 asio::awaitable<void> configuration_backup::restore(int index)
 {
     while (!m_follower.current()) {
+        // Before the operators have written their first version there is nothing to be restored.
+        if (!m_follower.isUnreadable()) {
+            co_await net::sleepFor(checkInterval);
+            continue;
+        }
         std::optional<configuration_copy> copy = co_await m_copies.read(index);
         if (copy && m_follower.applyCopy(std::move(copy->configuration), std::move(copy->record))) {
             m_restored.add();
--- a/packages/fleet/src/chervilbend/fleet/configuration_backup.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_backup.hpp
@@ -16,7 +16,8 @@
 
 /// Lets a node that starts while it can't read the operators' configuration serve by a copy of it.
 ///
-/// The holder of the command lease writes the copies after each change of the version in force. A node reads them only until it has a configuration. A copy
+/// The holder of the command lease writes the copies after each change of the version in force. A node reads them only while it has no configuration and can't
+/// read the operators' record. A copy
 /// may be older than the operators' record, so it counts as unconfirmed, and the follower goes on reading the store.
 class configuration_backup
 {
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
+#include <chervilbend/fleet/configuration_read_method.hpp>
 #include <chervilbend/fleet/rate_limit_method.hpp>
 #include <chervilbend/net/background_task.hpp>
 #include <chervilbend/net/connect_probe.hpp>
@@ -165,6 +166,7 @@
     , m_peers(m_signer, std::make_shared<net::http_client>())
     , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_knowledge.rateLimits, *m_knowledge.quotas)
     , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, m_knowledge, m_rateLimitExchange)
+    , m_holderConfiguration(base::node_id(settings.node), m_lease, m_peers)
     , m_director(seedOf(settings), directorSettings(settings), m_knowledge)
     , m_admission(m_context.get_executor(), m_director)
     , m_metrics(m_registry)
@@ -257,6 +259,7 @@
         LOG4CXX_WARN(nodeLog(), base::log_event("promptPartRefused").with("part", part).with("lostEndpoints", losses).text());
     });
     m_rpc.add(std::make_shared<fleet::rate_limit_method>(m_rateLimitExchange));
+    m_rpc.add(std::make_shared<fleet::configuration_read_method>(base::node_id(m_settings.node), m_configuration, m_settings.linkRate));
     m_knowledge.rateLimits->onChange([](const routing::endpoint_process &process, std::optional<double> requestRate) {
         base::log_event event(requestRate ? "endpointLimited" : "endpointLimitEnded");
         event.with("endpoint", process.endpoint.value());
@@ -297,6 +300,7 @@
     for (int copy = 0; copy < m_configurationCopies.count(); ++copy) {
         runInBackground("configuration copy", [this, copy] { return m_configurationBackup.run(copy); });
     }
+    runInBackground("configuration from nodes", [this] { return m_configuration.followNodes(m_holderConfiguration); });
     runInBackground("endpoints", [this] { return m_endpointFollower.run(); });
     runInBackground("versions", [this] { return m_publishedVersions.run(); });
     runInBackground("origins", [this] { return m_streamOrigins.run(); });
