Withhold no shares of an allocator's own for reports that arrive out of order

A report that was taken before an account's first request and arrives after the report of that request drops the node's entry. Only shares of another allocator are inherited now.

--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -102,7 +102,7 @@
 
 quota_grant quota_allocator::answerFor(account_bucket &bucket, const quota_report &report, const quota_usage &usage, bool isOwnGrant, base::time_point now)
 {
-    adopt(bucket, report, usage, now);
+    adopt(bucket, report, usage, isOwnGrant, now);
     refill(bucket, now);
     settle(bucket, report, usage, isOwnGrant, now);
     node_share &node = bucket.nodes[report.node];
@@ -130,7 +130,7 @@
     return result;
 }
 
-void quota_allocator::adopt(account_bucket &bucket, const quota_report &report, const quota_usage &usage, base::time_point now)
+void quota_allocator::adopt(account_bucket &bucket, const quota_report &report, const quota_usage &usage, bool isOwnGrant, base::time_point now)
 {
     const auto known = bucket.nodes.find(report.node);
     if (known != bucket.nodes.end() && known->second.process == report.process) {
@@ -138,7 +138,8 @@
     }
     // The shares and grants of an earlier process ended with it.
     bucket.nodes.erase(report.node);
-    if (!report.answerAge || usage.share.sumOfRates <= 0) {
+    // A node whose reports arrive out of order may bring a share that this allocator has named and dropped.
+    if (isOwnGrant || !report.answerAge || usage.share.sumOfRates <= 0) {
         return;
     }
     if (!bucket.hasInherited) {
--- a/packages/routing/src/chervilbend/routing/quota_allocator.hpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.hpp
@@ -63,7 +63,7 @@
     static void refill(account_bucket &bucket, base::time_point now);
     static double reservedUnits(const account_bucket &bucket, base::time_point from, base::time_point to);
     static double capacityOf(const account_bucket &bucket, base::time_point now);
-    static void adopt(account_bucket &bucket, const quota_report &report, const quota_usage &usage, base::time_point now);
+    static void adopt(account_bucket &bucket, const quota_report &report, const quota_usage &usage, bool isOwnGrant, base::time_point now);
     static void settle(account_bucket &bucket, const quota_report &report, const quota_usage &usage, bool isOwnGrant, base::time_point now);
     static grant_parts divide(account_bucket &bucket, const quota_usage &usage, double demandSum, base::time_point now);
     static quota_grant answerFor(account_bucket &bucket, const quota_report &report, const quota_usage &usage, bool isOwnGrant, base::time_point now);
--- a/packages/routing/tests/account_quota_test.cpp
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(raisedLimitIsUsed);
     CPPUNIT_TEST(refundedUnitsAreUsable);
     CPPUNIT_TEST(accountThatTheAllocatorLacksIsServed);
+    CPPUNIT_TEST(reportsOutOfOrderWithholdNothing);
     CPPUNIT_TEST(randomHistoriesKeepTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -286,6 +287,42 @@
         CPPUNIT_ASSERT(second->decision == quota_decision::admitted);
     }
 
+    /// The periodic report was taken before the account's first request, and arrives after the report of that request.
+    void reportsOutOfOrderWithholdNothing()
+    {
+        base::manual_time_source time;
+        account_quotas quotas;
+        quota_allocator allocator;
+        const base::account_id account("a");
+        const std::map<base::account_id, quota_limit> limits{{account, {1'000, 1'000}}};
+        quotas.setLimits(limits);
+        allocator.setLimits(limits);
+        time.advance(milliseconds(1'000));
+        account_quotas other;
+        other.setLimits(limits);
+        other.setIdentity(base::node_id("other"), 2);
+        other.charge(account, 100);
+        const quota_report ofOther = other.takeReport();
+        other.apply(ofOther, allocator.answer(ofOther, false, true));
+        const quota_report periodic = quotas.takeReport();
+        quotas.charge(account, 100);
+        const quota_report urgent = quotas.takeReport();
+        quotas.apply(urgent, allocator.answer(urgent, false, true));
+        allocator.answer(periodic, true, true);
+        double admitted = 0;
+        for (int i = 0; i < 80; ++i) {
+            time.advance(milliseconds(100));
+            other.charge(account, 1);
+            const quota_report next = other.takeReport();
+            other.apply(next, allocator.answer(next, true, true));
+            const auto request = quotas.charge(account, 100);
+            const quota_report report = quotas.takeReport();
+            quotas.apply(report, allocator.answer(report, true, true));
+            admitted += request->decision == quota_decision::admitted ? 100 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted) + " of 8000", admitted >= 7'500);
+    }
+
     /// Nodes come, go, stand still and are cut off with grants in hand, and the holder changes, all at random.
     void randomHistoriesKeepTheLimit()
     {
