Refuse answers whose status is outside HTTP, and keep unnamed numbers

http_client_stream took each status below 200 for an interim answer and believed what followed 000 or 099; 600 and 999 were passed on. Callers got 000 for them and for each number without a name (250, 520), as responses were built from response::result(). The header of an answer is now checked in one place: a status outside 200 to 599 that is not interim is an invalid answer, the request may have run, and the connection is closed. Number and reason are copied together (net::copyStatus).

--- a/packages/control/src/chervilbend/control/order_answer.hpp
+++ b/packages/control/src/chervilbend/control/order_answer.hpp
@@ -12,6 +12,8 @@
     base::run_state state = base::run_state::unknown;
     /// HTTP status of the endpoint's answer; 0 if there was none.
     int httpStatus = 0;
+    /// Reason phrase of the endpoint's answer. Records have none.
+    std::string reasonPhrase;
     std::string contentType;
     std::string body;
     /// Reason if there is no answer from an endpoint.
--- a/packages/external/tests/http_adapters_test.cpp
+++ b/packages/external/tests/http_adapters_test.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/external/http/http_weight_store.hpp>
 #include <chervilbend/net/http_client.hpp>
 
+#include "../../net/tests/answer_statuses.hpp"
 #include "../../net/tests/raw_peer.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -69,6 +70,11 @@
             CPPUNIT_ASSERT_MESSAGE(ambiguous, append().status == append_status::unknown);
             CPPUNIT_ASSERT_MESSAGE(ambiguous, !m_log->lastReason().text.empty());
         }
+        for (const std::string &status : net::test::statusesOutsideTheProtocol) {
+            answerWith(net::test::emptyAnswer(status) + ok(R"({"offset":7})"));
+            CPPUNIT_ASSERT_MESSAGE(status, append().status == append_status::unknown);
+            CPPUNIT_ASSERT_MESSAGE(m_log->lastReason().text, m_log->lastReason().text.find("outside") != std::string::npos);
+        }
         closePort();
         CPPUNIT_ASSERT(append().status == append_status::refused);
     }
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/net/http_client_stream.hpp>
 
+#include <chervilbend/net/answer_status.hpp>
 #include <chervilbend/net/connection.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/internal/message_framing.hpp>
@@ -152,12 +153,19 @@
             co_return false;
         }
         const http::response_header<> &answer = header();
+        const unsigned status = answer.result_int();
+        if (!isFinalStatus(status) && !isInterimStatus(status)) {
+            closeAfterAnswer();
+            m_connection->close();
+            fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer has status " + statusText(status) + ", which is outside 200 to 599");
+            co_return false;
+        }
         if (hasAmbiguousLength(answer) || answer.result() == http::status::switching_protocols) {
             m_connection->close();
             fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer has an ambiguous length or switches protocols");
             co_return false;
         }
-        if (answer.result_int() >= 200) {
+        if (isFinalStatus(status)) {
             reserveForBody();
             co_return true;
         }
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -35,7 +35,8 @@
     http_client_stream(const http_client_stream &) = delete;
     http_client_stream &operator=(const http_client_stream &) = delete;
 
-    /// Reads the header. False with a last reason when the connection fails or the answer is malformed.
+    /// Reads the header, after those of interim answers. False with a last reason when the connection fails, or the answer is malformed or has a status that is
+    /// not from 200 to 599.
     boost::asio::awaitable<bool> readHeader();
 
     /// Discards the rest of this answer and reads the header of the next one on the connection, for an answer that belongs to another request. The connection
--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -1,3 +1,4 @@
+#include "answer_statuses.hpp"
 #include "raw_peer.hpp"
 
 #include <chervilbend/net/http_client.hpp>
@@ -42,14 +43,14 @@
     return options;
 }
 
-/// Sends one request to an endpoint that answers with @p text and then closes the connection if @p closes is set.
+/// Sends one request to an endpoint that answers with @p sent and then closes the connection if @p closes is set.
 struct single_exchange {
-    explicit single_exchange(const std::string &text, bool closes = true, http_request request = get())
+    explicit single_exchange(const std::string &sent, bool closes = true, http_request request = get())
     {
         asio::io_context context;
-        raw_server endpoint(context, [text, closes](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+        raw_server endpoint(context, [sent, closes](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
             co_await caller->readUntil("\r\n\r\n");
-            co_await caller->send(text);
+            co_await caller->send(sent);
             if (!closes) {
                 co_await caller->readToEnd();
             }
@@ -59,11 +60,13 @@
         runUntilDone(context,
                      [&]() -> asio::awaitable<void> { response = co_await client.send(endpointAddress, request, withAnswerTimeout(closes ? 10'000 : 200)); });
         kind = client.lastReason().kind;
+        text = client.lastReason().text;
         timedOut = client.hasTimedOut();
     }
 
     std::optional<http_response> response;
     base::error_kind kind;
+    std::string text;
     bool timedOut;
 };
 
@@ -76,6 +79,10 @@
     CPPUNIT_TEST(acceptsOnlyCompleteAnswers);
     CPPUNIT_TEST(refusesMalformedAnswers);
     CPPUNIT_TEST(skipsInterimAnswers);
+    CPPUNIT_TEST(interimAnswersAreBounded);
+    CPPUNIT_TEST(statusOutsideTheProtocolIsNoAnswer);
+    CPPUNIT_TEST(connectionIsNotKeptAfterAStatusOutsideTheProtocol);
+    CPPUNIT_TEST(unnamedStatusKeepsItsNumberAndReason);
     CPPUNIT_TEST(reportsUnsentRequests);
     CPPUNIT_TEST(doesNotUseStaleConnections);
     CPPUNIT_TEST(freshConnectionIsNotPooled);
@@ -149,6 +156,65 @@
         CPPUNIT_ASSERT(head.response && head.response->body().empty());
     }
 
+    /// Guards against a peer that keeps the event loop busy until the deadline.
+    void interimAnswersAreBounded()
+    {
+        std::string interim;
+        for (int i = 0; i < 20; ++i) {
+            interim += "HTTP/1.1 199 Wait\r\n\r\n";
+        }
+        const single_exchange endless(interim + ok);
+        CPPUNIT_ASSERT(!endless.response && endless.kind == base::error_kind::endpointInvalidAnswer);
+    }
+
+    /// Guards against believing the answer that follows one with such a status, and against passing the status on.
+    void statusOutsideTheProtocolIsNoAnswer()
+    {
+        for (const std::string &status : statusesOutsideTheProtocol) {
+            const single_exchange outside(emptyAnswer(status) + ok);
+            CPPUNIT_ASSERT_MESSAGE(status, !outside.response && outside.kind == base::error_kind::endpointInvalidAnswer && !outside.timedOut);
+            CPPUNIT_ASSERT_MESSAGE(outside.text, outside.text.find("status " + status) != std::string::npos);
+        }
+        for (const std::string &status : malformedStatuses) {
+            const single_exchange malformed(emptyAnswer(status) + ok);
+            CPPUNIT_ASSERT_MESSAGE(status, !malformed.response && malformed.kind == base::error_kind::endpointInvalidAnswer && !malformed.timedOut);
+        }
+    }
+
+    /// Guards against taking what the endpoint writes after such an answer for the answer to the next request.
+    void connectionIsNotKeptAfterAStatusOutsideTheProtocol()
+    {
+        for (const std::string &status : statusesOutsideTheProtocol) {
+            asio::io_context context;
+            raw_server endpoint(context, [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                const std::string answer = endpoint.connections == 1 ? emptyAnswer(status) : ok;
+                while (!(co_await caller->readUntil("\r\n\r\n")).empty()) {
+                    co_await caller->send(answer);
+                }
+            });
+            http_client client;
+            const address endpointAddress = loopback(endpoint.port());
+            std::optional<http_response> outside;
+            std::optional<http_response> next;
+            runUntilDone(context, [&]() -> asio::awaitable<void> {
+                outside = co_await client.send(endpointAddress, get(), withAnswerTimeout(200));
+                next = co_await client.send(endpointAddress, get(), withAnswerTimeout(2'000));
+            });
+            CPPUNIT_ASSERT_MESSAGE(status, !outside && next);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 2, endpoint.connections);
+        }
+    }
+
+    void unnamedStatusKeepsItsNumberAndReason()
+    {
+        for (const unsigned status : {250U, 299U, 399U, 499U, 520U, 599U}) {
+            const single_exchange unnamed("HTTP/1.1 " + std::to_string(status) + " Own Reason\r\nContent-Length: 2\r\n\r\nok");
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), unnamed.response && unnamed.response->result_int() == status);
+            CPPUNIT_ASSERT_EQUAL(std::string("Own Reason"), std::string(unnamed.response->reason()));
+            CPPUNIT_ASSERT_EQUAL(std::string("ok"), unnamed.response->body());
+        }
+    }
+
     void reportsUnsentRequests()
     {
         asio::io_context context;
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/node/callers/forwarder.hpp>
 
+#include <chervilbend/net/answer_status.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
@@ -36,7 +37,8 @@
 
 asio::awaitable<bool> startStream(std::shared_ptr<net::http_exchange> exchange, std::shared_ptr<net::http_client_stream> answer)
 {
-    http::response<http::empty_body> header(answer->header().result(), 11);
+    http::response<http::empty_body> header;
+    net::copyStatus(answer->header(), header);
     copyResponseFields(answer->header(), header);
     header.set(runStateField, "ran");
     co_return co_await exchange->startStream(std::move(header));
@@ -141,7 +143,8 @@
         co_await request->exchange->respond(problemAnswer(result.why));
         co_return result;
     }
-    net::http_response complete(answer->header().result(), 11);
+    net::http_response complete;
+    net::copyStatus(answer->header(), complete);
     copyResponseFields(answer->header(), complete);
     bool ended = false;
     while (!ended) {
--- a/packages/node/src/chervilbend/node/callers/order_handler.cpp
+++ b/packages/node/src/chervilbend/node/callers/order_handler.cpp
@@ -4,6 +4,7 @@
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/config/work_class_name.hpp>
 #include <chervilbend/control/order_gateway.hpp>
+#include <chervilbend/net/answer_status.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_exchange.hpp>
 #include <chervilbend/net/timer.hpp>
@@ -95,7 +96,14 @@
     if (answer.httpStatus == 0) {
         return problemAnswer({answer.kind, answer.detail}, answer.state);
     }
-    net::http_response response(static_cast<http::status>(answer.httpStatus), 11);
+    const auto status = static_cast<unsigned>(answer.httpStatus);
+    // Builds before this check have recorded statuses up to 999.
+    if (!net::isFinalStatus(status)) {
+        return problemAnswer({base::error_kind::endpointInvalidAnswer, "the recorded answer has status " + std::to_string(answer.httpStatus)},
+                             base::run_state::unknown);
+    }
+    net::http_response response;
+    net::setStatus(response, status, answer.reasonPhrase);
     if (!answer.contentType.empty()) {
         response.set(http::field::content_type, answer.contentType);
     }
@@ -222,6 +230,7 @@
             control::order_answer answer;
             answer.state = base::run_state::ran;
             answer.httpStatus = static_cast<int>(response->result_int());
+            answer.reasonPhrase = net::reasonOf(*response);
             const auto type = (*response)[http::field::content_type];
             answer.contentType.assign(type.data(), type.size());
             answer.body = std::move(response->body());
--- a/packages/node/tests/request_relay_test.cpp
+++ b/packages/node/tests/request_relay_test.cpp
@@ -1,3 +1,4 @@
+#include "../../net/tests/answer_statuses.hpp"
 #include "route_api_fixture.hpp"
 
 #include <chervilbend/node/callers/endpoint_reachability.hpp>
@@ -122,6 +123,8 @@
     CPPUNIT_TEST(refusalOfAnotherRequestByAHelperIsSkipped);
     CPPUNIT_TEST(copyOfAHelpersRefusalIsNotBelieved);
     CPPUNIT_TEST(lostHelperMeansThatTheRequestMayHaveRun);
+    CPPUNIT_TEST(statusOutsideTheProtocolIsNoAnswerOfAHelper);
+    CPPUNIT_TEST(unnamedStatusOfAHelperArrives);
     CPPUNIT_TEST(streamGoesOnAtTheHelper);
     CPPUNIT_TEST(streamWithoutEventsMayBeginAtAnyVersion);
     CPPUNIT_TEST(withoutHelpersRequestsAreRefusedAtOnce);
@@ -250,6 +253,31 @@
         }
     }
 
+    /// Helpers of earlier builds pass such answers on: the caller would get the status, or the request would run at the next helper, too.
+    void statusOutsideTheProtocolIsNoAnswerOfAHelper()
+    {
+        for (const std::string &status : net::test::statusesOutsideTheProtocol) {
+            stranded_fixture fixture;
+            fixture.strand();
+            fixture.addHelper(sealedResponse("", "own1", status + " X") + sealedResponse("next"));
+            fixture.addHelper(sealedResponse("helped"));
+            const std::string answer = fixture.ask("/order/x");
+            CPPUNIT_ASSERT_MESSAGE(net::test::describe(status, answer), answer.starts_with("HTTP/1.1 502 "));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.received.size());
+            const std::string repeated = fixture.ask("/status/x");
+            CPPUNIT_ASSERT_MESSAGE(net::test::describe(status, repeated), repeated.ends_with("helped"));
+        }
+    }
+
+    void unnamedStatusOfAHelperArrives()
+    {
+        stranded_fixture fixture;
+        fixture.strand();
+        fixture.addHelper(sealedResponse("why", "own1", "520 Origin Failed"));
+        const std::string answer = fixture.ask("/order/x");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 520 Origin Failed\r\n") && answer.ends_with("why"));
+    }
+
     void streamGoesOnAtTheHelper()
     {
         stranded_fixture fixture;
--- a/packages/peers/tests/rpc_test.cpp
+++ b/packages/peers/tests/rpc_test.cpp
@@ -1,3 +1,6 @@
+#include "../../net/tests/answer_statuses.hpp"
+#include "../../net/tests/raw_peer.hpp"
+
 #include <chervilbend/net/http_server.hpp>
 #include <chervilbend/peers/rpc_client.hpp>
 #include <chervilbend/peers/rpc_headers.hpp>
@@ -47,6 +50,7 @@
     CPPUNIT_TEST(returnsResultsAndErrors);
     CPPUNIT_TEST(refusesWrongKeysAndCountsThem);
     CPPUNIT_TEST(reportsAnUnavailablePeer);
+    CPPUNIT_TEST(statusOutsideTheProtocolIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +103,22 @@
         CPPUNIT_ASSERT(m_why.kind == base::error_kind::peerUnavailable);
     }
 
+    /// The answer that follows one with such a status would be taken for that to the call.
+    void statusOutsideTheProtocolIsNoAnswer()
+    {
+        for (const std::string &status : net::test::statusesOutsideTheProtocol) {
+            net::test::raw_server peer(m_context, [&](std::shared_ptr<net::test::raw_peer> caller) -> boost::asio::awaitable<void> {
+                co_await caller->readUntil("\r\n\r\n");
+                co_await caller->send(net::test::emptyAnswer(status) + net::test::emptyAnswer("401"));
+                co_await caller->readToEnd();
+            });
+            m_peer.port = peer.port();
+            CPPUNIT_ASSERT(!call("key", "greet", Json::Value(Json::objectValue)));
+            CPPUNIT_ASSERT(m_why.kind == base::error_kind::peerUnavailable);
+            CPPUNIT_ASSERT_MESSAGE(m_why.text, m_why.text.find("does not answer") != std::string::npos && m_why.text.find(status) != std::string::npos);
+        }
+    }
+
 private:
     std::optional<Json::Value> call(const std::string &key, const std::string &method, const Json::Value &parameters)
     {
