Soak: answer with statuses outside HTTP and without a name

The stand-in servers had no such answers, so no soak could show what nodes do with them. Two more of the faulty forms seal an answer of 000, 099, 600 or 999 before a proper one, and one of 520 with its own reason and body; the callers report a status outside 200 to 599, or a changed 520, as MIXED.

--- a/packages/fakes/src/chervilbend/fakes/platform/answer_form.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/answer_form.cpp
@@ -11,7 +11,7 @@
 {
 
 /// In the order of the enumeration.
-constexpr std::array<std::string_view, 20> names{
+constexpr std::array<std::string_view, 22> names{
     "proper",
     "refused",
     "refusedAndClosed",
@@ -32,9 +32,11 @@
     "ranAndCutInHeader",
     "ranAndBusy",
     "ranTooLong",
+    "ranWithStatusOutsideHttp",
+    "ranWithUnnamedStatus",
 };
 
-static_assert(names.size() == static_cast<std::size_t>(answer_form::ranTooLong) + 1);
+static_assert(names.size() == static_cast<std::size_t>(answer_form::ranWithUnnamedStatus) + 1);
 
 } // namespace
 
--- a/packages/fakes/src/chervilbend/fakes/platform/answer_form.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/answer_form.hpp
@@ -48,6 +48,10 @@
     ranAndBusy,
     /// Runs it, and answers after its deadline.
     ranTooLong,
+    /// Runs it, and seals an answer whose status is none of HTTP, before a proper one.
+    ranWithStatusOutsideHttp,
+    /// Runs it, and seals an answer whose status has no name.
+    ranWithUnnamedStatus,
 };
 
 std::string_view toString(answer_form form);
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdio>
 #include <optional>
@@ -34,6 +35,7 @@
 constexpr base::milliseconds longestCopyDelay{60};
 constexpr base::milliseconds eventGap{20};
 constexpr int queuedPerSlot = 1;
+constexpr std::array<std::string_view, 4> statusesOutsideHttp{"000", "099", "600", "999"};
 
 std::string fieldOf(const net::http_request &request, std::string_view name)
 {
@@ -129,6 +131,11 @@
 
 application_server::~application_server() = default;
 
+std::string application_server::unnamedBody(const std::string &attempt)
+{
+    return "failed " + attempt;
+}
+
 void application_server::start(bool keepsId)
 {
     m_lives += keepsId && m_lives > 0 ? 0 : 1;
@@ -348,6 +355,11 @@
     case answer_form::ranAfterUnnamedRefusal:
         caller->write(refusal({}));
         break;
+    case answer_form::ranWithStatusOutsideHttp:
+        caller->write(message(drawStatusOutsideHttp(), fields));
+        break;
+    case answer_form::ranWithUnnamedStatus:
+        co_return caller->write(message(std::to_string(unnamedStatus) + ' ' + std::string(unnamedReason), fields, unnamedBody(run.attempt)));
     case answer_form::ranWithInterimAnswers:
         caller->write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nChervilbend-Not-Executed: 1\r\n\r\n");
         break;
@@ -440,6 +452,12 @@
     asio::co_spawn(m_executor, write, asio::detached);
 }
 
+std::string application_server::drawStatusOutsideHttp()
+{
+    const std::int64_t last = static_cast<std::int64_t>(statusesOutsideHttp.size()) - 1;
+    return std::string(statusesOutsideHttp[static_cast<std::size_t>(m_random.between(0, last))]) + " None";
+}
+
 answer_form application_server::drawForm()
 {
     if (m_options.forms.empty() || !m_random.chance(m_options.faultyShare)) {
--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chervilbend::fakes
@@ -47,6 +48,11 @@
 public:
     /// Of a stream that is no feed; they have the texts of event_feed, with the attempt in place of the target.
     static constexpr int eventsPerStream = 6;
+    /// Status and reason of an answer in the form ranWithUnnamedStatus.
+    static constexpr int unnamedStatus = 520;
+    static constexpr std::string_view unnamedReason = "Origin Failed";
+    /// Its body.
+    static std::string unnamedBody(const std::string &attempt);
 
     /// The references must outlive the object, and the object the event loop.
     application_server(
@@ -89,6 +95,7 @@
     /// Writes the parts, each some milliseconds after the one before.
     void writeLater(const std::shared_ptr<served_connection> &served, std::vector<std::string> parts);
     answer_form drawForm();
+    std::string drawStatusOutsideHttp();
 
     boost::asio::any_io_executor m_executor;
     metadata_store &m_store;
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/fakes/platform/application_server.hpp>
 #include <chervilbend/fakes/platform/caller_message.hpp>
 #include <chervilbend/fakes/platform/event_feed.hpp>
+#include <chervilbend/net/answer_status.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/net/timer.hpp>
 #include <chervilbend/soak/node_processes.hpp>
@@ -311,6 +312,19 @@
 
 void caller::checkAnswer(const caller_request &request, const std::string &id, const net::http_response &answer)
 {
+    if (!net::isFinalStatus(answer.result_int())) {
+        m_ledger.onWrongAnswer(id, "status " + net::statusText(answer.result_int()));
+        return;
+    }
+    if (answer.result_int() == fakes::application_server::unnamedStatus) {
+        const auto reason = answer.reason();
+        const bool isUnchanged = std::string_view(reason.data(), reason.size()) == fakes::application_server::unnamedReason
+            && answer.body() == fakes::application_server::unnamedBody(id) && fakes::isSealed(answer);
+        if (!isUnchanged) {
+            m_ledger.onWrongAnswer(id, "an unnamed status with another reason, body or seal");
+        }
+        return;
+    }
     if (answer.result_int() != okStatus) {
         return;
     }
