--- a/packages/routing/src/chervilbend/routing/account_quotas.cpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/routing/account_quotas.hpp>
 
+#include <chervilbend/routing/internal/quota_time.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -10,7 +12,6 @@
 namespace
 {
 
-constexpr double millisecondsPerSecond = 1'000;
 /// Time constant of the estimate of an account's demand at this node.
 constexpr double demandSeconds = 1;
 /// Demand for which a node wants grants in advance: until its next report, and some more for an uneven load.
@@ -29,21 +30,10 @@
 constexpr double freshPart = 0.5;
 /// Time over which the spending of an isolated node may vary.
 constexpr double isolatedSeconds = 1;
-constexpr base::milliseconds mostRetryAfter{5'000};
+constexpr base::milliseconds leastRetryAfter{1};
 /// Units by which a grant may be short of the cost that it was asked for: messages have thousandths.
 constexpr double roundingTolerance = 0.01;
 
-double secondsOf(base::milliseconds duration)
-{
-    return static_cast<double>(duration.count()) / millisecondsPerSecond;
-}
-
-base::milliseconds retryAfter(double units, double rate)
-{
-    const double most = secondsOf(mostRetryAfter);
-    return base::milliseconds(static_cast<std::int64_t>((rate > 0 ? std::clamp(units / rate, 0.0, most) : most) * millisecondsPerSecond));
-}
-
 } // namespace
 
 void account_quotas::setLimits(const std::map<base::account_id, quota_limit> &limits)
@@ -102,9 +92,9 @@
     if (state.waiting.empty() && spend(state, cost, now)) {
         request->decision = quota_decision::admitted;
     } else if (isIsolated(state)) {
-        refuse(*request, retryAfter(cost - state.isolatedBalance, isolatedRate(state, now)));
+        refuse(*request, accrualTime(cost - state.isolatedBalance, isolatedRate(state, now), leastRetryAfter));
     } else if (now < state.askAgainAt) {
-        refuse(*request, std::max(state.askAgainAt - now, retryAfter(cost, state.share.rate)));
+        refuse(*request, std::max(state.askAgainAt - now, accrualTime(cost, state.share.rate, leastRetryAfter)));
     } else {
         state.waiting.push_back(request);
         if (m_wantedListener) {
@@ -192,7 +182,7 @@
 void account_quotas::refuse(quota_request &request, base::milliseconds retryAfter)
 {
     request.decision = quota_decision::refused;
-    request.retryAfter = std::clamp(retryAfter, base::milliseconds(1), mostRetryAfter);
+    request.retryAfter = std::clamp(retryAfter, leastRetryAfter, mostQuotaWait);
 }
 
 void account_quotas::abandon(quota_request &request)
@@ -326,7 +316,8 @@
     setIsolated(true);
     const base::time_point now = base::clock::bootNow();
     for (auto &[id, state] : m_accounts) {
-        const base::milliseconds wait = state.waiting.empty() ? base::milliseconds(0) : retryAfter(state.waiting.front()->cost, isolatedRate(state, now));
+        const base::milliseconds wait =
+            state.waiting.empty() ? base::milliseconds(0) : accrualTime(state.waiting.front()->cost, isolatedRate(state, now), leastRetryAfter);
         decideWaiting(state, m_lastReport + 1, wait, now);
     }
     if (m_decisionListener) {
--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/routing/quota_allocator.hpp>
 
+#include <chervilbend/routing/internal/quota_time.hpp>
+
 #include <algorithm>
 
 namespace chervilbend::routing
@@ -8,7 +10,6 @@
 namespace
 {
 
-constexpr double millisecondsPerSecond = 1'000;
 /// An account with a rate and no burst could otherwise use nothing: its bucket holds at least what accrues in this time.
 constexpr double leastCapacitySeconds = 0.25;
 /// Below what all nodes ask for in this time, the rest is divided by demand; otherwise whoever reports first would take it.
@@ -18,12 +19,6 @@
 /// Part of the rest that one report takes in advance, so that requests that wait elsewhere find something.
 constexpr double advancePart = 0.25;
 constexpr base::milliseconds leastRetryAfter{100};
-constexpr base::milliseconds mostRetryAfter{5'000};
-
-double secondsOf(base::milliseconds duration)
-{
-    return static_cast<double>(duration.count()) / millisecondsPerSecond;
-}
 
 /// Seconds that two spans of time have in common.
 double overlap(base::time_point from, base::time_point to, base::time_point otherFrom, base::time_point otherTo)
@@ -36,14 +31,6 @@
     return std::max(limit.burst, limit.rate * leastCapacitySeconds);
 }
 
-base::milliseconds retryAfter(double units, double rate)
-{
-    const double least = secondsOf(leastRetryAfter);
-    const double most = secondsOf(mostRetryAfter);
-    const double seconds = rate > 0 ? std::clamp(units / rate, least, most) : most;
-    return base::milliseconds(static_cast<std::int64_t>(seconds * millisecondsPerSecond));
-}
-
 } // namespace
 
 void quota_allocator::setLimits(const std::map<base::account_id, quota_limit> &limits)
@@ -125,7 +112,7 @@
     result.share = {node.rate, otherRates + node.rate, std::max(0.0, bucket.available)};
     if (granted.waiting < usage.waiting - usage.balance) {
         // Others ask too, so what this node can count on is its part of the rate.
-        result.retryAfter = retryAfter(usage.firstWaiting, bucket.limit.rate * part);
+        result.retryAfter = accrualTime(usage.firstWaiting, bucket.limit.rate * part, leastRetryAfter);
     }
     return result;
 }
