Mend what a first reader of the change found

A request waited no longer for a grant than an exchange may take, so it was refused before the node could decide by its share: 450 ms in place of 300. Of two entries of an account the limit of the last counted, and the key of the first. A relayed request was counted as admitted twice. Copies of the configuration are written only from a version that the store has confirmed. An isolated node with an old answer had a part of the burst. The retry budget rounded its window down.

--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -321,15 +321,19 @@
         fractionSetting("linkRate", "Mbit/s", 0.1, 100'000, "Rate of this node's network link, of which updates to other nodes use a part", &s::linkRate),
         fractionSetting("retryShare", "of a service's requests", 0, 1, "Maximum share of retries to a service's endpoints, over all nodes", &s::retryShare),
         fractionSetting("retryBurst", "requests", 0, 1'000'000, "Retries that are allowed in addition to retryShare, over all nodes", &s::retryBurst),
-        durationSetting("retryWindow", 0ms, 10min, "Period for which retryShare and retryBurst hold; with 0 s, unused retries are not kept", &s::retryWindow),
+        durationSetting("retryWindow",
+                        0ms,
+                        10min,
+                        "Period over which retries are limited to retryShare of the requests plus retryBurst; with 0 s, a token bucket is used instead",
+                        &s::retryWindow),
         durationSetting("loadWindow", 100ms, 10min, "Period over which loads from the weight store are counted", &s::loadWindow),
         fractionSetting("loadOvershoot", "of the store's rate", 0.1, 10, "Loads from the weight store that may start within loadWindow", &s::loadOvershoot),
         durationSetting(
             "configurationBound",
             100ms,
             10min,
-            "Time after which a new version of the configuration is in force on all nodes; a node that has not heard of it for longer does not call "
-            "a key unknown",
+            "Time after which a new version of the configuration is in force on all nodes; a node whose configuration the store has not confirmed for "
+            "longer answers an unknown key with 503 instead of 401",
             &s::configurationBound),
         flagSetting(
             "strictRevocation", "Refuse requests that need a key when the configuration has not been confirmed for revocationBound", &s::strictRevocation),
--- a/packages/control/src/chervilbend/control/order_answer.hpp
+++ b/packages/control/src/chervilbend/control/order_answer.hpp
@@ -12,7 +12,7 @@
     base::run_state state = base::run_state::unknown;
     /// HTTP status of the endpoint's answer; 0 if there was none.
     int httpStatus = 0;
-    /// Reason phrase of the endpoint's answer. Records have none.
+    /// Reason phrase of the endpoint's answer. Not stored in the order's record, so empty when the answer is repeated from there.
     std::string reasonPhrase;
     std::string contentType;
     std::string body;
--- a/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
@@ -22,7 +22,7 @@
 constexpr base::milliseconds readInterval{250};
 /// Changes that follow each other closely are written once.
 constexpr base::milliseconds writeInterval{1'000};
-/// A copy is out of date while it can't be written, which is no reason to press on.
+/// Longer than writeInterval: a copy that is out of date is harmless, so a store that fails is not called more often.
 constexpr base::milliseconds writeRetryInterval{3'000};
 
 const log4cxx::LoggerPtr &configLog()
@@ -79,7 +79,8 @@
 {
     const std::int64_t version = m_follower.current()->version;
     const std::string record = m_follower.record();
-    if (version <= writtenVersion || record.empty()) {
+    // A version that the store has not confirmed may itself come from a copy, and another copy may be newer.
+    if (version <= writtenVersion || record.empty() || !m_follower.position()) {
         co_return;
     }
     const bool isWritten = co_await m_copies.write(index, record);
--- a/packages/fleet/src/chervilbend/fleet/quota_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/quota_json.cpp
@@ -13,7 +13,8 @@
 {
 
 /// Units are sent as whole thousandths, which are exact and much shorter than the digits of a floating-point number.
-constexpr double scale = 1'000;
+constexpr double stepsPerUnit = 1'000;
+constexpr double millisecondsPerSecond = 1'000;
 constexpr std::int64_t largestNumber = std::int64_t{1} << 50U;
 
 constexpr std::size_t usageNumbers = 10;
@@ -24,7 +25,7 @@
 {
     Json::Value list(Json::arrayValue);
     for (const double number : numbers) {
-        const double scaled = std::min(std::max(0.0, number) * scale, static_cast<double>(largestNumber));
+        const double scaled = std::min(std::max(0.0, number) * stepsPerUnit, static_cast<double>(largestNumber));
         list.append(static_cast<Json::Int64>(std::llround(scaled)));
     }
     return list;
@@ -42,7 +43,7 @@
         if (!number.isInt64() || number.asInt64() < 0 || number.asInt64() > largestNumber) {
             return false;
         }
-        numbers[i] = static_cast<double>(number.asInt64()) / scale;
+        numbers[i] = static_cast<double>(number.asInt64()) / stepsPerUnit;
     }
     return true;
 }
@@ -59,6 +60,7 @@
     Json::Value json(Json::objectValue);
     json["node"] = report.node.value();
     json["process"] = static_cast<Json::Int64>(report.process);
+    json["term"] = static_cast<Json::Int64>(report.term);
     if (report.answerAge) {
         json["answerAgeMs"] = static_cast<Json::Int64>(report.answerAge->count());
     }
@@ -81,11 +83,12 @@
 routing::quota_report readQuotaReport(const Json::Value &json)
 {
     routing::quota_report report;
-    if (!hasText(json, "node") || !json["process"].isInt64() || !json["accounts"].isObject()) {
+    if (!hasText(json, "node") || !json["process"].isInt64() || !json["term"].isInt64() || !json["accounts"].isObject()) {
         return report;
     }
     report.node = base::node_id(json["node"].asString());
     report.process = json["process"].asInt64();
+    report.term = json["term"].asInt64();
     if (json["answerAgeMs"].isInt64() && json["answerAgeMs"].asInt64() >= 0) {
         report.answerAge = base::milliseconds(json["answerAgeMs"].asInt64());
     }
@@ -104,9 +107,10 @@
 {
     Json::Value json(Json::objectValue);
     json["granting"] = answer.isGranting;
+    json["term"] = static_cast<Json::Int64>(answer.term);
     Json::Value &accounts = json["accounts"] = Json::Value(Json::objectValue);
     for (const auto &[id, grant] : answer.accounts) {
-        const double retryAfterSeconds = static_cast<double>(grant.retryAfter.count()) / scale;
+        const double retryAfterSeconds = static_cast<double>(grant.retryAfter.count()) / millisecondsPerSecond;
         accounts[id.value()] = writeNumbers<grantNumbers>({grant.granted, grant.share.rate, grant.share.sumOfRates, grant.share.level, retryAfterSeconds});
     }
     return json;
@@ -115,15 +119,17 @@
 routing::quota_answer readQuotaAnswer(const Json::Value &json)
 {
     routing::quota_answer answer;
-    if (!json.isObject() || !json["granting"].isBool() || !json["accounts"].isObject()) {
+    if (!json.isObject() || !json["granting"].isBool() || !json["term"].isInt64() || !json["accounts"].isObject()) {
         return answer;
     }
     answer.isGranting = json["granting"].asBool();
+    answer.term = json["term"].asInt64();
     for (const std::string &name : json["accounts"].getMemberNames()) {
         std::array<double, grantNumbers> numbers{};
         if (readNumbers(json["accounts"][name], numbers)) {
             const auto [granted, rate, sumOfRates, level, retryAfterSeconds] = numbers;
-            answer.accounts[base::account_id(name)] = {granted, {rate, sumOfRates, level}, base::milliseconds(std::llround(retryAfterSeconds * scale))};
+            answer.accounts[base::account_id(name)] = {
+                granted, {rate, sumOfRates, level}, base::milliseconds(std::llround(retryAfterSeconds * millisecondsPerSecond))};
         }
     }
     return answer;
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
@@ -56,8 +56,7 @@
     , m_peers(peers)
     , m_limits(limits)
     , m_quotas(quotas)
-    , m_allocatorId(allocatorId(m_node, incarnation))
-    , m_allocator(m_allocatorId)
+    , m_allocator(allocatorId(m_node, incarnation))
 {
     const auto askNow = [this] {
         m_isUrgent = true;
@@ -81,6 +80,11 @@
                              .text());
         }
     }
+    for (const auto &[account, limit] : m_quotaLimits) {
+        if (!limits.contains(account)) {
+            LOG4CXX_INFO(limitLog(), base::log_event("quotaRemoved").with("account", account.value()).text());
+        }
+    }
     m_quotaLimits = limits;
     m_quotas.setLimits(limits);
     m_quotaAllocator.setLimits(limits);
@@ -101,7 +105,8 @@
 void rate_limit_exchange::leaseChanged(bool isHolder)
 {
     if (isHolder) {
-        m_quotaAllocator.start();
+        // The fencing token differs for each acquisition of the lease.
+        m_quotaAllocator.start(m_lease.token());
     }
 }
 
@@ -111,7 +116,7 @@
         if (!m_isUrgent) {
             co_await m_grantsWanted.wait(base::clock::now() + reportInterval);
         }
-        const bool isPeriodic = !m_lease.holder() && (m_limits.hasNews() || m_quotas.hasNews());
+        const bool isPeriodic = !m_lease.holder() && (m_limits.hasNews() || m_quotas.hasUsageToReport());
         if (std::exchange(m_isUrgent, false) || isPeriodic) {
             co_await exchange();
             co_await net::sleepFor(leastInterval);
@@ -159,7 +164,7 @@
 void rate_limit_exchange::noteUnanswered(const routing::rate_limit_report &report)
 {
     m_limits.noteUnanswered(report);
-    m_quotas.noteUnanswered(report.quotas);
+    m_quotas.noteUnanswered();
     notify();
 }
 
@@ -172,7 +177,7 @@
 routing::rate_limit_answer rate_limit_exchange::answer(const routing::rate_limit_report &report)
 {
     routing::rate_limit_answer answer = m_allocator.answer(report, m_lease.isHolder());
-    answer.quotas = m_quotaAllocator.answer(report.quotas, report.allocator == m_allocatorId, m_lease.isHolder());
+    answer.quotas = m_quotaAllocator.answer(report.quotas, m_lease.isHolder());
     return answer;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
@@ -76,7 +76,6 @@
     peers::rpc_caller &m_peers;
     routing::endpoint_rate_limits &m_limits;
     routing::account_quotas &m_quotas;
-    std::int64_t m_allocatorId;
     routing::rate_limit_allocator m_allocator;
     routing::quota_allocator m_quotaAllocator;
     std::map<base::account_id, routing::quota_limit> m_quotaLimits;
--- a/packages/node/src/chervilbend/node/callers/account_metrics.cpp
+++ b/packages/node/src/chervilbend/node/callers/account_metrics.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr std::array decisionNames{"admitted", "no_key", "configuration_unconfirmed", "over_quota"};
+/// In the order of account_decision.
+constexpr std::array<const char *, accountDecisionCount> decisionNames{"admitted", "invalid_key", "configuration_unconfirmed", "over_quota"};
 /// Further accounts share one entry, so that operators who rename accounts often do not make the table grow without bound.
 constexpr std::size_t maxAccounts = 1'000;
 
--- a/packages/node/src/chervilbend/node/callers/quota_admission.cpp
+++ b/packages/node/src/chervilbend/node/callers/quota_admission.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-/// A caller is better told to come back than kept waiting for an allocator that does not answer.
-constexpr base::milliseconds longestWait{300};
+/// A caller is better told to come back than kept waiting. Longer than an exchange may take (50 ms until it begins, 300 ms until it is given up): the node
+/// decides by its share then.
+constexpr base::milliseconds longestWait{450};
 
 /// Gives the request up if the task that waits for it ends before, for example because its caller has left.
 class waiting_request
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -220,7 +220,7 @@
         if (!isCharged) {
             co_return;
         }
-    } else if (identity.account) {
+    } else if (!isRelayed && identity.account) {
         m_accountMetrics.count(*identity.account, account_decision::admitted);
     }
     if (plan.resumable && caller->lastEvent && plan.facts.softwareVersion.empty()) {
@@ -251,7 +251,7 @@
     authentication identity = m_authentication.authenticate(routes, route, caller, isRelayed, configurationAge);
     if (identity.account && identity.refusal) {
         const bool isUnconfirmed = identity.refusal->kind == base::error_kind::configurationUnconfirmed;
-        m_accountMetrics.count(*identity.account, isUnconfirmed ? account_decision::configurationUnconfirmed : account_decision::noKey);
+        m_accountMetrics.count(*identity.account, isUnconfirmed ? account_decision::configurationUnconfirmed : account_decision::invalidKey);
     }
     return identity;
 }
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -127,7 +127,8 @@
     std::map<base::account_id, routing::quota_limit> limits;
     for (const fleet::account_rule &account : configuration.accounts.value_or(std::vector<fleet::account_rule>())) {
         if (account.quota.isLimited()) {
-            limits[account.id] = {account.quota.rate, account.quota.burst};
+            // As for keys, the first entry of an account counts.
+            limits.try_emplace(account.id, routing::quota_limit{account.quota.rate, account.quota.burst});
         }
     }
     return limits;
@@ -223,7 +224,8 @@
     m_routeApi.setAuthentication({m_settings.configurationBound, m_settings.strictRevocation, m_settings.revocationBound},
                                  [this] { return m_configuration.confirmedAt(); });
     m_knowledge.quotas->setOvershoot(m_settings.quotaOvershoot);
-    m_knowledge.quotas->onIsolation([](bool isIsolated) { LOG4CXX_INFO(nodeLog(), base::log_event(isIsolated ? "quotasIsolated" : "quotasGranted").text()); });
+    m_knowledge.quotas->onIsolation(
+        [](bool isIsolated) { LOG4CXX_INFO(nodeLog(), base::log_event(isIsolated ? "quotasIsolated" : "quotaIsolationEnded").text()); });
     m_configuration.onChange([this](const fleet::traffic_configuration &newest) {
         m_rateLimitExchange.setQuotaLimits(quotaLimitsOf(newest));
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
--- a/packages/routing/src/chervilbend/routing/account_quotas.cpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.cpp
@@ -22,8 +22,10 @@
 constexpr double costWeight = 0.1;
 /// An account that was not used for so long is left out of the reports.
 constexpr base::milliseconds useLifetime{10'000};
-/// While an account is beyond its quota, the allocator is asked at least this often, and at most this much less often than callers are told to wait.
+/// Upper bound of the time in which requests beyond the balance are refused without asking the allocator again.
 constexpr base::milliseconds longestAskPause{500};
+/// Told to callers whose request the allocator has not decided in time.
+constexpr base::milliseconds undecidedRetryAfter{500};
 /// Assumed until the number of nodes is known, so that an isolated node of a large fleet does not take the part of one of a small fleet.
 constexpr int leastNodes = 64;
 /// Part of an equal share that a node may spend that has never had an answer: the others may have the whole rate.
@@ -125,6 +127,11 @@
     return m_isIsolated || state.isUnknownToAllocator;
 }
 
+bool account_quotas::mayUseShares(base::time_point now) const
+{
+    return !m_answeredAt || now < *m_answeredAt + quotaShareLifetime;
+}
+
 bool account_quotas::isFresh(const account_state &state) const
 {
     return !m_answeredAt || state.sharedRate <= 0;
@@ -133,20 +140,19 @@
 double account_quotas::isolatedRate(const account_state &state, base::time_point now) const
 {
     const double equalShare = state.limit.rate / std::max(m_nodes, leastNodes);
-    const bool isRecent = !m_answeredAt || now < *m_answeredAt + quotaShareLifetime;
-    if (isRecent && isFresh(state)) {
-        return equalShare * freshPart;
+    if (!mayUseShares(now)) {
+        return m_overshoot * equalShare / 2;
     }
-    if (isRecent) {
-        // The configuration of this node may have a lower limit than the one that the share is a part of.
-        return state.share.rate * (state.sharedRate > state.limit.rate ? state.limit.rate / state.sharedRate : 1);
+    if (isFresh(state)) {
+        return equalShare * freshPart;
     }
-    return m_overshoot * equalShare / 2;
+    // The configuration of this node may have a lower limit than the one that the share is a part of.
+    return state.share.rate * (state.sharedRate > state.limit.rate ? state.limit.rate / state.sharedRate : 1);
 }
 
 double account_quotas::isolatedCapacity(const account_state &state, base::time_point now) const
 {
-    const double burstPart = !isFresh(state) ? 0 : state.limit.burst / std::max(m_nodes, leastNodes);
+    const double burstPart = !isFresh(state) || !mayUseShares(now) ? 0 : state.limit.burst / std::max(m_nodes, leastNodes);
     return std::max(burstPart, isolatedRate(state, now) * isolatedSeconds);
 }
 
@@ -169,8 +175,7 @@
     state.isolatedBalance = std::min(capacity, state.isolatedBalance + accrued);
     state.isolatedAt = now;
     // A request that costs more than the share of a second is covered by the seconds after it.
-    const bool hasShare = !m_answeredAt || now < *m_answeredAt + quotaShareLifetime;
-    const double needed = hasShare ? std::min(cost, capacity) : cost;
+    const double needed = mayUseShares(now) ? std::min(cost, capacity) : cost;
     if (capacity <= 0 || state.isolatedBalance < needed) {
         return false;
     }
@@ -192,7 +197,7 @@
         return;
     }
     std::erase_if(known->second.waiting, [&](const std::shared_ptr<quota_request> &each) { return each.get() == &request; });
-    refuse(request, longestAskPause);
+    refuse(request, undecidedRetryAfter);
 }
 
 void account_quotas::refund(const quota_request &request)
@@ -241,6 +246,7 @@
     quota_report report;
     report.node = m_node;
     report.process = m_process;
+    report.term = m_term;
     report.number = ++m_lastReport;
     report.takenAt = now;
     if (m_answeredAt) {
@@ -260,11 +266,12 @@
 void account_quotas::apply(const quota_report &report, const quota_answer &answer)
 {
     if (!answer.isGranting) {
-        noteUnanswered(report);
+        noteUnanswered();
         return;
     }
     const base::time_point now = base::clock::bootNow();
     m_answeredAt = std::max(m_answeredAt.value_or(report.takenAt), report.takenAt);
+    m_term = answer.term;
     setIsolated(false);
     for (auto &[id, state] : m_accounts) {
         const auto usage = report.accounts.find(id);
@@ -311,7 +318,7 @@
     }
 }
 
-void account_quotas::noteUnanswered(const quota_report & /*report*/)
+void account_quotas::noteUnanswered()
 {
     setIsolated(true);
     const base::time_point now = base::clock::bootNow();
@@ -379,7 +386,7 @@
     return m_answeredAt ? base::clock::bootNow() - *m_answeredAt : base::milliseconds::max();
 }
 
-bool account_quotas::hasNews() const
+bool account_quotas::hasUsageToReport() const
 {
     const base::time_point now = base::clock::bootNow();
     return std::any_of(m_accounts.begin(), m_accounts.end(), [&](const auto &known) {
--- a/packages/routing/src/chervilbend/routing/account_quotas.hpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.hpp
@@ -58,8 +58,8 @@
     quota_report takeReport();
     /// Applies the answer to @p report.
     void apply(const quota_report &report, const quota_answer &answer);
-    /// No allocator has answered the report.
-    void noteUnanswered(const quota_report &report);
+    /// No allocator has answered, or one that may not grant has: the node is isolated, and requests that wait are admitted from its share or refused.
+    void noteUnanswered();
 
     /// The listener is called when a request waits for a grant.
     void onGrantsWanted(std::function<void()> listener);
@@ -79,8 +79,7 @@
     double balance(const base::account_id &account) const;
     /// Time since the last answer of an allocator.
     base::milliseconds answerAge() const;
-    /// Whether there is anything to report.
-    bool hasNews() const;
+    bool hasUsageToReport() const;
 
 private:
     struct account_state {
@@ -109,6 +108,8 @@
     bool spend(account_state &state, double cost, base::time_point now);
     bool spendIsolated(account_state &state, double cost, base::time_point now) const;
     bool isIsolated(const account_state &state) const;
+    /// Whether the shares of the last answer are still valid, or there was no answer.
+    bool mayUseShares(base::time_point now) const;
     /// Whether the last answer named no share of the account, or there was none.
     bool isFresh(const account_state &state) const;
     double isolatedRate(const account_state &state, base::time_point now) const;
@@ -126,6 +127,7 @@
     std::int64_t m_process = 0;
     double m_overshoot = 0;
     int m_nodes = 1;
+    std::int64_t m_term = 0;
     std::uint64_t m_lastReport = 0;
     base::time_point m_reportedAt;
     /// When the last report that was answered was taken.
--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -55,26 +55,29 @@
     }
 }
 
-void quota_allocator::start()
+void quota_allocator::start(std::int64_t term)
 {
+    m_term = term;
     const base::time_point now = base::clock::bootNow();
     for (auto &[id, bucket] : m_accounts) {
         bucket.nodes.clear();
         bucket.hasInherited = false;
         bucket.inheritedRate = 0;
         bucket.refilledAt = now;
-        // The first report of a node that has used the account brings what is really left.
+        // The first report of a node that has used the account contains the level that the previous allocator had left.
         bucket.available = fullCapacityOf(bucket.limit);
     }
 }
 
-quota_answer quota_allocator::answer(const quota_report &report, bool isOwnGrant, bool isHolder)
+quota_answer quota_allocator::answer(const quota_report &report, bool isHolder)
 {
     quota_answer answer;
     answer.isGranting = isHolder;
     if (!isHolder) {
         return answer;
     }
+    answer.term = m_term;
+    const bool isOwnGrant = report.term == m_term;
     const base::time_point now = base::clock::bootNow();
     for (auto &[id, bucket] : m_accounts) {
         const auto usage = report.accounts.find(id);
@@ -196,7 +199,7 @@
     granted.waiting = first <= available ? std::min({all, most, available}) : 0;
     const bool exceedsBucket = usage.firstWaiting > fullCapacityOf(bucket.limit);
     if (exceedsBucket && available > 0 && available >= capacityOf(bucket, now)) {
-        // A full bucket lets one request through that costs more than it ever holds, and has to make up for it.
+        // A request that costs more than the capacity is granted from a full bucket, whose level becomes negative.
         granted.waiting = first;
     }
     if (granted.waiting >= all) {
--- a/packages/routing/src/chervilbend/routing/quota_allocator.hpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.hpp
@@ -21,10 +21,10 @@
 
     /// Accounts that are missing have no limit any more.
     void setLimits(const std::map<base::account_id, quota_limit> &limits);
-    /// This node has become the allocator: what it knew from an earlier time in office is out of date.
-    void start();
-    /// Takes a node's report and grants it what it needs of what is left. @p isOwnGrant tells whether the node's grants came from this allocator.
-    quota_answer answer(const quota_report &report, bool isOwnGrant, bool isHolder);
+    /// This node has become the allocator; its state from an earlier lease term is discarded. @p term is not 0, and no other allocator's.
+    void start(std::int64_t term);
+    /// Takes a node's report and grants it what it needs of what is left. @p isHolder tells whether this node still holds the lease.
+    quota_answer answer(const quota_report &report, bool isHolder);
 
     /// Queries.
 
@@ -68,6 +68,7 @@
     static grant_parts divide(account_bucket &bucket, const quota_usage &usage, double demandSum, base::time_point now);
     static quota_grant answerFor(account_bucket &bucket, const quota_report &report, const quota_usage &usage, bool isOwnGrant, base::time_point now);
 
+    std::int64_t m_term = 0;
     std::map<base::account_id, account_bucket> m_accounts;
 };
 
--- a/packages/routing/src/chervilbend/routing/quota_messages.hpp
+++ b/packages/routing/src/chervilbend/routing/quota_messages.hpp
@@ -54,6 +54,8 @@
     base::node_id node;
     /// Distinguishes the node's successive processes.
     std::int64_t process = 0;
+    /// The lease term of the allocator that has last answered; 0 for none.
+    std::int64_t term = 0;
     /// Time since the last answer of an allocator; no value if there was none.
     std::optional<base::milliseconds> answerAge;
     std::map<base::account_id, quota_usage> accounts;
@@ -73,6 +75,8 @@
 struct quota_answer {
     /// False from a node that may not grant.
     bool isGranting = false;
+    /// Distinguishes the lease terms of all allocators; not 0 if the node may grant.
+    std::int64_t term = 0;
     std::map<base::account_id, quota_grant> accounts;
 };
 
--- a/packages/routing/src/chervilbend/routing/retry_budget.cpp
+++ b/packages/routing/src/chervilbend/routing/retry_budget.cpp
@@ -10,8 +10,9 @@
     : m_share(share)
     , m_burst(burst)
     , m_tokens(burst)
+    , m_window(window)
     // The slots together are one slot longer than the window, since the current one has only begun.
-    , m_slotLength(window / static_cast<std::int64_t>(slotCount - 1))
+    , m_slotLength((window + base::milliseconds(slotCount - 2)) / static_cast<std::int64_t>(slotCount - 1))
     , m_slotStart(base::clock::now())
 {
 }
@@ -22,31 +23,22 @@
     m_tokens = std::min(m_tokens, burst);
 }
 
-void retry_budget::advance()
+std::size_t retry_budget::slotsPassed() const
 {
     if (m_slotLength == base::milliseconds(0)) {
-        return;
-    }
-    const base::time_point now = base::clock::now();
-    for (std::size_t i = 0; i < slotCount && now - m_slotStart >= m_slotLength; ++i) {
-        m_current = (m_current + 1) % slotCount;
-        m_slots[m_current] = {};
-        m_slotStart += m_slotLength;
-    }
-    if (now - m_slotStart >= m_slotLength) {
-        // Nothing was counted for longer than the window.
-        m_slotStart = now;
+        return 0;
     }
+    return static_cast<std::size_t>((base::clock::now() - m_slotStart) / m_slotLength);
 }
 
-retry_budget::counts retry_budget::total() const
+void retry_budget::advance()
 {
-    counts sum;
-    for (const counts &slot : m_slots) {
-        sum.requests += slot.requests;
-        sum.retries += slot.retries;
+    const std::size_t passed = slotsPassed();
+    for (std::size_t i = 0; i < std::min(passed, slotCount); ++i) {
+        m_current = (m_current + 1) % slotCount;
+        m_slots[m_current] = {};
     }
-    return sum;
+    m_slotStart += m_slotLength * static_cast<std::int64_t>(passed);
 }
 
 double retry_budget::available() const
@@ -54,10 +46,15 @@
     if (m_slotLength == base::milliseconds(0)) {
         return m_tokens;
     }
-    const counts sum = total();
-    // The oldest slot may be older than the window: its retries count, its requests do not.
-    const counts &oldest = m_slots[(m_current + 1) % slotCount];
-    return m_share * (sum.requests - oldest.requests) + m_burst - sum.retries;
+    double left = m_burst;
+    std::size_t age = slotsPassed();
+    for (std::size_t back = 0; age < slotCount; ++back, ++age) {
+        const counts &slot = m_slots[(m_current + slotCount - back) % slotCount];
+        // What a slot holds may be older than the window: its retries count then, its requests do not.
+        const bool isWithinWindow = m_slotLength * static_cast<std::int64_t>(age + 1) <= m_window;
+        left += (isWithinWindow ? m_share * slot.requests : 0) - slot.retries;
+    }
+    return left;
 }
 
 void retry_budget::deposit()
--- a/packages/routing/src/chervilbend/routing/retry_budget.hpp
+++ b/packages/routing/src/chervilbend/routing/retry_budget.hpp
@@ -35,12 +35,15 @@
 
     /// Drops the slots that have left the window.
     void advance();
-    counts total() const;
+    /// Number of slots that have begun since the last call of advance().
+    std::size_t slotsPassed() const;
+    /// Retries that may be made now.
     double available() const;
 
     double m_share;
     double m_burst;
     double m_tokens;
+    base::milliseconds m_window;
     base::milliseconds m_slotLength;
     std::array<counts, slotCount> m_slots{};
     base::time_point m_slotStart;
