Bound the debt of an account whose spending is reported several times

A node whose answers are lost reports what it has spent without a grant again with each exchange, and the allocator took it off the bucket each time: after 40 such exchanges an account got nothing for minutes. The level now falls by no more than a full bucket below zero.

Run: account_quota_test 19 cases; the new one fails on the code before.

--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -155,7 +155,8 @@
         bucket.available += known->second.rate * overlap(silentFrom, now, silentFrom, known->second.answeredAt + quotaShareLifetime);
     }
     bucket.available += isOwnGrant ? usage.returned : 0;
-    bucket.available -= usage.spentIsolated;
+    // A node whose last answer was lost reports the same units again, so the debt is bounded.
+    bucket.available = std::max(bucket.available - usage.spentIsolated, std::min(bucket.available, -fullCapacityOf(bucket.limit)));
     bucket.available = std::min(bucket.available, capacityOf(bucket, now));
 }
 
--- a/packages/routing/tests/account_quota_test.cpp
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(accountThatTheAllocatorLacksIsServed);
     CPPUNIT_TEST(reportsOutOfOrderWithholdNothing);
     CPPUNIT_TEST(regainedLeaseBringsNoNewBurst);
+    CPPUNIT_TEST(lostAnswersDoNotStarveAnAccount);
     CPPUNIT_TEST(randomHistoriesKeepTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -342,6 +343,36 @@
         assertWithinLimit(cluster, "hot", largeLimit);
     }
 
+    /// The allocator takes the reports, but its answers are lost, so that what the node has spent is reported again and again.
+    void lostAnswersDoNotStarveAnAccount()
+    {
+        base::manual_time_source time;
+        account_quotas quotas;
+        quota_allocator allocator;
+        allocator.start(1);
+        const base::account_id account("a");
+        const std::map<base::account_id, quota_limit> limits{{account, {1'000, 1'000}}};
+        quotas.setLimits(limits);
+        allocator.setLimits(limits);
+        quotas.charge(account, 100);
+        const quota_report answered = quotas.takeReport();
+        quotas.apply(answered, allocator.answer(answered, true));
+        for (int i = 0; i < 40; ++i) {
+            time.advance(milliseconds(300));
+            quotas.charge(account, 250);
+            allocator.answer(quotas.takeReport(), true);
+            quotas.noteUnanswered();
+        }
+        time.advance(milliseconds(1'500));
+        const quota_report report = quotas.takeReport();
+        quotas.apply(report, allocator.answer(report, true));
+        time.advance(milliseconds(2'000));
+        const auto request = quotas.charge(account, 400);
+        const quota_report next = quotas.takeReport();
+        quotas.apply(next, allocator.answer(next, true));
+        CPPUNIT_ASSERT(request->decision == quota_decision::admitted);
+    }
+
     /// Nodes come, go, stand still and are cut off with grants in hand, and the holder changes, all at random.
     void randomHistoriesKeepTheLimit()
     {
