--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -206,7 +206,6 @@
     m_relay.apply(answer->lease.token, answer->store, requestedAt);
     applyResponse(*answer);
     m_interval = std::clamp(answer->reportInterval, report_pacer::shortestInterval, report_pacer::longestInterval);
-    m_rateLimits.setReportInterval(m_interval);
     co_return true;
 }
 
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.cpp
@@ -6,14 +6,12 @@
 #include <chervilbend/fleet/command_lease.hpp>
 #include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/rate_limit_method.hpp>
-#include <chervilbend/fleet/report_pacer.hpp>
 #include <chervilbend/net/address.hpp>
 #include <chervilbend/net/sleep.hpp>
 #include <chervilbend/peers/rpc_caller.hpp>
 #include <chervilbend/routing/account_quotas.hpp>
 #include <chervilbend/routing/endpoint_rate_limits.hpp>
 
-#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -59,7 +57,6 @@
     , m_limits(limits)
     , m_quotas(quotas)
     , m_allocator(allocatorId(m_node, incarnation))
-    , m_callInterval(leastInterval)
 {
     const auto askNow = [this] {
         m_isUrgent = true;
@@ -105,11 +102,6 @@
     }
 }
 
-void rate_limit_exchange::setReportInterval(base::milliseconds interval)
-{
-    m_callInterval = leastInterval + std::max(base::milliseconds(0), interval - report_pacer::shortestInterval);
-}
-
 void rate_limit_exchange::leaseChanged(bool isHolder)
 {
     if (isHolder) {
@@ -127,7 +119,7 @@
         const bool isPeriodic = !m_lease.holder() && (m_limits.hasNews() || m_quotas.hasUsageToReport());
         if (std::exchange(m_isUrgent, false) || isPeriodic) {
             co_await exchange();
-            co_await net::sleepFor(m_callInterval);
+            co_await net::sleepFor(leastInterval);
         }
     }
 }
--- a/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_exchange.hpp
@@ -56,9 +56,6 @@
     void setQuotaLimits(const std::map<base::account_id, routing::quota_limit> &limits);
 
     void leaseChanged(bool isHolder);
-    /// The holder wants a periodic report each @p interval. While that is longer than usual, because the holder is busy, calls outside of the periodic
-    /// exchange are spaced by as much more.
-    void setReportInterval(base::milliseconds interval);
 
     /// The part of the periodic exchange.
     routing::rate_limit_report takeReport();
@@ -70,12 +67,6 @@
     /// Answers a report as the allocator.
     routing::rate_limit_answer answer(const routing::rate_limit_report &report);
 
-    /// Least time between two calls outside of the periodic exchange.
-    base::milliseconds callInterval() const
-    {
-        return m_callInterval;
-    }
-
 private:
     boost::asio::awaitable<void> exchange();
     void notify() const;
@@ -90,7 +81,6 @@
     std::map<base::account_id, routing::quota_limit> m_quotaLimits;
     net::change_signal m_grantsWanted;
     bool m_isUrgent = false;
-    base::milliseconds m_callInterval;
     std::function<void()> m_listener;
 };
 
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -152,7 +152,6 @@
     CPPUNIT_TEST(leavingEndpointsAreShared);
     CPPUNIT_TEST(grantsComeWithTheExchange);
     CPPUNIT_TEST(waitingRequestIsAskedForAtOnce);
-    CPPUNIT_TEST(busyHolderIsAskedForGrantsLessOften);
     CPPUNIT_TEST(lastHolderGrantsAfterTheEndOfTheLease);
     CPPUNIT_TEST(requestWhoseCallerLeavesHoldsUpNoOther);
     CPPUNIT_TEST_SUITE_END();
@@ -186,20 +185,6 @@
         CPPUNIT_ASSERT(node.callsWithin(10'000) <= 11);
     }
 
-    /// Requests of accounts that a node rarely sees are asked for one by one: with 86 nodes they took the holder's time for its own reads.
-    void busyHolderIsAskedForGrantsLessOften()
-    {
-        reporting_node node;
-        node.callsWithin(1'000);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(50), node.rateLimits.callInterval().count());
-        node.holder.reportInterval = base::milliseconds(420);
-        node.callsWithin(1'000);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(220), node.rateLimits.callInterval().count());
-        node.holder.reportInterval = report_pacer::shortestInterval;
-        node.callsWithin(1'000);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(50), node.rateLimits.callInterval().count());
-    }
-
     void reportsLessOftenToASilentHolder()
     {
         reporting_node node;
