Close the connection of an answer that was not read to its end

Cause, from reading: when a caller leaves after the header of a refusal without a body has arrived and before the forwarder looks at it, the coroutine ends at its next await, and the destructor of the stream took the complete answer for one that had been used, and kept the connection. Now a connection is kept only after the end of the body has been read.

Run: answerThatIsNotReadClosesItsConnection fails before (1 connection in place of 2); test_net 58 pass. Twelve soaks with callers that leave within 4 ms, six each of the old and the new code, broke no rule, so the race itself was not reproduced.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -53,7 +53,8 @@
 
 http_client_stream::~http_client_stream()
 {
-    if (m_isReusable && m_parser->is_done() && m_parser->get().keep_alive()) {
+    // An answer that nobody read to its end may be a refusal that the peer writes once more.
+    if (m_isReusable && m_hasReadEnd && m_parser->get().keep_alive()) {
         m_connection->neverExpire();
         m_release(std::move(m_connection), idleLimit());
     } else {
@@ -235,6 +236,7 @@
         // No data is added when only chunk framing arrived.
         filled = m_readBuffer.size() - m_parser->get().body().size;
     }
+    m_hasReadEnd = filled == 0;
     co_return std::string_view(m_readBuffer.data(), filled);
 }
 
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -22,7 +22,7 @@
 class connection;
 struct http_send_options;
 
-/// The answer to a request; its body is read incrementally.
+/// The answer to a request; its body is read incrementally. Its connection serves another request only after the end of the body has been read.
 class http_client_stream : public base::reason_holder
 {
 public:
@@ -105,6 +105,7 @@
     bool m_headOnly;
     bool m_isFirstRequest;
     bool m_isReusable = true;
+    bool m_hasReadEnd = false;
     bool m_wasGivenUp = false;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, 16 * 1024> m_readBuffer;
--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(freshConnectionIsNotPooled);
     CPPUNIT_TEST(freshConnectionIsNotKept);
     CPPUNIT_TEST(copyOfARefusalIsNotTheNextAnswer);
+    CPPUNIT_TEST(answerThatIsNotReadClosesItsConnection);
     CPPUNIT_TEST(abandonedStreamClosesItsConnection);
     CPPUNIT_TEST(deadlineEndsSlowStream);
     CPPUNIT_TEST(bodyOfKnownLengthArrivesInFewReads);
@@ -332,6 +333,26 @@
         }
     }
 
+    /// Guards against reusing the connection of a refusal when the request is cancelled between the arrival of the header and the first look at it.
+    void answerThatIsNotReadClosesItsConnection()
+    {
+        asio::io_context context;
+        raw_server endpoint(context, [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+            while (!(co_await caller->readUntil("\r\n\r\n")).empty()) {
+                co_await caller->send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        http_client client;
+        const address endpointAddress = loopback(endpoint.port());
+        runUntilDone(context, [&]() -> asio::awaitable<void> {
+            for (const std::int64_t connections : {1, 2}) {
+                const auto stream = co_await client.open(endpointAddress, get(), withAnswerTimeout(2'000));
+                CPPUNIT_ASSERT(stream);
+                CPPUNIT_ASSERT_EQUAL(connections, client.connectionsOpened());
+            }
+        });
+    }
+
     void abandonedStreamClosesItsConnection()
     {
         asio::io_context context;
