Hold a reserve of quota units for accounts that a node rarely sees

While an account's bucket is well filled, a node now asks in its periodic report for units of two mean requests; all reserves together take at most half of the burst, and they are given back when less than a quarter of it is left. Messages are unchanged.

--- a/packages/routing/src/chervilbend/routing/account_quotas.cpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.cpp
@@ -16,6 +16,12 @@
 constexpr double demandSeconds = 1;
 /// Demand for which a node wants grants in advance: until its next report, and some more for an uneven load.
 constexpr double expectedSeconds = 0.5;
+/// Requests for which a node wants to hold units of an account that it rarely sees, so that it need not ask the allocator for each.
+constexpr double reservedRequests = 2;
+/// Part of the burst that such reserves of all nodes may take together.
+constexpr double reservedPart = 0.5;
+/// Part of the burst that has to be left for requests that ask. Below it, nodes give their reserves back.
+constexpr double unreservedPart = 0.25;
 /// A node gives back what it holds beyond this multiple of that.
 constexpr double keptFactor = 3;
 /// Weight of a request in the mean cost of an account's requests.
@@ -217,6 +223,14 @@
     }
 }
 
+double account_quotas::reserveFor(const account_state &state) const
+{
+    if (state.share.level < state.limit.burst * unreservedPart) {
+        return 0;
+    }
+    return std::min(state.limit.burst * reservedPart / std::max(m_nodes, leastNodes), state.meanCost * reservedRequests);
+}
+
 quota_usage account_quotas::usageOf(account_state &state, base::time_point now, double elapsedSeconds) const
 {
     expire(state, now);
@@ -226,8 +240,10 @@
     }
     quota_usage usage;
     usage.demandRate = state.demandRate;
-    const double expected = state.demandRate * expectedSeconds;
-    usage.expected = expected >= state.meanCost ? expected : 0;
+    usage.expected = std::max(state.demandRate * expectedSeconds, reserveFor(state));
+    if (usage.expected < state.meanCost) {
+        usage.expected = 0;
+    }
     usage.returned = state.waiting.empty() ? std::max(0.0, state.balance - usage.expected * keptFactor) : 0;
     state.balance -= usage.returned;
     usage.balance = state.balance;
--- a/packages/routing/src/chervilbend/routing/account_quotas.hpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.hpp
@@ -120,6 +120,8 @@
     static void refuse(quota_request &request, base::milliseconds retryAfter);
     /// Decides the requests that wait, as far as they are covered; those of @p decidedReport and before are refused otherwise.
     void decideWaiting(account_state &state, std::uint64_t decidedReport, base::milliseconds retryAfter, base::time_point now);
+    /// Units to hold whatever this node's demand is, while the account's bucket is well filled.
+    double reserveFor(const account_state &state) const;
     quota_usage usageOf(account_state &state, base::time_point now, double elapsedSeconds) const;
 
     std::map<base::account_id, account_state> m_accounts;
--- a/packages/routing/tests/account_quota_test.cpp
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(accountOfAllNodesKeepsItsLimit);
     CPPUNIT_TEST(quotaIsUsableAtOneNodeThenAtAnother);
     CPPUNIT_TEST(smallAccountIsUsableAtManyNodes);
+    CPPUNIT_TEST(rareRequestsNeedFewReports);
+    CPPUNIT_TEST(reservesLeaveAnAccountUsableAtOneNode);
     CPPUNIT_TEST(accountBeyondItsQuotaUsesItWhole);
     CPPUNIT_TEST(otherAccountsKeepWhatTheyHad);
     CPPUNIT_TEST(refusalsAreFastAndSayWhenToComeBack);
@@ -101,6 +103,37 @@
         assertWithinLimit(cluster, "small", smallLimit);
     }
 
+    /// Each of 86 nodes sees eight accounts less than once a second. A report for each request would keep the allocator's node busy with hundreds of them.
+    void rareRequestsNeedFewReports()
+    {
+        std::map<std::string, account_load> loads;
+        for (int i = 0; i < 8; ++i) {
+            loads[std::string("a").append(std::to_string(i))] = {largeLimit, 1'000, evenly(70'000, 86)};
+        }
+        quota_cluster cluster(86, loads);
+        cluster.run(milliseconds(4'000));
+        cluster.urgentReports = 0;
+        cluster.run(milliseconds(10'000));
+        const double requests = 8 * 70 * 10;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(cluster.urgentReports) + " reports", cluster.urgentReports < requests * 0.1);
+        for (const auto &[account, result] : cluster.results) {
+            CPPUNIT_ASSERT_MESSAGE(account, refusedShare(result) < 0.01);
+        }
+    }
+
+    /// All nodes hold units for an account when its whole demand moves to one of them.
+    void reservesLeaveAnAccountUsableAtOneNode()
+    {
+        quota_cluster cluster(62, {{"a", {largeLimit, 1'000, evenly(40'000, 62)}}});
+        cluster.run(milliseconds(6'000));
+        const double refusedBefore = cluster.results["a"].refused;
+        cluster.load("a").demand = onlyAt(largeLimit.rate * 0.95, 9);
+        cluster.run(milliseconds(6'000));
+        const double refused = (cluster.results["a"].refused - refusedBefore) / (largeLimit.rate * 0.95 * 6);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " refused", refused < 0.01);
+        assertWithinLimit(cluster, "a", largeLimit);
+    }
+
     void accountBeyondItsQuotaUsesItWhole()
     {
         for (const std::size_t nodes : {4U, 62U}) {
--- a/packages/routing/tests/quota_cluster.hpp
+++ b/packages/routing/tests/quota_cluster.hpp
@@ -172,6 +172,8 @@
     /// Nodes whose process stands still.
     std::map<std::size_t, bool> frozen;
     std::map<std::string, account_result> results;
+    /// Reports outside of the periodic exchange.
+    int urgentReports = 0;
 
 private:
     struct waiting_call {
@@ -259,6 +261,7 @@
     void exchange(std::size_t index)
     {
         simulated_node &node = *m_nodes[index];
+        urgentReports += now() < node.reportsAt ? 1 : 0;
         node.isUrgent = false;
         node.isExchanging = true;
         node.reportsAt = now() + periodicInterval;
