Estimate after which time a refused request would succeed

Each refusal told its caller to return after 0.2 s, whatever it waited for. A caller that returns too early is refused again, which uses up the one retry it has.

retry_estimator derives the time from the pauses, grants and next tries of the pool's endpoints, the queued work, or the duration of a load. It bounds the time by a third of what is left until the deadline and spreads it over 0.75 to 1.25 of the estimate. traffic_director::retryAfter() gives the value for a request that was refused.

--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -7,6 +7,7 @@
 #include <chervilbend/routing/internal/outlier_detector.hpp>
 #include <chervilbend/routing/internal/request_table.hpp>
 #include <chervilbend/routing/retry_budget.hpp>
+#include <chervilbend/routing/retry_estimator.hpp>
 #include <chervilbend/routing/traffic_director.hpp>
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     void setNodeCount(int nodes) override;
     std::optional<request_handle> submit(const request_facts &facts, base::reason &why) override;
     bool retry(request_handle request, request_outcome outcome, base::reason &why) override;
+    std::optional<base::milliseconds> retryAfter(const request_facts &facts) override;
     bool allowsRetry(request_handle request) const override;
     std::vector<dispatch> takeDispatches() override;
     std::vector<refusal> takeRefusals() override;
@@ -70,7 +72,7 @@
     void advancePools(base::time_point now);
 
     /// Implemented in adaptive_director_queue.cpp: from submission to dispatch.
-    void predict(request_state &request);
+    static void predict(request_state &request);
     /// When the remainder of the request must be sent for its response to be complete by its deadline.
     static base::time_point latestStartFor(const request_state &request);
     bool admit(request_state &request, base::reason &why);
@@ -109,6 +111,9 @@
     /// first.
     void refuseUnwanted();
 
+    /// Implemented in adaptive_director_retry_after.cpp.
+    endpoint_obstacle obstacleAt(const endpoint_state &endpoint, base::time_point now) const;
+
     /// Implemented in adaptive_director_outcome.cpp: from dispatch to the end of the request.
     void takeFirstByteSample(request_state &request, double cost);
     /// Whether this process was paused at some time between @p since and @p now.
@@ -127,6 +132,7 @@
     int m_nodes = 1;
     int m_rank = 0;
     std::mt19937_64 m_pauseRandom;
+    retry_estimator m_retryEstimator;
     std::unordered_map<base::endpoint_id, std::shared_ptr<endpoint_state>> m_endpoints;
     std::unordered_map<std::string, std::unique_ptr<pool_state>> m_pools;
     /// Pools in order of creation, so that decisions do not depend on the iteration order of a hash map.
--- a/packages/routing/src/chervilbend/routing/endpoint_rate_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_rate_limits.cpp
@@ -168,9 +168,14 @@
 }
 
 bool endpoint_rate_limits::isLimited(const endpoint_process &process) const
+{
+    return requestRate(process).has_value();
+}
+
+std::optional<double> endpoint_rate_limits::requestRate(const endpoint_process &process) const
 {
     const auto known = m_endpoints.find(process);
-    return known != m_endpoints.end() && known->second.requestRate;
+    return known == m_endpoints.end() ? std::nullopt : known->second.requestRate;
 }
 
 std::size_t endpoint_rate_limits::limitedEndpoints() const
--- a/packages/routing/src/chervilbend/routing/endpoint_rate_limits.hpp
+++ b/packages/routing/src/chervilbend/routing/endpoint_rate_limits.hpp
@@ -54,6 +54,8 @@
     /// Whether a request may be sent to the endpoint now.
     bool maySend(const endpoint_process &process) const;
     bool isLimited(const endpoint_process &process) const;
+    /// The endpoint's limit in requests per second over all nodes; no value if it has none.
+    std::optional<double> requestRate(const endpoint_process &process) const;
     bool hasLimits() const
     {
         return !m_endpoints.empty();
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/routing/internal/endpoint_state.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace chervilbend::routing
@@ -39,6 +40,16 @@
     });
 }
 
+double pool_state::drainMs(int nodes) const
+{
+    // The capacity may exceed the number of requests that the endpoints' own limits allow.
+    double places = 0;
+    for (const pool_member &member : members) {
+        places += member.isUsable() ? std::ceil(member.endpoint->maxInFlight(nodes)) : 0;
+    }
+    return queue.cost() * msPerCost / (places > 0 ? std::min(capacity, places) : capacity);
+}
+
 void pool_state::refresh(int nodes, base::time_point now, const director_settings &settings)
 {
     double shareSum = 0;
--- a/packages/routing/src/chervilbend/routing/internal/pool_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_state.hpp
@@ -59,6 +59,8 @@
         return queue.size() > 0 || !suspects.empty() || !resumptions.empty();
     }
 
+    /// The time in milliseconds in which the queue drains, without new requests.
+    double drainMs(int nodes) const;
     /// The member for an endpoint; nullptr if the endpoint is not in the pool.
     pool_member *memberOf(const endpoint_state *endpoint);
     /// Whether an endpoint of the version is in use. One that is down doesn't count: what answers at its address next may be another process.
--- a/packages/routing/src/chervilbend/routing/traffic_director.hpp
+++ b/packages/routing/src/chervilbend/routing/traffic_director.hpp
@@ -61,6 +61,13 @@
     /// is allowed; the request is then finished and its handle invalid.
     virtual bool retry(request_handle request, request_outcome outcome, base::reason &why) = 0;
 
+    /// The time after which a request that has just been refused would probably succeed; no value if it has no time left for another attempt. The values
+    /// for several callers differ, so that they do not return at the same time.
+    virtual std::optional<base::milliseconds> retryAfter(const request_facts & /*facts*/)
+    {
+        return std::nullopt;
+    }
+
     /// Whether a running request that may be repeated would be sent to another endpoint at once if its attempt were given up now.
     virtual bool allowsRetry(request_handle /*request*/) const
     {
