Send the estimate as Retry-After in the platform's protocol

The forwarder, and the route API for a model that no endpoint holds, ask the director when they answer a refusal. The value is in the header, as retryAfterMs in the line "refused", and in the summary chervilbend_retry_after_ms. A request without time for another attempt gets no Retry-After. Other answers are as before.

--- a/packages/node/src/chervilbend/node/callers/admission.hpp
+++ b/packages/node/src/chervilbend/node/callers/admission.hpp
@@ -32,6 +32,12 @@
     /// Ends the wait of all requests that have no dispatch yet.
     void refuseWaiting(const base::reason &why);
 
+    /// When a request that has just been refused is to be sent again; no value if it has no time left for that.
+    std::optional<base::milliseconds> retryAfter(const routing::request_facts &facts)
+    {
+        return m_director.retryAfter(facts);
+    }
+
     /// Number of requests that wait for a dispatch or refusal.
     std::size_t waiting() const
     {
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.cpp
@@ -30,6 +30,7 @@
 caller_metrics::caller_metrics(base::metric_registry &registry)
     : m_registry(registry)
     , m_retries(registry.counterFor("chervilbend_retries_total", "Attempts after the first one of a request"))
+    , m_retryAfter(registry.summaryFor("chervilbend_retry_after_ms", "Time after which a refused request would probably succeed"))
     , m_skippedAnswers(registry.counterFor("chervilbend_skipped_answers_total", "Answers to other requests that came before the expected one"))
     , m_brokenStreams(registry.counterFor("chervilbend_broken_streams_total", "Streams that broke off after their first byte reached the caller"))
     , m_keptStreams(registry.counterFor("chervilbend_kept_streams_total", "Streams that went on at a silent endpoint since no other one continued them"))
@@ -96,6 +97,11 @@
     m_retries.add();
 }
 
+void caller_metrics::onRetryAfter(base::milliseconds retryAfter)
+{
+    m_retryAfter.add(static_cast<double>(retryAfter.count()));
+}
+
 void caller_metrics::onFailedAttempt(run_evidence evidence)
 {
     m_failedAttempts[static_cast<std::size_t>(evidence)]->add();
--- a/packages/node/src/chervilbend/node/callers/caller_metrics.hpp
+++ b/packages/node/src/chervilbend/node/callers/caller_metrics.hpp
@@ -32,6 +32,8 @@
     void onFirstByte(base::work_class urgency, base::milliseconds elapsed);
     void onProblem(base::error_kind kind);
     void onRetry();
+    /// A refusal tells its caller when to return.
+    void onRetryAfter(base::milliseconds retryAfter);
     /// An attempt has failed, for which @p evidence tells whether it may have run.
     void onFailedAttempt(run_evidence evidence);
     /// An answer to another request has come before the expected one.
@@ -52,6 +54,7 @@
     base::metric_registry &m_registry;
     std::array<class_metrics, base::workClassCount> m_classes;
     base::counter &m_retries;
+    base::latency_summary &m_retryAfter;
     /// By evidence.
     std::array<base::counter *, 4> m_failedAttempts{};
     base::counter &m_skippedAnswers;
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -7,6 +7,7 @@
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_client_stream.hpp>
 #include <chervilbend/net/http_exchange.hpp>
+#include <chervilbend/node/callers/admission.hpp>
 #include <chervilbend/node/callers/caller_metrics.hpp>
 #include <chervilbend/node/callers/endpoint_directory.hpp>
 #include <chervilbend/node/callers/endpoint_reachability.hpp>
@@ -20,7 +21,6 @@
 #include <utility>
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 namespace chervilbend::node
 {
@@ -35,8 +35,6 @@
 constexpr base::milliseconds maxConnectTimeout{300};
 /// A non-repeatable request is not sent on a connection that was idle for longer, since the peer may have closed it in the meantime.
 constexpr base::milliseconds maxIdleForNonRepeatable{1'500};
-/// `Retry-After` of refusals to callers of the platform's protocol, in seconds.
-constexpr const char *retryAfterSeconds = "0.2";
 /// Interval at which is looked whether the endpoint of a kept response sends again.
 constexpr base::milliseconds keptCheckInterval{50};
 /// Additional attempts beyond the route's limit, available only as long as attempts provably did not execute the request.
@@ -253,23 +251,37 @@
 asio::awaitable<void> forwarder::refuse(std::shared_ptr<forwarded_request> request, base::reason why, bool mayHaveRun)
 {
     const forwarding_plan &plan = request->plan;
-    LOG4CXX_INFO(routeLog(), eventFor("refused", plan).with("mayHaveRun", mayHaveRun).with("promptParts", plan.sharedPromptParts).with("why", why.text).text());
-    m_metrics.onProblem(why.kind);
     // A request that crashes endpoints would be refused again, and so would one for a stream that cannot be continued.
     const bool isWorthRepeating = why.kind != base::error_kind::requestRefused && why.kind != base::error_kind::notResumable;
+    const bool isEstimated = isWorthRepeating && plan.hasStrictStatus && !mayHaveRun;
+    const std::optional<base::milliseconds> retryAfter = isEstimated ? retryAfterFor(plan.facts) : std::nullopt;
+    base::log_event event = eventFor("refused", plan);
+    event.with("mayHaveRun", mayHaveRun).with("promptParts", plan.sharedPromptParts);
+    if (retryAfter) {
+        event.with("retryAfterMs", retryAfter->count());
+    }
+    LOG4CXX_INFO(routeLog(), event.with("why", why.text).text());
+    m_metrics.onProblem(why.kind);
     if (plan.hasStrictStatus) {
         why.kind = mayHaveRun ? base::error_kind::endpointFailed : base::error_kind::noEndpoint;
     }
     const base::run_state state = mayHaveRun ? base::run_state::unknown : base::answerFor(why.kind).state;
     net::http_response answer = problemAnswer(why, state);
-    if (!isWorthRepeating) {
-        answer.erase(http::field::retry_after);
-    } else if (plan.hasStrictStatus && !mayHaveRun) {
-        answer.set(http::field::retry_after, retryAfterSeconds);
+    if (!isWorthRepeating || isEstimated) {
+        setRetryAfter(answer, retryAfter);
     }
     co_await request->exchange->respond(std::move(answer));
 }
 
+std::optional<base::milliseconds> forwarder::retryAfterFor(const routing::request_facts &facts)
+{
+    const std::optional<base::milliseconds> retryAfter = m_admission.retryAfter(facts);
+    if (retryAfter) {
+        m_metrics.onRetryAfter(*retryAfter);
+    }
+    return retryAfter;
+}
+
 asio::awaitable<forwarder::attempt_result> forwarder::attempt(std::shared_ptr<forwarded_request> request, routing::dispatch target, bool isLast)
 {
     attempt_result result;
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chervilbend::fleet
@@ -68,6 +69,10 @@
 
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
+    /// `Retry-After` for a request in the platform's protocol that is refused now and has not run; counted in the metrics. No value if it has no time
+    /// left for another attempt.
+    std::optional<base::milliseconds> retryAfterFor(const routing::request_facts &facts);
+
     /// Bytes of responses that are kept now.
     std::size_t keptBytes() const
     {
--- a/packages/node/src/chervilbend/node/callers/problem_answer.cpp
+++ b/packages/node/src/chervilbend/node/callers/problem_answer.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <cstdio>
+
 namespace chervilbend::node
 {
 
@@ -23,6 +25,17 @@
     return problemAnswer(why, base::answerFor(why.kind).state);
 }
 
+void setRetryAfter(net::http_response &answer, std::optional<base::milliseconds> retryAfter)
+{
+    if (!retryAfter) {
+        answer.erase(boost::beast::http::field::retry_after);
+        return;
+    }
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(retryAfter->count()) / 1'000);
+    answer.set(boost::beast::http::field::retry_after, seconds);
+}
+
 std::string problemEvent(const base::reason &why, base::run_state state)
 {
     const base::error_answer &answer = base::answerFor(why.kind);
--- a/packages/node/src/chervilbend/node/callers/problem_answer.hpp
+++ b/packages/node/src/chervilbend/node/callers/problem_answer.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/reason.hpp>
 #include <chervilbend/net/http_types.hpp>
 
+#include <optional>
 #include <string>
 
 namespace chervilbend::node
@@ -12,6 +14,9 @@
 net::http_response problemAnswer(const base::reason &why, base::run_state state);
 net::http_response problemAnswer(const base::reason &why);
 
+/// Sets `Retry-After` in seconds with three decimals; without a value, removes the field.
+void setRetryAfter(net::http_response &answer, std::optional<base::milliseconds> retryAfter);
+
 /// Error event that is sent as the last event of a stream that cannot be completed.
 std::string problemEvent(const base::reason &why, base::run_state state);
 
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -17,7 +17,6 @@
 #include <chervilbend/node/callers/problem_answer.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -73,14 +72,6 @@
     }
 }
 
-/// Seconds with three decimals.
-std::string secondsText(base::milliseconds duration)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(duration.count()) / 1'000);
-    return text;
-}
-
 std::string_view textOf(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -166,17 +157,31 @@
 asio::awaitable<void> route_api::refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text)
 {
     const base::reason why{kind, std::move(text)};
-    LOG4CXX_INFO(routeLog(),
-                 base::log_event("refused")
-                     .with("request", attempt)
-                     .with("target", textOf(exchange->request().target()))
-                     .with("version", m_routes ? m_routes->configuration().version : 0)
-                     .with("why", why.text)
-                     .text());
-    m_metrics.onProblem(why.kind);
+    noteRefusal(exchange->request(), attempt, why, std::nullopt);
     co_await exchange->respond(problemAnswer(why));
 }
 
+asio::awaitable<void> route_api::refuseUnserved(std::shared_ptr<net::http_exchange> exchange, const forwarding_plan &plan)
+{
+    const base::reason why{base::error_kind::noEndpoint, "no endpoint holds " + plan.facts.pool};
+    const std::optional<base::milliseconds> retryAfter = m_forwarder.retryAfterFor(plan.facts);
+    noteRefusal(exchange->request(), plan.attemptId, why, retryAfter);
+    net::http_response answer = problemAnswer(why);
+    setRetryAfter(answer, retryAfter);
+    co_await exchange->respond(std::move(answer));
+}
+
+void route_api::noteRefusal(const net::http_request &request, const std::string &attempt, const base::reason &why, std::optional<base::milliseconds> retryAfter)
+{
+    base::log_event event("refused");
+    event.with("request", attempt).with("target", textOf(request.target())).with("version", m_routes ? m_routes->configuration().version : 0);
+    if (retryAfter) {
+        event.with("retryAfterMs", retryAfter->count());
+    }
+    LOG4CXX_INFO(routeLog(), event.with("why", why.text).text());
+    m_metrics.onProblem(why.kind);
+}
+
 asio::awaitable<void> route_api::serve(std::shared_ptr<net::http_exchange> exchange, bool isRelayed)
 {
     const net::http_request &request = exchange->request();
@@ -236,7 +241,7 @@
         const fleet::usage_meter::registration usageRegistration(m_usage, item);
         const bool isAvailable = co_await m_itemProvider.waitUntilAvailable(item, std::min(plan.facts.deadline, plan.facts.latestDispatch));
         if (!isAvailable) {
-            co_await refuse(exchange, caller->attempt, base::error_kind::noEndpoint, "no endpoint holds " + plan.facts.pool);
+            co_await refuseUnserved(exchange, plan);
             co_return;
         }
         co_await m_forwarder.forward(exchange, std::move(plan));
@@ -283,7 +288,7 @@
     const base::reason why{base::error_kind::quotaExceeded, "account " + account.id.value() + " has used its quota"};
     m_metrics.onProblem(why.kind);
     net::http_response answer = problemAnswer(why);
-    answer.set(http::field::retry_after, secondsText(request->retryAfter));
+    setRetryAfter(answer, request->retryAfter);
     co_await exchange->respond(std::move(answer));
     co_return false;
 }
--- a/packages/node/src/chervilbend/node/callers/route_api.hpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.hpp
@@ -2,6 +2,7 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/error_kind.hpp>
+#include <chervilbend/base/reason.hpp>
 #include <chervilbend/fleet/route_table.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/http_handler.hpp>
@@ -15,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chervilbend::fleet
@@ -71,6 +73,9 @@
     boost::asio::awaitable<bool>
         charge(std::shared_ptr<net::http_exchange> exchange, const fleet::caller_request &caller, forwarding_plan &plan, const fleet::account_rule &account);
     boost::asio::awaitable<void> refuse(std::shared_ptr<net::http_exchange> exchange, std::string attempt, base::error_kind kind, std::string text);
+    /// Refuses a request whose model no endpoint holds.
+    boost::asio::awaitable<void> refuseUnserved(std::shared_ptr<net::http_exchange> exchange, const forwarding_plan &plan);
+    void noteRefusal(const net::http_request &request, const std::string &attempt, const base::reason &why, std::optional<base::milliseconds> retryAfter);
     forwarding_plan planFor(const net::http_request &request,
                             const fleet::caller_request &caller,
                             const fleet::route_rule &route,
--- a/packages/node/src/chervilbend/node/metered_director.cpp
+++ b/packages/node/src/chervilbend/node/metered_director.cpp
@@ -98,6 +98,11 @@
     return queued;
 }
 
+std::optional<base::milliseconds> metered_director::retryAfter(const routing::request_facts &facts)
+{
+    return m_inner.retryAfter(facts);
+}
+
 bool metered_director::allowsRetry(routing::request_handle request) const
 {
     return m_inner.allowsRetry(request);
--- a/packages/node/src/chervilbend/node/metered_director.hpp
+++ b/packages/node/src/chervilbend/node/metered_director.hpp
@@ -31,6 +31,7 @@
     void setNodeCount(int nodes) override;
     std::optional<routing::request_handle> submit(const routing::request_facts &facts, base::reason &why) override;
     bool retry(routing::request_handle request, routing::request_outcome outcome, base::reason &why) override;
+    std::optional<base::milliseconds> retryAfter(const routing::request_facts &facts) override;
     bool allowsRetry(routing::request_handle request) const override;
     std::vector<routing::dispatch> takeDispatches() override;
     std::vector<routing::refusal> takeRefusals() override;
--- a/packages/node/tests/test_director.hpp
+++ b/packages/node/tests/test_director.hpp
@@ -58,6 +58,11 @@
         return true;
     }
 
+    std::optional<base::milliseconds> retryAfter(const routing::request_facts & /*facts*/) override
+    {
+        return retryAfterRefusal;
+    }
+
     bool allowsRetry(routing::request_handle /*handle*/) const override
     {
         return hasRoomElsewhere;
@@ -135,6 +140,8 @@
     int retriesLeft = 0;
     /// Why a request for which there is no endpoint is refused.
     base::error_kind refusalKind = base::error_kind::noEndpoint;
+    /// For callers of refused requests.
+    std::optional<base::milliseconds> retryAfterRefusal = base::milliseconds(200);
     bool holdDispatches = false;
     bool hasRoomElsewhere = true;
 };
