--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -326,6 +326,9 @@
                         10min,
                         "Period over which retries are limited to retryShare of the requests plus retryBurst; with 0 s, a token bucket is used instead",
                         &s::retryWindow),
+        flagSetting("estimatedRetryAfter",
+                    "Tell refused callers of the platform when another attempt would probably succeed, instead of 0.2 s",
+                    &s::estimatedRetryAfter),
         durationSetting("loadWindow", 100ms, 10min, "Period over which loads from the weight store are counted", &s::loadWindow),
         fractionSetting("loadOvershoot", "of the store's rate", 0.1, 10, "Loads from the weight store that may start within loadWindow", &s::loadOvershoot),
         durationSetting(
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -64,6 +64,7 @@
     double retryShare = 0.2;
     double retryBurst = 50;
     base::milliseconds retryWindow{0};
+    bool estimatedRetryAfter = false;
     base::milliseconds loadWindow{5'000};
     double loadOvershoot = 1.0;
     base::milliseconds configurationBound{3'000};
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -35,6 +35,8 @@
 constexpr base::milliseconds maxConnectTimeout{300};
 /// A non-repeatable request is not sent on a connection that was idle for longer, since the peer may have closed it in the meantime.
 constexpr base::milliseconds maxIdleForNonRepeatable{1'500};
+/// `Retry-After` of refusals to callers of the platform's protocol, unless it is estimated.
+constexpr base::milliseconds fixedRetryAfter{200};
 /// Interval at which is looked whether the endpoint of a kept response sends again.
 constexpr base::milliseconds keptCheckInterval{50};
 /// Additional attempts beyond the route's limit, available only as long as attempts provably did not execute the request.
@@ -72,6 +74,11 @@
     m_responseBudget = std::make_shared<base::byte_budget>(static_cast<std::size_t>(limit.count()));
 }
 
+void forwarder::setRetryEstimation(bool isEnabled)
+{
+    m_estimatesRetryAfter = isEnabled;
+}
+
 void forwarder::setMissingItemListener(missing_item_listener listener)
 {
     m_missingItemListener = std::move(listener);
@@ -275,7 +282,7 @@
 
 std::optional<base::milliseconds> forwarder::retryAfterFor(const routing::request_facts &facts)
 {
-    const std::optional<base::milliseconds> retryAfter = m_admission.retryAfter(facts);
+    const std::optional<base::milliseconds> retryAfter = m_estimatesRetryAfter ? m_admission.retryAfter(facts) : fixedRetryAfter;
     if (retryAfter) {
         m_metrics.onRetryAfter(*retryAfter);
     }
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -66,12 +66,18 @@
     void setReachability(endpoint_reachability &reachability);
     /// Passes requests on to other nodes while this one reaches no endpoint; it must outlive the forwarder.
     void setRelay(request_relay &relay);
+    /// Whether refusals in the platform's protocol tell when another attempt would probably succeed, instead of a fixed time.
+    void setRetryEstimation(bool isEnabled);
 
     boost::asio::awaitable<void> forward(std::shared_ptr<net::http_exchange> exchange, forwarding_plan plan);
 
     /// `Retry-After` for a request in the platform's protocol that is refused now and has not run; counted in the metrics. No value if it has no time
     /// left for another attempt.
     std::optional<base::milliseconds> retryAfterFor(const routing::request_facts &facts);
+    bool estimatesRetryAfter() const
+    {
+        return m_estimatesRetryAfter;
+    }
 
     /// Bytes of responses that are kept now.
     std::size_t keptBytes() const
@@ -160,6 +166,7 @@
     fleet::stream_origins *m_streamOrigins = nullptr;
     endpoint_reachability *m_reachability = nullptr;
     request_relay *m_relay = nullptr;
+    bool m_estimatesRetryAfter = false;
     /// Shared with the open requests, which may outlive the forwarder.
     std::shared_ptr<base::byte_budget> m_responseBudget = std::make_shared<base::byte_budget>(defaultResponseLimit);
     /// Shared with the open responses, which may outlive the forwarder.
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -164,6 +164,10 @@
 asio::awaitable<void> route_api::refuseUnserved(std::shared_ptr<net::http_exchange> exchange, const forwarding_plan &plan)
 {
     const base::reason why{base::error_kind::noEndpoint, "no endpoint holds " + plan.facts.pool};
+    if (!m_forwarder.estimatesRetryAfter()) {
+        co_await refuse(exchange, plan.attemptId, why.kind, why.text);
+        co_return;
+    }
     const std::optional<base::milliseconds> retryAfter = m_forwarder.retryAfterFor(plan.facts);
     noteRefusal(exchange->request(), plan.attemptId, why, retryAfter);
     net::http_response answer = problemAnswer(why);
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -213,6 +213,7 @@
     m_forwarder.setResponseLimit(m_settings.bufferLimit);
     m_forwarder.setReachability(m_reachability);
     m_forwarder.setRelay(m_relayToHelpers);
+    m_forwarder.setRetryEstimation(m_settings.estimatedRetryAfter);
     m_reachability.onChange([this] { strandedChanged(); });
     m_knowledge.helpers->setOwn(base::node_id(m_settings.node), {m_settings.peerListen, base::zone_id(m_settings.zone), true, true});
     m_publishedVersions.setRegistrationsReadAt([this] { return m_endpointFollower.readAt().boot; });
--- a/packages/node/tests/route_api_test.cpp
+++ b/packages/node/tests/route_api_test.cpp
@@ -303,6 +303,7 @@
         logger->addAppender(appender);
         route_api_fixture fixture;
         fixture.configure();
+        fixture.requestForwarder.setRetryEstimation(true);
         fixture.director.retryAfterRefusal = base::milliseconds(1'234);
         const std::string answer = fixture.ask("/chat/x");
         logger->removeAppender(appender);
@@ -317,6 +318,7 @@
     {
         route_api_fixture fixture;
         fixture.configure();
+        fixture.requestForwarder.setRetryEstimation(true);
         fixture.director.retryAfterRefusal = std::nullopt;
         const std::string answer = fixture.ask("/chat/x");
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 503 ") && !contains(answer, "Retry-After"));
@@ -328,6 +330,7 @@
     {
         route_api_fixture fixture;
         fixture.configure();
+        fixture.requestForwarder.setRetryEstimation(true);
         fixture.itemProvider.isAvailable = false;
         fixture.director.retryAfterRefusal = base::milliseconds(2'500);
         const std::string answer = fixture.ask("/chat/x", "Chervilbend-Model: tall/a3\r\n");
