--- a/packages/routing/tests/retry_after_test.cpp
+++ b/packages/routing/tests/retry_after_test.cpp
@@ -166,6 +166,7 @@
         constexpr int callers = 100;
         busy_endpoint estimated;
         std::vector<milliseconds> times;
+        times.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             times.push_back(estimated.driver.director.retryAfter(director_driver::request()).value());
         }
