Let the nodes of a soak talk to each other

Nodes sign their messages to each other with the address of the store. In a soak each node had a relay of its own as that address, so every node refused the messages of all others ("the signature does not match a valid key"), in all soaks so far: no reports to the holder, no grants, no relayed requests. Now all nodes have one address for the store, and the soak passes each connection on by the relay of the node that opened it, which it finds by the socket in /proc.

--- a/packages/fakes/src/chervilbend/fakes/platform/fault_relay.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/fault_relay.cpp
@@ -75,20 +75,24 @@
 {
     while (true) {
         auto [error, socket] = co_await m_acceptor.async_accept(awaitTuple);
-        if (error) {
-            continue;
+        if (!error) {
+            take(std::move(socket));
         }
-        if (m_state.refusesConnections) {
-            reset(socket);
-            continue;
-        }
-        m_links.remove_if([](const std::weak_ptr<link> &open) { return open.expired(); });
-        const auto connected = std::make_shared<link>(std::move(socket));
-        m_links.push_back(connected);
-        asio::co_spawn(m_acceptor.get_executor(), serve(connected), asio::detached);
     }
 }
 
+void fault_relay::take(asio::ip::tcp::socket caller)
+{
+    if (m_state.refusesConnections) {
+        reset(caller);
+        return;
+    }
+    m_links.remove_if([](const std::weak_ptr<link> &open) { return open.expired(); });
+    const auto connected = std::make_shared<link>(std::move(caller));
+    m_links.push_back(connected);
+    asio::co_spawn(m_acceptor.get_executor(), serve(connected), asio::detached);
+}
+
 asio::awaitable<void> fault_relay::serve(std::shared_ptr<link> connected)
 {
     const auto [error] = co_await connected->server.async_connect({asio::ip::address_v4::loopback(), m_target}, awaitTuple);
--- a/packages/fakes/src/chervilbend/fakes/platform/fault_relay.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/fault_relay.hpp
@@ -28,6 +28,9 @@
 public:
     fault_relay(const boost::asio::any_io_executor &executor, std::uint16_t port, std::uint16_t target);
 
+    /// Relays a connection that was accepted elsewhere.
+    void take(boost::asio::ip::tcp::socket caller);
+
     void setState(const link_state &state)
     {
         m_state = state;
--- a/packages/soak/src/chervilbend/soak/node_processes.cpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iterator>
 #include <sstream>
 #include <system_error>
@@ -38,6 +39,24 @@
     }
 }
 
+/// What a descriptor of the process that opened the connection from that port of 127.0.0.1 links to; empty if it is closed.
+std::string socketOf(std::uint16_t port)
+{
+    std::ostringstream address;
+    address << "0100007F:" << std::uppercase << std::hex << std::setfill('0') << std::setw(4) << port;
+    std::ifstream connections("/proc/net/tcp");
+    for (std::string line; std::getline(connections, line);) {
+        // Number, local and remote address, state, queues, timer, retransmissions, user, time-out, and inode, which is 0 once closed.
+        std::istringstream words(line);
+        const std::vector<std::string> fields{std::istream_iterator<std::string>(words), {}};
+        constexpr std::size_t inode = 9;
+        if (fields.size() > inode && fields[1] == address.str() && fields[inode] != "0") {
+            return "socket:[" + fields[inode] + "]";
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 node_processes::node_processes(const soak_options &options)
@@ -54,7 +73,7 @@
     for (std::size_t node = 0; node < m_options.nodes; ++node) {
         std::ofstream(m_options.folder + "/" + nameOf(node) + ".yaml")
             << "node: " << nameOf(node) << "\nzone: a\nlisten: " << address(ports.callers(node)) << "readyListen: " << address(ports.ready(node))
-            << "peerListen: " << address(ports.peers(node)) << "metadataStore: " << address(ports.storeRelay(node))
+            << "peerListen: " << address(ports.peers(node)) << "metadataStore: " << address(ports.sharedStore())
             << "metricsListen: " << address(ports.metrics(node))
             << "jsonLog: true\nbalancerWait: 2500 ms\nprocessorShare: 0.25\nlinkRate: 1000.0\nshutdownBound: 8 s\ndrainTime: 2000 ms\ncommandGap: 3000 ms\n"
                "enginesCheckFencing: true\nretryShare: 0.2\nretryBurst: 52\nloadWindow: 5 s\nloadOvershoot: 1.1\n";
@@ -80,6 +99,22 @@
     return process;
 }
 
+std::optional<std::size_t> node_processes::ownerOf(std::uint16_t port) const
+{
+    const std::string socket = socketOf(port);
+    for (std::size_t node = 0; node < m_options.nodes && !socket.empty(); ++node) {
+        std::error_code error;
+        std::filesystem::directory_iterator descriptor("/proc/" + std::to_string(processOf(node).value_or(0)) + "/fd", error);
+        for (; !error && descriptor != std::filesystem::directory_iterator(); descriptor.increment(error)) {
+            std::error_code ignored;
+            if (std::filesystem::read_symlink(descriptor->path(), ignored) == socket) {
+                return node;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<pid_t> node_processes::stopOpeningDescriptors(std::size_t node)
 {
     const std::optional<pid_t> process = processOf(node);
--- a/packages/soak/src/chervilbend/soak/node_processes.hpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.hpp
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,6 +34,9 @@
     /// Sends it to a process that may have ended.
     void signalProcess(pid_t process, int number);
 
+    /// The node whose process has opened the connection from that port of 127.0.0.1, if there is one.
+    std::optional<std::size_t> ownerOf(std::uint16_t port) const;
+
     /// Ends for which no signal of this object is the reason, one a line.
     std::vector<std::string> unexpectedEnds() const;
 
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -48,6 +48,7 @@
     explicit soak_ports(const soak_options &options)
         : m_first(options.firstPort)
         , m_nodes(options.nodes)
+        , m_servers(options.servers + options.feedServers)
     {
     }
 
@@ -55,6 +56,11 @@
     {
         return m_first;
     }
+    /// Where all nodes reach the store: they sign their messages to each other with its address.
+    std::uint16_t sharedStore() const
+    {
+        return server(m_servers);
+    }
     /// Of the relay between a node and the store.
     std::uint16_t storeRelay(std::size_t node) const
     {
@@ -95,6 +101,7 @@
 
     std::uint16_t m_first;
     std::size_t m_nodes;
+    std::size_t m_servers;
 };
 
 } // namespace chervilbend::soak
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -2,8 +2,10 @@
 
 #include <chervilbend/net/sleep.hpp>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
 #include <exception>
@@ -49,6 +51,7 @@
 soak_run::soak_run(soak_options options)
     : m_options(std::move(options))
     , m_store(m_context.get_executor(), soak_ports(m_options).store(), m_options.seed)
+    , m_sharedStore(m_context, {asio::ip::address_v4::loopback(), soak_ports(m_options).sharedStore()})
     , m_nodes(m_options)
     , m_rotation(readyPorts(m_options))
     , m_schedule(scheduleFor(m_options))
@@ -111,6 +114,7 @@
 soak_run::verdict soak_run::run()
 {
     asio::co_spawn(m_context, m_rotation.run(), asio::detached);
+    asio::co_spawn(m_context, acceptForStore(), asio::detached);
     asio::co_spawn(m_context, play(), [this](const std::exception_ptr &failure) {
         if (failure) {
             m_failures.emplace_back("the soak itself failed");
@@ -166,6 +170,19 @@
     }
 }
 
+asio::awaitable<void> soak_run::acceptForStore()
+{
+    while (true) {
+        auto [error, socket] = co_await m_sharedStore.async_accept(asio::as_tuple(asio::use_awaitable));
+        boost::system::error_code closed;
+        const std::uint16_t port = error ? 0 : socket.remote_endpoint(closed).port();
+        // A connection without an owner is closed, and the node opens another one.
+        if (const std::optional<std::size_t> node = error || closed ? std::nullopt : m_nodes.ownerOf(port)) {
+            m_storeRelays[*node]->take(std::move(socket));
+        }
+    }
+}
+
 asio::awaitable<bool> soak_run::waitUntilReady()
 {
     const base::time_point end = base::clock::now() + startTimeout;
--- a/packages/soak/src/chervilbend/soak/soak_run.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.hpp
@@ -41,6 +41,8 @@
 private:
     boost::asio::awaitable<void> play();
     boost::asio::awaitable<bool> waitUntilReady();
+    /// Passes each connection to the store on by the relay of its node.
+    boost::asio::awaitable<void> acceptForStore();
     boost::asio::awaitable<void> runCaller(std::shared_ptr<caller> one, base::time_point end);
     boost::asio::awaitable<void> playSchedule(base::time_point start);
     boost::asio::awaitable<void> playFault(scheduled_fault fault);
@@ -58,6 +60,7 @@
     boost::asio::io_context m_context{1};
     attempt_ledger m_ledger;
     fakes::metadata_store m_store;
+    boost::asio::ip::tcp::acceptor m_sharedStore;
     std::vector<std::unique_ptr<fakes::fault_relay>> m_storeRelays;
     std::vector<std::unique_ptr<fakes::application_server>> m_servers;
     std::vector<std::unique_ptr<fakes::fault_relay>> m_serverRelays;
