Play soaks with accounts, keys and quotas

The soak knew no accounts, so 401, 429 and what servers are told of a caller were not tried on real processes under faults. Callers send keys that every, some, or no version contains, or none, and one in ten requests names an account itself. During a run the operator halves a limit, adds a key, removes one, and restores the limit. New rules: UNAUTHORIZED, DENIED, ACCOUNT, KEY and QUOTA. Keys are drawn by a generator of their own, so that the seeds give the same requests as before.

--- a/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/application_server.cpp
@@ -42,6 +42,17 @@
     return std::string(request[boost::beast::string_view(name.data(), name.size())]);
 }
 
+/// All values of the field, separated by commas.
+std::string listOf(const net::http_request &request, std::string_view name)
+{
+    std::string list;
+    const auto [begin, end] = request.equal_range(boost::beast::string_view(name.data(), name.size()));
+    for (auto field = begin; field != end; ++field) {
+        list.append(field == begin ? "" : ",").append(field->value().data(), field->value().size());
+    }
+    return list;
+}
+
 std::optional<std::int64_t> numberOf(const net::http_request &request, std::string_view name)
 {
     const std::string text = fieldOf(request, name);
@@ -239,6 +250,9 @@
     const std::shared_ptr<raw_connection> caller = served->caller;
     const std::string attempt = fieldOf(caller->request(), "Chervilbend-Attempt-Id");
     const std::string target(caller->request().target());
+    if (!fieldOf(caller->request(), "Authorization").empty()) {
+        m_observer.onAuthorization(attempt);
+    }
     if (target == "/health") {
         co_return caller->write(message("200 OK", "Chervilbend-Instance-Id: " + life->id + "\r\n"));
     }
@@ -326,6 +340,7 @@
     run.attempt = fieldOf(caller->request(), "Chervilbend-Attempt-Id");
     run.target = std::string(caller->request().target());
     run.server = life->id;
+    run.account = listOf(caller->request(), "Chervilbend-Tenant");
     run.form = form;
     m_observer.onRun(run);
     if (served->hasLateCopy || !served->copyWithinNext.empty()) {
--- a/packages/fakes/src/chervilbend/fakes/platform/caller_message.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/caller_message.hpp
@@ -16,6 +16,8 @@
     std::string attempt;
     /// How long the caller waits.
     base::milliseconds timeout{0};
+    /// Further header lines, each with its line end.
+    std::string fields;
     std::string body;
 };
 
--- a/packages/fakes/src/chervilbend/fakes/platform/run_observer.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/run_observer.hpp
@@ -13,6 +13,8 @@
     std::string attempt;
     std::string target;
     std::string server;
+    /// What it says about its account; empty if nothing.
+    std::string account;
     answer_form form = answer_form::proper;
     base::time_point at = base::clock::now();
 };
@@ -30,6 +32,8 @@
     virtual void onSpoiltAnswer(const std::string &attempt) = 0;
     /// An attempt has come again on the connection on which it was refused.
     virtual void onRepeatOnConnection() = 0;
+    /// A server has received a request with a caller's key. The attempt is empty for a request without one.
+    virtual void onAuthorization(const std::string &attempt) = 0;
 };
 
 } // namespace chervilbend::fakes
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr int okStatus = 200;
+constexpr int unauthorizedStatus = 401;
 /// A stop may cut what an endpoint is still at work on so long after its SIGTERM, if it was sent no later than that.
 constexpr base::milliseconds lastSixthOfStop{6'667};
 constexpr base::milliseconds latestSentInStop{3'000};
@@ -46,6 +47,11 @@
     return kind == request_kind::order || kind == request_kind::stream;
 }
 
+bool isPublic(request_kind kind)
+{
+    return kind == request_kind::query;
+}
+
 void attempt_ledger::onSent(const caller_attempt &attempt)
 {
     std::vector<attempt_record> &sendings = m_attempts[attempt.id];
@@ -72,6 +78,9 @@
     record.endedAt = base::clock::now();
     record.hasEnded = true;
     check(record);
+    if (record.end.status == unauthorizedStatus && record.attempt.key && record.attempt.key->validity == key_validity::always) {
+        report("DENIED", record, {record.attempt.program});
+    }
     const bool isCrossed = record.runs.empty() && record.endedAt - record.attempt.sentAt <= crossingTime;
     if (record.end.cut == cut_cause::byNode && !isCrossed) {
         const bool isExcused = mayBeCut(record);
@@ -120,6 +129,7 @@
     attempt_record &record = lastOf(run.attempt);
     record.runs.push_back(run);
     check(record);
+    checkAccount(record);
 }
 
 void attempt_ledger::onFaultyAnswer(fakes::answer_form form)
@@ -137,6 +147,35 @@
     ++m_repeatsOnConnection;
 }
 
+void attempt_ledger::onAuthorization(const std::string &attempt)
+{
+    attempt_record &record = lastOf(attempt);
+    // A server may get a request that no caller sent, such as a health check.
+    record.attempt.id = attempt;
+    report("KEY", record, {record.attempt.program});
+}
+
+void attempt_ledger::checkAccount(const attempt_record &record)
+{
+    const std::optional<account_key> &key = record.attempt.key;
+    if (!key) {
+        return;
+    }
+    const fakes::served_run &run = record.runs.back();
+    const bool needsKey = !isPublic(record.attempt.kind);
+    const bool mayLackAccount = !needsKey && key->validity != key_validity::always;
+    if (needsKey && key->validity == key_validity::never) {
+        report("UNAUTHORIZED", record, {record.attempt.program});
+    } else if (run.account != key->account && !(mayLackAccount && run.account.empty())) {
+        report("ACCOUNT (" + run.account + ")", record, {record.attempt.program});
+    }
+    const bool isFirst = record.runs.size() == 1;
+    if (const std::optional<quota_excess> excess = isFirst ? m_quotas.onRun(run.account, record.attempt.program, run.at) : std::nullopt) {
+        const std::string found = std::to_string(excess->runs) + " runs of " + run.account + " in a window, allowed " + std::to_string(excess->allowed);
+        m_breaches.push_back({"QUOTA", excess->programs, found + ", the last: " + storyOf(record)});
+    }
+}
+
 /// Called after each run and at the end of the attempt, so that a run after the answer is found too.
 void attempt_ledger::check(const attempt_record &record)
 {
@@ -229,6 +268,9 @@
     for (const auto &[status, count] : m_statuses) {
         text << ' ' << status << ':' << count;
     }
+    if (const std::string quotas = m_quotas.summary(); !quotas.empty()) {
+        text << "\nmost runs of an account in 8 s: " << quotas;
+    }
     text << "\nforms of faulty answers:";
     for (const auto &[form, count] : m_forms) {
         text << ' ' << form << ':' << count;
--- a/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
+++ b/packages/soak/src/chervilbend/soak/attempt_ledger.hpp
@@ -2,10 +2,13 @@
 
 #include <chervilbend/base/clock.hpp>
 #include <chervilbend/fakes/platform/run_observer.hpp>
+#include <chervilbend/soak/quota_windows.hpp>
+#include <chervilbend/soak/soak_accounts.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +28,8 @@
 };
 
 bool mayRunOnceOnly(request_kind kind);
+/// Whether its route needs no key.
+bool isPublic(request_kind kind);
 
 /// How an attempt ends without a whole answer.
 enum class cut_cause {
@@ -45,6 +50,8 @@
     /// The program that the node runs; see runningProgram().
     std::string program;
     base::time_point sentAt = base::clock::now();
+    /// What it was sent with; no value in a soak without accounts.
+    std::optional<account_key> key = std::nullopt;
 };
 
 /// How an attempt ended for its caller.
@@ -64,8 +71,9 @@
     std::string story;
 };
 
-/// What callers and servers have seen of each attempt; checks that what may run once only runs once, that no request runs that was called not run, and that
-/// nodes cut no answers (LOST).
+/// What callers and servers have seen of each attempt; checks that what may run once only runs once, that no request runs that was called not run, that
+/// nodes cut no answers (LOST), that requests run and are refused as their keys say (UNAUTHORIZED, DENIED), that servers get the account and no key (ACCOUNT,
+/// KEY), and that accounts keep to their quotas (QUOTA).
 class attempt_ledger : public fakes::run_observer
 {
 public:
@@ -80,11 +88,18 @@
     void onFaultyAnswer(fakes::answer_form form) override;
     void onSpoiltAnswer(const std::string &attempt) override;
     void onRepeatOnConnection() override;
+    void onAuthorization(const std::string &attempt) override;
     /// A fault of a node, a server or a link begins or goes on now. Nodes may cut answers beside it. A server that is silent for a while is none.
     void onDisruption();
     /// A process of the node has got its first SIGTERM.
     void onStop(std::size_t node, base::time_point at = base::clock::now());
 
+    /// The limits that hold for the accounts; an attempt counts once, also if it runs again.
+    quota_windows &quotas()
+    {
+        return m_quotas;
+    }
+
     const std::vector<breach> &breaches() const
     {
         return m_breaches;
@@ -116,6 +131,8 @@
     /// The record of the last sending of the attempt.
     attempt_record &lastOf(const std::string &id);
     void check(const attempt_record &record);
+    /// Called after each run.
+    void checkAccount(const attempt_record &record);
     void report(const std::string &rule, const attempt_record &record, std::set<std::string> programs);
     /// Of all attempts of the record's request, in their order.
     std::vector<attempt_record> sendingsOf(const attempt_record &record) const;
@@ -130,6 +147,7 @@
     /// The attempts of each request that may run once only, in their order, each once.
     std::map<std::uint64_t, std::vector<std::string>> m_requests;
     std::vector<breach> m_breaches;
+    quota_windows m_quotas;
     base::time_point m_lastDisruption = base::time_point::min();
     std::map<std::size_t, std::vector<base::time_point>> m_stops;
     std::size_t m_cut = 0;
--- a/packages/soak/src/chervilbend/soak/caller.cpp
+++ b/packages/soak/src/chervilbend/soak/caller.cpp
@@ -46,12 +46,17 @@
 constexpr double streamShare = 0.6; // Of the others.
 constexpr double longBodyShare = 0.05;
 constexpr double leavingShare = 0.03;
+/// Share of the requests that name an account themselves, which nodes must not pass on.
+constexpr double forgedShare = 0.1;
+constexpr std::uint64_t accountSeedStep = 1'000'000;
 constexpr std::int64_t shortestLongBody = 100'000;
 constexpr std::int64_t longestLongBody = 900'000;
 constexpr std::uint64_t maxAnswerBytes = 1024 * 1024;
 /// Part of the time left that a caller waits at most before it repeats a request.
 constexpr int retryWaitShare = 3;
 constexpr int okStatus = 200;
+/// Final for a caller, also of a request that may be repeated.
+constexpr int unauthorizedStatus = 401;
 /// Of a wrong answer, in the list of breaches.
 constexpr std::size_t shownBytes = 20;
 /// Odd, with bits all over the word: spreads consecutive numbers.
@@ -151,6 +156,7 @@
     , m_nodes(nodes)
     , m_ledger(ledger)
     , m_random(seed)
+    , m_accountRandom(seed + accountSeedStep)
     , m_hash(seed * spreadingFactor >> 20)
     , m_readsFeeds(readsFeeds)
 {
@@ -204,6 +210,9 @@
     if (request.kind == request_kind::order && m_random.chance(longBodyShare)) {
         request.body.resize(static_cast<std::size_t>(m_random.between(shortestLongBody, longestLongBody)), '.');
     }
+    if (m_options.hasAccounts) {
+        request.key = soak_accounts::drawKey(m_accountRandom);
+    }
     if (m_random.chance(leavingShare)) {
         request.leavesAt = now + base::milliseconds(m_random.between(1, m_options.orderTimeout.count() / 4));
     }
@@ -215,7 +224,7 @@
     const std::shared_ptr<open_connection> kept = co_await keptConnection();
     const std::string id = attemptId(m_options.seed);
     const attempt_answer answer = co_await attempt(request, id, kept);
-    const bool mayRepeat = isPromise(answer.status) || (!mayRunOnceOnly(request.kind) && answer.status != okStatus);
+    const bool mayRepeat = isPromise(answer.status) || (!mayRunOnceOnly(request.kind) && answer.status != okStatus && answer.status != unauthorizedStatus);
     if (!mayRepeat || request.leavesAt) {
         co_return;
     }
@@ -256,13 +265,14 @@
     if (!connection) {
         co_return result;
     }
-    m_ledger.onSent({id, request.number, request.kind, connection->node, connection->program});
+    m_ledger.onSent({id, request.number, request.kind, connection->node, connection->program, base::clock::now(), request.key});
     fakes::caller_message message;
     message.method = request.kind == request_kind::query ? "GET" : "POST";
     message.host = "desk.example";
     message.path = targetOf(request);
     message.attempt = id;
     message.timeout = std::max(request.deadline - base::clock::now(), base::milliseconds(1));
+    message.fields = accountFields(request);
     message.body = request.body;
     const std::string text = fakes::toText(message);
     connection->closeAt(request.leavesAt ? std::min(*request.leavesAt, request.deadline) : request.deadline);
@@ -297,6 +307,18 @@
     co_return result;
 }
 
+std::string caller::accountFields(const caller_request &request)
+{
+    std::string fields;
+    if (request.key && !request.key->text.empty()) {
+        fields += "Authorization: Token " + request.key->text + "\r\n";
+    }
+    if (request.key && m_accountRandom.chance(forgedShare)) {
+        fields += "chervilbend-tenant: forged\r\n";
+    }
+    return fields;
+}
+
 std::string caller::expectedBody(const caller_request &request, const std::string &id)
 {
     const std::string target = targetOf(request);
--- a/packages/soak/src/chervilbend/soak/caller.hpp
+++ b/packages/soak/src/chervilbend/soak/caller.hpp
@@ -42,6 +42,8 @@
         std::uint64_t number = 0;
         request_kind kind = request_kind::order;
         std::string body;
+        /// Of its account; no value in a soak without accounts.
+        std::optional<account_key> key;
         base::time_point deadline;
         /// The caller closes its connection at that time; it doesn't wait any longer.
         std::optional<base::time_point> leavesAt;
@@ -60,6 +62,8 @@
     boost::asio::awaitable<std::shared_ptr<open_connection>> connect(std::uint64_t hash);
     /// The connection of the request before, if it is still open, or a new one; nullptr if none can be had.
     boost::asio::awaitable<std::shared_ptr<open_connection>> keptConnection();
+    /// Header lines that say which account the request belongs to.
+    std::string accountFields(const caller_request &request);
     static std::string targetOf(const caller_request &request);
     static std::string expectedBody(const caller_request &request, const std::string &id);
     void checkAnswer(const caller_request &request, const std::string &id, const net::http_response &answer);
@@ -68,6 +72,8 @@
     const node_rotation &m_nodes;
     attempt_ledger &m_ledger;
     fakes::seeded_random m_random;
+    /// Apart from the others, so that accounts leave their numbers as they are.
+    fakes::seeded_random m_accountRandom;
     std::shared_ptr<open_connection> m_connection;
     std::uint64_t m_hash;
     bool m_readsFeeds;
--- a/packages/soak/src/chervilbend/soak/fault_schedule.cpp
+++ b/packages/soak/src/chervilbend/soak/fault_schedule.cpp
@@ -50,6 +50,11 @@
     return !isPlanned && !isOfStoreAlone && kind != fault_kind::stallServer;
 }
 
+bool cutsStoreContact(fault_kind kind)
+{
+    return kind >= fault_kind::holdStoreRequests || kind == fault_kind::freezeNode || kind == fault_kind::starveNode;
+}
+
 std::vector<scheduled_fault> scheduleFor(const soak_options &options)
 {
     std::vector<scheduled_fault> schedule;
--- a/packages/soak/src/chervilbend/soak/fault_schedule.hpp
+++ b/packages/soak/src/chervilbend/soak/fault_schedule.hpp
@@ -51,6 +51,8 @@
 std::string_view toString(fault_kind kind);
 /// Whether it is a failure of a node, a server or a link. Planned stops, a server that is silent for a while, and faults of the store alone are none.
 bool isDisruption(fault_kind kind);
+/// Whether nodes may have no contact with the store meanwhile.
+bool cutsStoreContact(fault_kind kind);
 /// No value if no kind has the name.
 std::optional<fault_kind> faultNamed(std::string_view name);
 
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -37,6 +37,8 @@
     double repeatedIdShare = 0.25;
     /// Breaches of requests that only met nodes with other programs don't count; empty: all count. See runningProgram().
     std::string judgedProgram;
+    /// Whether the configuration has accounts, and callers send keys. Builds before accounts take all requests that have none.
+    bool hasAccounts = true;
     /// How long callers wait for the answer to an order.
     base::milliseconds orderTimeout{2'500};
 };
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
 #include <csignal>
 #include <exception>
 #include <iostream>
@@ -36,6 +37,22 @@
 constexpr base::milliseconds reuseTime{3'000};
 constexpr std::string_view otherService = "other";
 constexpr int feedSlots = 16;
+/// A node that waits for a silent store gives up then: a long poll of 2 s and 0.9 s for the answer.
+constexpr base::milliseconds longestStoreWait{3'000};
+
+struct planned_change {
+    /// Share of the duration.
+    double at;
+    account_change change;
+};
+
+/// The halved limit lasts long enough that it binds in a soak of 20 s: it may take 3 s to propagate, and a window has 8 s.
+constexpr std::array<planned_change, 4> accountChanges{{
+    {0.1, account_change::halveLimit},
+    {0.25, account_change::addKey},
+    {0.5, account_change::removeKey},
+    {0.9, account_change::restoreLimit},
+}};
 
 std::vector<std::uint16_t> readyPorts(const soak_options &options)
 {
@@ -96,19 +113,27 @@
 {
     const std::string attempts = std::to_string(m_options.attempts);
     const std::string timeout = std::to_string(m_options.orderTimeout.count());
-    m_store.putConfiguration(R"({"version":3,"routes":[)"
-                             R"({"name":"order","host":"desk.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":)"
+    const std::string visibility = m_options.hasAccounts ? R"(,"public":true)" : "";
+    const std::string accounts = m_options.hasAccounts ? R"("tenants":)" + m_accounts.toJson() + ',' : "";
+    m_store.putConfiguration(R"({"version":)" + std::to_string(++m_version)
+                             + R"(,"routes":[)"
+                               R"({"name":"order","host":"desk.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":)"
                              + timeout + R"(,"targetLatencyMs":150,"priority":1,"service":"desk","attempts":)" + attempts
                              + R"(},{"name":"stream","host":"desk.example","pathPrefix":"/streams/","kind":"streaming","canResume":false,"timeoutMs":6000,)"
                                R"("targetLatencyMs":400,"gapAimMs":150,"priority":1,"service":"desk","attempts":)"
                              + attempts + R"(},{"name":"status","host":"desk.example","pathPrefix":"/status/","kind":"safe","timeoutMs":)" + timeout
-                             + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2},)"
-                               R"({"name":"feed","host":"desk.example","pathPrefix":"/feeds/","kind":"streaming","canResume":true,"timeoutMs":12000,)"
+                             + R"(,"targetLatencyMs":150,"priority":2,"service":"desk","attempts":2)" + visibility
+                             + R"(},{"name":"feed","host":"desk.example","pathPrefix":"/feeds/","kind":"streaming","canResume":true,"timeoutMs":12000,)"
                                R"("targetLatencyMs":400,"gapAimMs":200,"priority":1,"service":"press","attempts":2}],)"
                                R"("services":[{"name":"desk","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
                                R"({"name":"press","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false},)"
                                R"({"name":"other","healthPath":"/health","connectionLimit":290,"protocol":"h1","tls":false}],)"
-                               R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+                             + accounts + R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+    if (m_options.hasAccounts) {
+        for (const soak_accounts::account &one : m_accounts.accounts()) {
+            m_ledger.quotas().setLimit(one.name, one.limit);
+        }
+    }
 }
 
 soak_run::verdict soak_run::run()
@@ -140,6 +165,9 @@
     m_wasPlayed = true;
     co_await net::sleepFor(settlingTime);
     const base::time_point start = base::clock::now();
+    if (m_options.hasAccounts) {
+        asio::co_spawn(m_context, playAccountChanges(start), asio::detached);
+    }
     for (std::size_t i = 0; i < m_options.callers; ++i) {
         ++m_openCallers;
         const auto one = std::make_shared<caller>(m_options, m_rotation, m_ledger, m_options.seed * 1'000 + 500 + i);
@@ -212,6 +240,10 @@
     if (isDisruption(fault.kind)) {
         asio::co_spawn(m_context, noteDisruption(fault.duration), asio::detached);
     }
+    if (cutsStoreContact(fault.kind)) {
+        const bool isSilent = fault.kind == fault_kind::silenceStoreLink;
+        asio::co_spawn(m_context, noteContactLoss(isSilent ? longestStoreWait : fault.duration), asio::detached);
+    }
     if (fault.kind <= fault_kind::starveNode) {
         co_await playNodeFault(fault);
     } else if (fault.kind <= fault_kind::hideServers) {
@@ -233,6 +265,26 @@
     m_ledger.onDisruption();
 }
 
+asio::awaitable<void> soak_run::noteContactLoss(base::milliseconds duration)
+{
+    const base::time_point end = base::clock::now() + duration;
+    while (base::clock::now() < end) {
+        m_ledger.quotas().onContactLoss();
+        co_await net::sleepFor(pollInterval);
+    }
+    m_ledger.quotas().onContactLoss();
+}
+
+asio::awaitable<void> soak_run::playAccountChanges(base::time_point start)
+{
+    for (const planned_change &one : accountChanges) {
+        const auto at = static_cast<std::int64_t>(one.at * static_cast<double>(m_options.duration.count()));
+        co_await net::sleepFor(start + base::milliseconds(at) - base::clock::now());
+        m_accounts.apply(one.change);
+        writeConfiguration();
+    }
+}
+
 void soak_run::stopNode(std::size_t node)
 {
     if (m_nodes.signal(node, SIGTERM)) {
--- a/packages/soak/src/chervilbend/soak/soak_run.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.hpp
@@ -8,6 +8,7 @@
 #include <chervilbend/soak/fault_schedule.hpp>
 #include <chervilbend/soak/node_processes.hpp>
 #include <chervilbend/soak/node_rotation.hpp>
+#include <chervilbend/soak/soak_accounts.hpp>
 #include <chervilbend/soak/soak_options.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -53,6 +54,10 @@
     boost::asio::awaitable<void> playServerFault(scheduled_fault fault);
     boost::asio::awaitable<void> playLinkFault(scheduled_fault fault);
     boost::asio::awaitable<void> playStoreFault(scheduled_fault fault);
+    boost::asio::awaitable<void> noteContactLoss(base::milliseconds duration);
+    /// The operator's changes of the accounts, at fixed shares of the duration.
+    boost::asio::awaitable<void> playAccountChanges(base::time_point start);
+    /// Each call writes a new version.
     void writeConfiguration();
     void printResult() const;
 
@@ -68,6 +73,8 @@
     node_processes m_nodes;
     node_rotation m_rotation;
     const std::vector<scheduled_fault> m_schedule;
+    soak_accounts m_accounts;
+    int m_version = 2;
     std::size_t m_openCallers = 0;
     std::size_t m_openFaults = 0;
     std::vector<std::string> m_failures;
--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -25,6 +25,7 @@
 DEFINE_string(only_fault, "", "Name of the only kind of fault that is played, such as starveNode; empty for all");
 DEFINE_int32(attempts, 1, "Attempts that the routes of requests that may run once only allow");
 DEFINE_int64(order_timeout_ms, 2'500, "Deadline of orders in milliseconds");
+DEFINE_bool(accounts, true, "Whether the configuration has accounts with keys and quotas, which older builds don't know");
 DEFINE_bool(schedule, false, "Print the schedule of the seed, and end");
 
 namespace
@@ -56,6 +57,7 @@
     options.judgedProgram = FLAGS_judged;
     options.onlyFault = FLAGS_only_fault;
     options.attempts = FLAGS_attempts;
+    options.hasAccounts = FLAGS_accounts;
     options.orderTimeout = base::milliseconds(FLAGS_order_timeout_ms);
     if (options.nodes < 1 || options.nodes > 80 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
         std::cerr << "chervilbend-soak: nodes must be 1 to 80, servers 1 to 26, the seed above 0, and forms known names\n";
--- a/packages/soak/tests/attempt_ledger_test.cpp
+++ b/packages/soak/tests/attempt_ledger_test.cpp
@@ -16,9 +16,14 @@
         ledger.onSent({id, request, kind, 0, {}});
     }
 
-    void run(const std::string &id)
+    void sendWith(const std::string &id, const account_key &key, request_kind kind = request_kind::order)
     {
-        ledger.onRun({id, "/orders/1", "i-a-1"});
+        ledger.onSent({id, ++requests, kind, 0, "now", base::clock::now(), key});
+    }
+
+    void run(const std::string &id, const std::string &account = {}, base::time_point at = base::clock::now())
+    {
+        ledger.onRun({id, "/orders/1", "i-a-1", account, fakes::answer_form::proper, at});
     }
 
     void end(const std::string &id, int status)
@@ -37,8 +42,13 @@
     }
 
     attempt_ledger ledger;
+    std::uint64_t requests = 0;
 };
 
+const account_key validKey{"north-key", "north", key_validity::always};
+const account_key changingKey{"north-added-key", "north", key_validity::inSomeVersions};
+const account_key unknownKey{"unknown-key", "", key_validity::never};
+
 } // namespace
 
 /// Guards against a soak that holds although a request ran twice or ran after it was called not run.
@@ -59,6 +69,11 @@
     CPPUNIT_TEST(findsAnswerThatANodeCuts);
     CPPUNIT_TEST(cutIsExcusedByCallersFaultsAndTheEndOfAStop);
     CPPUNIT_TEST(holdsWhereNothingIsPromised);
+    CPPUNIT_TEST(findsRunWithAKeyThatNoVersionContained);
+    CPPUNIT_TEST(findsDenialOfAKeyThatEveryVersionContains);
+    CPPUNIT_TEST(findsRunForAnotherAccount);
+    CPPUNIT_TEST(findsKeyThatReachesAServer);
+    CPPUNIT_TEST(findsAccountOverItsQuota);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -238,6 +253,93 @@
         fixture.end("query", 503);
         CPPUNIT_ASSERT_EQUAL(std::string(), fixture.rules());
     }
+
+    /// Guards against a soak that holds although a request ran that nobody may send.
+    void findsRunWithAKeyThatNoVersionContained()
+    {
+        ledger_fixture fixture;
+        fixture.sendWith("a", unknownKey, request_kind::query);
+        fixture.run("a");
+        fixture.sendWith("b", changingKey);
+        fixture.run("b", "north");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a public route, and a key that some versions contain", std::string(), fixture.rules());
+        fixture.sendWith("c", unknownKey);
+        fixture.run("c");
+        CPPUNIT_ASSERT_EQUAL(std::string("UNAUTHORIZED "), fixture.rules());
+        ledger_fixture keyless;
+        keyless.sendWith("a", {});
+        keyless.run("a", "north");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("without a key", std::string("UNAUTHORIZED "), keyless.rules());
+    }
+
+    /// Guards against a soak that holds although 401 ended the attempts of a caller whose key was valid all the time.
+    void findsDenialOfAKeyThatEveryVersionContains()
+    {
+        ledger_fixture fixture;
+        fixture.sendWith("a", changingKey);
+        fixture.end("a", 401);
+        fixture.sendWith("b", unknownKey);
+        fixture.end("b", 401);
+        fixture.sendWith("c", validKey);
+        fixture.end("c", 503);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.rules());
+        fixture.sendWith("d", validKey);
+        fixture.end("d", 401);
+        CPPUNIT_ASSERT_EQUAL(std::string("DENIED "), fixture.rules());
+        CPPUNIT_ASSERT(fixture.ledger.hasBreachAt("now"));
+    }
+
+    /// Guards against a soak that holds although a server was told another account than that of the key, or one that the caller named.
+    void findsRunForAnotherAccount()
+    {
+        ledger_fixture fixture;
+        fixture.sendWith("a", validKey);
+        fixture.run("a", "north");
+        fixture.sendWith("b", changingKey, request_kind::query);
+        fixture.run("b");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a public route and a key that may be unknown", std::string(), fixture.rules());
+        fixture.sendWith("c", validKey, request_kind::query);
+        fixture.run("c");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("a public route and a known key", std::string("ACCOUNT () "), fixture.rules());
+        fixture.sendWith("d", validKey);
+        fixture.run("d", "north,forged");
+        fixture.sendWith("e", unknownKey, request_kind::query);
+        fixture.run("e", "forged");
+        CPPUNIT_ASSERT_EQUAL(std::string("ACCOUNT () ACCOUNT (north,forged) ACCOUNT (forged) "), fixture.rules());
+    }
+
+    /// Guards against a soak that holds although a caller's key left the nodes.
+    void findsKeyThatReachesAServer()
+    {
+        ledger_fixture fixture;
+        fixture.sendWith("a", validKey);
+        fixture.run("a", "north");
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.rules());
+        fixture.ledger.onAuthorization("a");
+        CPPUNIT_ASSERT_EQUAL(std::string("KEY "), fixture.rules());
+        ledger_fixture check;
+        check.ledger.onAuthorization("");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("in a health check", std::string("KEY "), check.rules());
+    }
+
+    /// Guards against a soak that holds although an account used more than its quota; an attempt that runs again is charged once.
+    void findsAccountOverItsQuota()
+    {
+        ledger_fixture fixture;
+        const base::time_point now = base::clock::now();
+        fixture.ledger.quotas().setLimit("north", {1, 1}, now);
+        for (int i = 0; i < 10; ++i) {
+            const std::string id = "attempt " + std::to_string(i);
+            fixture.sendWith(id, validKey, request_kind::query);
+            fixture.run(id, "north", now);
+            fixture.run(id, "north", now);
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("(1 x 8 + 1) x 1.1 + 1 allow 10", std::string(), fixture.rules());
+        fixture.sendWith("last", validKey);
+        fixture.run("last", "north", now);
+        CPPUNIT_ASSERT_EQUAL(std::string("QUOTA "), fixture.rules());
+        CPPUNIT_ASSERT(fixture.ledger.hasBreachAt("now"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(attempt_ledger_test);
