--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -37,6 +37,8 @@
     double repeatedIdShare = 0.25;
     /// Breaches of requests that only met nodes with other programs don't count; empty: all count. See runningProgram().
     std::string judgedProgram;
+    /// Whether the configuration has accounts, and callers send keys. Builds before accounts take all requests that have none.
+    bool hasAccounts = true;
     /// How long callers wait for the answer to an order.
     base::milliseconds orderTimeout{2'500};
 };
@@ -48,6 +50,7 @@
     explicit soak_ports(const soak_options &options)
         : m_first(options.firstPort)
         , m_nodes(options.nodes)
+        , m_servers(options.servers + options.feedServers)
     {
     }
 
@@ -55,6 +58,11 @@
     {
         return m_first;
     }
+    /// Where all nodes reach the store: they sign their messages to each other with its address.
+    std::uint16_t sharedStore() const
+    {
+        return server(m_servers);
+    }
     /// Of the relay between a node and the store.
     std::uint16_t storeRelay(std::size_t node) const
     {
@@ -95,6 +103,7 @@
 
     std::uint16_t m_first;
     std::size_t m_nodes;
+    std::size_t m_servers;
 };
 
 } // namespace chervilbend::soak
