Remove two queries of quotas that nothing calls

quota_allocator::available() and account_quotas::isLimited() have no caller in the product or in a test, by a search of packages and platform. Both are removed.

Run: the product and test sources of routing, fleet and platform compile; test_routing 126 pass.

--- a/packages/routing/src/chervilbend/routing/account_quotas.cpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.cpp
@@ -370,11 +370,6 @@
     m_isolationListener = std::move(listener);
 }
 
-bool account_quotas::isLimited(const base::account_id &account) const
-{
-    return m_accounts.contains(account);
-}
-
 double account_quotas::balance(const base::account_id &account) const
 {
     const auto known = m_accounts.find(account);
--- a/packages/routing/src/chervilbend/routing/account_quotas.hpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.hpp
@@ -70,7 +70,6 @@
 
     /// Queries.
 
-    bool isLimited(const base::account_id &account) const;
     bool isIsolated() const
     {
         return m_isIsolated;
--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -212,10 +212,4 @@
     return granted;
 }
 
-double quota_allocator::available(const base::account_id &account) const
-{
-    const auto known = m_accounts.find(account);
-    return known == m_accounts.end() ? 0 : known->second.available;
-}
-
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/quota_allocator.hpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.hpp
@@ -17,8 +17,6 @@
 class quota_allocator
 {
 public:
-    /// Commands.
-
     /// Accounts that are missing have no limit any more.
     void setLimits(const std::map<base::account_id, quota_limit> &limits);
     /// This node has become the allocator; its state from an earlier lease term is discarded. @p term is not 0, and no other allocator's.
@@ -26,11 +24,6 @@
     /// Takes a node's report and grants it what it needs of what is left. @p isHolder tells whether this node still holds the lease.
     quota_answer answer(const quota_report &report, bool isHolder);
 
-    /// Queries.
-
-    /// Units that are left for the account; 0 if it has no limit.
-    double available(const base::account_id &account) const;
-
 private:
     /// What a node has from this allocator.
     struct node_share {
