Share hasText() and secondsText() between their callers

Each existed twice under one name. hasText() is now in fleet/json_members, beside the two files of messages that use it; secondsText() is in base, since the director and the callers' API have only that package in common. The two forms of secondsText() differed: Retry-After has three decimals, the texts of refusals whole seconds, rounded up. The shared function takes the number of decimals, so that both outputs stay as they are; the director keeps the rounding, and now bounds an infinite estimate before it converts it to a whole number.

--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/fleet/exchange_json.hpp>
 
+#include <chervilbend/fleet/json_members.hpp>
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
 #include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/store_update_json.hpp>
@@ -10,11 +11,6 @@
 namespace
 {
 
-bool hasText(const Json::Value &object, const char *name)
-{
-    return object.isObject() && object[name].isString();
-}
-
 bool hasNumber(const Json::Value &object, const char *name)
 {
     return object.isObject() && object[name].isInt64();
--- a/packages/fleet/src/chervilbend/fleet/quota_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/quota_json.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/fleet/quota_json.hpp>
 
+#include <chervilbend/fleet/json_members.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -48,11 +50,6 @@
     return true;
 }
 
-bool hasText(const Json::Value &object, const char *name)
-{
-    return object.isObject() && object[name].isString();
-}
-
 } // namespace
 
 Json::Value toJson(const routing::quota_report &report)
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/base/hash.hpp>
 #include <chervilbend/base/log.hpp>
 #include <chervilbend/base/log_event.hpp>
+#include <chervilbend/base/seconds_text.hpp>
 #include <chervilbend/fleet/pool_name.hpp>
 #include <chervilbend/fleet/request_codec.hpp>
 #include <chervilbend/fleet/request_cost.hpp>
@@ -17,7 +18,6 @@
 #include <chervilbend/node/callers/problem_answer.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -73,14 +73,6 @@
     }
 }
 
-/// Seconds with three decimals.
-std::string secondsText(base::milliseconds duration)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(duration.count()) / 1'000);
-    return text;
-}
-
 std::string_view textOf(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -283,7 +275,7 @@
     const base::reason why{base::error_kind::quotaExceeded, "account " + account.id.value() + " has used its quota"};
     m_metrics.onProblem(why.kind);
     net::http_response answer = problemAnswer(why);
-    answer.set(http::field::retry_after, secondsText(request->retryAfter));
+    answer.set(http::field::retry_after, base::secondsText(request->retryAfter));
     co_await exchange->respond(std::move(answer));
     co_return false;
 }
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/routing/adaptive_director.hpp>
 
+#include <chervilbend/base/seconds_text.hpp>
 #include <chervilbend/routing/internal/endpoint_state.hpp>
 #include <chervilbend/routing/internal/pool_state.hpp>
 
@@ -29,9 +30,14 @@
 /// Number of probe intervals after which long and urgent requests are used as probes, too.
 constexpr int highValueProbeIntervals = 10;
 
-std::string secondsText(double ms)
+/// Longer estimates are shown as this, since an estimate may be infinite.
+constexpr double maxShownSeconds = 1e9;
+
+/// Rounded up to whole seconds, since estimates are no more precise.
+base::milliseconds wholeSeconds(double ms)
 {
-    return std::to_string(static_cast<long>(std::ceil(std::max(1.0, ms / 1000)))) + " s";
+    const double seconds = std::ceil(std::min(std::max(1.0, ms / 1000), maxShownSeconds));
+    return base::milliseconds(static_cast<std::int64_t>(seconds) * 1000);
 }
 
 } // namespace
@@ -99,7 +105,7 @@
     const base::time_point now = base::clock::now();
     if (isTooLate(request, now)) {
         why = {base::error_kind::deadlineUnmeetable,
-               "the request needs about " + secondsText(request.cost * pool.msPerCost) + ", which is more than its deadline allows"};
+               "the request needs about " + base::secondsText(wholeSeconds(request.cost * pool.msPerCost), 0) + " s, which is more than its deadline allows"};
         return false;
     }
     if (request.isResumption() || pool.queue.hasRoom(request.lane, request.cost)) {
@@ -108,7 +114,7 @@
     pool.hasShed = true;
     pool.lastShed = now;
     const double waitMs = pool.queue.cost() * pool.msPerCost / pool.capacity;
-    std::string text = "the queue is full, retry after " + secondsText(waitMs);
+    std::string text = "the queue is full, retry after " + base::secondsText(wholeSeconds(waitMs), 0) + " s";
     request_state *victim = m_requests.find(pool.queue.evictionCandidate(request.lane, request.facts.account, request.cost));
     if (victim == nullptr) {
         why = {base::error_kind::overloaded, std::move(text)};
