Give the quota tests a fixture of one node and one allocator

Five tests of account_quota_test set up the same clock, node, allocator and limit, and spelled out each report and its answer. quota_fixture does both; what the tests check is as it was.

Run: the 19 tests of account_quota_test pass, built from this file.

--- a/packages/routing/tests/account_quota_test.cpp
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -34,6 +34,51 @@
     CPPUNIT_ASSERT_MESSAGE(account + ": " + std::to_string(most) + " units in 8 s, allowed " + std::to_string(allowed), most <= allowed);
 }
 
+/// A node and an allocator, in virtual time, with the limit of one account.
+struct quota_fixture {
+    quota_fixture()
+    {
+        allocator.start(1);
+    }
+
+    explicit quota_fixture(const quota_limit &limit)
+        : quota_fixture()
+    {
+        setLimit(limit);
+    }
+
+    void setLimit(const quota_limit &limit)
+    {
+        quotas.setLimits({{account, limit}});
+        allocator.setLimits({{account, limit}});
+    }
+
+    /// Reports the use of a node and applies the answer.
+    void exchange(account_quotas &node)
+    {
+        const quota_report report = node.takeReport();
+        node.apply(report, allocator.answer(report, true));
+    }
+
+    void exchange()
+    {
+        exchange(quotas);
+    }
+
+    /// Charges a request, which the allocator then decides.
+    std::shared_ptr<quota_request> chargeAndExchange(double cost)
+    {
+        std::shared_ptr<quota_request> request = quotas.charge(account, cost);
+        exchange();
+        return request;
+    }
+
+    base::manual_time_source time;
+    account_quotas quotas;
+    quota_allocator allocator;
+    const base::account_id account{"a"};
+};
+
 double refusedShare(const account_result &result)
 {
     return result.refused / std::max(1.0, result.offered);
@@ -174,25 +219,16 @@
 
     void frozenNodeSpendsNoOldGrants()
     {
-        base::manual_time_source time;
-        account_quotas quotas;
-        quota_allocator allocator;
-        allocator.start(1);
-        const std::map<base::account_id, quota_limit> limits{{base::account_id("a"), {1'000, 1'000}}};
-        quotas.setLimits(limits);
-        allocator.setLimits(limits);
+        quota_fixture fixture({1'000, 1'000});
         for (int i = 0; i < 20; ++i) {
-            time.advance(milliseconds(100));
-            const auto request = quotas.charge(base::account_id("a"), 10);
-            const quota_report report = quotas.takeReport();
-            quotas.apply(report, allocator.answer(report, true));
-            CPPUNIT_ASSERT(request->decision == quota_decision::admitted);
+            fixture.time.advance(milliseconds(100));
+            CPPUNIT_ASSERT(fixture.chargeAndExchange(10)->decision == quota_decision::admitted);
         }
-        const double held = quotas.balance(base::account_id("a"));
+        const double held = fixture.quotas.balance(fixture.account);
         CPPUNIT_ASSERT(held > 0);
-        time.suspend(milliseconds(3'000));
-        CPPUNIT_ASSERT_EQUAL(0.0, quotas.balance(base::account_id("a")));
-        CPPUNIT_ASSERT(quotas.charge(base::account_id("a"), held)->decision == quota_decision::waiting);
+        fixture.time.suspend(milliseconds(3'000));
+        CPPUNIT_ASSERT_EQUAL(0.0, fixture.quotas.balance(fixture.account));
+        CPPUNIT_ASSERT(fixture.quotas.charge(fixture.account, held)->decision == quota_decision::waiting);
     }
 
     void changingHoldersKeepTheLimit()
@@ -251,80 +287,49 @@
 
     void refundedUnitsAreUsable()
     {
-        base::manual_time_source time;
-        account_quotas quotas;
-        quota_allocator allocator;
-        allocator.start(1);
-        const std::map<base::account_id, quota_limit> limits{{base::account_id("a"), {1'000, 1'000}}};
-        quotas.setLimits(limits);
-        allocator.setLimits(limits);
-        time.advance(milliseconds(2'000));
-        const auto first = quotas.charge(base::account_id("a"), 700);
-        const quota_report report = quotas.takeReport();
-        quotas.apply(report, allocator.answer(report, true));
+        quota_fixture fixture({1'000, 1'000});
+        fixture.time.advance(milliseconds(2'000));
+        const auto first = fixture.chargeAndExchange(700);
         CPPUNIT_ASSERT(first->decision == quota_decision::admitted);
-        quotas.refund(*first);
-        CPPUNIT_ASSERT(quotas.charge(base::account_id("a"), 700)->decision == quota_decision::admitted);
-        CPPUNIT_ASSERT_MESSAGE("accounts without a limit", quotas.charge(base::account_id("b"), 1e9)->decision == quota_decision::admitted);
+        fixture.quotas.refund(*first);
+        CPPUNIT_ASSERT(fixture.quotas.charge(fixture.account, 700)->decision == quota_decision::admitted);
+        CPPUNIT_ASSERT_MESSAGE("accounts without a limit", fixture.quotas.charge(base::account_id("b"), 1e9)->decision == quota_decision::admitted);
     }
 
     /// The node has a newer configuration than the allocator.
     void accountThatTheAllocatorLacksIsServed()
     {
-        base::manual_time_source time;
-        account_quotas quotas;
-        quota_allocator allocator;
-        allocator.start(1);
-        const std::map<base::account_id, quota_limit> limits{{base::account_id("added"), {6'400, 6'400}}};
-        quotas.setLimits(limits);
-        time.advance(milliseconds(2'000));
-        const auto first = quotas.charge(base::account_id("added"), 100);
-        const quota_report report = quotas.takeReport();
-        quotas.apply(report, allocator.answer(report, true));
-        CPPUNIT_ASSERT(first->decision == quota_decision::admitted);
-        CPPUNIT_ASSERT_MESSAGE("no more than a part of the burst", quotas.charge(base::account_id("added"), 100)->decision == quota_decision::refused);
-        allocator.setLimits(limits);
-        const quota_report next = quotas.takeReport();
-        quotas.apply(next, allocator.answer(next, true));
-        const auto second = quotas.charge(base::account_id("added"), 100);
-        const quota_report last = quotas.takeReport();
-        quotas.apply(last, allocator.answer(last, true));
-        CPPUNIT_ASSERT(second->decision == quota_decision::admitted);
+        quota_fixture fixture;
+        const quota_limit added{6'400, 6'400};
+        fixture.quotas.setLimits({{fixture.account, added}});
+        fixture.time.advance(milliseconds(2'000));
+        CPPUNIT_ASSERT(fixture.chargeAndExchange(100)->decision == quota_decision::admitted);
+        CPPUNIT_ASSERT_MESSAGE("no more than a part of the burst", fixture.quotas.charge(fixture.account, 100)->decision == quota_decision::refused);
+        fixture.setLimit(added);
+        fixture.exchange();
+        CPPUNIT_ASSERT(fixture.chargeAndExchange(100)->decision == quota_decision::admitted);
     }
 
     /// The periodic report was taken before the account's first request, and arrives after the report of that request.
     void reportsOutOfOrderWithholdNothing()
     {
-        base::manual_time_source time;
-        account_quotas quotas;
-        quota_allocator allocator;
-        allocator.start(1);
-        const base::account_id account("a");
-        const std::map<base::account_id, quota_limit> limits{{account, {1'000, 1'000}}};
-        quotas.setLimits(limits);
-        allocator.setLimits(limits);
-        time.advance(milliseconds(1'000));
+        const quota_limit limit{1'000, 1'000};
+        quota_fixture fixture(limit);
+        fixture.time.advance(milliseconds(1'000));
         account_quotas other;
-        other.setLimits(limits);
+        other.setLimits({{fixture.account, limit}});
         other.setIdentity(base::node_id("other"), 2);
-        other.charge(account, 100);
-        const quota_report ofOther = other.takeReport();
-        other.apply(ofOther, allocator.answer(ofOther, true));
-        const quota_report periodic = quotas.takeReport();
-        quotas.charge(account, 100);
-        const quota_report urgent = quotas.takeReport();
-        quotas.apply(urgent, allocator.answer(urgent, true));
-        allocator.answer(periodic, true);
+        other.charge(fixture.account, 100);
+        fixture.exchange(other);
+        const quota_report periodic = fixture.quotas.takeReport();
+        fixture.chargeAndExchange(100);
+        fixture.allocator.answer(periodic, true);
         double admitted = 0;
         for (int i = 0; i < 80; ++i) {
-            time.advance(milliseconds(100));
-            other.charge(account, 1);
-            const quota_report next = other.takeReport();
-            other.apply(next, allocator.answer(next, true));
-            const auto request = quotas.charge(account, 100);
-            const quota_report report = quotas.takeReport();
-            quotas.apply(report, allocator.answer(report, true));
-            admitted += request->decision == quota_decision::admitted ? 100 : 0;
+            fixture.time.advance(milliseconds(100));
+            other.charge(fixture.account, 1);
+            fixture.exchange(other);
+            admitted += fixture.chargeAndExchange(100)->decision == quota_decision::admitted ? 100 : 0;
         }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted) + " of 8000", admitted >= 7'500);
     }
@@ -346,31 +351,18 @@
     /// The allocator takes the reports, but its answers are lost, so that what the node has spent is reported again and again.
     void lostAnswersDoNotStarveAnAccount()
     {
-        base::manual_time_source time;
-        account_quotas quotas;
-        quota_allocator allocator;
-        allocator.start(1);
-        const base::account_id account("a");
-        const std::map<base::account_id, quota_limit> limits{{account, {1'000, 1'000}}};
-        quotas.setLimits(limits);
-        allocator.setLimits(limits);
-        quotas.charge(account, 100);
-        const quota_report answered = quotas.takeReport();
-        quotas.apply(answered, allocator.answer(answered, true));
+        quota_fixture fixture({1'000, 1'000});
+        fixture.chargeAndExchange(100);
         for (int i = 0; i < 40; ++i) {
-            time.advance(milliseconds(300));
-            quotas.charge(account, 250);
-            allocator.answer(quotas.takeReport(), true);
-            quotas.noteUnanswered();
+            fixture.time.advance(milliseconds(300));
+            fixture.quotas.charge(fixture.account, 250);
+            fixture.allocator.answer(fixture.quotas.takeReport(), true);
+            fixture.quotas.noteUnanswered();
         }
-        time.advance(milliseconds(1'500));
-        const quota_report report = quotas.takeReport();
-        quotas.apply(report, allocator.answer(report, true));
-        time.advance(milliseconds(2'000));
-        const auto request = quotas.charge(account, 400);
-        const quota_report next = quotas.takeReport();
-        quotas.apply(next, allocator.answer(next, true));
-        CPPUNIT_ASSERT(request->decision == quota_decision::admitted);
+        fixture.time.advance(milliseconds(1'500));
+        fixture.exchange();
+        fixture.time.advance(milliseconds(2'000));
+        CPPUNIT_ASSERT(fixture.chargeAndExchange(400)->decision == quota_decision::admitted);
     }
 
     /// Nodes come, go, stand still and are cut off with grants in hand, and the holder changes, all at random.
