--- a/packages/fleet/src/chervilbend/fleet/account_rule.hpp
+++ b/packages/fleet/src/chervilbend/fleet/account_rule.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/ids.hpp>
+#include <chervilbend/routing/quota_messages.hpp>
 
 #include <optional>
 #include <string>
@@ -9,11 +10,7 @@
 namespace chervilbend::fleet
 {
 
-/// What a quota counts.
-enum class quota_unit {
-    requests,
-    tokens,
-};
+using routing::quota_unit;
 
 /// What an account may use per second over all nodes together.
 struct quota_rule {
--- a/packages/fleet/src/chervilbend/fleet/quota_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/quota_json.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace chervilbend::fleet
 {
@@ -21,6 +22,8 @@
 
 constexpr std::size_t usageNumbers = 10;
 constexpr std::size_t grantNumbers = 5;
+constexpr int requestsNumber = 0;
+constexpr int tokensNumber = 1;
 
 template<std::size_t Count>
 Json::Value writeNumbers(const std::array<double, Count> &numbers)
@@ -50,6 +53,20 @@
     return true;
 }
 
+/// Follows the numbers of an account; nodes of earlier versions send none. False if it is there and names no unit.
+bool readUnit(const Json::Value &list, std::optional<routing::quota_unit> &unit)
+{
+    if (list.size() <= usageNumbers) {
+        return true;
+    }
+    const Json::Value &number = list[static_cast<Json::ArrayIndex>(usageNumbers)];
+    if (!number.isInt() || (number.asInt() != requestsNumber && number.asInt() != tokensNumber)) {
+        return false;
+    }
+    unit = number.asInt() == tokensNumber ? routing::quota_unit::tokens : routing::quota_unit::requests;
+    return true;
+}
+
 } // namespace
 
 Json::Value toJson(const routing::quota_report &report)
@@ -63,16 +80,19 @@
     }
     Json::Value &accounts = json["accounts"] = Json::Value(Json::objectValue);
     for (const auto &[id, usage] : report.accounts) {
-        accounts[id.value()] = writeNumbers<usageNumbers>({usage.balance,
-                                                           usage.returned,
-                                                           usage.waiting,
-                                                           usage.firstWaiting,
-                                                           usage.expected,
-                                                           usage.demandRate,
-                                                           usage.spentIsolated,
-                                                           usage.share.rate,
-                                                           usage.share.sumOfRates,
-                                                           usage.share.level});
+        Json::Value &numbers = accounts[id.value()] = writeNumbers<usageNumbers>({usage.balance,
+                                                                                  usage.returned,
+                                                                                  usage.waiting,
+                                                                                  usage.firstWaiting,
+                                                                                  usage.expected,
+                                                                                  usage.demandRate,
+                                                                                  usage.spentIsolated,
+                                                                                  usage.share.rate,
+                                                                                  usage.share.sumOfRates,
+                                                                                  usage.share.level});
+        if (usage.unit) {
+            numbers.append(*usage.unit == routing::quota_unit::tokens ? tokensNumber : requestsNumber);
+        }
     }
     return json;
 }
@@ -90,11 +110,13 @@
         report.answerAge = base::milliseconds(json["answerAgeMs"].asInt64());
     }
     for (const std::string &name : json["accounts"].getMemberNames()) {
+        const Json::Value &list = json["accounts"][name];
         std::array<double, usageNumbers> numbers{};
-        if (readNumbers(json["accounts"][name], numbers)) {
+        std::optional<routing::quota_unit> unit;
+        if (readNumbers(list, numbers) && readUnit(list, unit)) {
             const auto [balance, returned, waiting, firstWaiting, expected, demandRate, spentIsolated, rate, sumOfRates, level] = numbers;
             report.accounts[base::account_id(name)] = {
-                balance, returned, waiting, firstWaiting, expected, demandRate, spentIsolated, {rate, sumOfRates, level}};
+                balance, returned, waiting, firstWaiting, expected, demandRate, spentIsolated, {rate, sumOfRates, level}, unit};
         }
     }
     return report;
--- a/packages/fleet/tests/quota_exchange_test.cpp
+++ b/packages/fleet/tests/quota_exchange_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(invalidNumbersAreSkipped);
     CPPUNIT_TEST(earlierVersionsGrantNothing);
     CPPUNIT_TEST(reportOfAFewAccountsIsSmall);
+    CPPUNIT_TEST(unitIsOptional);
     CPPUNIT_TEST(requestsCostTheirTokens);
     CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +90,21 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes) + " bytes", bytes <= 600);
     }
 
+    /// Nodes of earlier versions name no unit, and one that is not known must not be taken for another.
+    void unitIsOptional()
+    {
+        const base::account_id print("print");
+        CPPUNIT_ASSERT(!readQuotaReport(toJson(sampleReport())).accounts.at(print).unit);
+        for (const quota_unit unit : {quota_unit::requests, quota_unit::tokens}) {
+            routing::quota_report report = sampleReport();
+            report.accounts.at(print).unit = unit;
+            Json::Value json = toJson(report);
+            CPPUNIT_ASSERT(readQuotaReport(json).accounts.at(print).unit == unit);
+            json["accounts"]["print"][10] = 7;
+            CPPUNIT_ASSERT(readQuotaReport(json).accounts.empty());
+        }
+    }
+
     void requestsCostTheirTokens()
     {
         caller_request caller;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -128,7 +128,7 @@
     for (const fleet::account_rule &account : configuration.accounts.value_or(std::vector<fleet::account_rule>())) {
         if (account.quota.isLimited()) {
             // As for keys, the first entry of an account counts.
-            limits.try_emplace(account.id, routing::quota_limit{account.quota.rate, account.quota.burst});
+            limits.try_emplace(account.id, routing::quota_limit{account.quota.rate, account.quota.burst, account.quota.unit});
         }
     }
     return limits;
--- a/packages/routing/src/chervilbend/routing/account_quotas.cpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.cpp
@@ -45,19 +45,31 @@
             ++known;
             continue;
         }
-        for (const std::shared_ptr<quota_request> &request : known->second.waiting) {
-            request->decision = quota_decision::admitted;
-        }
+        admitWaiting(known->second);
         known = m_accounts.erase(known);
     }
     for (const auto &[id, limit] : limits) {
-        m_accounts[id].limit = limit;
+        account_state &state = m_accounts[id];
+        if (state.limit.unit != limit.unit) {
+            // Costs, balances and shares of another unit mean nothing in this one.
+            admitWaiting(state);
+            state = account_state{};
+        }
+        state.limit = limit;
     }
     if (m_decisionListener) {
         m_decisionListener();
     }
 }
 
+void account_quotas::admitWaiting(account_state &state)
+{
+    for (const std::shared_ptr<quota_request> &request : state.waiting) {
+        request->decision = quota_decision::admitted;
+    }
+    state.waiting.clear();
+}
+
 void account_quotas::setOvershoot(double overshoot)
 {
     m_overshoot = overshoot;
@@ -86,6 +98,7 @@
         return request;
     }
     account_state &state = known->second;
+    request->unit = state.limit.unit;
     const base::time_point now = base::clock::bootNow();
     expire(state, now);
     state.demand += cost;
@@ -207,6 +220,9 @@
         return;
     }
     account_state &state = known->second;
+    if (request.unit != state.limit.unit) {
+        return;
+    }
     const base::time_point now = base::clock::bootNow();
     expire(state, now);
     if (now < state.grantedUntil) {
@@ -237,6 +253,7 @@
     usage.firstWaiting = state.waiting.empty() ? 0 : state.waiting.front()->cost;
     usage.spentIsolated = state.spentIsolated;
     usage.share = state.share;
+    usage.unit = state.limit.unit;
     return usage;
 }
 
@@ -276,6 +293,11 @@
     for (auto &[id, state] : m_accounts) {
         const auto usage = report.accounts.find(id);
         const auto grant = answer.accounts.find(id);
+        if (usage != report.accounts.end() && usage->second.unit.value_or(state.limit.unit) != state.limit.unit) {
+            // The unit has changed since the report.
+            decideWaiting(state, 0, base::milliseconds(0), now);
+            continue;
+        }
         if (usage == report.accounts.end() || grant == answer.accounts.end()) {
             state.share = {};
             state.sharedRate = 0;
--- a/packages/routing/src/chervilbend/routing/account_quotas.hpp
+++ b/packages/routing/src/chervilbend/routing/account_quotas.hpp
@@ -25,6 +25,8 @@
 struct quota_request {
     base::account_id account;
     double cost = 0;
+    /// What the cost counts.
+    quota_unit unit = quota_unit::requests;
     quota_decision decision = quota_decision::waiting;
     /// Set when refused: after which time it would pass.
     base::milliseconds retryAfter{0};
@@ -41,7 +43,7 @@
 public:
     /// Commands.
 
-    /// Accounts that are missing have no limit any more.
+    /// Accounts that are missing have no limit any more. An account whose unit changes starts anew. In both cases the requests that wait are admitted.
     void setLimits(const std::map<base::account_id, quota_limit> &limits);
     /// @p overshoot is the part by which all nodes together may exceed a limit.
     void setOvershoot(double overshoot);
@@ -103,6 +105,7 @@
         std::deque<std::shared_ptr<quota_request>> waiting;
     };
 
+    static void admitWaiting(account_state &state);
     void expire(account_state &state, base::time_point now) const;
     bool spend(account_state &state, double cost, base::time_point now);
     bool spendIsolated(account_state &state, double cost, base::time_point now) const;
--- a/packages/routing/src/chervilbend/routing/quota_allocator.cpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.cpp
@@ -40,7 +40,9 @@
     for (const auto &[id, limit] : limits) {
         const auto [known, isNew] = m_accounts.try_emplace(id);
         account_bucket &bucket = known->second;
-        if (isNew) {
+        if (isNew || bucket.limit.unit != limit.unit) {
+            // Levels and shares of another unit mean nothing in this one.
+            bucket = account_bucket{};
             bucket.refilledAt = now;
             bucket.available = fullCapacityOf(limit);
         } else {
@@ -81,7 +83,7 @@
     const base::time_point now = base::clock::bootNow();
     for (auto &[id, bucket] : m_accounts) {
         const auto usage = report.accounts.find(id);
-        if (usage != report.accounts.end()) {
+        if (usage != report.accounts.end() && usage->second.unit.value_or(bucket.limit.unit) == bucket.limit.unit) {
             answer.accounts[id] = answerFor(bucket, report, usage->second, isOwnGrant, now);
         } else {
             bucket.nodes.erase(report.node);
--- a/packages/routing/src/chervilbend/routing/quota_allocator.hpp
+++ b/packages/routing/src/chervilbend/routing/quota_allocator.hpp
@@ -17,11 +17,12 @@
 class quota_allocator
 {
 public:
-    /// Accounts that are missing have no limit any more.
+    /// Accounts that are missing have no limit any more. An account whose unit changes starts with a full bucket.
     void setLimits(const std::map<base::account_id, quota_limit> &limits);
     /// This node has become the allocator; its state from an earlier lease term is discarded. @p term is not 0, and no other allocator's.
     void start(std::int64_t term);
-    /// Takes a node's report and grants it what it needs of what is left. @p isHolder tells whether this node still holds the lease.
+    /// Takes a node's report and grants it what it needs of what is left. @p isHolder tells whether this node still holds the lease. Accounts that the node
+    /// counts in another unit, by another version of the configuration, are left out of the answer.
     quota_answer answer(const quota_report &report, bool isHolder);
 
 private:
--- a/packages/routing/src/chervilbend/routing/quota_messages.hpp
+++ b/packages/routing/src/chervilbend/routing/quota_messages.hpp
@@ -10,12 +10,19 @@
 namespace chervilbend::routing
 {
 
-/// What an account may use over all nodes together, in requests or tokens.
+/// What a quota counts.
+enum class quota_unit {
+    requests,
+    tokens,
+};
+
+/// What an account may use over all nodes together.
 struct quota_limit {
     /// Units per second.
     double rate = 0;
     /// Units that may be used at once after a time of less use.
     double burst = 0;
+    quota_unit unit = quota_unit::requests;
 
     friend bool operator==(const quota_limit &, const quota_limit &) = default;
 };
@@ -47,6 +54,8 @@
     /// Units that were spent without a grant since the last report that was answered.
     double spentIsolated = 0;
     quota_share share;
+    /// What these numbers count; no value from nodes of earlier versions.
+    std::optional<quota_unit> unit{};
 };
 
 /// A node's report to the allocator. Accounts that the node does not use are missing.
--- a/packages/routing/tests/account_quota_test.cpp
+++ b/packages/routing/tests/account_quota_test.cpp
@@ -108,6 +108,9 @@
     CPPUNIT_TEST(reportsOutOfOrderWithholdNothing);
     CPPUNIT_TEST(regainedLeaseBringsNoNewBurst);
     CPPUNIT_TEST(lostAnswersDoNotStarveAnAccount);
+    CPPUNIT_TEST(changedUnitStartsAnew);
+    CPPUNIT_TEST(nodesOfTwoUnitsDoNotMix);
+    CPPUNIT_TEST(answerInTheOldUnitIsIgnored);
     CPPUNIT_TEST(randomHistoriesKeepTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -365,6 +368,52 @@
         CPPUNIT_ASSERT(fixture.chargeAndExchange(400)->decision == quota_decision::admitted);
     }
 
+    /// An account whose tokens were used up would otherwise be refused for as long as they take to come back, and its tokens would count as requests.
+    void changedUnitStartsAnew()
+    {
+        quota_fixture fixture({1'000, 1'000, quota_unit::tokens});
+        fixture.time.advance(milliseconds(1'000));
+        const auto all = fixture.chargeAndExchange(1'000);
+        CPPUNIT_ASSERT(all->decision == quota_decision::admitted);
+        const auto waiting = fixture.quotas.charge(fixture.account, 900);
+        fixture.setLimit({10, 10, quota_unit::requests});
+        CPPUNIT_ASSERT_MESSAGE("charged in the old unit", waiting->decision == quota_decision::admitted);
+        CPPUNIT_ASSERT_MESSAGE("the bucket is full", fixture.chargeAndExchange(10)->decision == quota_decision::admitted);
+        fixture.quotas.refund(*all);
+        CPPUNIT_ASSERT_EQUAL(0.0, fixture.quotas.balance(fixture.account));
+        CPPUNIT_ASSERT_MESSAGE("and no more than full", fixture.chargeAndExchange(1)->decision == quota_decision::refused);
+    }
+
+    /// A new version reaches the nodes within 3 s, one after the other.
+    void nodesOfTwoUnitsDoNotMix()
+    {
+        quota_fixture fixture({640, 640, quota_unit::requests});
+        account_quotas old;
+        old.setIdentity(base::node_id("old"), 2);
+        old.setLimits({{fixture.account, {640'000, 640'000, quota_unit::tokens}}});
+        fixture.time.advance(milliseconds(1'000));
+        const auto request = old.charge(fixture.account, 1'000);
+        const quota_report report = old.takeReport();
+        const quota_answer answer = fixture.allocator.answer(report, true);
+        CPPUNIT_ASSERT(answer.isGranting && !answer.accounts.contains(fixture.account));
+        old.apply(report, answer);
+        CPPUNIT_ASSERT_MESSAGE("from its part", request->decision == quota_decision::admitted);
+        CPPUNIT_ASSERT_MESSAGE("1000 tokens are not 1000 requests", fixture.chargeAndExchange(640)->decision == quota_decision::admitted);
+    }
+
+    void answerInTheOldUnitIsIgnored()
+    {
+        quota_fixture fixture({1'000, 1'000, quota_unit::tokens});
+        fixture.time.advance(milliseconds(1'000));
+        fixture.quotas.charge(fixture.account, 500);
+        const quota_report report = fixture.quotas.takeReport();
+        fixture.quotas.setLimits({{fixture.account, {10, 10, quota_unit::requests}}});
+        const auto request = fixture.quotas.charge(fixture.account, 20);
+        fixture.quotas.apply(report, fixture.allocator.answer(report, true));
+        CPPUNIT_ASSERT(request->decision == quota_decision::waiting);
+        CPPUNIT_ASSERT_EQUAL(0.0, fixture.quotas.balance(fixture.account));
+    }
+
     /// Nodes come, go, stand still and are cut off with grants in hand, and the holder changes, all at random.
     void randomHistoriesKeepTheLimit()
     {
