Bound the bytes of a node's exchange for 16 accounts

Nothing tested that a report and its answer stay the same size with more nodes. The test has 62 and 300 nodes that all use 16 accounts beyond their quotas, and checks that the mean doesn't grow and that the largest exchange has at most 2,700 bytes.

--- a/packages/fleet/tests/quota_exchange_test.cpp
+++ b/packages/fleet/tests/quota_exchange_test.cpp
@@ -1,12 +1,21 @@
+#include <chervilbend/base/manual_time_source.hpp>
 #include <chervilbend/fleet/account_rule.hpp>
 #include <chervilbend/fleet/caller_request.hpp>
 #include <chervilbend/fleet/quota_json.hpp>
 #include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/request_cost.hpp>
+#include <chervilbend/routing/account_quotas.hpp>
+#include <chervilbend/routing/quota_allocator.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <json/writer.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
 using namespace chervilbend;
 using namespace chervilbend::fleet;
 
@@ -23,6 +32,64 @@
     return report;
 }
 
+constexpr int accountCount = 16;
+/// About 160 for each account, in both directions together.
+constexpr std::size_t mostExchangeBytes = 2'700;
+
+std::size_t bytesOf(const Json::Value &json)
+{
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, json).size();
+}
+
+/// Bytes of a node's report together with its answer.
+struct exchange_bytes {
+    double mean = 0;
+    std::size_t most = 0;
+};
+
+/// Each node uses all accounts beyond their quotas.
+exchange_bytes measureExchanges(std::size_t nodeCount)
+{
+    base::manual_time_source time;
+    std::map<base::account_id, routing::quota_limit> limits;
+    for (int i = 0; i < accountCount; ++i) {
+        limits[base::account_id("account" + std::to_string(i))] = {303'372, 303'372, quota_unit::tokens};
+    }
+    constexpr std::int64_t startTime = 1'765'000'000'000;
+    routing::quota_allocator allocator;
+    allocator.start(startTime);
+    allocator.setLimits(limits);
+    std::vector<routing::account_quotas> nodes(nodeCount);
+    for (std::size_t i = 0; i < nodeCount; ++i) {
+        nodes[i].setIdentity(base::node_id("front-sul-" + std::to_string(100 + i)), startTime + static_cast<std::int64_t>(i));
+        nodes[i].setLimits(limits);
+    }
+    std::mt19937_64 random(1);
+    exchange_bytes result;
+    constexpr int rounds = 20;
+    for (int round = 0; round < rounds; ++round) {
+        time.advance(base::milliseconds(250));
+        for (routing::account_quotas &node : nodes) {
+            for (const auto &[account, limit] : limits) {
+                for (int i = 0; i < 3; ++i) {
+                    node.charge(account, std::uniform_real_distribution<double>(1'000, 3'000)(random));
+                }
+            }
+            routing::rate_limit_report report;
+            report.quotas = node.takeReport();
+            routing::rate_limit_answer answer;
+            answer.quotas = allocator.answer(report.quotas, true);
+            node.apply(report.quotas, answer.quotas);
+            const std::size_t bytes = bytesOf(toJson(report)) + bytesOf(toJson(answer));
+            result.most = std::max(result.most, bytes);
+            result.mean += static_cast<double>(bytes) / static_cast<double>(nodeCount * rounds);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 /// Guards against grants that are read wrongly by another node, also one of another version, and against costs that callers can lower.
@@ -34,6 +101,7 @@
     CPPUNIT_TEST(earlierVersionsGrantNothing);
     CPPUNIT_TEST(reportOfAFewAccountsIsSmall);
     CPPUNIT_TEST(unitIsOptional);
+    CPPUNIT_TEST(exchangeDoesNotGrowWithTheNodes);
     CPPUNIT_TEST(requestsCostTheirTokens);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,9 +152,7 @@
         for (const char *account : {"school", "office", "bank"}) {
             report.accounts[base::account_id(account)] = {303'372, 1'000, 2'500, 1'250.5, 60'000, 120'000, 0, {150'000, 303'372, 200'000}};
         }
-        Json::StreamWriterBuilder writer;
-        writer["indentation"] = "";
-        const std::size_t bytes = Json::writeString(writer, toJson(report)).size();
+        const std::size_t bytes = bytesOf(toJson(report));
         CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes) + " bytes", bytes <= 600);
     }
 
@@ -105,6 +171,18 @@
         }
     }
 
+    /// An answer that named the shares of other nodes, or accounts that the node doesn't use, would grow with the fleet.
+    void exchangeDoesNotGrowWithTheNodes()
+    {
+        const exchange_bytes few = measureExchanges(62);
+        const exchange_bytes many = measureExchanges(300);
+        const std::string bytes = "mean " + std::to_string(few.mean) + " and most " + std::to_string(few.most) + " bytes at 62 nodes, "
+            + std::to_string(many.mean) + " and " + std::to_string(many.most) + " at 300";
+        CPPUNIT_ASSERT_MESSAGE(bytes, few.mean > 1'000 && few.most <= mostExchangeBytes && many.most <= mostExchangeBytes);
+        // The largest of more exchanges may have a few digits more.
+        CPPUNIT_ASSERT_MESSAGE(bytes, many.mean <= few.mean);
+    }
+
     void requestsCostTheirTokens()
     {
         caller_request caller;
