--- a/packages/measure/src/chervilbend/measure/measurements.cpp
+++ b/packages/measure/src/chervilbend/measure/measurements.cpp
@@ -8,6 +8,7 @@
 #include <chervilbend/measure/load_peak_measurement.hpp>
 #include <chervilbend/measure/memory_measurement.hpp>
 #include <chervilbend/measure/poison_measurement.hpp>
+#include <chervilbend/measure/proxy/account_cost_measurement.hpp>
 #include <chervilbend/measure/proxy/proxy_measurement.hpp>
 #include <chervilbend/measure/slow_engine_measurement.hpp>
 #include <chervilbend/measure/takeover/takeover_measurement.hpp>
@@ -29,6 +30,7 @@
     all.push_back(std::make_unique<memory_measurement>());
     all.push_back(std::make_unique<decision_cost_measurement>());
     all.push_back(std::make_unique<proxy_measurement>());
+    all.push_back(std::make_unique<account_cost_measurement>());
     return all;
 }
 
--- a/packages/measure/src/chervilbend/measure/proxy/blocking_caller.cpp
+++ b/packages/measure/src/chervilbend/measure/proxy/blocking_caller.cpp
@@ -37,7 +37,12 @@
 {
     std::string body("{\"model\":\"m\",\"max_tokens\":1,\"messages\":[{\"role\":\"user\",\"content\":\"");
     body.append(nonce).append("\"}]}");
-    if (!sendRequest(body)) {
+    return exchange(chatRequest(body), body);
+}
+
+bool blocking_caller::exchange(const std::string &request, const std::string &answerBody)
+{
+    if (!send(request)) {
         return false;
     }
     std::size_t headEnd = std::string::npos;
@@ -56,14 +61,14 @@
             return false;
         }
     }
-    const bool matches = m_received.compare(headEnd + 4, std::string::npos, body) == 0;
+    const bool matches = m_received.compare(headEnd + 4, std::string::npos, answerBody) == 0;
     m_received.clear();
     return matches;
 }
 
 bool blocking_caller::openStream()
 {
-    if (!sendRequest("{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}")) {
+    if (!send(chatRequest("{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"))) {
         return false;
     }
     while (m_received.find("data: ") == std::string::npos) {
@@ -76,10 +81,14 @@
     return true;
 }
 
-bool blocking_caller::sendRequest(const std::string &body)
+std::string blocking_caller::chatRequest(const std::string &body)
 {
     std::string request("POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\nContent-Length: ");
-    request.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return request.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+}
+
+bool blocking_caller::send(const std::string &request)
+{
     return ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size());
 }
 
--- a/packages/measure/src/chervilbend/measure/proxy/blocking_caller.hpp
+++ b/packages/measure/src/chervilbend/measure/proxy/blocking_caller.hpp
@@ -18,11 +18,15 @@
     /// Sends a chat request with @p nonce in its body. Returns false unless the answer's body is identical to the request's.
     bool sendChat(const std::string &nonce);
 
+    /// Sends a request as it is. Returns false unless the answer is 200 and has the body.
+    bool exchange(const std::string &request, const std::string &answerBody);
+
     /// Requests a stream and waits for its first event. Returns false if none arrives.
     bool openStream();
 
 private:
-    bool sendRequest(const std::string &body);
+    bool send(const std::string &request);
+    static std::string chatRequest(const std::string &body);
     bool readMore();
 
     int m_socket = -1;
--- a/packages/measure/src/chervilbend/measure/proxy/proxy_thread.cpp
+++ b/packages/measure/src/chervilbend/measure/proxy/proxy_thread.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/measure/proxy/proxy_thread.hpp>
 
 #include <chervilbend/control/order_gateway.hpp>
+#include <chervilbend/measure/proxy/processor_time.hpp>
 #include <chervilbend/measure/proxy/single_endpoint_director.hpp>
 #include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/http_server.hpp>
@@ -15,8 +16,6 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <ctime>
-#include <pthread.h>
 #include <thread>
 
 namespace asio = boost::asio;
@@ -100,11 +99,7 @@
 
 double proxy_thread::processorSeconds() const
 {
-    clockid_t clock = 0;
-    timespec time{};
-    pthread_getcpuclockid(m_implementation->thread.native_handle(), &clock);
-    clock_gettime(clock, &time);
-    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+    return measure::processorSeconds(m_implementation->thread);
 }
 
 } // namespace chervilbend::measure
