--- a/packages/node/src/chervilbend/node/callers/problem_answer.cpp
+++ b/packages/node/src/chervilbend/node/callers/problem_answer.cpp
@@ -1,14 +1,13 @@
 #include <chervilbend/node/callers/problem_answer.hpp>
 
 #include <chervilbend/base/error_answer.hpp>
+#include <chervilbend/base/seconds_text.hpp>
 #include <chervilbend/net/problem.hpp>
 #include <chervilbend/node/callers/message_headers.hpp>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <cstdio>
-
 namespace chervilbend::node
 {
 
@@ -31,9 +30,7 @@
         answer.erase(boost::beast::http::field::retry_after);
         return;
     }
-    char seconds[32];
-    std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(retryAfter->count()) / 1'000);
-    answer.set(boost::beast::http::field::retry_after, seconds);
+    answer.set(boost::beast::http::field::retry_after, base::secondsText(*retryAfter));
 }
 
 std::string problemEvent(const base::reason &why, base::run_state state)
