Avoid endpoints that other nodes have reported unreachable

A director that learns of such a process sends it only recovery checks, 1 s apart, the first one at a random time within 1 s, and only in pools that have another usable endpoint of the same software version. Any response to this node, also a refused request, ends the state, and so does a new process of the endpoint, for which the node's own finding about the process before it no longer counts either.

--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -58,6 +58,8 @@
     void rateLimitsChanged();
     /// The nodes have learned from an answer that the endpoint is about to stop.
     void endpointLeaves(const endpoint_process &process);
+    /// The processes that other nodes have reported to refuse connections may have changed.
+    void unreachableChanged();
 
 private:
     /// Implemented in adaptive_director_pools.cpp: endpoints and pools.
@@ -109,6 +111,11 @@
     /// first.
     void refuseUnwanted();
 
+    /// Implemented in adaptive_director_reports.cpp: endpoints that refuse the connections of other nodes.
+    void noteResponse(endpoint_state &endpoint);
+    void applyReports(base::time_point now);
+    void applyReports(pool_state &pool, base::time_point now);
+
     /// Implemented in adaptive_director_outcome.cpp: from dispatch to the end of the request.
     void takeFirstByteSample(request_state &request, double cost);
     /// Whether this process was paused at some time between @p since and @p now.
@@ -127,6 +134,7 @@
     int m_nodes = 1;
     int m_rank = 0;
     std::mt19937_64 m_pauseRandom;
+    std::mt19937_64 m_checkRandom;
     std::unordered_map<base::endpoint_id, std::shared_ptr<endpoint_state>> m_endpoints;
     std::unordered_map<std::string, std::unique_ptr<pool_state>> m_pools;
     /// Pools in order of creation, so that decisions do not depend on the iteration order of a hash map.
@@ -140,6 +148,10 @@
     std::shared_ptr<prompt_part_tracker> m_promptParts;
     std::shared_ptr<endpoint_rate_limits> m_rateLimits;
     std::shared_ptr<leaving_endpoints> m_leaving;
+    std::shared_ptr<unreachable_endpoints> m_unreachable;
+    /// Whether other nodes' reports, or what decides if they apply, have changed.
+    bool m_areReportsDue = false;
+    bool m_hasReportedEndpoint = false;
     /// When the last of the pauses that endpoints have asked for ends.
     base::time_point m_lastPauseEnd;
     endpoint_selector m_selector;
--- a/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_limits.cpp
@@ -28,6 +28,7 @@
 {
     const request_state *const request = m_requests.find(id);
     if (request != nullptr && request->phase == request_phase::running) {
+        noteResponse(*request->endpoint);
         m_rateLimits->noteAnswer(request->endpoint->process(), notice.requestRate);
         if (notice.pause) {
             pauseEndpoint(*request->endpoint, *notice.pause);
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -34,7 +34,7 @@
     const base::time_point now = base::clock::now();
     request->hasFirstByte = request->isFirstByteSamplePending = true;
     request->firstByteAt = now;
-    request->endpoint->isDown = false;
+    noteResponse(*request->endpoint);
 }
 
 void adaptive_director::progress(request_handle id, base::token_count generated)
@@ -127,7 +127,7 @@
     if (!request.hasFirstByte) {
         request.hasFirstByte = request.isFirstByteSamplePending = true;
         request.firstByteAt = now;
-        request.endpoint->isDown = false;
+        noteResponse(*request.endpoint);
         takeFirstByteSample(request, request.inputCost + static_cast<double>(request.generated));
     }
     const auto generatedTokens = static_cast<double>(request.generated);
@@ -154,6 +154,8 @@
         endpoint.downSince = now;
         endpoint.nextTry = now + downRetryDelay;
         m_suspects.confirmCrash(endpoint.serial);
+        m_unreachable->noteRefusal(endpoint.process());
+        m_areReportsDue = true;
         break;
     case request_outcome::refused:
         endpoint.limit.recordRefusal();
--- a/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_pools.cpp
@@ -31,6 +31,7 @@
     if (endpoint->facts.startedAt != facts.startedAt) {
         m_rateLimits->remove(endpoint->process());
         endpoint->pausedUntil = base::time_point{};
+        endpoint->isDown = false;
     }
     endpoint->facts = facts;
     endpoint->hasSaidLeaving = m_leaving->contains(endpoint->process());
@@ -125,7 +126,12 @@
         m_nextExpiry = now + expiryInterval;
         m_suspects.expire(now);
     }
-    if (now >= m_nextTick) {
+    const bool isTick = now >= m_nextTick;
+    if (isTick || m_areReportsDue) {
+        m_areReportsDue = false;
+        applyReports(now);
+    }
+    if (isTick) {
         m_nextTick = now + m_settings.window;
         advancePools(now);
     }
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -241,7 +241,7 @@
 bool adaptive_director::dispatchProbe(pool_state &pool, request_state &request, base::time_point now, std::vector<dispatch> &dispatches)
 {
     pool_member *member = m_outliers.dueProbe(pool.members, pool.requests, now);
-    if (member == nullptr || !isProbeAllowed(*member->endpoint, now)) {
+    if (member == nullptr || member->isAvoided || !isProbeAllowed(*member->endpoint, now)) {
         return false;
     }
     // Long and urgent requests are not sent to a slow endpoint unless there have been no other requests to probe with.
@@ -305,6 +305,9 @@
     if (request.isSuspect) {
         ++endpoint.suspectsInFlight;
     }
+    if (member.isAvoided) {
+        endpoint.nextReportCheck = now + downRetryInterval;
+    }
     if (endpoint.isDown) {
         endpoint.nextTry = now + downRetryInterval;
     } else if (m_suspects.hasUnconfirmedLoss(endpoint.serial)) {
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_selector.cpp
@@ -59,6 +59,9 @@
     if (endpoint.isLeaving() || now < endpoint.pausedUntil || member.ejected || endpoint.inFlight >= std::max(leastBound, endpoint.maxInFlight(nodes))) {
         return false;
     }
+    if (member.isAvoided && now < endpoint.nextReportCheck) {
+        return false;
+    }
     // An endpoint that is down, or lost a connection recently, gets single requests spaced in time, which show whether it has recovered.
     return now >= endpoint.nextTry || (!endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial));
 }
@@ -116,7 +119,7 @@
 {
     return std::any_of(pool.members.begin(), pool.members.end(), [&](const pool_member &member) {
         const endpoint_state &endpoint = *member.endpoint;
-        const bool isReachable = !endpoint.isDown && !m_suspects.hasUnconfirmedLoss(endpoint.serial);
+        const bool isReachable = !member.isDown() && !m_suspects.hasUnconfirmedLoss(endpoint.serial);
         const bool isSameVersion = !request.isResumption() || endpoint.facts.softwareVersion == request.facts.softwareVersion;
         return member.endpoint != request.endpoint && isReachable && isSameVersion && canAcceptWithinRate(member, nodes, now)
             && (!request.lane.isLong || canAcceptLong(pool, member, nodes, now));
@@ -209,7 +212,7 @@
 {
     for (const candidate &each : m_candidates) {
         // The first eligible request tests whether an endpoint has recovered.
-        if (each.member->endpoint->isDown || m_suspects.hasUnconfirmedLoss(each.member->endpoint->serial)) {
+        if (each.member->isDown() || m_suspects.hasUnconfirmedLoss(each.member->endpoint->serial)) {
             why = "recovery check after a failure";
             return each.member;
         }
@@ -254,7 +257,7 @@
     std::pair<bool, double> bestRank;
     for (const candidate &each : m_candidates) {
         const endpoint_state &endpoint = *each.member->endpoint;
-        if (endpoint.facts.softwareVersion != request.facts.softwareVersion || endpoint.isDown || (request.lane.isLong && !each.acceptsLong)) {
+        if (endpoint.facts.softwareVersion != request.facts.softwareVersion || each.member->isDown() || (request.lane.isLong && !each.acceptsLong)) {
             continue;
         }
         // An endpoint that has just lost a connection is the last choice.
@@ -283,7 +286,7 @@
     for (const candidate &each : m_candidates) {
         const endpoint_state &endpoint = *each.member->endpoint;
         const bool isOtherVersion = request.isResumption() && endpoint.facts.softwareVersion != request.facts.softwareVersion;
-        if (isOtherVersion || endpoint.suspectsInFlight > 0 || endpoint.isDown || m_suspects.hasUnconfirmedLoss(endpoint.serial)) {
+        if (isOtherVersion || endpoint.suspectsInFlight > 0 || each.member->isDown() || m_suspects.hasUnconfirmedLoss(endpoint.serial)) {
             continue;
         }
         if (endpoint.idHash == assigned) {
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -60,6 +60,10 @@
     /// The endpoint refuses connections and is tried again at nextTry.
     bool isDown = false;
     base::time_point downSince;
+    /// Other nodes have reported that it refuses connections.
+    bool isReportedDown = false;
+    /// Earliest time of the next request from a pool that avoids the endpoint because of these reports.
+    base::time_point nextReportCheck;
     /// Earliest time of the next request while the endpoint is down or has a lost connection that is not yet known to be a crash or not.
     base::time_point nextTry;
 
--- a/packages/routing/src/chervilbend/routing/internal/pool_member.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_member.cpp
@@ -5,9 +5,14 @@
 namespace chervilbend::routing
 {
 
+bool pool_member::isDown() const
+{
+    return endpoint->isDown || isAvoided;
+}
+
 bool pool_member::isUsable() const
 {
-    return !endpoint->isLeaving() && !endpoint->isDown && !ejected;
+    return !endpoint->isLeaving() && !isDown() && !ejected;
 }
 
 } // namespace chervilbend::routing
--- a/packages/routing/src/chervilbend/routing/internal/pool_member.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/pool_member.hpp
@@ -22,6 +22,11 @@
     base::time_point nextProbe;
     /// The next probe may be sent when the pool's number of requests reaches this value.
     long probeAfterRequest = 0;
+    /// Other nodes have reported that the endpoint refuses connections, and the pool has another one.
+    bool isAvoided = false;
+
+    /// Whether the endpoint gets only single requests, which show whether it accepts connections again.
+    bool isDown() const;
 
     /// Whether the endpoint is in use: neither leaving, nor down, nor ejected.
     bool isUsable() const;
