Exchange unreachable endpoints with the lease holder

The report of a node and the answer of the holder have a member "unreachable", in the format of "leaving", with at most 32 entries. It is left out while there is nothing to report, so that the size of the usual exchange does not change; old builds neither send nor read it. The node logs endpointUnreachable once for each process.

--- a/packages/fleet/src/chervilbend/fleet/engine_update.hpp
+++ b/packages/fleet/src/chervilbend/fleet/engine_update.hpp
@@ -46,6 +46,8 @@
     routing::rate_limit_report rateLimits;
     /// Endpoints that have recently said in an answer that they are about to stop.
     std::vector<routing::endpoint_process> leaving;
+    /// Endpoints that have recently refused a connection of the node.
+    std::vector<routing::endpoint_process> unreachable;
     /// What the node says of itself as a helper; no value from nodes that run an earlier version.
     std::optional<routing::helper_node> helper;
     /// Version of the registrations that the node has from the holder with this token; 0 for none.
@@ -72,6 +74,8 @@
     routing::prompt_evidence prompts;
     routing::rate_limit_answer rateLimits;
     std::vector<routing::endpoint_process> leaving;
+    /// Endpoints that refuse connections according to the reports of other nodes.
+    std::vector<routing::endpoint_process> unreachable;
     /// Nodes that can serve requests of the node if it reaches no endpoint.
     std::vector<routing::helper_node> helpers;
 };
--- a/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_json.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/fleet/prompt_evidence_json.hpp>
 #include <chervilbend/fleet/rate_limit_json.hpp>
 #include <chervilbend/fleet/store_update_json.hpp>
+#include <chervilbend/routing/unreachable_endpoints.hpp>
 
 namespace chervilbend::fleet
 {
@@ -48,10 +49,9 @@
 }
 
 /// Items that cannot be read are skipped.
-std::vector<routing::endpoint_process> readLeavingMember(const Json::Value &json)
+std::vector<routing::endpoint_process> readProcesses(const Json::Value &list)
 {
     std::vector<routing::endpoint_process> processes;
-    const Json::Value &list = json["leaving"];
     for (Json::ArrayIndex i = 0; list.isArray() && i < list.size(); ++i) {
         if (hasText(list[i], "endpoint") && hasNumber(list[i], "born")) {
             processes.push_back({base::endpoint_id(list[i]["endpoint"].asString()), list[i]["born"].asInt64()});
@@ -60,6 +60,15 @@
     return processes;
 }
 
+std::vector<routing::endpoint_process> readUnreachable(const Json::Value &json)
+{
+    std::vector<routing::endpoint_process> processes = readProcesses(json["unreachable"]);
+    if (processes.size() > routing::unreachable_endpoints::maxListed) {
+        processes.resize(routing::unreachable_endpoints::maxListed);
+    }
+    return processes;
+}
+
 Json::Value toJson(const routing::helper_node &helper)
 {
     Json::Value json(Json::objectValue);
@@ -92,6 +101,9 @@
     json["prompts"] = toJson(report.prompts);
     json["limits"] = toJson(report.rateLimits);
     json["leaving"] = toJson(report.leaving);
+    if (!report.unreachable.empty()) {
+        json["unreachable"] = toJson(report.unreachable);
+    }
     if (report.helper) {
         json["helper"] = toJson(*report.helper);
     }
@@ -120,7 +132,8 @@
     node_report report;
     report.prompts = std::move(*prompts);
     report.rateLimits = std::move(*rateLimits);
-    report.leaving = readLeavingMember(json);
+    report.leaving = readProcesses(json["leaving"]);
+    report.unreachable = readUnreachable(json);
     report.helper = readHelper(json["helper"]);
     report.node = base::node_id(json["node"].asString());
     report.token = json["token"].asInt64();
@@ -208,6 +221,9 @@
     json["prompts"] = toJson(answer.prompts);
     json["limits"] = toJson(answer.rateLimits);
     json["leaving"] = toJson(answer.leaving);
+    if (!answer.unreachable.empty()) {
+        json["unreachable"] = toJson(answer.unreachable);
+    }
     Json::Value &helpers = json["helpers"] = Json::Value(Json::arrayValue);
     for (const routing::helper_node &helper : answer.helpers) {
         helpers.append(toJson(helper));
@@ -249,7 +265,8 @@
     answer.store = std::move(*store);
     answer.prompts = std::move(*prompts);
     answer.rateLimits = std::move(*rateLimits);
-    answer.leaving = readLeavingMember(json);
+    answer.leaving = readProcesses(json["leaving"]);
+    answer.unreachable = readUnreachable(json);
     const Json::Value &helpers = json["helpers"];
     for (Json::ArrayIndex i = 0; helpers.isArray() && i < helpers.size(); ++i) {
         if (std::optional<routing::helper_node> helper = readHelper(helpers[i])) {
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.cpp
@@ -33,6 +33,7 @@
     , m_relay(relay)
     , m_prompts(*knowledge.promptParts)
     , m_leaving(*knowledge.leaving)
+    , m_unreachableReports(*knowledge.unreachableReports)
     , m_helpers(*knowledge.helpers)
     , m_rateLimits(rateLimits)
     , m_budget(linkMegabits)
@@ -64,6 +65,8 @@
         m_leaving.note(process);
     }
     answer.leaving = m_leaving.recent();
+    m_unreachableReports.noteReport(report->node, report->unreachable);
+    answer.unreachable = m_unreachableReports.listFor(report->node);
     if (report->helper) {
         m_helpers.noteReport(report->node, *report->helper);
     }
--- a/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
+++ b/packages/fleet/src/chervilbend/fleet/exchange_methods.hpp
@@ -12,6 +12,7 @@
 class helper_nodes;
 class leaving_endpoints;
 class prompt_part_tracker;
+class unreachable_reports;
 struct cluster_knowledge;
 } // namespace chervilbend::routing
 
@@ -75,6 +76,7 @@
     const store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
     routing::leaving_endpoints &m_leaving;
+    routing::unreachable_reports &m_unreachableReports;
     routing::helper_nodes &m_helpers;
     rate_limit_exchange &m_rateLimits;
     answer_budget m_budget;
--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -68,6 +68,8 @@
     , m_relay(relay)
     , m_prompts(*knowledge.promptParts)
     , m_leaving(*knowledge.leaving)
+    , m_unreachable(*knowledge.unreachable)
+    , m_unreachableReports(*knowledge.unreachableReports)
     , m_helpers(*knowledge.helpers)
     , m_rateLimits(rateLimits)
 {
@@ -172,6 +174,8 @@
         applyLocalUpdates();
         m_prompts.merge(m_prompts.responseTo(m_prompts.takeNews()));
         m_rateLimits.exchangeLocally();
+        m_unreachableReports.noteReport(m_node, m_unreachable.own());
+        m_unreachable.setListed(m_unreachableReports.listFor(m_node), m_lease.token(), base::clock::now());
         m_helpers.setHelpers(m_helpers.chooseFor(m_node));
         m_interval = report_pacer::shortestInterval;
         co_return true;
@@ -183,6 +187,7 @@
     report.prompts = m_prompts.takeNews();
     report.rateLimits = m_rateLimits.takeReport();
     report.leaving = m_leaving.recent();
+    report.unreachable = m_unreachable.own();
     report.helper = m_helpers.own();
     const Json::Value message = toJson(report);
     const read_time requestedAt = read_time::now();
@@ -198,6 +203,7 @@
     for (const routing::endpoint_process &process : answer->leaving) {
         m_leaving.note(process);
     }
+    m_unreachable.setListed(answer->unreachable, answer->lease.token, requestedAt.steady);
     m_helpers.setHelpers(answer->helpers);
     if (answer->lease.token != m_token) {
         m_prompts.announceAgain();
--- a/packages/fleet/src/chervilbend/fleet/holder_client.hpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.hpp
@@ -25,6 +25,8 @@
 class helper_nodes;
 class leaving_endpoints;
 class prompt_part_tracker;
+class unreachable_endpoints;
+class unreachable_reports;
 struct cluster_knowledge;
 } // namespace chervilbend::routing
 
@@ -101,6 +103,8 @@
     store_relay &m_relay;
     routing::prompt_part_tracker &m_prompts;
     routing::leaving_endpoints &m_leaving;
+    routing::unreachable_endpoints &m_unreachable;
+    routing::unreachable_reports &m_unreachableReports;
     routing::helper_nodes &m_helpers;
     rate_limit_exchange &m_rateLimits;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
--- a/packages/fleet/tests/exchange_method_test.cpp
+++ b/packages/fleet/tests/exchange_method_test.cpp
@@ -21,6 +21,7 @@
 #include <json/writer.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -100,6 +101,7 @@
     std::map<base::endpoint_id, std::int64_t> engines;
     std::map<base::endpoint_id, bool> registrations;
     std::optional<int> rank;
+    std::vector<routing::endpoint_process> unreachable;
 };
 
 /// The holder of the lease on a host with a thin link.
@@ -161,6 +163,7 @@
         node.report.token = answer.lease.token;
         node.report.version = answer.version;
         node.rank = answer.rank;
+        node.unreachable = answer.unreachable;
         for (const engine_update &update : answer.updates) {
             node.engines[update.engine] = update.version;
         }
@@ -215,6 +218,7 @@
     CPPUNIT_TEST(drainingEndpointIsSentWhileTheLinkIsFull);
     CPPUNIT_TEST(lateEventLoopSendsNoUpdates);
     CPPUNIT_TEST(nodesHaveDifferentRanks);
+    CPPUNIT_TEST(unreachableEndpointIsSentAfterTwoReports);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +284,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(nodeCount), ranks.size());
     }
 
+    void unreachableEndpointIsSentAfterTwoReports()
+    {
+        thin_holder holder;
+        const routing::endpoint_process process{base::endpoint_id("i-1"), 3};
+        const auto nodesToldOf = [&] {
+            const auto isTold = [&](const reporting_node &node) {
+                return node.unreachable == std::vector{process};
+            };
+            return std::count_if(holder.nodes.begin(), holder.nodes.end(), isTold);
+        };
+        holder.nodes[3].report.unreachable = {process};
+        holder.exchangeOnce();
+        holder.exchangeOnce();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), nodesToldOf());
+        holder.nodes[50].report.unreachable = {process};
+        holder.exchangeOnce();
+        holder.exchangeOnce();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(nodeCount), nodesToldOf());
+    }
+
     /// Guards against a holder with little processor time that spends all of it on full answers, each asked for again because it came too late.
     void lateEventLoopSendsNoUpdates()
     {
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -67,6 +67,7 @@
         lastReport = readNodeReport(parameters).value();
         answer.rateLimits = allocator.answer(lastReport.rateLimits, true);
         answer.leaving = leaving;
+        answer.unreachable = unreachable;
         answer.lease.holder = base::node_id("holder");
         answer.lease.peerAddress = "127.0.0.1:1";
         answer.lease.token = 7;
@@ -83,6 +84,7 @@
     node_report lastReport;
     routing::rate_limit_allocator allocator{11};
     std::vector<routing::endpoint_process> leaving;
+    std::vector<routing::endpoint_process> unreachable;
 };
 
 /// A node that reports to a fake holder.
@@ -150,6 +152,9 @@
     CPPUNIT_TEST(malformedEvidenceIsRejected);
     CPPUNIT_TEST(messagesOfTheVersionBeforeAreRead);
     CPPUNIT_TEST(leavingEndpointsAreShared);
+    CPPUNIT_TEST(unreachableEndpointsAreShared);
+    CPPUNIT_TEST(malformedUnreachableMemberIsIgnored);
+    CPPUNIT_TEST(holderTakesPartInItsOwnDecision);
     CPPUNIT_TEST(grantsComeWithTheExchange);
     CPPUNIT_TEST(waitingRequestIsAskedForAtOnce);
     CPPUNIT_TEST(lastHolderGrantsAfterTheEndOfTheLease);
@@ -330,6 +335,57 @@
         CPPUNIT_ASSERT(node.knowledge.leaving->contains(other));
     }
 
+    void unreachableEndpointsAreShared()
+    {
+        reporting_node node;
+        node.knowledge.unreachable->noteRefusal(m_process);
+        const routing::endpoint_process other{base::endpoint_id("i-2"), 4};
+        node.holder.unreachable = {other};
+        node.callsWithin(1'000);
+        CPPUNIT_ASSERT(node.holder.lastReport.unreachable == std::vector{m_process});
+        CPPUNIT_ASSERT(node.knowledge.unreachable->isReported(other));
+        node.holder.unreachable.clear();
+        node.callsWithin(500);
+        CPPUNIT_ASSERT(!node.knowledge.unreachable->isReported(other));
+    }
+
+    /// Guards against nodes that cannot talk to each other because of a member that one of them does not have, or has in another form.
+    void malformedUnreachableMemberIsIgnored()
+    {
+        node_report report;
+        report.node = base::node_id("a");
+        CPPUNIT_ASSERT_MESSAGE("the usual report has no such member", !toJson(report).isMember("unreachable"));
+        for (int i = 0; i < 100; ++i) {
+            report.unreachable.push_back({base::endpoint_id(std::string("i-").append(std::to_string(i))), i});
+        }
+        Json::Value json = toJson(report);
+        CPPUNIT_ASSERT_EQUAL(routing::unreachable_endpoints::maxListed, readNodeReport(json)->unreachable.size());
+        json["unreachable"] = "text";
+        CPPUNIT_ASSERT(readNodeReport(json) && readNodeReport(json)->unreachable.empty());
+        Json::Value answer = toJson(holder_response{});
+        CPPUNIT_ASSERT(!answer.isMember("unreachable"));
+        answer["unreachable"][0]["endpoint"] = 7;
+        answer["unreachable"][1]["endpoint"] = "i-1";
+        answer["unreachable"][1]["born"] = 3;
+        CPPUNIT_ASSERT(readHolderResponse(answer)->unreachable == std::vector{m_process});
+    }
+
+    void holderTakesPartInItsOwnDecision()
+    {
+        reporting_node node;
+        asio::co_spawn(node.context, node.lease.run(), asio::detached);
+        node.time.advance(base::milliseconds(10'000));
+        CPPUNIT_ASSERT(node.lease.isHolder());
+        const routing::endpoint_process other{base::endpoint_id("i-2"), 4};
+        routing::unreachable_reports &reports = *node.knowledge.unreachableReports;
+        reports.noteReport(base::node_id("b"), {m_process, other});
+        reports.noteReport(base::node_id("c"), {other});
+        node.knowledge.unreachable->noteRefusal(m_process);
+        node.time.advance(base::milliseconds(500));
+        CPPUNIT_ASSERT(node.knowledge.unreachable->isReported(other));
+        CPPUNIT_ASSERT_MESSAGE("two nodes have reported it, one of them the holder", reports.listFor(base::node_id("c")).size() == 2);
+    }
+
     void grantsComeWithTheExchange()
     {
         reporting_node node;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -243,6 +243,9 @@
         m_relay.leaseChanged(isHolder);
         m_rateLimitExchange.leaseChanged(isHolder);
         m_controller.leaseChanged(isHolder);
+        if (isHolder) {
+            m_knowledge.unreachableReports->start();
+        }
         m_publishedVersions.setHolder(isHolder);
     });
     m_controller.onChange([this] { m_holderClient.applyLocalUpdates(); });
@@ -274,6 +277,14 @@
         LOG4CXX_INFO(nodeLog(), base::log_event("endpointLeaves").with("endpoint", process.endpoint.value()).text());
         m_director.endpointLeaves(process);
     });
+    m_knowledge.unreachable->onNote([](const routing::endpoint_process &process, routing::unreachable_reporter reporter) {
+        LOG4CXX_INFO(nodeLog(),
+                     base::log_event("endpointUnreachable")
+                         .with("endpoint", process.endpoint.value())
+                         .with("reportedBy", reporter == routing::unreachable_reporter::self ? "self" : "others")
+                         .text());
+    });
+    m_knowledge.unreachable->onChange([this] { m_director.unreachableChanged(); });
     m_rateLimitExchange.onDecision([this] {
         m_director.rateLimitsChanged();
         m_admission.deliverDecisions();
