--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -329,6 +329,9 @@
         flagSetting("estimatedRetryAfter",
                     "Tell refused callers of the platform when another attempt would probably succeed, instead of 0.2 s",
                     &s::estimatedRetryAfter),
+        flagSetting("sharedEndpointFailures",
+                    "Whether nodes tell each other which endpoints refuse connections, and avoid those that others have reported",
+                    &s::sharedEndpointFailures),
         durationSetting("loadWindow", 100ms, 10min, "Period over which loads from the weight store are counted", &s::loadWindow),
         fractionSetting("loadOvershoot", "of the store's rate", 0.1, 10, "Loads from the weight store that may start within loadWindow", &s::loadOvershoot),
         durationSetting(
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -65,6 +65,7 @@
     double retryBurst = 50;
     base::milliseconds retryWindow{0};
     bool estimatedRetryAfter = false;
+    bool sharedEndpointFailures = false;
     base::milliseconds loadWindow{5'000};
     double loadOvershoot = 1.0;
     base::milliseconds configurationBound{3'000};
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -60,6 +60,8 @@
     void rateLimitsChanged();
     /// The nodes have learned from an answer that the endpoint is about to stop.
     void endpointLeaves(const endpoint_process &process);
+    /// The processes that other nodes have reported to refuse connections may have changed.
+    void unreachableChanged();
 
 private:
     /// Implemented in adaptive_director_pools.cpp: endpoints and pools.
@@ -114,6 +116,15 @@
     /// Implemented in adaptive_director_retry_after.cpp.
     endpoint_obstacle obstacleAt(const endpoint_state &endpoint, base::time_point now) const;
 
+    /// Implemented in adaptive_director_reports.cpp: endpoints that refuse the connections of other nodes.
+    void noteResponse(endpoint_state &endpoint);
+    /// Time between two recovery checks of this node at an endpoint that others have reported.
+    base::milliseconds reportCheckInterval() const;
+    /// From none to @p interval, different for each node.
+    base::milliseconds firstCheckDelay(const base::endpoint_id &endpoint, base::time_point now, base::milliseconds interval) const;
+    void applyReports(base::time_point now);
+    void applyReports(pool_state &pool, base::time_point now);
+
     /// Implemented in adaptive_director_outcome.cpp: from dispatch to the end of the request.
     void takeFirstByteSample(request_state &request, double cost);
     /// Whether this process was paused at some time between @p since and @p now.
@@ -133,6 +144,7 @@
     int m_rank = 0;
     std::mt19937_64 m_pauseRandom;
     retry_estimator m_retryEstimator;
+    std::uint64_t m_checkSeed;
     std::unordered_map<base::endpoint_id, std::shared_ptr<endpoint_state>> m_endpoints;
     std::unordered_map<std::string, std::unique_ptr<pool_state>> m_pools;
     /// Pools in order of creation, so that decisions do not depend on the iteration order of a hash map.
@@ -146,6 +158,11 @@
     std::shared_ptr<prompt_part_tracker> m_promptParts;
     std::shared_ptr<endpoint_rate_limits> m_rateLimits;
     std::shared_ptr<leaving_endpoints> m_leaving;
+    std::shared_ptr<unreachable_endpoints> m_unreachable;
+    /// Whether other nodes' reports, or what decides if they apply, have changed.
+    bool m_areReportsDue = false;
+    /// Endpoints that this node takes for unreachable because of the reports.
+    int m_reportedEndpoints = 0;
     /// When the last of the pauses that endpoints have asked for ends.
     base::time_point m_lastPauseEnd;
     endpoint_selector m_selector;
