Ask in one place whether an attempt was not sent

The forwarder and the director each compared the outcome with the two values that say so. wasNotSent() stands beside the enumeration now; behaviour is unchanged.

--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -359,7 +359,7 @@
 
 void forwarder::noteFailure(const base::endpoint_id &endpoint, request_outcome outcome)
 {
-    if (m_reachability && (outcome == request_outcome::notSent || outcome == request_outcome::notAttempted)) {
+    if (m_reachability && routing::wasNotSent(outcome)) {
         m_reachability->noteConnectFailure(endpoint);
     }
 }
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -257,8 +257,7 @@
 {
     retry_budget &budget = retryBudgetOf(request);
     const pool_state &pool = *request.pool;
-    const bool wasNotSent = outcome == request_outcome::notSent || outcome == request_outcome::notAttempted;
-    const bool didNotRun = wasNotSent || outcome == request_outcome::refused;
+    const bool didNotRun = wasNotSent(outcome) || outcome == request_outcome::refused;
     const base::error_kind failure = outcome == request_outcome::refused ? base::error_kind::overloaded
         : didNotRun                                                      ? base::error_kind::endpointRefused
                                                                          : base::error_kind::endpointFailed;
@@ -274,7 +273,7 @@
         why = {failure, "the deadline leaves no time for a retry"};
     } else if (pool.queue.isCongested() || isShedding(pool, now)) {
         why = {failure, "the pool is overloaded, so no retry is made"};
-    } else if (!wasNotSent && !budget.tryWithdraw()) {
+    } else if (!wasNotSent(outcome) && !budget.tryWithdraw()) {
         // An attempt that was not sent has not reached the service, so the next one is no retry to it.
         why = {failure, "the retry budget is exhausted"};
     } else {
--- a/packages/routing/src/chervilbend/routing/request_outcome.hpp
+++ b/packages/routing/src/chervilbend/routing/request_outcome.hpp
@@ -19,4 +19,10 @@
     cancelled,
 };
 
+/// Whether nothing was written to the endpoint, whatever the cause.
+inline bool wasNotSent(request_outcome outcome)
+{
+    return outcome == request_outcome::notSent || outcome == request_outcome::notAttempted;
+}
+
 } // namespace chervilbend::routing
