Review case 6: a prompt part that crashes servers after their first event is never refused

Cause: the first event of an answer clears the parts of its prompt, and a loss counts only before it.

--- a/review/standin-2/engine.hpp
+++ b/review/standin-2/engine.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
 // Stand-in for a model server, as PROTOCOL.md describes one: it reads the prompt, begins a run with its first token, writes one event for several tokens,
-// drops a run soon after its connection has closed, carries out orders one at a time, and writes its entry in the store every heartbeat. It is sound; it can
-// be made slower for a while.
+// drops a run soon after its connection has closed, carries out orders one at a time, and writes its entry in the store every heartbeat. It is sound. It can be
+// made slower for a while, and a part of a prompt can crash it: it ends once it has written the first event of an answer on it, and another process comes up
+// in its place some seconds later, with another id and without models.
 
 #include "store.hpp"
 
@@ -73,7 +74,8 @@
         , m_speed(speed)
         , m_bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
         , m_models(models.begin(), models.end())
-        , m_listener([this](channel &caller) { serve(caller); })
+        , m_listener(std::make_unique<listener>([this](channel &caller) { serve(caller); }))
+        , m_port(m_listener->port())
     {
         std::thread([this] {
             while (true) {
@@ -83,20 +85,42 @@
         }).detach();
     }
 
+    /// Crashes each server that begins to write an answer on this part of a prompt. Before the servers serve.
+    void setFatalPart(std::string part, std::int64_t downMs)
+    {
+        m_fatalPart = std::move(part);
+        m_downMs = downMs;
+    }
+
+    void onCrash(std::function<void(const std::string &id)> observer)
+    {
+        m_crashObserver = std::move(observer);
+    }
+
+    /// Called for each request that reaches a server, whether it is run or not.
+    void onArrival(std::function<void(const std::string &attempt)> observer)
+    {
+        m_arrivalObserver = std::move(observer);
+    }
+
     /// Each token and each part of a prompt takes so many times as long from now on.
     void setSlowness(double factor)
     {
         m_slowness = factor;
     }
 
-    const std::string &id() const
+    std::string id()
     {
+        const std::lock_guard lock(m_mutex);
         return m_id;
     }
 
 private:
     static constexpr std::int64_t heartbeatMs = 1'200;
     static constexpr std::int64_t loadMs = 2'600;
+    /// Of a model that the server has held before.
+    static constexpr std::int64_t diskLoadMs = 520;
+    static constexpr int heartbeatsUntilRemoval = 3;
     static constexpr std::int64_t pollMs = 5;
     static constexpr int slots = 48;
 
@@ -112,32 +136,88 @@
     void writeEntry()
     {
         const std::lock_guard lock(m_mutex);
+        if (!m_isAlive) {
+            return;
+        }
         m_store.put("keyed.servers",
                     m_id,
-                    "{\"service\":\"" + m_service + "\",\"address\":\"127.0.0.1:" + std::to_string(m_listener.port()) + "\",\"zone\":\"" + m_zone
+                    "{\"service\":\"" + m_service + "\",\"address\":\"127.0.0.1:" + std::to_string(m_port) + "\",\"zone\":\"" + m_zone
                         + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":"
                         + std::to_string(++m_heartbeats) + ",\"born\":" + std::to_string(m_bornMs) + ",\"stage\":\"both\",\"models\":" + modelsJson() + '}');
     }
 
     void serve(channel &caller)
     {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_isAlive) {
+                return;
+            }
+            m_connections.insert(&caller);
+        }
         while (const std::optional<message_head> head = caller.readHead()) {
             const std::optional<std::string> body = caller.readBytes(std::strtoull(head->field("content-length").c_str(), nullptr, 10));
             if (!body || !answer(caller, *head, *body)) {
+                break;
+            }
+        }
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(&caller);
+    }
+
+    void crash()
+    {
+        std::string id;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_isAlive) {
                 return;
             }
+            m_isAlive = false;
+            id = m_id;
+            m_listener->stop();
+            for (channel *const connection : m_connections) {
+                connection->shutDown();
+            }
+            m_known.insert(m_models.begin(), m_models.end());
+            m_models.clear();
         }
+        m_crashObserver(id);
+        std::thread([this, id] {
+            sleepMs(heartbeatsUntilRemoval * heartbeatMs);
+            m_store.put("keyed.servers", id, "");
+        }).detach();
+        std::thread([this] {
+            sleepMs(m_downMs);
+            startAgain();
+        }).detach();
+    }
+
+    void startAgain()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_life;
+            m_id = m_name + '-' + std::to_string(m_life);
+            m_bornMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+            m_fence = m_orders = m_heartbeats = 0;
+            m_isBusy = false;
+            m_isAlive = true;
+            m_listener = std::make_unique<listener>([this](channel &caller) { serve(caller); }, m_port);
+        }
+        writeEntry();
     }
 
     bool answer(channel &caller, const message_head &head, const std::string &body)
     {
         const std::string expected = head.field("chervilbend-expect-instance");
+        const std::string ownId = id();
         const std::string attempt = head.field("chervilbend-attempt-id");
         const std::string named = attempt.empty() ? "" : "Chervilbend-Attempt-Id: " + attempt + "\r\n";
         if (head.second == "/health") {
-            return caller.write(answerText("200 OK", "Chervilbend-Instance-Id: " + m_id + "\r\n", ""));
+            return caller.write(answerText("200 OK", "Chervilbend-Instance-Id: " + ownId + "\r\n", ""));
         }
-        if (!expected.empty() && expected != m_id) {
+        if (!expected.empty() && expected != ownId) {
             return caller.write(answerText("421 Misdirected Request", named, ""));
         }
         if (head.second == "/api/report") {
@@ -161,6 +241,9 @@
         if (!isHeld) {
             return caller.write(answerText("421 Misdirected Request", named, ""));
         }
+        if (m_arrivalObserver) {
+            m_arrivalObserver(attempt);
+        }
         return run(caller, head, attempt);
     }
 
@@ -198,10 +281,14 @@
         }
         ++m_orders;
         m_isBusy = true;
-        std::thread([this, model, isLoad] {
-            sleepMs(isLoad ? loadMs : pollMs);
+        const std::int64_t duration = !isLoad ? pollMs : m_known.count(model) > 0 ? diskLoadMs : loadMs;
+        std::thread([this, model, isLoad, duration, life = m_life] {
+            sleepMs(duration);
             {
                 const std::lock_guard change(m_mutex);
+                if (life != m_life || !m_isAlive) {
+                    return;
+                }
                 if (isLoad) {
                     m_models.insert(model);
                 } else {
@@ -238,17 +325,18 @@
         const int prompt = std::atoi(counts.c_str());
         const int tokens = std::atoi(counts.substr(counts.find(',') + 1).c_str());
         const int events = tokens / m_speed.tokensPerEvent;
+        const bool isFatal = !m_fatalPart.empty() && head.field("chervilbend-prompt-prefix").find(m_fatalPart) != std::string::npos;
         if (!work(caller, (prompt + firstEvent * m_speed.tokensPerEvent) / m_speed.promptTokensPerMs)) {
             return false;
         }
         run_record begun;
         begun.attempt = attempt;
-        begun.server = m_id;
+        begun.server = id();
         begun.firstEvent = firstEvent;
         begun.begunMs = begun.lastTokenMs = nowMs();
-        const std::size_t id = m_ledger.begin(begun);
+        const std::size_t runId = m_ledger.begin(begun);
         const auto end = [&](bool isComplete) {
-            m_ledger.update(id, [&](run_record &run) {
+            m_ledger.update(runId, [&](run_record &run) {
                 run.endedMs = nowMs();
                 run.isComplete = isComplete;
             });
@@ -263,12 +351,16 @@
                 if (!work(caller, m_speed.tokenMs)) {
                     return end(false);
                 }
-                m_ledger.update(id, [](run_record &run) { run.lastTokenMs = nowMs(); });
+                m_ledger.update(runId, [](run_record &run) { run.lastTokenMs = nowMs(); });
             }
             if (!caller.write(chunkText("id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + " of " + attempt + "\n\n"))) {
                 return end(false);
             }
-            m_ledger.update(id, [](run_record &run) { ++run.events; });
+            m_ledger.update(runId, [](run_record &run) { ++run.events; });
+            if (isFatal) {
+                crash();
+                return end(false);
+            }
         }
         end(true);
         return caller.write("0\r\n\r\n");
@@ -277,6 +369,7 @@
     store &m_store;
     run_ledger &m_ledger;
     std::string m_id;
+    const std::string m_name = m_id;
     std::string m_service;
     std::string m_zone;
     engine_speed m_speed;
@@ -288,7 +381,17 @@
     std::int64_t m_orders = 0;
     std::int64_t m_heartbeats = 0;
     bool m_isBusy = false;
-    listener m_listener;
+    bool m_isAlive = true;
+    int m_life = 1;
+    /// Models that the server has held before.
+    std::set<std::string> m_known;
+    std::set<channel *> m_connections;
+    std::string m_fatalPart;
+    std::int64_t m_downMs = 0;
+    std::function<void(const std::string &)> m_crashObserver;
+    std::function<void(const std::string &)> m_arrivalObserver;
+    std::unique_ptr<listener> m_listener;
+    int m_port;
 };
 
 } // namespace review
--- a/review/standin-2/http.hpp
+++ b/review/standin-2/http.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace review
 {
@@ -146,6 +147,12 @@
         return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
+    /// Ends the connection in both directions, as the end of a process does; safe to be called from another thread.
+    void shutDown()
+    {
+        ::shutdown(m_handle, SHUT_RDWR);
+    }
+
     void limitReads(std::int64_t ms)
     {
         timeval limit{};
@@ -177,14 +184,16 @@
     std::string m_buffer;
 };
 
-/// Listens on a free port of 127.0.0.1 and serves each connection in a thread until the process ends.
+/// Listens on a port of 127.0.0.1, a free one if none is given, and serves each connection in a thread until stop().
 class listener
 {
 public:
-    explicit listener(std::function<void(channel &)> serve)
+    explicit listener(std::function<void(channel &)> serve, int wantedPort = 0)
     {
         m_handle = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address = loopback(0);
+        const int on = 1;
+        ::setsockopt(m_handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in address = loopback(wantedPort);
         socklen_t size = sizeof address;
         if (::bind(m_handle, reinterpret_cast<sockaddr *>(&address), size) != 0 || ::listen(m_handle, 256) != 0
             || ::getsockname(m_handle, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
@@ -194,12 +203,15 @@
         std::thread([handle = m_handle, serve = std::move(serve)] {
             while (true) {
                 const int connection = ::accept(handle, nullptr, nullptr);
-                if (connection >= 0) {
-                    std::thread([connection, serve] {
-                        channel caller(connection);
-                        serve(caller);
-                    }).detach();
+                if (connection < 0) {
+                    // Stopped, since a listening socket that is shut down accepts no more.
+                    ::close(handle);
+                    return;
                 }
+                std::thread([connection, serve] {
+                    channel caller(connection);
+                    serve(caller);
+                }).detach();
             }
         }).detach();
     }
@@ -209,6 +221,12 @@
         return m_port;
     }
 
+    /// New connections are refused from now on.
+    void stop()
+    {
+        ::shutdown(std::exchange(m_handle, -1), SHUT_RDWR);
+    }
+
 private:
     int m_handle = -1;
     int m_port = 0;
