--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 [ -x target/bin/chervilbend ] && [ -x target/review-2/fatal_part ] || { echo "not built: target/bin/chervilbend, or review/build-2.sh"; exit 2; }
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout 100 target/review-2/fatal_part target/bin/chervilbend "$work" "$folder/record.txt" "${TROUBLE:-1}"
+timeout 115 target/review-2/fatal_part target/bin/chervilbend "$work" "$folder/record.txt" "${TROUBLE:-1}"
 verdict=$?
 [ "$verdict" -le 1 ] || verdict=2
 exit "$verdict"
--- a/review/standin-2/engine.hpp
+++ b/review/standin-2/engine.hpp
@@ -2,7 +2,7 @@
 
 // Stand-in for a model server, as PROTOCOL.md describes one: it reads the prompt, begins a run with its first token, writes one event for several tokens,
 // drops a run soon after its connection has closed, carries out orders one at a time, and writes its entry in the store every heartbeat. It is sound. It can be
-// made slower for a while, and a part of a prompt can crash it: it ends once it has written the first event of an answer on it, and another process comes up
+// made slower for a while, and a part of a prompt can crash it: it ends once it has begun to write an answer on it, and another process comes up
 // in its place some seconds later, with another id and without models.
 
 #include "store.hpp"
@@ -85,11 +85,13 @@
         }).detach();
     }
 
-    /// Crashes each server that begins to write an answer on this part of a prompt. Before the servers serve.
-    void setFatalPart(std::string part, std::int64_t downMs)
+    /// Crashes each server that begins to write an answer on this part of a prompt, after the header and so many events.
+    void setFatalPart(std::string part, std::int64_t downMs, int eventsBefore)
     {
+        const std::lock_guard lock(m_mutex);
         m_fatalPart = std::move(part);
         m_downMs = downMs;
+        m_eventsBeforeCrash = eventsBefore;
     }
 
     void onCrash(std::function<void(const std::string &id)> observer)
@@ -325,7 +327,10 @@
         const int prompt = std::atoi(counts.c_str());
         const int tokens = std::atoi(counts.substr(counts.find(',') + 1).c_str());
         const int events = tokens / m_speed.tokensPerEvent;
-        const bool isFatal = !m_fatalPart.empty() && head.field("chervilbend-prompt-prefix").find(m_fatalPart) != std::string::npos;
+        const bool isFatal = [&] {
+            const std::lock_guard lock(m_mutex);
+            return !m_fatalPart.empty() && head.field("chervilbend-prompt-prefix").find(m_fatalPart) != std::string::npos;
+        }();
         if (!work(caller, (prompt + firstEvent * m_speed.tokensPerEvent) / m_speed.promptTokensPerMs)) {
             return false;
         }
@@ -347,6 +352,10 @@
             return end(false);
         }
         for (int event = firstEvent; event < events; ++event) {
+            if (isFatal && event - firstEvent == m_eventsBeforeCrash) {
+                crash();
+                return end(false);
+            }
             for (int token = event == firstEvent ? 1 : 0; token < m_speed.tokensPerEvent; ++token) {
                 if (!work(caller, m_speed.tokenMs)) {
                     return end(false);
@@ -357,10 +366,6 @@
                 return end(false);
             }
             m_ledger.update(runId, [](run_record &run) { ++run.events; });
-            if (isFatal) {
-                crash();
-                return end(false);
-            }
         }
         end(true);
         return caller.write("0\r\n\r\n");
@@ -388,6 +393,7 @@
     std::set<channel *> m_connections;
     std::string m_fatalPart;
     std::int64_t m_downMs = 0;
+    int m_eventsBeforeCrash = 0;
     std::function<void(const std::string &)> m_crashObserver;
     std::function<void(const std::string &)> m_arrivalObserver;
     std::unique_ptr<listener> m_listener;
--- a/review/standin-2/fatal_part.cpp
+++ b/review/standin-2/fatal_part.cpp
@@ -1,12 +1,12 @@
-// Case 6: a part of a prompt crashes each server that begins to write an answer on it. Ends with 1 if more than three requests with the part reached servers
-// later than stableWindowMs after the fifth crash and sound streams that had begun were cut meanwhile, 0 if not, 2 if the case could not run.
+// Cases 6 and 7: a part of a prompt crashes each server that begins to write an answer on it. Ends with 1 if the rule was broken, 0 if it held, 2 if the case
+// could not run. Case 6: a server crashes after its first event, and the rule is that no more than three requests with the part reach servers later than
+// stableWindowMs after the fifth crash; sound streams must have been cut besides. Case 7, with "late": the part is sound at first, and from some moment on a
+// server crashes before its first event; the rule is that sound streams of the route begin at least half as often as before.
 //
-// usage: fatal_part PROGRAM FOLDER RECORD TROUBLE
+// usage: fatal_part PROGRAM FOLDER RECORD TROUBLE [late]
 
-#include "engine.hpp"
 #include "nodes.hpp"
-
-#include <cstdio>
+#include "streams.hpp"
 
 using namespace review;
 
@@ -15,9 +15,7 @@
 
 constexpr int serverCount = 12;
 constexpr int nodeCount = 3;
-constexpr int modelCount = 2;
 constexpr std::int64_t downMs = 3'000;
-constexpr const char *fatalPart = "bad0bad0";
 
 constexpr std::int64_t stableWindowMs = 3'000;
 constexpr std::int64_t calmMs = 8'000;
@@ -25,78 +23,11 @@
 /// One in twenty requests has the part.
 constexpr int soundPerSecond = 40;
 constexpr int soundPerFatal = 20;
-constexpr int promptTokens = 715;
-constexpr int outputTokens = 160;
-constexpr int events = 20;
 constexpr std::size_t allowedArrivals = 3;
 /// A server that crashes cuts what it runs; many more than a few cut streams are lost work.
 constexpr int cutStreamsAllowed = 20;
-
-struct caller_record {
-    std::string attempt;
-    bool isFatal = false;
-    std::int64_t sentMs = 0;
-    std::int64_t endedMs = 0;
-    std::string status = "none";
-    int events = 0;
-    bool isComplete = false;
-};
-
-std::string configuration()
-{
-    std::string models;
-    for (int i = 0; i < modelCount; ++i) {
-        models += (models.empty() ? "" : ",") + ("{\"name\":\"m" + std::to_string(i))
-            + "\",\"weightSize\":34300,\"loadTimeS\":2.6,\"warmS\":0.39,\"diskS\":0.52,\"adapters\":0,\"adapterMb\":40}";
-    }
-    return "{\"version\":1,\"routes\":[{\"name\":\"coach\",\"host\":\"desk.example\",\"pathPrefix\":\"/coach/\",\"kind\":\"streaming\",\"canResume\":true,"
-           "\"timeoutMs\":12000,\"targetLatencyMs\":400,\"gapAimMs\":150,\"priority\":1,\"service\":\"writer\",\"attempts\":2}],\"services\":[{\"name\":\"writer\","
-           "\"healthPath\":\"/health\",\"connectionLimit\":290,\"engine\":{\"slots\":48,\"weightSize\":83000,\"adapterSlots\":8,\"loadsPerS\":2.2,"
-           "\"kvCacheTokens\":130139,\"stride\":8,\"models\":["
-        + models + "]}}],\"limits\":{\"headerBytes\":16384,\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
-}
-
-std::string hex(std::size_t number)
-{
-    char text[20];
-    std::snprintf(text, sizeof text, "%zx", number);
-    return text;
-}
-
-/// The first part is one of three and the second one of 31, as sound requests share them; the last is the request's own.
-std::string promptOf(std::size_t number, bool isFatal)
-{
-    const std::string second = isFatal ? fatalPart : "d0" + hex(number * 7 % 31);
-    return "f0" + std::to_string(number % 3) + ":100," + second + ":72,e" + hex(number) + ":543";
-}
-
-void ask(int port, std::string model, std::string prompt, caller_record &record)
-{
-    const int handle = connectTo(port);
-    if (handle < 0) {
-        return;
-    }
-    channel server(handle);
-    server.limitReads(13'000);
-    server.write("POST /coach/ticket HTTP/1.1\r\nHost: desk.example\r\nChervilbend-Attempt-Id: " + record.attempt + "\r\nChervilbend-Model: " + model
-                 + "\r\nChervilbend-Token-Counts: " + std::to_string(promptTokens) + ',' + std::to_string(outputTokens) + "\r\nChervilbend-Prompt-Prefix: " + prompt
-                 + "\r\nChervilbend-Deadline-Milliseconds: 12000\r\nContent-Length: 1\r\n\r\nq");
-    const std::optional<message_head> head = server.readHead();
-    record.status = head ? head->second : "none";
-    while (head && head->field("transfer-encoding") == "chunked") {
-        const std::optional<std::string> size = server.readThrough("\r\n");
-        const std::size_t bytes = size ? std::strtoull(size->c_str(), nullptr, 16) : 0;
-        const std::optional<std::string> chunk = size ? server.readBytes(bytes + 2) : std::nullopt;
-        if (!chunk || bytes == 0) {
-            record.isComplete = chunk.has_value();
-            break;
-        }
-        for (std::size_t at = chunk->find("id: "); at != std::string::npos; at = chunk->find("id: ", at + 1)) {
-            ++record.events;
-        }
-    }
-    record.endedMs = nowMs();
-}
+/// So many requests of each period are needed for a comparison.
+constexpr int leastCounted = 20;
 
 struct shares {
     int sent = 0;
@@ -111,7 +42,7 @@
         if (!each->isFatal && each->sentMs >= from && each->sentMs < until) {
             ++sum.sent;
             sum.begun += each->events > 0 ? 1 : 0;
-            sum.complete += each->isComplete && each->events == events ? 1 : 0;
+            sum.complete += each->isComplete && each->events == eventsOfStream ? 1 : 0;
         }
     }
     return sum;
@@ -121,9 +52,10 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 5) {
+    if (argc != 5 && argc != 6) {
         return 2;
     }
+    const bool isLate = argc == 6 && std::string(argv[5]) == "late";
     const std::string folder = argv[2];
     const bool hasTrouble = std::string(argv[4]) != "0";
     std::FILE *const record = std::fopen(argv[3], "w");
@@ -149,8 +81,8 @@
             const std::lock_guard lock(mutex);
             crashes.emplace_back(nowMs(), id);
         });
-        if (hasTrouble) {
-            engines.back()->setFatalPart(fatalPart, downMs);
+        if (hasTrouble && !isLate) {
+            engines.back()->setFatalPart(fatalPart, downMs, 1);
         }
     }
     platform.put("keyed.op", "config", configuration());
@@ -191,9 +123,16 @@
         caller.sentMs = nowMs();
         threads.emplace_back(ask, nodes[number % nodes.size()].frontPort, "m" + std::to_string(number / nodes.size() % modelCount), promptOf(number, isFatal), std::ref(caller));
     };
+    bool isFatal = false;
     for (int sound = 0; nowMs() < end; ++sound) {
         send(false);
-        if (nowMs() >= fatalFrom && sound % soundPerFatal == 0) {
+        if (hasTrouble && isLate && !isFatal && nowMs() >= fatalFrom) {
+            isFatal = true;
+            for (const std::unique_ptr<engine> &each : engines) {
+                each->setFatalPart(fatalPart, downMs, 0);
+            }
+        }
+        if ((isLate || nowMs() >= fatalFrom) && sound % soundPerFatal == 0) {
             send(true);
         }
         sleepMs(std::max<std::int64_t>(0, start + (sound + 1) * 1'000 / soundPerSecond - nowMs()));
@@ -227,9 +166,9 @@
     }
     std::size_t lateArrivals = 0;
     for (const auto &[at, attempt] : arrivals) {
-        const bool isLate = attempt.rfind("fa7a", 0) == 0 && at > late && hasTrouble;
-        lateArrivals += isLate ? 1 : 0;
-        if (isLate) {
+        const bool counts = attempt.rfind("fa7a", 0) == 0 && at > late && hasTrouble;
+        lateArrivals += counts ? 1 : 0;
+        if (counts) {
             std::fprintf(record, "%lld %s reached a server\n", static_cast<long long>(at), attempt.c_str());
         }
     }
@@ -237,6 +176,14 @@
     std::fprintf(record, "crashes: %zu; requests with the part that reached servers later than %lld ms after the fifth: %zu\n", crashes.size(), static_cast<long long>(stableWindowMs), lateArrivals);
     std::fprintf(record, "sound streams sent from 2 x stableWindowMs after the fifth crash on: %d, begun %d, complete %d\n", after.sent, after.begun, after.complete);
     const int cut = after.begun - after.complete;
+    if (isLate) {
+        const bool isCounted = before.sent >= leastCounted && after.sent >= leastCounted;
+        const bool isBroken = isCounted && after.begun * before.sent * 2 < before.begun * after.sent;
+        if (isBroken) {
+            std::fprintf(record, "LOST: sound streams began %d of %d times, and %d of %d times before\n", after.begun, after.sent, before.begun, before.sent);
+        }
+        finish(isBroken ? 1 : 0, isBroken ? "sound streams began less than half as often" : "the rule held");
+    }
     if (lateArrivals > allowedArrivals && cut > cutStreamsAllowed) {
         std::fprintf(record, "BUDGET: %zu requests with the part, %zu allowed; %d sound streams that had begun were cut\n", lateArrivals, allowedArrivals, cut);
         finish(1, "requests with a part that crashes servers went on reaching them");
--- a/review/standin-2/nodes.hpp
+++ b/review/standin-2/nodes.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review
@@ -26,6 +27,8 @@
     {
         process = ::fork();
         if (process == 0) {
+            // Also if this program is ended by a signal.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(output, 1);
             ::dup2(output, 2);
