--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -323,6 +323,7 @@
     runInBackground("pauses", [this] { return watchForPauses(); });
     runInBackground("loop", [this] { return m_loopMonitor.run(); });
     runInBackground("load", [this] { return reportLoad(); });
+    runInBackground("readiness reports", [this] { return reportReadiness(); });
     runInBackground("readiness", [this] { return limitWaitForHolder(); });
     runInBackground("lease", [this] { return m_lease.run(); });
     runInBackground("rate limits", [this] { return m_rateLimitExchange.run(); });
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -97,6 +97,8 @@
     void registerMetrics();
     /// Logs each second how busy this node is while it holds the command lease, and each time its event loop was late.
     boost::asio::awaitable<void> reportLoad();
+    /// Logs what a node that is not ready waits for, and when it has become ready. Returns then.
+    boost::asio::awaitable<void> reportReadiness();
 
     config::node_settings m_settings;
     settings_file &m_file;
--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -18,6 +18,10 @@
 {
 
 constexpr base::milliseconds loadReportInterval{1'000};
+/// Time after the start from which a node that is not ready logs what it waits for, and the interval of these lines.
+constexpr base::milliseconds usualStartTime{2'000};
+constexpr base::milliseconds notReadyInterval{5'000};
+constexpr base::milliseconds readinessCheckInterval{100};
 /// Lateness of the event loop from which a node that does not hold the lease logs its load.
 constexpr base::milliseconds noticeableLoopLag{250};
 
@@ -73,6 +77,10 @@
     m_registry.gaugeFor("chervilbend_request_body_bytes", "Memory for requests that are being read or answered").readFrom([this] {
         return static_cast<double>(m_callerServer->requestBytes());
     });
+    for (const std::string &condition : m_readiness.missing()) {
+        m_registry.gaugeFor("chervilbend_readiness_missing", "1 while this condition of readiness is missing, 0 otherwise", {{"condition", condition}})
+            .readFrom([this, condition] { return m_readiness.missing().contains(condition) ? 1.0 : 0.0; });
+    }
     m_registry.gaugeFor("chervilbend_stranded", "1 while this node reaches no endpoint, 0 otherwise").readFrom([this] {
         return m_reachability.isStranded() ? 1.0 : 0.0;
     });
@@ -96,6 +104,26 @@
     });
 }
 
+asio::awaitable<void> platform_node::reportReadiness()
+{
+    const base::time_point startedAt = base::clock::now();
+    base::time_point nextLineAt = startedAt + usualStartTime;
+    const auto sinceStart = [startedAt] {
+        return (base::clock::now() - startedAt).count();
+    };
+    while (!m_readiness.isReady()) {
+        if (m_readiness.isShuttingDown()) {
+            co_return;
+        }
+        if (base::clock::now() >= nextLineAt) {
+            LOG4CXX_WARN(nodeLog(), base::log_event("notReady").with("missing", m_readiness.missingText()).with("sinceStartMs", sinceStart()).text());
+            nextLineAt += notReadyInterval;
+        }
+        co_await net::sleepFor(readinessCheckInterval);
+    }
+    LOG4CXX_INFO(nodeLog(), base::log_event("ready").with("sinceStartMs", sinceStart()).text());
+}
+
 asio::awaitable<void> platform_node::reportLoad()
 {
     while (true) {
--- a/packages/node/src/chervilbend/node/health/health_api.cpp
+++ b/packages/node/src/chervilbend/node/health/health_api.cpp
@@ -27,11 +27,7 @@
 
 std::string missingConditionsText(const readiness &ready)
 {
-    std::string missing;
-    for (const std::string &condition : ready.missing()) {
-        missing.append(missing.empty() ? "not ready yet: " : ", ").append(condition);
-    }
-    return missing;
+    return ready.missing().empty() ? std::string() : "not ready yet: " + ready.missingText();
 }
 
 net::http_response readinessResponse(const readiness &ready)
--- a/packages/node/src/chervilbend/node/health/readiness.hpp
+++ b/packages/node/src/chervilbend/node/health/readiness.hpp
@@ -42,6 +42,16 @@
         return m_missing;
     }
 
+    /// The missing conditions in alphabetical order, separated by commas.
+    std::string missingText() const
+    {
+        std::string text;
+        for (const std::string &condition : m_missing) {
+            text.append(text.empty() ? "" : ", ").append(condition);
+        }
+        return text;
+    }
+
 private:
     std::set<std::string> m_missing;
     bool m_shuttingDown = false;
