--- a/packages/fakes/src/chervilbend/fakes/platform/raw_connection.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/raw_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
@@ -20,6 +22,14 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+
+/// Whether the error comes from the parser, and not from the connection or its end.
+bool isMalformation(const boost::system::error_code &error)
+{
+    return error && error.category() == make_error_code(net::http::error::bad_target).category() && error != net::http::error::end_of_stream
+        && error != net::http::error::partial_message;
+}
+
 } // namespace
 
 raw_connection::raw_connection(asio::ip::tcp::socket connected)
@@ -35,6 +45,7 @@
     m_parser->body_limit(maxBodyBytes);
     m_parser->header_limit(maxHeaderBytes);
     const auto [error, size] = co_await net::http::async_read_header(m_socket, m_buffer, *m_parser, awaitTuple);
+    m_isMalformed = isMalformation(error);
     co_return !error;
 }
 
@@ -44,6 +55,13 @@
         co_return true;
     }
     const auto [error, size] = co_await net::http::async_read(m_socket, m_buffer, *m_parser, awaitTuple);
+    m_isMalformed = isMalformation(error);
+    co_return !error;
+}
+
+asio::awaitable<bool> raw_connection::writeAll(std::string bytes)
+{
+    const auto [error, size] = co_await asio::async_write(m_socket, asio::buffer(bytes), awaitTuple);
     co_return !error;
 }
 
--- a/packages/fakes/src/chervilbend/fakes/platform/raw_connection.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/raw_connection.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace chervilbend::fakes
@@ -29,6 +30,14 @@
         return m_parser->get();
     }
 
+    /// Whether the caller has sent something that is no HTTP request.
+    bool isMalformed() const
+    {
+        return m_isMalformed;
+    }
+
+    /// Writes all, as fast as the caller reads. False if the caller is gone.
+    boost::asio::awaitable<bool> writeAll(std::string bytes);
     /// Writes without waiting. False if the caller is gone or does not read.
     bool write(std::string_view bytes);
     /// Whether the caller has closed its side.
@@ -41,6 +50,7 @@
 private:
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
+    bool m_isMalformed = false;
     std::optional<net::http::request_parser<net::http::string_body>> m_parser;
 };
 
