--- a/packages/node/tests/node_program.hpp
+++ b/packages/node/tests/node_program.hpp
@@ -55,7 +55,7 @@
     return isConnected;
 }
 
-/// The real program, with a settings file in a folder of its own. The store that it is told does not exist. Ends with its object.
+/// The real program, with a settings file in a folder of its own. Ends with its object.
 class node_program
 {
 public:
@@ -88,7 +88,7 @@
         const auto address = [](const occupied_port &port) {
             return "127.0.0.1:" + std::to_string(port.port()) + "\n";
         };
-        return "node: n1\nzone: a\njsonLog: true\nbalancerWait: 0 ms\nmetadataStore: 127.0.0.1:1\nlisten: " + address(callers)
+        return "node: " + name + "\nzone: a\njsonLog: true\nbalancerWait: 0 ms\nmetadataStore: " + store + "\nlisten: " + address(callers)
             + "readyListen: " + address(ready) + "peerListen: " + address(peers) + "metricsListen: " + address(metrics);
     }
 
@@ -116,6 +116,7 @@
         const int failure = ::posix_spawn(&m_process, PROGRAM, &actions, nullptr, arguments, environ);
         ::posix_spawn_file_actions_destroy(&actions);
         CPPUNIT_ASSERT_EQUAL(0, failure);
+        m_status.reset();
     }
 
     void signal(int number) const
@@ -123,6 +124,13 @@
         CPPUNIT_ASSERT_EQUAL(0, ::kill(m_process, number));
     }
 
+    /// Ends the program without a chance to clean up.
+    void kill()
+    {
+        signal(SIGKILL);
+        CPPUNIT_ASSERT(eventually([this] { return !isRunning(); }));
+    }
+
     /// Sets the maximum size, in bytes, of files that the program writes.
     void limitFileSize(rlim_t bytes) const
     {
@@ -158,6 +166,10 @@
         return WIFEXITED(*m_status) ? WEXITSTATUS(*m_status) : -WTERMSIG(*m_status);
     }
 
+    /// To be set before the settings are written. Nothing listens on the first port.
+    std::string store = "127.0.0.1:1";
+    std::string name = "n1";
+
     /// Occupied until a test releases them for the program.
     occupied_port callers;
     occupied_port ready;
