Read the newest records beside any key and on any number of pages

What callers see: after all nodes were killed, nodes that never become ready and answer 503. Cause: the last key of a page went into the query of the next call as it was. '&', '=' or '#' in it made the store return the same page again, '%' another one or status 400; after 64 pages the list was taken for a whole one, so that the configuration was never looked for again, and the lease could be taken for free. One key that is not UTF-8 made the page undecodable. A 429 within a read threw away its pages. Change: net::query_target encodes every name and value of a query; newest_scan counts a page as progress only if it has a new key, and says whether the end was reached; one key is looked for beside whatever else the topic has, also directly; keys may be any bytes; a failed page is retried before the read fails. Evidence: six cases of newest_records_test and three of restart_test (three real nodes, killed and started again) failed before with pages of 1, 2, 7 and 500 records, and pass now; test_net, test_fleet and test_platform pass.

--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -27,6 +27,8 @@
     std::string record;
     /// Position at which the next read continues.
     std::int64_t next = 0;
+    /// Whether the store had no record after those that were read.
+    bool isComplete = true;
 };
 
 /// A change of one endpoint's registration. Without an entry, the registration has ended.
@@ -39,6 +41,9 @@
 struct endpoint_page {
     std::vector<endpoint_change> changes;
     std::int64_t next = 0;
+    /// Whether no registration is missing that the store had at the time of the read. What a page of changes lacks begins at @c next; what a list of all lacks
+    /// comes when it is written again.
+    bool isComplete = true;
 };
 
 /// The current lease record.
