Don't take a part of the registrations or of the changes for all of them

What callers see: servers that are well are no longer used, or used late, where the list of registrations is incomplete or more changes come within an interval than one answer holds (1 MB). Cause: the follower replaced all it knew by whatever list it got, and waited for the next interval, noting the registrations as read, although the answer ended before the topic did. Change: pages say whether they are complete. An incomplete list adds and removes nothing; after an incomplete page of changes the next one is read at once; neither counts as a confirmation.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -73,7 +73,7 @@
             m_store.recovery().noteSuccess();
             m_isReadFailing = false;
             // The read does not confirm a version that has been taken from another node meanwhile.
-            if (m_position == before) {
+            if (m_position == before && page->isComplete) {
                 m_confirmedAt = base::clock::now();
             }
             m_position = std::max(m_position.value_or(page->next), page->next);
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -84,9 +84,11 @@
         return;
     }
     m_position = page.next;
-    noteRead(requestedAt);
+    if (page.isComplete) {
+        noteRead(requestedAt);
+    }
     const base::time_point now = base::clock::now();
-    notify(isSnapshot ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
+    notify(isSnapshot && page.isComplete ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
 }
 
 void endpoint_follower::noteRestorations(base::time_point now)
@@ -129,6 +131,10 @@
             m_store.recovery().noteSuccess();
             noteRestorations(now);
             applyRead(*page, isSnapshot, requestedAt);
+            if (!isSnapshot && !page->isComplete) {
+                // The rest of the changes is there already.
+                continue;
+            }
             co_await m_wake.wait(base::clock::now() + (m_isHolder ? m_interval / holderReadFactor : m_interval));
             continue;
         }
--- a/packages/fleet/tests/restorable_store.hpp
+++ b/packages/fleet/tests/restorable_store.hpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,6 +25,8 @@
     std::vector<lease_record> leases;
     std::int64_t restorations = 0;
     bool isDown = false;
+    /// Registrations that an answer has at most.
+    std::size_t registrationsPerAnswer = std::numeric_limits<std::size_t>::max();
 
     /// A copy to come back from; @c restorations stays.
     struct copy {
@@ -104,6 +107,8 @@
                 page.changes.push_back(change);
             }
         }
+        page.isComplete = page.changes.size() <= m_content.registrationsPerAnswer;
+        page.changes.resize(std::min(page.changes.size(), m_content.registrationsPerAnswer));
         co_return page;
     }
 
@@ -116,9 +121,13 @@
         if (!isCurrent(position)) {
             co_return fail(base::error_kind::recordInvalid, "the position is void");
         }
+        const std::size_t missing = m_content.registrations.size() - offsetOf(position);
+        const std::size_t read = std::min(missing, m_content.registrationsPerAnswer);
+        const auto first = m_content.registrations.begin() + static_cast<std::ptrdiff_t>(offsetOf(position));
         endpoint_page page;
-        page.next = positionAt(m_content.registrations.size());
-        page.changes.assign(m_content.registrations.begin() + static_cast<std::ptrdiff_t>(offsetOf(position)), m_content.registrations.end());
+        page.next = positionAt(offsetOf(position) + read);
+        page.changes.assign(first, first + static_cast<std::ptrdiff_t>(read));
+        page.isComplete = read == missing;
         co_return page;
     }
 
