Be ready once the registrations have been read, also if there are none

What callers see: after a loss of power of all machines, nodes that are never ready while no server is registered, although they have read the configuration and the (empty) list. Cause: the condition 'endpoints' was met by the first change of a registration, not by the first read. Change: endpoint_follower reports its first complete read; an incomplete one counts once it has brought an endpoint, as before. Requests get 503 at once until a server is there. Evidence: restart_test::nodesAreReadyBeforeTheirServersAreBack (three real nodes, killed while their one server has lapsed) failed before, and passes; all four cases of restart_test and test_fleet pass.

--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -43,6 +43,11 @@
     m_problemListener = std::move(listener);
 }
 
+void endpoint_follower::onFirstRead(std::function<void()> listener)
+{
+    m_firstReadListener = std::move(listener);
+}
+
 void endpoint_follower::onChange(std::function<void(const std::set<base::endpoint_id> &)> listener)
 {
     m_listener = std::move(listener);
@@ -75,6 +80,9 @@
 void endpoint_follower::noteRead(const read_time &readAt)
 {
     m_readAt = {std::max(m_readAt.steady, readAt.steady), std::max(m_readAt.boot, readAt.boot)};
+    if (const std::function<void()> listener = std::exchange(m_firstReadListener, nullptr)) {
+        listener();
+    }
 }
 
 void endpoint_follower::applyRead(const endpoint_page &page, bool isSnapshot, const read_time &requestedAt)
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
@@ -39,6 +39,9 @@
     /// The listener is called with the endpoints that have changed or are gone.
     void onChange(std::function<void(const std::set<base::endpoint_id> &)> listener);
 
+    /// The listener is called when all registrations are known for the first time, by a read or from the holder, also if there are none.
+    void onFirstRead(std::function<void()> listener);
+
     /// The listener is called after each read that failed or was slow.
     void onStoreProblem(std::function<void()> listener);
 
@@ -71,6 +74,7 @@
     base::milliseconds m_interval;
     std::function<void(const std::set<base::endpoint_id> &)> m_listener;
     std::function<void()> m_problemListener;
+    std::function<void()> m_firstReadListener;
     std::optional<std::int64_t> m_position;
     read_time m_readAt;
     /// When the holder sent the read that was applied last.
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -232,6 +232,8 @@
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
         m_readiness.setMet("configuration");
     });
+    // Without any endpoint the node still serves: it says at once that nothing was run, and all nodes see the same registrations.
+    m_endpointFollower.onFirstRead([this] { m_readiness.setMet("endpoints"); });
     m_endpointFollower.onStoreProblem([this] { m_configuration.noteStoreProblem(); });
     m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
         m_relay.noteChanged(changed);
