Test that the stand-in for the store has no other paths

Cause: a trial that let any path pass as one of the three known ones was not found by a test: the call in the test had no topic, and its status was not looked at.

Change: the test asks for another path with a whole query and expects 404.

--- a/packages/fakes/tests/metadata_store_log_test.cpp
+++ b/packages/fakes/tests/metadata_store_log_test.cpp
@@ -169,7 +169,9 @@
         m_fixture->status(readPath + operatorQuery + "&from=0");
         m_fixture->store.setFault(fakes::store_fault::busy);
         m_fixture->status(readPath + operatorQuery + "&from=0");
-        m_fixture->status("/api/other?x=/api/log-read?");
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->status("/api/other"));
+        m_fixture->store.setFault(fakes::store_fault::none);
+        CPPUNIT_ASSERT_EQUAL(404, m_fixture->status("/api/other" + operatorQuery + "&from=0&x=/api/log-read?"));
         const fakes::metadata_store &store = m_fixture->store;
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), store.calls(newestPath));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), store.calls(newestPath, 200));
@@ -178,7 +180,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), store.calls(readPath));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.calls(readPath, 200));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.calls(readPath, 503));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.calls("/api/other"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.calls("/api/other", 404));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), store.calls(appendPath));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), store.calls(appendPath, 200));
     }
