Fakes refuse queries that they can't read

Cause: the fake log and the fake engine took a position or wait that is no number for 0, and decoded no escapes. A client that sent one read everything again, and no test saw it. A read after the largest offset also overflowed in the log store.

The log store subtracts before it adds.

--- a/packages/fakes/src/chervilbend/fakes/log_store.cpp
+++ b/packages/fakes/src/chervilbend/fakes/log_store.cpp
@@ -62,7 +62,7 @@
     page.head = base::log_offset(m_head);
     page.firstRetained = m_records.empty() ? base::log_offset(m_head + 1) : m_records.front().record.offset;
     std::size_t bytes = 0;
-    const std::int64_t skip = std::max<std::int64_t>(0, after.count() + 1 - page.firstRetained.count());
+    const std::int64_t skip = std::max<std::int64_t>(0, after.count() - page.firstRetained.count() + 1);
     for (auto i = static_cast<std::size_t>(skip); i < m_records.size(); ++i) {
         const external::log_record &record = m_records[i].record;
         if (page.records.size() == m_options.pageRecords || (!page.records.empty() && bytes + record.payload.size() > m_options.pageBytes)) {
--- a/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/engine_server.cpp
@@ -98,7 +98,12 @@
     } else if (path == "/engine/counts") {
         co_await sendCounts(exchange);
     } else if (path == "/engine/cache-events") {
-        co_await sendCacheEvents(exchange, target.integerParameter("after", 0));
+        const std::optional<std::int64_t> after = target.integerParameter("after", 0);
+        if (after) {
+            co_await sendCacheEvents(exchange, *after);
+        } else {
+            co_await respondError(exchange, http::status::bad_request, "after must be a whole number from 0");
+        }
     } else if (isPost && (path == "/v1/chat/completions" || path == "/v1/completions")) {
         co_await handleCompletion(exchange);
     } else {
--- a/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/log_server.cpp
@@ -83,10 +83,15 @@
 
 asio::awaitable<void> log_server::read(std::shared_ptr<net::http_exchange> exchange, std::string name, request_target target)
 {
+    const std::optional<std::int64_t> after = target.integerParameter("after", 0);
+    const std::optional<std::int64_t> waitMs = target.integerParameter("waitMs", 0);
+    if (!after || !waitMs) {
+        co_await respondError(exchange, http::status::bad_request, "after and waitMs must be whole numbers from 0");
+        co_return;
+    }
     in_process_log_service &service = *findOrCreateStream(name).service;
-    const base::log_offset after(std::max<std::int64_t>(0, target.integerParameter("after", 0)));
-    const base::milliseconds wait(std::clamp<std::int64_t>(target.integerParameter("waitMs", 0), 0, maxWaitMs));
-    const std::optional<external::log_page> page = co_await service.read(after, wait);
+    const base::milliseconds wait(std::min(*waitMs, maxWaitMs));
+    const std::optional<external::log_page> page = co_await service.read(base::log_offset(*after), wait);
     if (page) {
         co_await respond(exchange, http::status::ok, external::toJson(*page));
     } else {
--- a/packages/fakes/src/chervilbend/fakes/servers/request_target.cpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/request_target.cpp
@@ -1,7 +1,7 @@
 #include <chervilbend/fakes/servers/request_target.hpp>
 
 #include <algorithm>
-#include <charconv>
+#include <limits>
 
 namespace chervilbend::fakes
 {
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::uint64_t maxNumber = std::numeric_limits<std::int64_t>::max();
+
 /// Removes and returns the text before the first @p separator in @p rest; the separator is removed, too.
 std::string_view takeUntil(std::string_view &rest, char separator)
 {
@@ -22,9 +24,8 @@
 
 request_target::request_target(std::string_view target)
 {
-    std::string_view rest = target;
-    m_path = takeUntil(rest, '?');
-    m_query = rest;
+    m_path = target.substr(0, target.find_first_of("?#"));
+    m_query = query_parameters::parse(target);
     std::string_view path = m_path;
     while (!path.empty()) {
         const std::string_view segment = takeUntil(path, '/');
@@ -34,18 +35,10 @@
     }
 }
 
-std::int64_t request_target::integerParameter(std::string_view name, std::int64_t fallback) const
+std::optional<std::int64_t> request_target::integerParameter(std::string_view name, std::int64_t fallback) const
 {
-    std::string_view rest = m_query;
-    while (!rest.empty()) {
-        std::string_view value = takeUntil(rest, '&');
-        if (takeUntil(value, '=') == name) {
-            std::int64_t number = 0;
-            const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
-            return error == std::errc() && end == value.data() + value.size() ? number : fallback;
-        }
-    }
-    return fallback;
+    const std::optional<std::uint64_t> number = m_query ? m_query->number(name, static_cast<std::uint64_t>(fallback)) : std::nullopt;
+    return number && *number <= maxNumber ? std::optional(static_cast<std::int64_t>(*number)) : std::nullopt;
 }
 
 } // namespace chervilbend::fakes
--- a/packages/fakes/src/chervilbend/fakes/servers/request_target.hpp
+++ b/packages/fakes/src/chervilbend/fakes/servers/request_target.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <chervilbend/fakes/platform/query_parameters.hpp>
+
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,12 +29,12 @@
         return m_segments;
     }
 
-    /// The integer query parameter @p name; @p fallback when it is absent or malformed.
-    std::int64_t integerParameter(std::string_view name, std::int64_t fallback) const;
+    /// The integer query parameter @p name, from 0; @p fallback when it is absent. Without a value when it, or an escape in the query, is malformed.
+    std::optional<std::int64_t> integerParameter(std::string_view name, std::int64_t fallback) const;
 
 private:
     std::string m_path;
-    std::string m_query;
+    std::optional<query_parameters> m_query;
     std::vector<std::string> m_segments;
 };
 
