--- a/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
+++ b/packages/fleet/src/chervilbend/fleet/rate_limit_json.cpp
@@ -17,9 +17,6 @@
 constexpr Json::ArrayIndex valueMember = 2;
 constexpr Json::ArrayIndex ageMember = 3;
 
-/// Upper bound of rates and of the requests that a node asks for or is granted in one message.
-constexpr double maxCount = 1e6;
-
 bool isProcess(const Json::Value &item)
 {
     return item.isArray() && item.size() > startMember && item[endpointMember].isString() && item[startMember].isInt64();
@@ -32,7 +29,7 @@
 
 bool isCount(const Json::Value &value)
 {
-    return value.isNumeric() && std::isfinite(value.asDouble()) && value.asDouble() >= 0 && value.asDouble() <= maxCount;
+    return value.isNumeric() && std::isfinite(value.asDouble()) && value.asDouble() >= 0 && value.asDouble() <= routing::maxRequestRate;
 }
 
 Json::Value itemFor(const routing::endpoint_process &process)
--- a/packages/routing/src/chervilbend/routing/rate_limit_messages.hpp
+++ b/packages/routing/src/chervilbend/routing/rate_limit_messages.hpp
@@ -12,6 +12,10 @@
 namespace chervilbend::routing
 {
 
+/// Upper bound of the rates, in requests per second, and of the numbers of requests in these messages. Far above what an endpoint can do, so that a higher
+/// limit is none; a message that exceeds it is not valid.
+inline constexpr double maxRequestRate = 1e6;
+
 /// The request rate that an endpoint has named in an answer to some node.
 struct rate_limit_statement {
     endpoint_process process;
