Keep the trailer of a chunked request out of its header

Beast adds the fields of a trailer to those of the header. A caller's trailer so named the host, the attempt ID, the model or the token counts behind the checks of the header, was sent to the server as part of the header, and a "Connection: close" in it ended the caller's connection (RFC 9110, section 6.5.1).

The reader notes the addresses of the header's fields before the body of a chunked request, which Beast keeps while it adds others, and erases all other fields once the request is complete. The addresses take 8 bytes a field until then. Trailers were never promised to servers, so they are discarded, as a proxy may do.

Run: trailerFieldsAreNoHeaderFields fails before (one answer with "Connection: close" in place of three; test_net 59 run, 1 failure) and passes now: test_net 59, test_node 200.

--- a/packages/net/src/chervilbend/net/internal/request_reader.cpp
+++ b/packages/net/src/chervilbend/net/internal/request_reader.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <string_view>
 #include <tuple>
@@ -175,8 +176,33 @@
     co_return true;
 }
 
+std::vector<const http::fields::value_type *> request_reader::headerFields() const
+{
+    std::vector<const http::fields::value_type *> known;
+    if (m_parser.chunked()) {
+        for (const auto &field : m_parser.get()) {
+            known.push_back(&field);
+        }
+        std::sort(known.begin(), known.end(), std::less<>());
+    }
+    return known;
+}
+
+void request_reader::discardTrailer(const std::vector<const http::fields::value_type *> &headerFields)
+{
+    http_request &request = m_parser.get();
+    for (auto field = request.begin(); m_parser.chunked() && field != request.end();) {
+        const auto next = std::next(field);
+        if (!std::binary_search(headerFields.begin(), headerFields.end(), &*field, std::less<>())) {
+            request.erase(field);
+        }
+        field = next;
+    }
+}
+
 asio::awaitable<bool> request_reader::readBody()
 {
+    const std::vector<const http::fields::value_type *> header = headerFields();
     while (!m_parser.is_done()) {
         const auto [error, size] = co_await http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, awaitTuple);
         if (error && (error != http::error::buffer_overflow || !growBuffer())) {
@@ -190,6 +216,7 @@
             co_return refuse(outOfMemory());
         }
     }
+    discardTrailer(header);
     co_return true;
 }
 
--- a/packages/net/src/chervilbend/net/internal/request_reader.hpp
+++ b/packages/net/src/chervilbend/net/internal/request_reader.hpp
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace chervilbend::net
 {
@@ -56,6 +57,11 @@
     boost::asio::awaitable<bool> readBody();
     /// False, with a refusal, if the request must not be read any further.
     boost::asio::awaitable<bool> acceptHeader();
+    /// The fields of the header, sorted by their addresses, which stay the same while others are added. Only those of a chunked request, which may have a
+    /// trailer.
+    std::vector<const http::fields::value_type *> headerFields() const;
+    /// Beast adds the fields of a trailer to the header, but they have come without the checks of the header (RFC 9110, section 6.5.1).
+    void discardTrailer(const std::vector<const http::fields::value_type *> &headerFields);
     /// Lets the read buffer become longer. False, perhaps with a refusal, if it may not.
     bool growBuffer();
     /// Gives back what the read buffer does not need any more.
--- a/packages/net/tests/http_server_fixture.hpp
+++ b/packages/net/tests/http_server_fixture.hpp
@@ -23,6 +23,7 @@
         const std::string target(exchange->request().target());
         targets.push_back(target);
         hosts.emplace_back(exchange->request()[http::field::host]);
+        headers.push_back(exchange->request());
         if (target == "/throw") {
             throw std::runtime_error("on purpose");
         }
@@ -63,6 +64,7 @@
 
     std::vector<std::string> targets;
     std::vector<std::string> hosts;
+    std::vector<http::fields> headers;
     std::size_t streamedBytes = 0;
     int cancelled = 0;
     /// Lets "/two-parts" end.
--- a/packages/net/tests/request_reader_test.cpp
+++ b/packages/net/tests/request_reader_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(boundsTheMemoryOfManyShortFields);
     CPPUNIT_TEST(ignoresEmptyLinesBeforeARequest);
     CPPUNIT_TEST(acceptsTargetsInAbsoluteForm);
+    CPPUNIT_TEST(trailerFieldsAreNoHeaderFields);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +96,26 @@
         CPPUNIT_ASSERT(hosts == fixture.handler.hosts);
     }
 
+    /// Guards against a caller whose trailer is taken for its header: it would choose the host, the attempt or the account behind the checks of a proxy before
+    /// the node, and servers would get it as part of the header.
+    void trailerFieldsAreNoHeaderFields()
+    {
+        server_fixture fixture;
+        const std::string head = "POST /echo HTTP/1.1\r\nHost: a\r\nX-Own: 1\r\nTransfer-Encoding: chunked\r\n";
+        const std::string body = "\r\n3\r\none\r\n0\r\n";
+        const std::string last = "POST /echo HTTP/1.1\r\nHost: a\r\nX-Own: 1\r\nConnection: close\r\nContent-Length: 3\r\n\r\ntwo";
+        const std::string answers =
+            fixture.sendAndReadAll(head + body + "x-own: 2\r\nHost: b\r\nX-Other: 3\r\nConnection: close\r\n\r\n" + head + body + "\r\n" + last);
+        CPPUNIT_ASSERT_MESSAGE(answers, answers.find("one!HTTP/1.1 200 ") != std::string::npos && answers.ends_with("two!"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fixture.handler.headers.size());
+        for (const http::fields &header : fixture.handler.headers) {
+            CPPUNIT_ASSERT(header.count("X-Own") == 1 && header["X-Own"] == "1");
+            CPPUNIT_ASSERT(header.count(http::field::host) == 1 && header[http::field::host] == "a");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), header.count("X-Other"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.handler.headers.at(0).count(http::field::connection));
+    }
+
 private:
     /// Sends @p beginning on more connections than the memory allows. Some must be refused, and a short request must still be answered.
     static void refusesSomeOf(const std::string &beginning)
