Write control characters in text log lines as \xNN

Messages quote what callers send, and the text form of the log, the default, wrote them as they are. A caller whose body had a model with a line break in its name ("no service declares the model ...") so wrote whole lines of the node's log, with a time, level and part of its choice, or commands for the operator's terminal. The JSON form has always escaped them.

The text layout now formats each event on one line and writes control characters in it as \xNN.

--- a/packages/base/src/chervilbend/base/log.cpp
+++ b/packages/base/src/chervilbend/base/log.cpp
@@ -1,11 +1,11 @@
 #include <chervilbend/base/log.hpp>
 
 #include <chervilbend/base/internal/stream_appender.hpp>
+#include <chervilbend/base/internal/text_layout.hpp>
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
-#include <log4cxx/patternlayout.h>
 
 #include <string>
 
@@ -26,8 +26,7 @@
 
 void configureLogging(std::string_view level)
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [%c] %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(std::make_shared<text_layout>(), log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(std::string(level), log4cxx::Level::getInfo()));
