Resume no stream after an event whose id is not a number

An id such as "x" or one beyond 64 bits was passed over, and one such as "2x" was read as 2. The event itself went to the caller. When the stream then broke off, it went on at another endpoint after an event before it, or after one that may never have been: the caller got events twice, or some were missing.

The scanner now reads an id only as a whole number, and a stream with another id is not resumable any more: if it breaks off, the caller's does so too. Such a stream, or one without any id so far, is not given up for another endpoint while its own is silent, because no other can continue it.

Run: streamWithAnIdThatIsNoNumberIsNotResumed fails before (for "x" the second endpoint is asked and ends the stream; test_node 201 run, 1 failure), and silentStreamWithAnIdThatIsNoNumberIsNotGivenUp with the scanner's part alone (the stream is cut behind "odd"; 2 suites, 19 run, 1 failure). Now test_node 202 pass.

--- a/packages/node/src/chervilbend/node/callers/event_scanner.cpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.cpp
@@ -92,7 +92,9 @@
 void event_scanner::scanId(std::string_view id)
 {
     std::int64_t number = 0;
-    if (std::from_chars(id.data(), id.data() + id.size(), number).ec != std::errc{}) {
+    const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), number);
+    if (error != std::errc{} || end != id.data() + id.size()) {
+        m_hasUnknownPlace = true;
         return;
     }
     m_outOfOrder = m_outOfOrder || (m_lastEvent && number <= *m_lastEvent);
--- a/packages/node/src/chervilbend/node/callers/event_scanner.hpp
+++ b/packages/node/src/chervilbend/node/callers/event_scanner.hpp
@@ -66,6 +66,12 @@
         return m_outOfOrder;
     }
 
+    /// Whether the events so far end with lastEvent(), so that the stream can go on after it. Not after an event whose id is no number.
+    bool isResumable() const
+    {
+        return m_lastEvent && !m_outOfOrder && !m_hasUnknownPlace;
+    }
+
     /// The stream resumes at another endpoint after lastEvent(). Discards the incomplete event, which will be sent again.
     void resume()
     {
@@ -90,6 +96,7 @@
     std::optional<std::int64_t> m_lastEvent;
     bool m_isOverlong = false;
     bool m_outOfOrder = false;
+    bool m_hasUnknownPlace = false;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -377,7 +377,11 @@
 
 bool forwarder::isAbandonable(const forwarded_request &request, const base::endpoint_id &endpoint) const
 {
-    return request.plan.resumable ? m_silence->isSilent(endpoint, request.plan.silenceTimeout) : !request.hasFirstByte();
+    if (!request.plan.resumable) {
+        return !request.hasFirstByte();
+    }
+    const bool canGoOnElsewhere = !request.exchange->isStarted() || request.events.isResumable();
+    return canGoOnElsewhere && m_silence->isSilent(endpoint, request.plan.silenceTimeout);
 }
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -257,7 +257,7 @@
     if (answer->wasGivenUp() && exchange->isStarted() && !request->hasKept()) {
         request->keep(answer);
     }
-    result.isFinal = exchange->isStarted() && !(plan.resumable && scanner.lastEvent() && !scanner.isOutOfOrder());
+    result.isFinal = exchange->isStarted() && !(plan.resumable && scanner.isResumable());
     if (result.isFinal) {
         m_metrics.onBrokenStream();
         if (events && !plan.hasStrictStatus) {
--- a/packages/node/tests/abandoned_stream_test.cpp
+++ b/packages/node/tests/abandoned_stream_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(silentStreamThatGoesOnFirstIsKept);
     CPPUNIT_TEST(silentStreamGoesOnAtAnotherEndpoint);
     CPPUNIT_TEST(streamThatNobodyContinuesIsCountedAsBroken);
+    CPPUNIT_TEST(silentStreamWithAnIdThatIsNoNumberIsNotGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +118,17 @@
         CPPUNIT_ASSERT_MESSAGE(metrics, contains(metrics, "chervilbend_broken_streams_total 1\n") && contains(metrics, "chervilbend_kept_streams_total 1\n"));
     }
 
+    /// No other endpoint can continue it, since the place of the last event is not known.
+    void silentStreamWithAnIdThatIsNoNumberIsNotGivenUp()
+    {
+        const std::string start = sealedStream + numberedEvent(1) + chunk("id: x\ndata: odd\n\n");
+        silent_endpoint_fixture fixture(start, numberedEvent(2) + lastChunk, answerAndClose(sealedStream + numberedEvent(2) + lastChunk));
+        const std::string answer = fixture.askBesideNeighbour();
+        checkIsWhole(answer);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("odd") != std::string::npos && answer.find("odd") == answer.rfind("odd"));
+        CPPUNIT_ASSERT_EQUAL(0, fixture.endpoints[1]->connections);
+    }
+
 private:
     static void checkIsWhole(const std::string &answer)
     {
--- a/packages/node/tests/faulty_endpoint_test.cpp
+++ b/packages/node/tests/faulty_endpoint_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(failedResumptionDoesNotEndTheStream);
     CPPUNIT_TEST(answerThatEndsInItsHeadIsNoAnswer);
     CPPUNIT_TEST(endlessAnswerToAnotherRequestIsGivenUp);
+    CPPUNIT_TEST(streamWithAnIdThatIsNoNumberIsNotResumed);
     CPPUNIT_TEST_SUITE_END();
 
     static raw_server::script brokenOffStream(const std::string &firstEvents)
@@ -254,6 +255,22 @@
         // The route's timeout, which would end the request otherwise.
         CPPUNIT_ASSERT(base::clock::now() - startedAt < base::milliseconds(3'000));
     }
+
+    /// The caller has received an event whose place in the stream is not known: if another endpoint went on after the one before it, the event would come
+    /// twice, and if it went on after a guessed one, events could be missing.
+    void streamWithAnIdThatIsNoNumberIsNotResumed()
+    {
+        for (const std::string id : {"x", "2x", "2.5", "", "99999999999999999999"}) {
+            route_api_fixture fixture;
+            fixture.configure();
+            const std::string event = "id: " + id + "\ndata: odd\n\n";
+            fixture.addEndpoint(brokenOffStream(numberedEvent(1) + chunk(event)));
+            fixture.addEndpoint(brokenOffStream(numberedEvent(2) + numberedEvent(3) + lastChunk));
+            const std::string answer = fixture.ask("/chat/x");
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "word1") && contains(answer, "data: odd"));
+            CPPUNIT_ASSERT_MESSAGE(std::string(id).append(": ").append(answer), fixture.endpoints[1]->connections == 0 && !answer.ends_with("0\r\n\r\n"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(faulty_endpoint_test);
