--- a/packages/fleet/tests/endpoint_follower_test.cpp
+++ b/packages/fleet/tests/endpoint_follower_test.cpp
@@ -3,12 +3,15 @@
 #include <chervilbend/fakes/virtual_time.hpp>
 #include <chervilbend/fleet/endpoint_follower.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/net/sleep.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 using namespace chervilbend;
@@ -36,6 +39,25 @@
     return change;
 }
 
+/// A store whose answers to reads of changes end before the topic does and have no record, as when the next one is larger than an answer may be.
+class stuck_store : public test::restorable_store
+{
+public:
+    using restorable_store::restorable_store;
+
+    asio::awaitable<std::optional<endpoint_page>> endpointsFrom(std::int64_t position) override
+    {
+        ++reads;
+        co_await net::sleepFor(milliseconds(4));
+        endpoint_page page;
+        page.next = position;
+        page.isComplete = false;
+        co_return page;
+    }
+
+    int reads = 0;
+};
+
 struct following_node {
     following_node()
     {
@@ -65,6 +87,7 @@
     CPPUNIT_TEST(registrationsMissingInAnIncompleteListStay);
     CPPUNIT_TEST(changesBeyondOneAnswerAreReadAtOnce);
     CPPUNIT_TEST(removalsBeforeAnIncompleteListAreSeen);
+    CPPUNIT_TEST(answerWithoutProgressIsNotAskedForAgainAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +136,21 @@
         node.time.advance(milliseconds(60'000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), node.registry.endpoints().size());
     }
+
+    /// All nodes would call the store without a pause, and use up the reads that it allows.
+    void answerWithoutProgressIsNotAskedForAgainAtOnce()
+    {
+        asio::io_context context;
+        fakes::virtual_time time{context};
+        test::restorable_content content;
+        content.registrations = {entryOf("i-1", 1)};
+        stuck_store store{content};
+        endpoint_registry registry;
+        endpoint_follower follower{store, registry, readInterval, 1};
+        asio::co_spawn(context, follower.run(), asio::detached);
+        time.advance(10 * readInterval);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(store.reads) + " reads in 10 intervals", store.reads <= 20);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_follower_test);
