--- a/packages/fleet/tests/endpoint_follower_test.cpp
+++ b/packages/fleet/tests/endpoint_follower_test.cpp
@@ -3,6 +3,7 @@
 #include <chervilbend/fakes/virtual_time.hpp>
 #include <chervilbend/fleet/endpoint_follower.hpp>
 #include <chervilbend/fleet/endpoint_registry.hpp>
+#include <chervilbend/fleet/store_update.hpp>
 #include <chervilbend/net/sleep.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -58,6 +59,21 @@
     int reads = 0;
 };
 
+/// Counts reads of the list of all registrations.
+class counting_store : public test::restorable_store
+{
+public:
+    using restorable_store::restorable_store;
+
+    asio::awaitable<std::optional<endpoint_page>> allEndpoints() override
+    {
+        ++lists;
+        co_return co_await restorable_store::allEndpoints();
+    }
+
+    int lists = 0;
+};
+
 struct following_node {
     following_node()
     {
@@ -88,6 +104,7 @@
     CPPUNIT_TEST(changesBeyondOneAnswerAreReadAtOnce);
     CPPUNIT_TEST(removalsBeforeAnIncompleteListAreSeen);
     CPPUNIT_TEST(answerWithoutProgressIsNotAskedForAgainAtOnce);
+    CPPUNIT_TEST(incompleteListDoesNotMakeEachReadAListOfAll);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,6 +168,28 @@
         time.advance(10 * readInterval);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(store.reads) + " reads in 10 intervals", store.reads <= 20);
     }
+
+    /// Once the holder is gone, each node would read the list of all registrations in each interval, and none could relay them.
+    void incompleteListDoesNotMakeEachReadAListOfAll()
+    {
+        asio::io_context context;
+        fakes::virtual_time time{context};
+        test::restorable_content content;
+        content.registrations = {entryOf("i-1", 1), entryOf("i-2", 1)};
+        content.registrationsPerAnswer = 1;
+        counting_store store{content};
+        endpoint_registry registry;
+        endpoint_follower follower{store, registry, readInterval, 1};
+        store_update update;
+        update.registrationsPosition = 2;
+        update.isSnapshot = true;
+        update.registrations = content.registrations;
+        CPPUNIT_ASSERT(follower.applyRelayed(update, read_time::now()));
+        asio::co_spawn(context, follower.run(), asio::detached);
+        time.advance(20 * readInterval);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(store.lists) + " lists in 20 intervals", store.lists <= 10);
+        CPPUNIT_ASSERT_MESSAGE("what this node has read may not be relayed", !registry.isRelayed());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_follower_test);
