--- a/packages/fleet/tests/endpoint_follower_test.cpp
+++ b/packages/fleet/tests/endpoint_follower_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(removalsBeforeAnIncompleteListAreSeen);
     CPPUNIT_TEST(answerWithoutProgressIsNotAskedForAgainAtOnce);
     CPPUNIT_TEST(incompleteListDoesNotMakeEachReadAListOfAll);
+    CPPUNIT_TEST(changesAfterAnIncompleteListDoNotConfirmIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +191,18 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(store.lists) + " lists in 20 intervals", store.lists <= 10);
         CPPUNIT_ASSERT_MESSAGE("what this node has read may not be relayed", !registry.isRelayed());
     }
+
+    /// A list that lacks servers would count as read, and the node as ready, with the next look for changes.
+    void changesAfterAnIncompleteListDoNotConfirmIt()
+    {
+        following_node node;
+        node.content.registrationsPerAnswer = 1;
+        bool isRead = false;
+        node.follower.onFirstRead([&] { isRead = true; });
+        node.start();
+        node.time.advance(2 * readInterval);
+        CPPUNIT_ASSERT_MESSAGE("one of three servers is known", node.registry.endpoints().size() == 3 || !isRead);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_follower_test);
