--- a/packages/node/tests/restart_test.cpp
+++ b/packages/node/tests/restart_test.cpp
@@ -5,9 +5,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -25,8 +27,8 @@
 const std::string registration =
     R"({"service":"desk","address":"127.0.0.1:1","zone":"a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1})";
 
-/// Whether the program's entry for the load balancer answers 200.
-bool isReady(std::uint16_t port)
+/// The answer to a request, as far as it comes at once.
+std::string answerTo(std::uint16_t port, std::string_view path)
 {
     const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -35,14 +37,30 @@
     address.sin_port = htons(port);
     std::string answer;
     if (::connect(probe, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0) {
-        constexpr std::string_view request = "GET /api/readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        const std::string request = std::string("GET ").append(path) + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         ::send(probe, request.data(), request.size(), MSG_NOSIGNAL);
-        std::array<char, 256> block{};
-        const ssize_t size = ::recv(probe, block.data(), block.size(), 0);
-        answer.assign(block.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+        std::array<char, 4096> block{};
+        for (ssize_t size = ::recv(probe, block.data(), block.size(), 0); size > 0; size = ::recv(probe, block.data(), block.size(), 0)) {
+            answer.append(block.data(), static_cast<std::size_t>(size));
+        }
     }
     ::close(probe);
-    return answer.starts_with("HTTP/1.1 200");
+    return answer;
+}
+
+/// Whether the program's entry for the load balancer answers 200.
+bool isReady(std::uint16_t port)
+{
+    return answerTo(port, "/api/readiness").starts_with("HTTP/1.1 200");
+}
+
+/// How many endpoints the program knows; -1 if it doesn't say.
+int endpointsOf(const node_program &program)
+{
+    const std::string metrics = answerTo(program.metrics.port(), "/metrics");
+    const std::string name = "\nchervilbend_endpoints ";
+    const std::size_t found = metrics.find(name);
+    return found == std::string::npos ? -1 : std::stoi(metrics.substr(found + name.size()));
 }
 
 /// Three nodes beside a store.
@@ -115,6 +133,7 @@
     CPPUNIT_TEST(manyPagesDoNotHideTheConfiguration);
     CPPUNIT_TEST(keysThatAreNoTextDoNotHideTheConfiguration);
     CPPUNIT_TEST(nodesAreReadyBeforeTheirServersAreBack);
+    CPPUNIT_TEST(nodeIsNotReadyWithoutServersThatTheOthersStillUse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +181,46 @@
         cluster.start();
         cluster.assertReady("no server is registered");
     }
+
+    /// Registrations lapse while the store is down, and come back within 2 s of its return. The nodes that ran all the while use them until then, so a node
+    /// that has just started must not draw the clients away from them, only to refuse them.
+    void nodeIsNotReadyWithoutServersThatTheOthersStillUse()
+    {
+        restarted_cluster cluster;
+        cluster.store.change([](metadata_store &served) {
+            served.putConfiguration(configuration);
+            served.putServer("i-1", registration);
+        });
+        cluster.start();
+        cluster.assertReady("first start");
+        const std::size_t readsBefore = newestReads(cluster);
+        cluster.store.change([](metadata_store &served) { served.setFault(chervilbend::fakes::store_fault::busy); });
+        CPPUNIT_ASSERT_MESSAGE("all nodes see the outage", eventually([&] { return newestReads(cluster) >= readsBefore + 6; }));
+        cluster.store.change([](metadata_store &served) { served.putServer("i-1", ""); });
+        node_program &restarted = *cluster.programs.front();
+        restarted.kill();
+        restarted.start(cluster.log.handle());
+        CPPUNIT_ASSERT(eventually([&] { return !answerTo(restarted.ready.port(), "/api/readiness").empty(); }));
+        cluster.store.change([](metadata_store &served) { served.setFault(chervilbend::fakes::store_fault::none); });
+        int waits = 0;
+        while (!isReady(restarted.ready.port()) && ++waits < 200) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        const int own = endpointsOf(restarted);
+        const int others = endpointsOf(*cluster.programs.back());
+        const std::string seen = "endpoints known: " + std::to_string(own) + ", by another node: " + std::to_string(others);
+        CPPUNIT_ASSERT_MESSAGE(seen, !isReady(restarted.ready.port()) || own > 0 || others <= 0);
+        cluster.store.change([](metadata_store &served) { served.putServer("i-1", registration); });
+        cluster.assertReady("the server is back");
+    }
+
+private:
+    static std::size_t newestReads(restarted_cluster &cluster)
+    {
+        std::size_t reads = 0;
+        cluster.store.change([&](metadata_store &served) { reads = served.calls("/api/log-newest"); });
+        return reads;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(restart_test);
