Follow the changes on from where they were after an incomplete list

What callers see: after an incomplete list, requests to servers that have left, for ever; a node that counts one of three servers as all; lists or reads of changes without a pause. Cause: the position of an incomplete list lies behind removals that nobody has read; the next empty page of changes confirmed it; the registry stayed marked as relayed; a page without progress was asked for again at once. Change: the position before stays in use. Without one, servers that the list lacks expire after 5 s unless they write again, and nothing counts as a confirmation until then. Reads pause unless they move on.

--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -19,6 +19,8 @@
 
 /// The store normally answers within a few ms.
 constexpr base::milliseconds slowReadThreshold{150};
+/// Time in which all endpoints that live write their registrations again.
+constexpr base::milliseconds rewriteTime{5'000};
 /// The holder reads this many times as often as a node that follows the store by itself, because relaying adds the delay of one exchange.
 constexpr int holderReadFactor = 2;
 
@@ -91,12 +93,33 @@
     if (m_position && page.next < *m_position) {
         return;
     }
+    if (isSnapshot && !page.isComplete) {
+        applyIncompleteList(page, requestedAt);
+        return;
+    }
     m_position = page.next;
-    if (page.isComplete) {
+    if (isSnapshot) {
+        m_gapUntil.reset();
+    }
+    if (page.isComplete && !hasGap()) {
         noteRead(requestedAt);
     }
     const base::time_point now = base::clock::now();
-    notify(isSnapshot && page.isComplete ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
+    notify(isSnapshot ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
+}
+
+void endpoint_follower::applyIncompleteList(const endpoint_page &page, const read_time &requestedAt)
+{
+    const base::time_point now = base::clock::now();
+    m_gapUntil = now + rewriteTime;
+    // Without a position, removals before the list are not seen any more.
+    notify(m_registry.applyPart(page.changes, now, requestedAt.steady, m_position ? std::nullopt : m_gapUntil));
+    m_position = m_position.value_or(page.next);
+}
+
+bool endpoint_follower::hasGap() const
+{
+    return m_gapUntil && base::clock::now() < *m_gapUntil;
 }
 
 void endpoint_follower::noteRestorations(base::time_point now)
@@ -120,7 +143,8 @@
         }
         // After a failed read the newest entries are read: their size is bounded, while that of the missed changes grows until the answer takes longer
         // than a read may last.
-        const bool isSnapshot = !m_position || m_registry.isRelayed() || backoff.failures() > 0;
+        // While the list is incomplete, the changes tell more.
+        const bool isSnapshot = !m_position || (!hasGap() && (m_registry.isRelayed() || backoff.failures() > 0));
         std::optional<endpoint_page> page;
         if (isSnapshot) {
             page = co_await m_store.allEndpoints();
@@ -138,8 +162,9 @@
             backoff.reset();
             m_store.recovery().noteSuccess();
             noteRestorations(now);
+            const std::optional<std::int64_t> before = m_position;
             applyRead(*page, isSnapshot, requestedAt);
-            if (!isSnapshot && !page->isComplete) {
+            if (!page->isComplete && (isSnapshot || m_position != before)) {
                 // The rest of the changes is there already.
                 continue;
             }
--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.hpp
@@ -65,6 +65,10 @@
     /// To be called after each read, before it is applied.
     void noteRestorations(base::time_point now);
     void noteRead(const read_time &readAt);
+    /// Applies a list that lacks some registrations: nothing is removed for not being in it.
+    void applyIncompleteList(const endpoint_page &page, const read_time &requestedAt);
+    /// Whether registrations may still be missing since an incomplete list.
+    bool hasGap() const;
     void applyRead(const endpoint_page &page, bool isSnapshot, const read_time &requestedAt);
     void notify(const std::set<base::endpoint_id> &changed) const;
 
@@ -77,6 +81,8 @@
     std::function<void()> m_firstReadListener;
     std::optional<std::int64_t> m_position;
     read_time m_readAt;
+    /// When what the last incomplete list lacked has been written again; no value after a whole list.
+    std::optional<base::time_point> m_gapUntil;
     /// When the holder sent the read that was applied last.
     std::optional<base::time_point> m_relayedAt;
     /// The store's number of restorations at the last read.
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.cpp
@@ -63,6 +63,23 @@
     return changed;
 }
 
+std::set<base::endpoint_id> endpoint_registry::applyPart(const std::vector<endpoint_change> &some,
+                                                         base::time_point now,
+                                                         base::time_point requestedAt,
+                                                         std::optional<base::time_point> expiry)
+{
+    std::set<base::endpoint_id> registered;
+    for (const endpoint_change &change : some) {
+        registered.insert(change.id);
+    }
+    for (const base::endpoint_id &id : expiry ? missingFrom(registered) : std::vector<base::endpoint_id>()) {
+        std::optional<base::time_point> &expiresAt = m_endpoints[id].expiresAt;
+        expiresAt = std::min(expiresAt.value_or(*expiry), *expiry);
+    }
+    m_relayed = false;
+    return apply(some, now, requestedAt);
+}
+
 std::vector<base::endpoint_id> endpoint_registry::missingFrom(const std::set<base::endpoint_id> &registered) const
 {
     std::vector<base::endpoint_id> missing;
--- a/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_registry.hpp
@@ -48,6 +48,10 @@
     std::set<base::endpoint_id> apply(const std::vector<endpoint_change> &changes, base::time_point now, base::time_point requestedAt);
     /// Applies the full list of registrations, read in the same way: endpoints that are not in it have ended theirs.
     std::set<base::endpoint_id> replace(const std::vector<endpoint_change> &all, base::time_point now, base::time_point requestedAt);
+    /// Applies a list that lacks some registrations, read in the same way. Endpoints that are not in it stay, with @p expiry until then if they are not read
+    /// again.
+    std::set<base::endpoint_id>
+        applyPart(const std::vector<endpoint_change> &some, base::time_point now, base::time_point requestedAt, std::optional<base::time_point> expiry);
     /// Applies what another node has read, which lacks the models that engines hold. With @p isSnapshot, endpoints that are not listed are gone.
     std::set<base::endpoint_id> applyRelayed(const std::vector<endpoint_change> &changes, bool isSnapshot, base::time_point now);
     /// Removes endpoints whose registration expired and that did not register again in time.
@@ -60,7 +64,7 @@
         return m_endpoints;
     }
 
-    /// Whether entries were relayed by another node since the last replace() and so may lack models.
+    /// Whether entries were relayed by another node since the last replace() or applyPart() and so may lack models.
     bool isRelayed() const
     {
         return m_relayed;
