Wait for registrations to come back before being ready without any

What callers see: after an outage of the store, a node that has just started draws clients to itself and answers 503, while nodes that ran all the while still use the servers whose registrations lapsed. Cause: an empty list was taken for the same in all nodes; they keep lapsed registrations for 2 s.

--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -232,8 +232,7 @@
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
         m_readiness.setMet("configuration");
     });
-    // Without any endpoint the node still serves: it says at once that nothing was run, and all nodes see the same registrations.
-    m_endpointFollower.onFirstRead([this] { m_readiness.setMet("endpoints"); });
+    m_endpointFollower.onFirstRead([this] { runInBackground("first registrations", [this] { return waitForRegistrations(); }); });
     m_endpointFollower.onStoreProblem([this] { m_configuration.noteStoreProblem(); });
     m_endpointFollower.onChange([this](const std::set<base::endpoint_id> &changed) {
         m_relay.noteChanged(changed);
@@ -420,6 +419,16 @@
     });
 }
 
+asio::awaitable<void> platform_node::waitForRegistrations()
+{
+    // While registrations that have lapsed come back, nodes that know the endpoints from before still use them. After that, no node has any: this one is as
+    // good as the others, and says at once that it runs nothing.
+    if (m_endpoints.endpoints().empty()) {
+        co_await net::sleepFor(fleet::endpoint_registry::reregistrationGrace);
+    }
+    m_readiness.setMet("endpoints");
+}
+
 asio::awaitable<void> platform_node::limitWaitForHolder()
 {
     co_await net::sleepFor(maxWaitForHolder);
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -91,6 +91,8 @@
     void strandedChanged();
     /// Whether this node can serve requests of nodes that reach no endpoint.
     bool canHelp() const;
+    /// Lets the node become ready once the endpoints are known, or are known to be none.
+    boost::asio::awaitable<void> waitForRegistrations();
     /// A node becomes ready without a lease holder if none answers in time.
     boost::asio::awaitable<void> limitWaitForHolder();
     /// Implemented in platform_node_reports.cpp: metrics and the load line.
