Prompt parts that crash endpoints after they have been answered are found

Cause: prompt_part_tracker took the first event of an answer for proof that the parts of its prompt are sound, for 60 s and on all nodes, and the director recorded the loss of an endpoint before the first event only. A part whose endpoints crash right after it was cleared by each crash, and one that had been answered and turned fatal was not counted against for a minute. Change: losses count until an answer has gone on for a second. An answer that ends, or goes on for a second, speaks against the losses before it, and none after it. Parts that have been answered are refused on losses at three moments, between which other answers of the service last, and which no part with more losses explains; they get a trial before they are certain. The decision is in internal/part_suspicion. Messages have the members `lost` and `lasted`, with ages; those of earlier versions keep their meaning. The lost process is that to which the request was sent, also if the endpoint has registered again since; losses of answered parts are exchanged without a holder, too.

--- a/packages/fleet/src/chervilbend/fleet/holder_client.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_client.cpp
@@ -223,7 +223,7 @@
         co_return;
     }
     const routing::prompt_evidence news = m_prompts.takeNews();
-    if (news.losses.empty()) {
+    if (news.lost.empty()) {
         // Without a suspicion the parts that have been answered can wait for a holder.
         m_prompts.announceAgain(news.answered);
         co_return;
--- a/packages/fleet/tests/holder_client_test.cpp
+++ b/packages/fleet/tests/holder_client_test.cpp
@@ -148,8 +148,10 @@
     CPPUNIT_TEST(lostEndpointIsReportedAtOnce);
     CPPUNIT_TEST(refusedPartIsLearnedFromTheHolder);
     CPPUNIT_TEST(lossesAreSharedAfterTheEndOfTheLease);
+    CPPUNIT_TEST(lossesOfAnsweredPartsAreSharedAfterTheEndOfTheLease);
     CPPUNIT_TEST(unansweredReportIsRepeated);
     CPPUNIT_TEST(malformedEvidenceIsRejected);
+    CPPUNIT_TEST(evidenceSurvivesTheMessage);
     CPPUNIT_TEST(messagesOfTheVersionBeforeAreRead);
     CPPUNIT_TEST(leavingEndpointsAreShared);
     CPPUNIT_TEST(unreachableEndpointsAreShared);
@@ -265,6 +267,18 @@
         CPPUNIT_ASSERT(node.prompts.refusedPart({crashingPart}));
     }
 
+    /// Guards against a node that keeps to itself the losses of a part that endpoints have answered before.
+    void lossesOfAnsweredPartsAreSharedAfterTheEndOfTheLease()
+    {
+        reporting_node node;
+        node.callsWithin(1'000);
+        node.time.advance(base::milliseconds(10'000));
+        node.prompts.recordAnswer({crashingPart});
+        node.prompts.recordLoss({crashingPart}, 100);
+        node.time.advance(base::milliseconds(1'000));
+        CPPUNIT_ASSERT(node.holder.lastEvidence.lost.contains(crashingPart));
+    }
+
     /// Guards against a sound part that stays suspected because the report of its answer was lost.
     void unansweredReportIsRepeated()
     {
@@ -298,6 +312,33 @@
         Json::Value wrong = valid;
         wrong["losses"]["no number"] = Json::Value(Json::arrayValue);
         CPPUNIT_ASSERT(!readPromptEvidence(wrong));
+        // Nodes of earlier versions do not send these.
+        for (const char *name : {"lasted", "lost"}) {
+            Json::Value missing = valid;
+            missing.removeMember(name);
+            CPPUNIT_ASSERT_MESSAGE(name, readPromptEvidence(missing));
+            Json::Value malformed = valid;
+            malformed[name] = "text";
+            CPPUNIT_ASSERT_MESSAGE(name, !readPromptEvidence(malformed));
+        }
+        const std::string part = std::to_string(crashingPart);
+        for (const char *name : {"processes", "service", "answered", "otherAnswer"}) {
+            Json::Value malformed = valid;
+            malformed["lost"][part][name] = "text";
+            CPPUNIT_ASSERT_MESSAGE(name, !readPromptEvidence(malformed));
+        }
+    }
+
+    /// Guards against evidence that a node weighs otherwise than the one that has sent it.
+    void evidenceSurvivesTheMessage()
+    {
+        routing::prompt_evidence sent;
+        sent.answered[1] = base::milliseconds(5);
+        sent.lasted[2] = base::milliseconds(70);
+        sent.lost[crashingPart] = {{{11, base::milliseconds(300)}, {12, base::milliseconds(0)}}, 7, base::milliseconds(150), true};
+        sent.lost[2] = {{{13, base::milliseconds(1)}}, 0, std::nullopt, false};
+        const std::optional<routing::prompt_evidence> read = readPromptEvidence(toJson(sent));
+        CPPUNIT_ASSERT(read && read->answered == sent.answered && read->lasted == sent.lasted && read->lost == sent.lost);
         CPPUNIT_ASSERT(!readPromptEvidence(Json::Value(7)));
     }
 
--- a/packages/routing/src/chervilbend/routing/adaptive_director.hpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director.hpp
@@ -135,6 +135,9 @@
     void setCountsAsLong(request_state &request, bool isLong);
     void endAttempt(request_state &request, request_outcome outcome, base::time_point now);
     void recordAnswer(request_state &request);
+    /// Records what an event of the answer tells about the parts of the prompt.
+    void recordEvent(request_state &request, base::time_point now);
+    void recordLoss(const request_state &request);
     bool grantRetry(const request_state &request, request_outcome outcome, base::time_point now, base::reason &why);
     void release(request_state &request);
 
--- a/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_outcome.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/routing/adaptive_director.hpp>
 
+#include <chervilbend/base/hash.hpp>
 #include <chervilbend/routing/internal/endpoint_state.hpp>
 #include <chervilbend/routing/internal/pool_state.hpp>
 
@@ -18,6 +19,19 @@
 /// Delay until an endpoint is tried again after a failed connection attempt.
 constexpr base::milliseconds downRetryDelay{1000};
 
+/// Time from the first event of an answer after which the parts of its prompt did not crash the endpoint.
+constexpr base::milliseconds lastingTime{1000};
+
+std::uint64_t processHash(const endpoint_process &process)
+{
+    return base::hash64(process.endpoint.value(), static_cast<std::uint64_t>(process.startedAt));
+}
+
+std::uint64_t serviceHash(const request_state &request)
+{
+    return base::hash64(request.facts.retryGroup);
+}
+
 bool isShedding(const pool_state &pool, base::time_point now)
 {
     return pool.hasShed && now - pool.lastShed < shedRetryPause;
@@ -44,9 +58,7 @@
         return;
     }
     const base::time_point now = base::clock::now();
-    if (request->generated == 0) {
-        m_promptParts->recordAnswer(request->facts.promptParts);
-    }
+    recordEvent(*request, now);
     const auto newTokens = static_cast<double>(generated.count() - request->generated);
     request->generated = generated.count();
     if (request->isFirstByteSamplePending && now == request->firstByteAt) {
@@ -133,6 +145,9 @@
     const auto generatedTokens = static_cast<double>(request.generated);
     pool.predictor.addSample(request.facts.urgency, request.facts.maxTokens, generatedTokens + static_cast<double>(request.facts.receivedTokens.count()));
     pool.medianCost.add(request.inputCost + generatedTokens);
+    if (request.generated > 0) {
+        m_promptParts->recordLastingAnswer(request.facts.promptParts, serviceHash(request));
+    }
     if (request.facts.fingerprint != 0) {
         m_promptParts->recordAnsweredRequest(request.facts.fingerprint);
     }
@@ -141,6 +156,30 @@
     }
 }
 
+void adaptive_director::recordEvent(request_state &request, base::time_point now)
+{
+    if (request.generated == 0) {
+        request.firstEventAt = now;
+        m_promptParts->recordAnswer(request.facts.promptParts);
+    } else if (!request.hasLasted && now - request.firstEventAt >= lastingTime) {
+        request.hasLasted = true;
+        m_promptParts->recordLastingAnswer(request.facts.promptParts, serviceHash(request));
+    }
+}
+
+void adaptive_director::recordLoss(const request_state &request)
+{
+    if (request.hasLasted) {
+        // The endpoint was lost long after it had begun this answer, thus hardly because of it. Long streams are lost with each crash of their endpoint.
+        return;
+    }
+    std::vector<std::uint64_t> causes = request.facts.promptParts;
+    if (request.facts.fingerprint != 0) {
+        causes.push_back(request.facts.fingerprint);
+    }
+    m_promptParts->recordLoss(causes, processHash(request.process), {serviceHash(request), request.generated > 0});
+}
+
 void adaptive_director::endAttempt(request_state &request, request_outcome outcome, base::time_point now)
 {
     endpoint_state &endpoint = *request.endpoint;
@@ -168,13 +207,7 @@
     case request_outcome::connectionLost:
         endpoint.nextTry = now;
         m_suspects.recordConnectionLoss(endpoint.serial, request.facts.fingerprint, now);
-        if (request.generated == 0) {
-            std::vector<std::uint64_t> causes = request.facts.promptParts;
-            if (request.facts.fingerprint != 0) {
-                causes.push_back(request.facts.fingerprint);
-            }
-            m_promptParts->recordLoss(causes, endpoint.processHash());
-        }
+        recordLoss(request);
         break;
     case request_outcome::timedOut:
         // An endpoint that never answers yields no other latency sample.
--- a/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
+++ b/packages/routing/src/chervilbend/routing/adaptive_director_queue.cpp
@@ -305,6 +305,7 @@
     request.process = endpoint.process();
     request.sent = request.lastSample = now;
     request.generated = 0;
+    request.hasLasted = false;
     request.hasFirstByte = request.isFirstByteSamplePending = false;
     m_rateLimits->noteSent(endpoint.process());
     ++endpoint.inFlight;
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.cpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.cpp
@@ -24,11 +24,6 @@
 {
 }
 
-std::uint64_t endpoint_state::processHash() const
-{
-    return base::hash64(facts.endpoint.value(), static_cast<std::uint64_t>(facts.startedAt));
-}
-
 void endpoint_state::setReport(const load_report &report, base::time_point now)
 {
     remoteInFlight = std::max(0.0, static_cast<double>(report.running + report.queued - inFlight));
--- a/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/endpoint_state.hpp
@@ -91,9 +91,6 @@
         return {facts.endpoint, facts.startedAt};
     }
 
-    /// Identifies the endpoint's process among all nodes.
-    std::uint64_t processHash() const;
-
     /// Applies a report that arrives at @p now.
     void setReport(const load_report &report, base::time_point now);
     /// Updates estimatedRemoteInFlight: the older the last report, the closer the estimate is to @p mean, the pool's mean of remoteInFlight.
--- a/packages/routing/src/chervilbend/routing/internal/request_state.hpp
+++ b/packages/routing/src/chervilbend/routing/internal/request_state.hpp
@@ -63,6 +63,10 @@
     base::time_point sent;
     base::time_point lastSample;
     std::int64_t generated = 0;
+    /// When the first event of this attempt's answer arrived; only valid if generated is not 0.
+    base::time_point firstEventAt;
+    /// This attempt's answer has gone on for long enough to show that the parts of the prompt do not crash the endpoint.
+    bool hasLasted = false;
     base::time_point firstByteAt;
     bool hasFirstByte = false;
     /// The latency sample of the first byte has not been taken yet, since only the following data shows whether the answer is streamed.
--- a/packages/routing/src/chervilbend/routing/prompt_part_tracker.cpp
+++ b/packages/routing/src/chervilbend/routing/prompt_part_tracker.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/routing/prompt_part_tracker.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace chervilbend::routing
@@ -21,11 +22,11 @@
 constexpr std::size_t maxSuspicions = 512;
 constexpr std::size_t maxAnswered = 8'192;
 constexpr std::size_t maxAnsweredRequests = 1'024;
-/// Processes that are kept for a part; more do not change any decision.
-constexpr std::size_t maxLossesPerPart = 8;
-/// Bounds of one message, in parts.
+constexpr std::size_t maxLasted = 8'192;
+/// Bounds of one message, in parts, and in processes over all parts.
 constexpr std::size_t maxAnsweredPerMessage = 96;
 constexpr std::size_t maxSuspicionsPerMessage = 48;
+constexpr std::size_t maxLossesPerMessage = 384;
 
 /// When there are more than @p limit entries, removes the older half, so that the cost of a removal is spread over many insertions.
 template<typename Map, typename TimeOf>
@@ -36,15 +37,15 @@
     }
     std::vector<base::time_point> times;
     times.reserve(entries.size());
-    for (const auto &[key, entry] : entries) {
+    for (const auto &entry : entries) {
         times.push_back(timeOf(entry));
     }
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
-    std::erase_if(entries, [&](const auto &each) { return timeOf(each.second) < *middle; });
+    std::erase_if(entries, [&](const auto &each) { return timeOf(each) < *middle; });
     // Many entries may have the same time.
     while (entries.size() > limit) {
-        entries.erase(std::min_element(entries.begin(), entries.end(), [&](const auto &a, const auto &b) { return timeOf(a.second) < timeOf(b.second); }));
+        entries.erase(std::min_element(entries.begin(), entries.end(), [&](const auto &a, const auto &b) { return timeOf(a) < timeOf(b); }));
     }
 }
 
@@ -72,37 +73,84 @@
     m_lossListener = std::move(listener);
 }
 
-void prompt_part_tracker::recordLoss(const std::vector<std::uint64_t> &parts, std::uint64_t process)
+std::optional<base::time_point> prompt_part_tracker::lastedAt(std::uint64_t partOrService) const
+{
+    std::optional<base::time_point> latest;
+    if (const auto lasted = m_lasted.find(partOrService); lasted != m_lasted.end()) {
+        latest = lasted->second;
+    }
+    if (const auto request = m_answeredRequests.find(partOrService); request != m_answeredRequests.end()) {
+        latest = latest ? std::max(*latest, request->second) : request->second;
+    }
+    return latest;
+}
+
+std::map<std::uint64_t, base::time_point> prompt_part_tracker::countedLosses(std::uint64_t part, const part_suspicion &suspected) const
+{
+    return suspected.lossesSince(lastedAt(part));
+}
+
+void prompt_part_tracker::recordLoss(const std::vector<std::uint64_t> &parts, std::uint64_t process, const lost_attempt &attempt)
 {
     expire();
-    bool isSuspected = false;
     for (const std::uint64_t part : parts) {
-        isSuspected = isSuspected || !isAnswered(part);
-        addLosses(part, {process});
+        addLoss(part, process, base::clock::now(), attempt);
     }
-    if (isSuspected && m_lossListener) {
+    decide();
+    if (!parts.empty() && m_lossListener) {
         m_lossListener();
     }
 }
 
-void prompt_part_tracker::addLosses(std::uint64_t part, const std::set<std::uint64_t> &processes)
+void prompt_part_tracker::addLoss(std::uint64_t part, std::uint64_t process, base::time_point when, const lost_attempt &attempt)
 {
-    if (isAnswered(part)) {
-        return;
+    part_suspicion &suspected = m_suspicions[part];
+    suspected.add(process, when);
+    suspected.service = attempt.service;
+    if (const std::optional<base::time_point> lasted = lastedAt(attempt.service); lasted && *lasted <= when) {
+        suspected.noteOtherAnswer(*lasted);
     }
-    suspicion &suspected = m_suspicions[part];
-    const bool wasRefused = isRefused(suspected);
-    bool isNew = false;
-    for (const std::uint64_t process : processes) {
-        isNew = (suspected.lostProcesses.size() < maxLossesPerPart && suspected.lostProcesses.insert(process).second) || isNew;
+    suspected.hasBeenAnswered = suspected.hasBeenAnswered || attempt.hadBegun || isAnswered(part);
+    evictOldest(
+        m_suspicions, maxSuspicions, [this](const auto &each) { return m_refused.contains(each.first) ? base::time_point::max() : each.second.lastLoss; });
+}
+
+std::optional<refusal_candidate> prompt_part_tracker::candidate(std::uint64_t part, const part_suspicion &suspected) const
+{
+    if (suspected.losses.size() < lossesToRefuse) {
+        return std::nullopt;
     }
-    if (isNew) {
-        suspected.lastLoss = base::clock::now();
+    refusal_candidate result{.part = part, .losses = countedLosses(part, suspected), .needsSeveralMoments = suspected.hasBeenAnswered};
+    if (result.losses.size() < lossesToRefuse) {
+        return std::nullopt;
     }
-    if (m_refusalListener && !wasRefused && isRefused(suspected)) {
-        m_refusalListener(part, suspected.lostProcesses.size());
+    if (isAnswered(part)) {
+        // No answer on the part has lasted since its first loss, so the other one was without it. One after the last loss would prove nothing:
+        // after an outage of all endpoints some part is the first one to be answered again.
+        const auto earlier = [](const auto &a, const auto &b) {
+            return a.second < b.second;
+        };
+        const base::time_point firstLoss = std::min_element(result.losses.begin(), result.losses.end(), earlier)->second;
+        result.isUnproven = !suspected.otherAnswer || *suspected.otherAnswer <= firstLoss;
+    }
+    return result;
+}
+
+void prompt_part_tracker::decide()
+{
+    std::vector<refusal_candidate> candidates;
+    for (const auto &[part, suspected] : m_suspicions) {
+        if (std::optional<refusal_candidate> possible = candidate(part, suspected)) {
+            candidates.push_back(std::move(*possible));
+        }
+    }
+    const std::map<std::uint64_t, attributed_losses> before =
+        std::exchange(m_refused, attributeLosses(std::move(candidates), {lossesToRefuse, lossesForCertainty}));
+    for (const auto &[part, losses] : m_refused) {
+        if (m_refusalListener && !before.contains(part)) {
+            m_refusalListener(part, losses.processes);
+        }
     }
-    evictOldest(m_suspicions, maxSuspicions, [](const suspicion &each) { return isRefused(each) ? base::time_point::max() : each.lastLoss; });
 }
 
 void prompt_part_tracker::recordAnswer(const std::vector<std::uint64_t> &parts)
@@ -113,6 +161,21 @@
     }
 }
 
+void prompt_part_tracker::recordLastingAnswer(const std::vector<std::uint64_t> &parts, std::uint64_t service)
+{
+    noteLasted(service, base::clock::now());
+    for (const std::uint64_t part : parts) {
+        const auto suspected = m_suspicions.find(part);
+        if (suspected != m_suspicions.end() && !countedLosses(part, suspected->second).empty()) {
+            m_unannounced.insert(part);
+        }
+        noteLasted(part, base::clock::now());
+    }
+    if (!m_suspicions.empty()) {
+        decide();
+    }
+}
+
 void prompt_part_tracker::recordAnsweredRequest(std::uint64_t fingerprint)
 {
     const bool isFirst = m_answeredRequests.insert_or_assign(fingerprint, base::clock::now()).second;
@@ -120,17 +183,29 @@
         noteAnswered(fingerprint, base::clock::now());
         announce(fingerprint);
     } else {
-        evictOldest(m_answeredRequests, maxAnsweredRequests, [](base::time_point answeredAt) { return answeredAt; });
+        evictOldest(m_answeredRequests, maxAnsweredRequests, [](const auto &each) { return each.second; });
     }
 }
 
 void prompt_part_tracker::noteAnswered(std::uint64_t part, base::time_point when)
 {
-    const auto [known, isNew] = m_answered.try_emplace(part, answered_part{when, base::time_point::min()});
+    const auto [known, isNew] = m_answered.try_emplace(part, answered_part{when});
     known->second.answeredAt = std::max(known->second.answeredAt, when);
-    m_suspicions.erase(part);
     if (isNew) {
-        evictOldest(m_answered, maxAnswered, [](const answered_part &each) { return each.answeredAt; });
+        evictOldest(m_answered, maxAnswered, [](const auto &each) { return each.second.answeredAt; });
+    }
+    if (const auto suspected = m_suspicions.find(part); suspected != m_suspicions.end() && !suspected->second.hasBeenAnswered) {
+        suspected->second.hasBeenAnswered = true;
+        decide();
+    }
+}
+
+void prompt_part_tracker::noteLasted(std::uint64_t partOrService, base::time_point when)
+{
+    const auto [known, isNew] = m_lasted.try_emplace(partOrService, when);
+    known->second = std::max(known->second, when);
+    if (isNew) {
+        evictOldest(m_lasted, maxLasted, [](const auto &each) { return each.second; });
     }
 }
 
@@ -156,15 +231,51 @@
             noteAnswered(part, now - age);
         }
     }
+    for (const auto &[partOrService, age] : remote.lasted) {
+        noteLasted(partOrService, now - age);
+    }
+    mergeLosses(remote);
+    expire();
+    decide();
+    for (const std::uint64_t part : remote.trials) {
+        m_trials[part] = now + trialLifetime;
+    }
+}
+
+void prompt_part_tracker::mergeLosses(const prompt_evidence &remote)
+{
+    const base::time_point now = base::clock::now();
+    for (const auto &[part, lost] : remote.lost) {
+        const std::optional<base::time_point> lasted = lastedAt(part);
+        for (const auto &[process, age] : lost.processes) {
+            if (age >= suspicionLifetime) {
+                continue;
+            }
+            if (lasted && now - age <= *lasted) {
+                m_unannounced.insert(part);
+                continue;
+            }
+            addLoss(part, process, now - age, {lost.service, lost.hasBeenAnswered});
+        }
+        if (const auto suspected = m_suspicions.find(part); suspected != m_suspicions.end() && lost.otherAnswer) {
+            suspected->second.noteOtherAnswer(now - *lost.otherAnswer);
+        }
+        if (isAnswered(part) && !lost.hasBeenAnswered) {
+            m_unannounced.insert(part);
+        }
+    }
+    // From a node of an earlier version, which does not tell when the processes were lost.
     for (const auto &[part, processes] : remote.losses) {
+        if (remote.lost.contains(part)) {
+            continue;
+        }
         if (isAnswered(part)) {
             m_unannounced.insert(part);
-        } else {
-            addLosses(part, processes);
+            continue;
+        }
+        for (const std::uint64_t process : processes) {
+            addLoss(part, process, now, {});
         }
-    }
-    for (const std::uint64_t part : remote.trials) {
-        m_trials[part] = now + trialLifetime;
     }
 }
 
@@ -187,8 +298,9 @@
     const base::time_point now = base::clock::now();
     std::vector<std::uint64_t> granted;
     for (const std::uint64_t part : wanted) {
+        const auto refused = m_refused.find(part);
         const auto suspected = m_suspicions.find(part);
-        if (suspected == m_suspicions.end() || suspected->second.lostProcesses.size() >= lossesForCertainty
+        if (refused == m_refused.end() || suspected == m_suspicions.end() || refused->second.isCertain
             || now < std::max(suspected->second.lastLoss, suspected->second.lastTrial) + trialInterval) {
             continue;
         }
@@ -198,16 +310,24 @@
     return granted;
 }
 
+void prompt_part_tracker::addAnswers(std::uint64_t part, prompt_evidence &message) const
+{
+    const base::time_point now = base::clock::now();
+    if (const std::optional<base::time_point> when = answeredAt(part)) {
+        message.answered.emplace(part, now - *when);
+    }
+    if (const std::optional<base::time_point> when = lastedAt(part)) {
+        message.lasted.emplace(part, now - *when);
+    }
+}
+
 prompt_evidence prompt_part_tracker::takeNews()
 {
     prompt_evidence news;
-    while (!m_unannounced.empty() && news.answered.size() < maxAnsweredPerMessage) {
-        const std::uint64_t part = m_unannounced.extract(m_unannounced.begin()).value();
-        if (const std::optional<base::time_point> when = answeredAt(part)) {
-            news.answered.emplace(part, base::clock::now() - *when);
-        }
+    addSuspicions(news);
+    while (!m_unannounced.empty() && std::max(news.answered.size(), news.lasted.size()) < maxAnsweredPerMessage) {
+        addAnswers(m_unannounced.extract(m_unannounced.begin()).value(), news);
     }
-    news.losses = losses();
     news.wanted.assign(m_wanted.begin(), m_wanted.end());
     m_wanted.clear();
     return news;
@@ -230,41 +350,76 @@
 prompt_evidence prompt_part_tracker::responseTo(const prompt_evidence &remote)
 {
     prompt_evidence response;
-    response.losses = losses();
+    addSuspicions(response);
     for (const auto &[part, processes] : remote.losses) {
-        if (const std::optional<base::time_point> when = answeredAt(part)) {
-            response.answered.emplace(part, base::clock::now() - *when);
-        }
+        addAnswers(part, response);
+    }
+    for (const auto &[part, lost] : remote.lost) {
+        addAnswers(part, response);
     }
     response.trials = grantTrials(remote.wanted);
     return response;
 }
 
-std::map<std::uint64_t, std::set<std::uint64_t>> prompt_part_tracker::losses() const
+std::vector<std::uint64_t> prompt_part_tracker::suspectedParts() const
 {
-    std::vector<std::pair<base::time_point, std::uint64_t>> newest;
+    struct suspect {
+        std::size_t refusedLosses;
+        std::size_t losses;
+        base::time_point lastLoss;
+        std::uint64_t part;
+
+        auto operator<=>(const suspect &) const = default;
+    };
+    std::vector<suspect> suspects;
     for (const auto &[part, suspected] : m_suspicions) {
-        newest.emplace_back(suspected.lastLoss, part);
+        const std::size_t losses = countedLosses(part, suspected).size();
+        if (losses > 0) {
+            const auto refused = m_refused.find(part);
+            suspects.push_back({refused == m_refused.end() ? 0 : refused->second.processes, losses, suspected.lastLoss, part});
+        }
     }
-    // Parts that are refused come first, then the latest ones.
-    std::sort(newest.begin(), newest.end(), [this](const auto &a, const auto &b) {
-        const bool aIsRefused = isRefused(m_suspicions.at(a.second));
-        const bool bIsRefused = isRefused(m_suspicions.at(b.second));
-        return aIsRefused != bIsRefused ? aIsRefused : a > b;
-    });
-    newest.resize(std::min(newest.size(), maxSuspicionsPerMessage));
-    std::map<std::uint64_t, std::set<std::uint64_t>> result;
-    for (const auto &[lastLoss, part] : newest) {
-        result.emplace(part, m_suspicions.at(part).lostProcesses);
+    std::sort(suspects.begin(), suspects.end(), std::greater<>());
+    std::vector<std::uint64_t> parts;
+    parts.reserve(suspects.size());
+    for (const suspect &each : suspects) {
+        parts.push_back(each.part);
+    }
+    return parts;
+}
+
+void prompt_part_tracker::addSuspicions(prompt_evidence &message) const
+{
+    const base::time_point now = base::clock::now();
+    std::size_t room = maxLossesPerMessage;
+    for (const std::uint64_t part : suspectedParts()) {
+        const part_suspicion &suspected = m_suspicions.at(part);
+        const std::map<std::uint64_t, base::time_point> losses = countedLosses(part, suspected);
+        if (message.lost.size() == maxSuspicionsPerMessage || losses.size() > room) {
+            break;
+        }
+        room -= losses.size();
+        part_losses &told = message.lost[part];
+        told.service = suspected.service;
+        told.hasBeenAnswered = suspected.hasBeenAnswered;
+        if (suspected.otherAnswer) {
+            told.otherAnswer = now - *suspected.otherAnswer;
+        }
+        for (const auto &[process, when] : losses) {
+            told.processes.emplace(process, now - when);
+            if (!suspected.hasBeenAnswered && !isAnswered(part)) {
+                message.losses[part].insert(process);
+            }
+        }
+        addAnswers(part, message);
+        addAnswers(suspected.service, message);
     }
-    return result;
 }
 
 std::optional<std::uint64_t> prompt_part_tracker::refusedPart(const std::vector<std::uint64_t> &parts) const
 {
     for (const std::uint64_t part : parts) {
-        const auto found = m_suspicions.find(part);
-        if (found != m_suspicions.end() && isRefused(found->second)) {
+        if (m_refused.contains(part)) {
             return part;
         }
     }
@@ -273,13 +428,17 @@
 
 std::size_t prompt_part_tracker::refusedParts() const
 {
-    return static_cast<std::size_t>(std::count_if(m_suspicions.begin(), m_suspicions.end(), [](const auto &each) { return isRefused(each.second); }));
+    return m_refused.size();
 }
 
 void prompt_part_tracker::expire()
 {
     const base::time_point now = base::clock::now();
-    std::erase_if(m_suspicions, [&](const auto &each) { return each.second.lastLoss < now - suspicionLifetime; });
+    std::erase_if(m_suspicions, [&](const auto &each) {
+        const bool isCleared = each.second.lastLoss < now - answerLifetime && countedLosses(each.first, each.second).empty();
+        return isCleared || each.second.lastLoss < now - suspicionLifetime;
+    });
+    std::erase_if(m_lasted, [&](const auto &each) { return each.second < now - suspicionLifetime; });
     std::erase_if(m_answered, [&](const auto &each) { return each.second.answeredAt < now - answerLifetime; });
     std::erase_if(m_answeredRequests, [&](const auto &each) { return each.second < now - answerLifetime; });
 }
--- a/packages/routing/src/chervilbend/routing/prompt_part_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/prompt_part_tracker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilbend/base/clock.hpp>
+#include <chervilbend/routing/internal/part_suspicion.hpp>
 #include <chervilbend/routing/prompt_evidence.hpp>
 
 #include <cstddef>
@@ -14,11 +15,22 @@
 namespace chervilbend::routing
 {
 
+/// An attempt whose endpoint was lost.
+struct lost_attempt {
+    /// Hash of the service of the endpoint.
+    std::uint64_t service = 0;
+    /// The endpoint had sent an event of its answer.
+    bool hadBegun = false;
+};
+
 /// Finds the part of a prompt that crashes each endpoint that begins to answer on it, and has requests with it refused.
 ///
-/// A part is suspected when endpoints are lost before they have begun to answer requests with it, and cleared as soon as one endpoint has begun to
-/// answer on it. Sound parts that the crashing requests share with others are cleared by those; the crashing part never is. What other
-/// nodes have seen counts like this node's own observations, so that a part is found although each node has few of the requests.
+/// Evidence against a part are the endpoint processes that were lost while they had a request with it, before the first event or soon after it. Evidence for
+/// it is an answer that came to its end or went on for long enough after its first event; it speaks against all losses before it, and no loss after it. The
+/// first event alone proves little, since an endpoint may end right after it, but a part that has been answered is refused only on losses at several moments,
+/// and only if other answers of the service have lasted meanwhile. Losses that a part with more of them explains do not count.
+///
+/// What other nodes have seen counts like this node's own observations, so that a part is found although each node has few of the requests.
 ///
 /// The fingerprint of a whole request is tracked like a part, which finds a request that crashes endpoints and is sent again through any node.
 ///
@@ -33,22 +45,24 @@
 
     /// Commands.
 
-    /// The endpoint process was lost before it had begun to answer a request with these parts.
-    void recordLoss(const std::vector<std::uint64_t> &parts, std::uint64_t process);
+    /// The endpoint process was lost while it had a request with these parts, of which no answer has lasted yet.
+    void recordLoss(const std::vector<std::uint64_t> &parts, std::uint64_t process, const lost_attempt &attempt = {});
     /// An endpoint has begun to answer a request with these parts.
     void recordAnswer(const std::vector<std::uint64_t> &parts);
+    /// An answer of the service to a request with these parts has come to its end, or has gone on for long enough after its first event.
+    void recordLastingAnswer(const std::vector<std::uint64_t> &parts, std::uint64_t service);
     /// An endpoint has answered the request with this fingerprint. Most requests come once, so only those that come again are announced.
     void recordAnsweredRequest(std::uint64_t fingerprint);
     /// Merges what another node knows.
     void merge(const prompt_evidence &remote);
     /// Notes that a request with this refused part has arrived. True if it may be sent as a trial.
     bool takeTrial(std::uint64_t part);
-    /// The listener is called when an endpoint is lost on a part that no endpoint has answered.
+    /// The listener is called when an endpoint is lost.
     void onLoss(std::function<void()> listener);
     /// The listener is called when requests with a part begin to be refused, with the number of lost processes.
     void onRefusal(std::function<void(std::uint64_t part, std::size_t losses)> listener);
 
-    /// What to tell another node: all suspicions, and the answered parts that have not been announced yet.
+    /// What to tell another node: all suspicions, what speaks against them, and the answered parts that have not been announced yet.
     prompt_evidence takeNews();
     /// Announces all answered parts again, because the node that they were announced to does not have them.
     void announceAgain();
@@ -65,18 +79,11 @@
     std::size_t refusedParts() const;
 
 private:
-    struct suspicion {
-        std::set<std::uint64_t> lostProcesses;
-        base::time_point lastLoss;
-        /// When this node last granted a trial of the part, to itself or another node.
-        base::time_point lastTrial;
-    };
-
     struct answered_part {
         /// When an endpoint last began to answer on the part, as far as this node knows.
         base::time_point answeredAt;
         /// When this node last announced that.
-        base::time_point announcedAt;
+        base::time_point announcedAt = base::time_point::min();
     };
 
     /// When an endpoint last began to answer on the part; no value if that is too long ago or never happened.
@@ -85,20 +92,33 @@
     {
         return answeredAt(part).has_value();
     }
-    static bool isRefused(const suspicion &suspected)
-    {
-        return suspected.lostProcesses.size() >= lossesToRefuse;
-    }
+    /// When an answer on the part last lasted; no value if this node knows of none.
+    std::optional<base::time_point> lastedAt(std::uint64_t partOrService) const;
+    std::map<std::uint64_t, base::time_point> countedLosses(std::uint64_t part, const part_suspicion &suspected) const;
+    /// The part as a possible cause of its losses; no value if there are too few.
+    std::optional<refusal_candidate> candidate(std::uint64_t part, const part_suspicion &suspected) const;
+    /// Updates which parts are refused.
+    void decide();
     /// The wanted parts that may be tried again, of which each is granted to one node at a time.
     std::vector<std::uint64_t> grantTrials(const std::vector<std::uint64_t> &wanted);
-    void addLosses(std::uint64_t part, const std::set<std::uint64_t> &processes);
+    void addLoss(std::uint64_t part, std::uint64_t process, base::time_point when, const lost_attempt &attempt);
+    void mergeLosses(const prompt_evidence &remote);
     void noteAnswered(std::uint64_t part, base::time_point when);
+    void noteLasted(std::uint64_t partOrService, base::time_point when);
     void announce(std::uint64_t part);
     void expire();
-    std::map<std::uint64_t, std::set<std::uint64_t>> losses() const;
+    /// The suspected parts, those that are refused first, then by number and time of their losses.
+    std::vector<std::uint64_t> suspectedParts() const;
+    /// Adds the losses, and when their parts and services were last answered.
+    void addSuspicions(prompt_evidence &message) const;
+    void addAnswers(std::uint64_t part, prompt_evidence &message) const;
 
-    std::map<std::uint64_t, suspicion> m_suspicions;
+    std::map<std::uint64_t, part_suspicion> m_suspicions;
+    /// Refused parts, and the losses that are attributed to each.
+    std::map<std::uint64_t, attributed_losses> m_refused;
     std::map<std::uint64_t, answered_part> m_answered;
+    /// Parts and services of which an answer has lasted, and when.
+    std::map<std::uint64_t, base::time_point> m_lasted;
     /// Requests that have been answered, and when.
     std::map<std::uint64_t, base::time_point> m_answeredRequests;
     /// Answered parts that the other nodes have not been told of.
