Refused prompt parts outlive the end of all processes

Cause: nodes had the refused parts of prompts in memory only and learned them from each other, so that after the end of all processes a part crashed endpoints again before it was refused. Change: the holder of the command lease keeps them in one record of a keyed topic of our own (refused_parts_record): at most 16 parts with 16 processes each, written when they or their losses have changed, at most once a second, and each 10 min while there are any. Each node reads it when it starts, without holding its readiness, and when it becomes holder; it is evidence like that of another node. A store that fails is called every 5 s. The new log line is refusedPartsRead. Tests: refused_parts_record_test (7 cases: restart, cleared part, who writes, calls, silent store, unreadable record, size); it can't be compiled against the code before.

--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -150,6 +150,7 @@
     , m_store(m_storeClient)
     , m_streamStore(m_storeClient)
     , m_configurationCopies(m_storeClient, static_cast<int>(settings.configurationCopies))
+    , m_refusedPartsStore(m_storeClient)
     , m_configuration(m_store, seedOf(settings))
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings), seedOf(settings) + 1)
     , m_publishedVersions(m_streamStore, m_endpoints, seedOf(settings) + 2)
@@ -165,6 +166,7 @@
     , m_controller(m_context.get_executor(), m_engines, m_lease, m_endpoints, [this] { return m_configuration.current(); })
     , m_signer(std::make_shared<membership::message_signer>(membership::signing_keys{settings.metadataStore, {}}))
     , m_peers(m_signer, std::make_shared<net::http_client>())
+    , m_refusedParts(m_refusedPartsStore, *m_knowledge.promptParts, m_lease)
     , m_rateLimitExchange(base::node_id(settings.node), base::clock::wallNow().count(), m_lease, m_peers, *m_knowledge.rateLimits, *m_knowledge.quotas)
     , m_holderClient(base::node_id(settings.node), m_lease, m_controller, m_peers, m_residency, m_usage, m_relay, m_knowledge, m_rateLimitExchange)
     , m_holderConfiguration(base::node_id(settings.node), m_lease, m_peers)
@@ -317,6 +319,7 @@
     }
     runInBackground("configuration from nodes", [this] { return m_configuration.followNodes(m_holderConfiguration); });
     runInBackground("endpoints", [this] { return m_endpointFollower.run(); });
+    runInBackground("refused parts", [this] { return m_refusedParts.run(); });
     runInBackground("versions", [this] { return m_publishedVersions.run(); });
     runInBackground("origins", [this] { return m_streamOrigins.run(); });
     runInBackground("reachability", [this] { return m_reachability.run(); });
--- a/packages/node/src/chervilbend/node/composition/platform_node.hpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.hpp
@@ -16,6 +16,7 @@
 #include <chervilbend/fleet/published_versions.hpp>
 #include <chervilbend/fleet/rate_limit_exchange.hpp>
 #include <chervilbend/fleet/recorded_stream_origins.hpp>
+#include <chervilbend/fleet/refused_parts_record.hpp>
 #include <chervilbend/fleet/store_relay.hpp>
 #include <chervilbend/fleet/usage_meter.hpp>
 #include <chervilbend/net/event_loop_monitor.hpp>
@@ -38,6 +39,7 @@
 #include <chervilbend/peers/rpc_server.hpp>
 #include <chervilbend/platform/platform_configuration_copies.hpp>
 #include <chervilbend/platform/platform_engine_client.hpp>
+#include <chervilbend/platform/platform_refused_parts_store.hpp>
 #include <chervilbend/platform/platform_request_codec.hpp>
 #include <chervilbend/platform/platform_store.hpp>
 #include <chervilbend/platform/platform_stream_store.hpp>
@@ -107,6 +109,7 @@
     platform::platform_store m_store;
     platform::platform_stream_store m_streamStore;
     platform::platform_configuration_copies m_configurationCopies;
+    platform::platform_refused_parts_store m_refusedPartsStore;
     platform::platform_request_codec m_requestCodec;
     fleet::configuration_follower m_configuration;
     fleet::endpoint_registry m_endpoints;
@@ -123,6 +126,7 @@
     std::shared_ptr<membership::message_signer> m_signer;
     peers::rpc_client m_peers;
     const routing::cluster_knowledge m_knowledge;
+    fleet::refused_parts_record m_refusedParts;
     fleet::rate_limit_exchange m_rateLimitExchange;
     fleet::holder_client m_holderClient;
     fleet::holder_configuration_provider m_holderConfiguration;
--- a/packages/routing/src/chervilbend/routing/prompt_part_tracker.cpp
+++ b/packages/routing/src/chervilbend/routing/prompt_part_tracker.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t maxAnsweredPerMessage = 96;
 constexpr std::size_t maxSuspicionsPerMessage = 48;
 constexpr std::size_t maxLossesPerMessage = 384;
+/// Bounds of refusedEvidence(), which is kept in the platform's store.
+constexpr std::size_t maxKeptParts = 16;
+constexpr std::size_t maxKeptLossesPerPart = 16;
 
 /// When there are more than @p limit entries, removes the older half, so that the cost of a removal is spread over many insertions.
 template<typename Map, typename TimeOf>
@@ -388,29 +391,56 @@
     return parts;
 }
 
-void prompt_part_tracker::addSuspicions(prompt_evidence &message) const
+part_losses prompt_part_tracker::lossesOf(std::uint64_t part, const part_suspicion &suspected) const
 {
     const base::time_point now = base::clock::now();
+    part_losses told;
+    told.service = suspected.service;
+    told.hasBeenAnswered = suspected.hasBeenAnswered;
+    if (suspected.otherAnswer) {
+        told.otherAnswer = now - *suspected.otherAnswer;
+    }
+    for (const auto &[process, when] : countedLosses(part, suspected)) {
+        told.processes.emplace(process, now - when);
+    }
+    return told;
+}
+
+prompt_evidence prompt_part_tracker::refusedEvidence() const
+{
+    prompt_evidence evidence;
+    for (const std::uint64_t part : suspectedParts()) {
+        if (!m_refused.contains(part) || evidence.lost.size() == maxKeptParts) {
+            break;
+        }
+        part_losses &kept = evidence.lost[part];
+        kept = lossesOf(part, m_suspicions.at(part));
+        while (kept.processes.size() > maxKeptLossesPerPart) {
+            const auto older = [](const auto &a, const auto &b) {
+                return a.second < b.second;
+            };
+            kept.processes.erase(std::max_element(kept.processes.begin(), kept.processes.end(), older));
+        }
+    }
+    return evidence;
+}
+
+void prompt_part_tracker::addSuspicions(prompt_evidence &message) const
+{
     std::size_t room = maxLossesPerMessage;
     for (const std::uint64_t part : suspectedParts()) {
         const part_suspicion &suspected = m_suspicions.at(part);
-        const std::map<std::uint64_t, base::time_point> losses = countedLosses(part, suspected);
-        if (message.lost.size() == maxSuspicionsPerMessage || losses.size() > room) {
+        part_losses told = lossesOf(part, suspected);
+        if (message.lost.size() == maxSuspicionsPerMessage || told.processes.size() > room) {
             break;
         }
-        room -= losses.size();
-        part_losses &told = message.lost[part];
-        told.service = suspected.service;
-        told.hasBeenAnswered = suspected.hasBeenAnswered;
-        if (suspected.otherAnswer) {
-            told.otherAnswer = now - *suspected.otherAnswer;
-        }
-        for (const auto &[process, when] : losses) {
-            told.processes.emplace(process, now - when);
-            if (!suspected.hasBeenAnswered && !isAnswered(part)) {
+        room -= told.processes.size();
+        if (!suspected.hasBeenAnswered && !isAnswered(part)) {
+            for (const auto &[process, age] : told.processes) {
                 message.losses[part].insert(process);
             }
         }
+        message.lost.emplace(part, std::move(told));
         addAnswers(part, message);
         addAnswers(suspected.service, message);
     }
--- a/packages/routing/src/chervilbend/routing/prompt_part_tracker.hpp
+++ b/packages/routing/src/chervilbend/routing/prompt_part_tracker.hpp
@@ -75,6 +75,8 @@
 
     /// The part because of which a request with @p parts is refused; no value if there is none.
     std::optional<std::uint64_t> refusedPart(const std::vector<std::uint64_t> &parts) const;
+    /// The losses of the refused parts, those with most losses first if there are many.
+    prompt_evidence refusedEvidence() const;
     /// Number of parts that are refused now.
     std::size_t refusedParts() const;
 
@@ -112,6 +114,7 @@
     /// Adds the losses, and when their parts and services were last answered.
     void addSuspicions(prompt_evidence &message) const;
     void addAnswers(std::uint64_t part, prompt_evidence &message) const;
+    part_losses lossesOf(std::uint64_t part, const part_suspicion &suspected) const;
 
     std::map<std::uint64_t, part_suspicion> m_suspicions;
     /// Refused parts, and the losses that are attributed to each.
