Don't take a slow but steady endpoint for a silent one

Cause: the silence of an endpoint was judged by the route's target latency alone. Now an endpoint is silent only if its pause also exceeds 1.5 times the longest of the last eight pauses of its quickest open response, up to 1.75 s; until a second event has come, the wait for the first one stands for the pause. A pause up to 1.5 times the route's gapAimMs is no silence either. Not solved here: both endpoints still run where one turns slow in the middle of a stream.

--- a/packages/node/src/chervilbend/node/callers/endpoint_silence.cpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_silence.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/node/callers/endpoint_silence.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilbend::node
@@ -8,35 +9,67 @@
 namespace
 {
 /// A single response may be preempted for longer than any timeout.
-constexpr int minOpenResponses = 2;
+constexpr std::size_t minOpenResponses = 2;
+/// A pause may exceed the longest of the latest ones by half before the endpoint counts as silent, because the pauses of a busy endpoint vary.
+constexpr int paceNumerator = 3;
+constexpr int paceDenominator = 2;
+/// Upper bound of the pauses that an endpoint's pace excuses. Callers abandon a stream after a pause of 2 s at the earliest; a quarter of a second is left for
+/// another endpoint.
+constexpr base::milliseconds maxExcusedPause{1'750};
 } // namespace
 
-endpoint_silence::open_response::open_response(std::shared_ptr<endpoint_silence> silence, base::endpoint_id endpoint)
+endpoint_silence::open_response::open_response(std::shared_ptr<endpoint_silence> silence, base::endpoint_id endpoint, base::milliseconds firstWait)
     : m_silence(std::move(silence))
     , m_endpoint(std::move(endpoint))
+    , m_firstWait(firstWait)
+    , m_lastData(base::clock::now())
 {
     endpoint_state &state = m_silence->m_endpoints[m_endpoint];
-    ++state.openResponses;
-    state.lastData = base::clock::now();
+    state.openResponses.push_back(this);
+    state.lastData = m_lastData;
 }
 
 endpoint_silence::open_response::~open_response()
 {
     const auto found = m_silence->m_endpoints.find(m_endpoint);
-    if (--found->second.openResponses == 0) {
+    std::erase(found->second.openResponses, this);
+    if (found->second.openResponses.empty()) {
         m_silence->m_endpoints.erase(found);
     }
 }
 
 void endpoint_silence::open_response::received()
 {
-    m_silence->m_endpoints[m_endpoint].lastData = base::clock::now();
+    const base::time_point now = base::clock::now();
+    m_pauses[m_pauseCount % rememberedPauses] = now - m_lastData;
+    ++m_pauseCount;
+    m_lastData = now;
+    m_silence->m_endpoints[m_endpoint].lastData = now;
+}
+
+base::milliseconds endpoint_silence::open_response::pace() const
+{
+    return m_pauseCount == 0 ? m_firstWait : *std::max_element(m_pauses.begin(), m_pauses.end());
+}
+
+base::milliseconds endpoint_silence::endpoint_state::pace() const
+{
+    base::milliseconds shortest = base::milliseconds::max();
+    for (const open_response *const each : openResponses) {
+        shortest = std::min(shortest, each->pace());
+    }
+    return shortest;
 }
 
 bool endpoint_silence::isSilent(const base::endpoint_id &endpoint, base::milliseconds timeout) const
 {
     const auto found = m_endpoints.find(endpoint);
-    return found != m_endpoints.end() && found->second.openResponses >= minOpenResponses && base::clock::now() - found->second.lastData >= timeout;
+    if (found == m_endpoints.end() || found->second.openResponses.size() < minOpenResponses) {
+        return false;
+    }
+    const base::milliseconds pace = std::min(found->second.pace(), maxExcusedPause);
+    const base::milliseconds excused = std::min(pace * paceNumerator / paceDenominator, maxExcusedPause);
+    return base::clock::now() - found->second.lastData >= std::max(timeout, excused);
 }
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -55,6 +55,7 @@
 void forwarded_request::resetAttempt()
 {
     m_hasFirstByte = false;
+    m_waitingSince = base::clock::now();
     if (exchange->isStarted()) {
         events.resume();
     } else {
@@ -65,7 +66,7 @@
 
 void forwarded_request::keep(std::shared_ptr<net::http_client_stream> answer)
 {
-    m_kept = kept_response{std::move(answer), endpoint, softwareVersion, events};
+    m_kept = kept_response{std::move(answer), endpoint, softwareVersion, events, m_lastPartAt.value_or(m_waitingSince)};
 }
 
 kept_response forwarded_request::takeKept()
@@ -77,6 +78,7 @@
     events = kept.events;
     m_tokens = events.tokens().count() * plan.tokensPerEvent;
     m_hasFirstByte = false;
+    m_waitingSince = kept.lastPartAt;
     return kept;
 }
 
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -81,6 +81,12 @@
         return m_hasFirstByte;
     }
 
+    /// Since when the next data of the current attempt has been waited for, while it has had none.
+    base::time_point waitingSince() const
+    {
+        return m_waitingSince;
+    }
+
     /// Time from the request's arrival to the first response byte of any attempt; no value before that.
     std::optional<base::milliseconds> timeToFirstByte() const
     {
@@ -112,6 +118,7 @@
     base::time_point m_arrivedAt = base::clock::now();
     std::int64_t m_tokens = 0;
     bool m_hasFirstByte = false;
+    base::time_point m_waitingSince = base::clock::now();
     std::optional<base::milliseconds> m_timeToFirstByte;
     std::optional<base::time_point> m_lastPartAt;
     base::milliseconds m_longestGap{0};
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -214,10 +214,11 @@
             m_reachability->noteReceived();
         }
         request->recordStreamPart();
-        if (!openResponse) {
-            openResponse.emplace(m_silence, request->endpoint);
+        if (openResponse) {
+            openResponse->received();
+        } else {
+            openResponse.emplace(m_silence, request->endpoint, base::clock::now() - request->waitingSince());
         }
-        openResponse->received();
         ready = events ? scanner.feed(*piece) : *piece;
         if (events && scanner.isOutOfOrder()) {
             result.why = {base::error_kind::endpointInvalidAnswer, "the stream's event ids are not increasing"};
--- a/packages/node/src/chervilbend/node/callers/kept_response.hpp
+++ b/packages/node/src/chervilbend/node/callers/kept_response.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilbend/base/clock.hpp>
 #include <chervilbend/base/ids.hpp>
 #include <chervilbend/node/callers/event_scanner.hpp>
 
@@ -20,6 +21,8 @@
     base::software_version softwareVersion;
     /// With the part of an event that has come.
     event_scanner events;
+    /// When its latest part came.
+    base::time_point lastPartAt;
 };
 
 } // namespace chervilbend::node
--- a/packages/node/src/chervilbend/node/callers/route_api.cpp
+++ b/packages/node/src/chervilbend/node/callers/route_api.cpp
@@ -32,6 +32,10 @@
 constexpr base::milliseconds defaultCallerTimeout{30'000};
 /// A silent attempt may be given up after this many target latencies, clamped to the bounds below.
 constexpr int silenceTimeoutFactor = 3;
+/// The same in pauses between events that the route allows, as numerator and denominator: a stream with such pauses is on time, and one half is left for their
+/// spread.
+constexpr int silenceGapNumerator = 3;
+constexpr int silenceGapDenominator = 2;
 constexpr base::milliseconds minSilenceTimeout{400};
 constexpr base::milliseconds maxSilenceTimeout{2'000};
 /// Callers abandon a stream if its first event does not arrive within the longest of these: the minimum, and multiples of the route's target
@@ -359,7 +363,8 @@
     plan.facts.fingerprint = fingerprintOf(request, caller);
     plan.facts.repeatable = route.isRepeatable();
     if (plan.facts.repeatable) {
-        plan.silenceTimeout = std::clamp(route.targetLatency * silenceTimeoutFactor, minSilenceTimeout, maxSilenceTimeout);
+        const base::milliseconds longest = std::max(route.targetLatency * silenceTimeoutFactor, route.longestGap * silenceGapNumerator / silenceGapDenominator);
+        plan.silenceTimeout = std::clamp(longest, minSilenceTimeout, maxSilenceTimeout);
     }
     return plan;
 }
--- a/packages/node/tests/abandoned_stream_test.cpp
+++ b/packages/node/tests/abandoned_stream_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <string>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -44,6 +46,15 @@
         addEndpoint(std::move(other));
     }
 
+    /// Two endpoints that run these scripts.
+    silent_endpoint_fixture(raw_server::script first, raw_server::script other)
+    {
+        configure();
+        addEndpoint(std::move(first));
+        addAddress(endpoints[0]->port());
+        addEndpoint(std::move(other));
+    }
+
     /// The answer to a stream that begins after its neighbour.
     std::string askBesideNeighbour()
     {
@@ -62,6 +73,20 @@
     bool wasClosed = false;
 };
 
+/// Between the events of a slow stream; more than the silence timeout, too.
+constexpr base::milliseconds steadyPause{700};
+
+/// Writes the header at once, then an event after each pause.
+asio::awaitable<void> writeSlowly(std::shared_ptr<raw_peer> caller, int events)
+{
+    co_await caller->send(sealedStream);
+    for (int event = 1; event <= events; ++event) {
+        co_await net::sleepFor(steadyPause);
+        co_await caller->send(numberedEvent(event));
+    }
+    co_await caller->send(lastChunk);
+}
+
 } // namespace
 
 /// Guards against a stream that the node gives up because its endpoint is silent, and that is then cut because no other endpoint continues it.
@@ -73,6 +98,8 @@
     CPPUNIT_TEST(silentStreamThatGoesOnFirstIsKept);
     CPPUNIT_TEST(silentStreamGoesOnAtAnotherEndpoint);
     CPPUNIT_TEST(streamThatNobodyContinuesIsCountedAsBroken);
+    CPPUNIT_TEST(slowButSteadyStreamStaysAtItsEndpoint);
+    CPPUNIT_TEST(pauseThatTheRouteAllowsIsNoSilence);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +144,53 @@
         CPPUNIT_ASSERT_MESSAGE(metrics, contains(metrics, "chervilbend_broken_streams_total 1\n") && contains(metrics, "chervilbend_kept_streams_total 1\n"));
     }
 
+    /// Guards against a second run of a stream that is slow and steady: its pauses are longer than the silence timeout from its first event on.
+    void slowButSteadyStreamStaysAtItsEndpoint()
+    {
+        bool wasOtherAsked = false;
+        silent_endpoint_fixture fixture(
+            [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                co_await caller->readUntil("{}");
+                co_await writeSlowly(caller, 3);
+            },
+            [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                co_await caller->readUntil("{}");
+                wasOtherAsked = true;
+                co_await writeSlowly(caller, 3);
+            });
+        const std::string answer = fixture.askBesideNeighbour();
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "id: 3\ndata: word3\n\n") && answer.ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT(!wasOtherAsked);
+    }
+
+    /// Guards against a second run of a stream that is on time: its first pause is longer than the silence timeout, and shorter than its route allows.
+    void pauseThatTheRouteAllowsIsNoSilence()
+    {
+        bool wasOtherAsked = false;
+        silent_endpoint_fixture fixture(
+            [](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                co_await caller->readUntil("{}");
+                const std::string start = sealedStream + numberedEvent(1);
+                co_await caller->send(start);
+                co_await net::sleepFor(steadyPause);
+                const std::string rest = numberedEvent(2) + lastChunk;
+                co_await caller->send(rest);
+            },
+            [&](std::shared_ptr<raw_peer> caller) -> asio::awaitable<void> {
+                co_await caller->readUntil("{}");
+                wasOtherAsked = true;
+                co_await caller->readToEnd();
+            });
+        auto changed = std::make_shared<fleet::traffic_configuration>(*fixture.configuration);
+        for (fleet::route_rule &route : changed->routes) {
+            route.longestGap = steadyPause;
+        }
+        fixture.configuration = changed;
+        fixture.configure();
+        checkIsWhole(fixture.askBesideNeighbour());
+        CPPUNIT_ASSERT(!wasOtherAsked);
+    }
+
 private:
     static void checkIsWhole(const std::string &answer)
     {
--- a/packages/node/tests/endpoint_silence_test.cpp
+++ b/packages/node/tests/endpoint_silence_test.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(dataOfAnotherResponseEndsTheSilence);
     CPPUNIT_TEST(severalPausedResponsesAreSilence);
     CPPUNIT_TEST(endedResponsesDoNotCount);
+    CPPUNIT_TEST(pauseAsLongAsThoseBeforeIsNoSilence);
+    CPPUNIT_TEST(quickResponseShowsTheSilenceOfASlowEndpoint);
+    CPPUNIT_TEST(longPausesDoNotHideASilenceForLong);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +77,51 @@
         }
         CPPUNIT_ASSERT(!fixture.silence->isSilent(engine, timeout));
     }
+
+    /// Guards against a slow but steady endpoint that is taken for a silent one.
+    void pauseAsLongAsThoseBeforeIsNoSilence()
+    {
+        constexpr base::milliseconds pause{1'200};
+        silence_fixture fixture;
+        endpoint_silence::open_response first(fixture.silence, engine);
+        endpoint_silence::open_response second(fixture.silence, engine);
+        for (int event = 0; event < 3; ++event) {
+            fixture.clock.advance(pause);
+            CPPUNIT_ASSERT(event == 0 || !fixture.silence->isSilent(engine, timeout));
+            first.received();
+            second.received();
+        }
+        fixture.clock.advance(pause * 2);
+        CPPUNIT_ASSERT(fixture.silence->isSilent(engine, timeout));
+    }
+
+    /// Guards against a silence that is noticed late because one of several responses had been preempted.
+    void quickResponseShowsTheSilenceOfASlowEndpoint()
+    {
+        silence_fixture fixture;
+        endpoint_silence::open_response preempted(fixture.silence, engine);
+        endpoint_silence::open_response quick(fixture.silence, engine);
+        for (int event = 0; event < 12; ++event) {
+            fixture.clock.advance(base::milliseconds(100));
+            quick.received();
+        }
+        preempted.received();
+        fixture.clock.advance(timeout);
+        CPPUNIT_ASSERT(fixture.silence->isSilent(engine, timeout));
+    }
+
+    /// Guards against waiting for a silent endpoint until the callers leave, 2 s after an event at the earliest.
+    void longPausesDoNotHideASilenceForLong()
+    {
+        silence_fixture fixture;
+        endpoint_silence::open_response first(fixture.silence, engine);
+        endpoint_silence::open_response second(fixture.silence, engine);
+        fixture.clock.advance(base::milliseconds(10'000));
+        first.received();
+        second.received();
+        fixture.clock.advance(base::milliseconds(1'900));
+        CPPUNIT_ASSERT(fixture.silence->isSilent(engine, timeout));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_silence_test);
