Bound the time for which a request is at work at two endpoints

Cause: the kept response ended only with the new attempt's first event, though that attempt's header shows that the request has begun. Now the kept response is closed 150 ms after the header of its successor's response (maxConcurrentRun; line keptEnded), also while that one sends parts of an event. Where the successor's endpoint is seen to be silent on other responses, the successor ends instead. A successor that refuses, breaks off in that time or sends no header leaves the kept response as it was.

--- a/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.cpp
@@ -56,6 +56,7 @@
 {
     m_hasFirstByte = false;
     m_waitingSince = base::clock::now();
+    m_successorBegunAt.reset();
     if (exchange->isStarted()) {
         events.resume();
     } else {
@@ -82,6 +83,18 @@
     return kept;
 }
 
+void forwarded_request::noteSuccessorBegun()
+{
+    if (m_kept) {
+        m_successorBegunAt = base::clock::now();
+    }
+}
+
+bool forwarded_request::hasRunTwiceFor(base::milliseconds duration) const
+{
+    return m_kept && m_successorBegunAt && base::clock::now() - *m_successorBegunAt >= duration;
+}
+
 void forwarded_request::dropKept()
 {
     m_kept.reset();
--- a/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarded_request.hpp
@@ -50,7 +50,11 @@
     void keep(std::shared_ptr<net::http_client_stream> answer);
     /// The kept response, which is forwarded again from now on. There must be one.
     kept_response takeKept();
-    /// Closes the kept response, if any: another endpoint has continued it.
+    /// While a response is kept, to be called when the header of another endpoint's response shows that the request has begun to run there.
+    void noteSuccessorBegun();
+    /// Whether the request has been at work for so long both at the endpoint of the kept response and at another one.
+    bool hasRunTwiceFor(base::milliseconds duration) const;
+    /// Closes the kept response, if any: another endpoint continues it.
     void dropKept();
     bool hasKept() const
     {
@@ -60,6 +64,11 @@
     {
         return m_kept && m_kept->endpoint == at;
     }
+    /// The endpoint of the kept response. There must be one.
+    const base::endpoint_id &keptAt() const
+    {
+        return m_kept->endpoint;
+    }
     /// Whether the endpoint of the kept response sends again.
     bool hasKeptGoneOn() const;
     /// The first event of a stream that can be resumed is about to go out to the caller. Only the first call has an effect.
@@ -123,6 +132,7 @@
     std::optional<base::time_point> m_lastPartAt;
     base::milliseconds m_longestGap{0};
     std::optional<kept_response> m_kept;
+    std::optional<base::time_point> m_successorBegunAt;
     bool m_finished = false;
 };
 
--- a/packages/node/src/chervilbend/node/callers/forwarder.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.cpp
@@ -323,9 +323,9 @@
     }
     if (request->hasKept()) {
         options.answerTimeout = std::min(options.answerTimeout, keptCheckInterval);
-        options.keepWaiting = [others = std::move(options.keepWaiting), weak = std::weak_ptr(request)] {
+        options.keepWaiting = [this, others = std::move(options.keepWaiting), weak = std::weak_ptr(request), endpoint = target.endpoint] {
             const std::shared_ptr<forwarded_request> waiting = weak.lock();
-            return waiting && !waiting->hasKeptGoneOn() && (!others || others());
+            return waiting && mayRunBesideKept(*waiting, endpoint) && (!others || others());
         };
     }
     const endpoint_protocol &protocol = plan.protocol ? *plan.protocol : m_nativeProtocol;
@@ -345,6 +345,32 @@
     co_return co_await forwardResponse(request, protocol, std::move(target), answer);
 }
 
+bool forwarder::mayRunBesideKept(forwarded_request &request, const base::endpoint_id &successor) const
+{
+    if (request.hasKeptGoneOn()) {
+        return false;
+    }
+    if (request.hasRunTwiceFor(maxConcurrentRun)) {
+        // The successor has begun, and the kept response is overdue. Only where the successor is seen to send nothing either, the older run is the better one.
+        if (m_silence->isSilent(successor, request.plan.silenceTimeout)) {
+            return false;
+        }
+        endKept(request);
+    }
+    return true;
+}
+
+void forwarder::endKept(forwarded_request &request) const
+{
+    LOG4CXX_INFO(routeLog(),
+                 eventFor("keptEnded", request.plan)
+                     .with("endpoint", request.keptAt().value())
+                     .with("lastEvent", request.events.lastEvent().value_or(-1))
+                     .with("why", "its successor has begun")
+                     .text());
+    request.dropKept();
+}
+
 bool forwarder::isStranded() const
 {
     return m_relay && m_relay->isNeeded();
--- a/packages/node/src/chervilbend/node/callers/forwarder.hpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder.hpp
@@ -47,13 +47,18 @@
 ///
 /// Non-streamed responses are buffered completely before the first byte is sent to the caller, up to a size limit. Streams are forwarded
 /// incrementally, with backpressure: each piece must be accepted by the caller's socket before the next is read. A broken stream is resumed at
-/// another endpoint if possible; one whose endpoint is merely silent is kept until another endpoint has continued it. Otherwise the caller's connection is
-/// closed without the terminating chunk; in the native protocol, an error event is sent first.
+/// another endpoint if possible; one whose endpoint is merely silent is kept until another endpoint has begun to continue it. Otherwise the caller's connection
+/// is closed without the terminating chunk; in the native protocol, an error event is sent first.
 class forwarder
 {
 public:
     forwarder(admission &requestAdmission, endpoint_directory &endpoints, net::http_client &client, caller_metrics &metrics);
 
+    /// For how long a request may be at work at two endpoints, the one of a kept response and its successor, counted from the header of the successor's
+    /// response. The platform allows 400 ms until the first endpoint has stopped; the rest is for the links, for a busy event loop and for the endpoint, which
+    /// has to notice that its connection was closed.
+    static constexpr base::milliseconds maxConcurrentRun{150};
+
     /// Called when an endpoint refuses a request because it does not hold the required item.
     using missing_item_listener = std::function<void(const base::endpoint_id &endpoint, const fleet::requested_item &item)>;
     void setMissingItemListener(missing_item_listener listener);
@@ -145,6 +150,11 @@
     /// itself has fallen silent, because a stream may be queued or preempted for seconds.
     bool isAbandonable(const forwarded_request &request, const base::endpoint_id &endpoint) const;
 
+    /// Whether the attempt at @p successor may go on beside the kept response. Ends one of the two when both have been at work for maxConcurrentRun.
+    bool mayRunBesideKept(forwarded_request &request, const base::endpoint_id &successor) const;
+    /// Ends the kept response in favour of an attempt that has begun and not yet brought an event.
+    void endKept(forwarded_request &request) const;
+
     /// Implemented in forwarder_response.cpp: from the header of a response to its end.
     boost::asio::awaitable<attempt_result> forwardResponse(std::shared_ptr<forwarded_request> request,
                                                            const endpoint_protocol &protocol,
--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -185,6 +185,7 @@
     std::optional<endpoint_silence::open_response> openResponse;
     std::string_view ready = bufferedBody;
     bool complete = false;
+    request->noteSuccessorBegun();
     while (true) {
         bool sent = true;
         if (!ready.empty()) {
@@ -214,6 +215,10 @@
             m_reachability->noteReceived();
         }
         request->recordStreamPart();
+        if (request->hasRunTwiceFor(maxConcurrentRun)) {
+            // It sends parts of an event, between which no wait ends.
+            endKept(*request);
+        }
         if (openResponse) {
             openResponse->received();
         } else {
