Don't give up an endpoint whose data came while the node was held up

A wait that timed out while the event loop was busy was given up for the endpoint's silence, though the data lay in the socket: the timer's handler cancelled the read before it was looked at. Seen by reading after timing cases of abandoned_stream_test failed on a busy machine; that this was their cause is not shown. Now a wait goes on if unread data has come; keepWaiting is not asked then.

--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -26,7 +26,8 @@
     base::milliseconds connectTimeout{1'000};
     /// Until the header of the answer has arrived, and then for each read of its body.
     base::milliseconds answerTimeout{30'000};
-    /// Called when answerTimeout has passed without data before the deadline; true waits for another answerTimeout. An empty function means false.
+    /// Called when answerTimeout has passed without data, read or unread, before the deadline; true waits for another answerTimeout. An empty function means
+    /// false.
     std::function<bool()> keepWaiting;
     /// End of the whole exchange, including all reads of a stream.
     base::time_point deadline = base::time_point::max();
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -107,7 +107,8 @@
 bool http_client_stream::shouldKeepWaiting(const boost::system::error_code &error)
 {
     const bool isInterrupted = error == asio::error::operation_aborted && m_connection->hasExpired() && m_connection->socket().is_open() && m_keepWaiting;
-    m_wasGivenUp = isInterrupted && !m_keepWaiting();
+    // Data may have come while the event loop was busy; then the peer was not silent.
+    m_wasGivenUp = isInterrupted && !hasInput() && !m_keepWaiting();
     return isInterrupted && !m_wasGivenUp;
 }
 
