Don't take an endpoint's pace from its first pause alone

The wait for a response's first data stood for the endpoint's pace only until its second data. A delay of the node that makes the first wait longer makes the first pause shorter by as much, and the next pause of a slow but steady endpoint then counted as silence. Now the first wait counts as a pause until there are two others. A silence right after the second event of a response that began late is noticed later, by 1.75 s at most. Test: firstShortPauseDoesNotSetThePace fails on the code before and passes now.

--- a/packages/node/src/chervilbend/node/callers/endpoint_silence.cpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_silence.cpp
@@ -49,7 +49,8 @@
 
 base::milliseconds endpoint_silence::open_response::pace() const
 {
-    return m_pauseCount == 0 ? m_firstWait : *std::max_element(m_pauses.begin(), m_pauses.end());
+    const base::milliseconds longest = *std::max_element(m_pauses.begin(), m_pauses.end());
+    return m_pauseCount < minPauses ? std::max(longest, m_firstWait) : longest;
 }
 
 base::milliseconds endpoint_silence::endpoint_state::pace() const
--- a/packages/node/src/chervilbend/node/callers/endpoint_silence.hpp
+++ b/packages/node/src/chervilbend/node/callers/endpoint_silence.hpp
@@ -24,7 +24,7 @@
     class open_response
     {
     public:
-        /// @p firstWait is the time for which the first data was waited for; it stands for the pace until a second event shows it.
+        /// @p firstWait is the time for which the first data was waited for; it counts as a pause until there are several.
         open_response(std::shared_ptr<endpoint_silence> silence, base::endpoint_id endpoint, base::milliseconds firstWait = base::milliseconds(0));
         ~open_response();
         open_response(const open_response &) = delete;
@@ -38,6 +38,8 @@
     private:
         /// Several, because an event may arrive in parts, with very short pauses between them.
         static constexpr std::size_t rememberedPauses = 8;
+        /// A delay of this process cuts the pause after it short.
+        static constexpr std::size_t minPauses = 2;
 
         const std::shared_ptr<endpoint_silence> m_silence;
         const base::endpoint_id m_endpoint;
--- a/packages/node/tests/endpoint_silence_test.cpp
+++ b/packages/node/tests/endpoint_silence_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(endedResponsesDoNotCount);
     CPPUNIT_TEST(pauseAsLongAsThoseBeforeIsNoSilence);
     CPPUNIT_TEST(quickResponseShowsTheSilenceOfASlowEndpoint);
+    CPPUNIT_TEST(firstShortPauseDoesNotSetThePace);
     CPPUNIT_TEST(longPausesDoNotHideASilenceForLong);
     CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +111,20 @@
         CPPUNIT_ASSERT(fixture.silence->isSilent(engine, timeout));
     }
 
+    /// Guards against a pace that is taken from one pause that a delay of the node has cut short.
+    void firstShortPauseDoesNotSetThePace()
+    {
+        constexpr base::milliseconds pause{1'000};
+        silence_fixture fixture;
+        endpoint_silence::open_response first(fixture.silence, engine, pause + timeout);
+        endpoint_silence::open_response second(fixture.silence, engine, pause + timeout);
+        fixture.clock.advance(pause - timeout);
+        first.received();
+        second.received();
+        fixture.clock.advance(pause);
+        CPPUNIT_ASSERT(!fixture.silence->isSilent(engine, timeout));
+    }
+
     /// Guards against waiting for a silent endpoint until the callers leave, 2 s after an event at the earliest.
     void longPausesDoNotHideASilenceForLong()
     {
