--- a/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
+++ b/packages/node/src/chervilbend/node/callers/forwarder_response.cpp
@@ -185,6 +185,7 @@
     std::optional<endpoint_silence::open_response> openResponse;
     std::string_view ready = bufferedBody;
     bool complete = false;
+    request->noteSuccessorBegun();
     while (true) {
         bool sent = true;
         if (!ready.empty()) {
@@ -214,10 +215,15 @@
             m_reachability->noteReceived();
         }
         request->recordStreamPart();
-        if (!openResponse) {
-            openResponse.emplace(m_silence, request->endpoint);
+        if (request->hasRunTwiceFor(maxConcurrentRun)) {
+            // It sends parts of an event, between which no wait ends.
+            endKept(*request);
+        }
+        if (openResponse) {
+            openResponse->received();
+        } else {
+            openResponse.emplace(m_silence, request->endpoint, base::clock::now() - request->waitingSince());
         }
-        openResponse->received();
         ready = events ? scanner.feed(*piece) : *piece;
         if (events && scanner.isOutOfOrder()) {
             result.why = {base::error_kind::endpointInvalidAnswer, "the stream's event ids are not increasing"};
