--- a/packages/node/tests/restart_test.cpp
+++ b/packages/node/tests/restart_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <string>
@@ -25,8 +26,8 @@
 const std::string registration =
     R"({"service":"desk","address":"127.0.0.1:1","zone":"a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1})";
 
-/// Whether the program's entry for the load balancer answers 200.
-bool isReady(std::uint16_t port)
+/// The answer to a request, as far as it comes at once.
+std::string answerTo(std::uint16_t port, std::string_view path)
 {
     const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -35,14 +36,30 @@
     address.sin_port = htons(port);
     std::string answer;
     if (::connect(probe, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0) {
-        constexpr std::string_view request = "GET /api/readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        const std::string request = std::string("GET ").append(path) + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         ::send(probe, request.data(), request.size(), MSG_NOSIGNAL);
-        std::array<char, 256> block{};
-        const ssize_t size = ::recv(probe, block.data(), block.size(), 0);
-        answer.assign(block.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+        std::array<char, 4096> block{};
+        for (ssize_t size = ::recv(probe, block.data(), block.size(), 0); size > 0; size = ::recv(probe, block.data(), block.size(), 0)) {
+            answer.append(block.data(), static_cast<std::size_t>(size));
+        }
     }
     ::close(probe);
-    return answer.starts_with("HTTP/1.1 200");
+    return answer;
+}
+
+/// Whether the program's entry for the load balancer answers 200.
+bool isReady(std::uint16_t port)
+{
+    return answerTo(port, "/api/readiness").starts_with("HTTP/1.1 200");
+}
+
+/// A gauge among the program's metrics; -1 if it doesn't say.
+double gaugeOf(const node_program &program, const std::string &name)
+{
+    const std::string metrics = answerTo(program.metrics.port(), "/metrics");
+    const std::string begin = "\n" + name + " ";
+    const std::size_t found = metrics.find(begin);
+    return found == std::string::npos ? -1 : std::stod(metrics.substr(found + begin.size()));
 }
 
 /// Three nodes beside a store.
@@ -115,6 +132,7 @@
     CPPUNIT_TEST(manyPagesDoNotHideTheConfiguration);
     CPPUNIT_TEST(keysThatAreNoTextDoNotHideTheConfiguration);
     CPPUNIT_TEST(nodesAreReadyBeforeTheirServersAreBack);
+    CPPUNIT_TEST(nodeIsNotReadyWithoutServersThatTheOthersStillUse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +180,50 @@
         cluster.start();
         cluster.assertReady("no server is registered");
     }
+
+    /// Registrations lapse while the store is down, and come back within 2 s of its return. The nodes that ran all the while use them until then, so a node
+    /// that has just started must not draw the clients away from them, only to refuse them.
+    void nodeIsNotReadyWithoutServersThatTheOthersStillUse()
+    {
+        restarted_cluster cluster;
+        cluster.store.change([](metadata_store &served) {
+            served.putConfiguration(configuration);
+            served.putServer("i-1", registration);
+        });
+        cluster.start();
+        cluster.assertReady("first start");
+        // The holder is restarted, so that no other node can tell it what it knows.
+        const auto holder = [&] {
+            return std::find_if(
+                cluster.programs.begin(), cluster.programs.end(), [](const auto &program) { return gaugeOf(*program, "chervilbend_command_lease_held") == 1; });
+        };
+        CPPUNIT_ASSERT_MESSAGE("no node holds the lease", eventually([&] { return holder() != cluster.programs.end(); }));
+        std::iter_swap(holder(), cluster.programs.begin());
+        cluster.store.change([](metadata_store &served) { served.setFault(chervilbend::fakes::store_fault::busy); });
+        // Longer than an interval, so that a read has failed.
+        constexpr double seconds = 2.5;
+        for (const auto &program : cluster.programs) {
+            CPPUNIT_ASSERT_MESSAGE(program->name + " sees no outage",
+                                   eventually([&] { return gaugeOf(*program, "chervilbend_registrations_age_seconds") > seconds; }));
+        }
+        cluster.store.change([](metadata_store &served) { served.putServer("i-1", ""); });
+        node_program &restarted = *cluster.programs.front();
+        restarted.kill();
+        restarted.start(cluster.log.handle());
+        CPPUNIT_ASSERT(eventually([&] { return !answerTo(restarted.ready.port(), "/api/readiness").empty(); }));
+        cluster.store.change([](metadata_store &served) { served.setFault(chervilbend::fakes::store_fault::none); });
+        const auto isSoundOrOver = [&] {
+            const double own = gaugeOf(restarted, "chervilbend_endpoints");
+            const bool isReadyWithout = own == 0 && isReady(restarted.ready.port());
+            const double others = gaugeOf(*cluster.programs.back(), "chervilbend_endpoints");
+            const std::string seen = "ready with " + std::to_string(own) + " endpoints, another node uses " + std::to_string(others);
+            CPPUNIT_ASSERT_MESSAGE(seen, !isReadyWithout || others == 0);
+            return own > 0 || others == 0;
+        };
+        CPPUNIT_ASSERT(eventually(isSoundOrOver));
+        cluster.store.change([](metadata_store &served) { served.putServer("i-1", registration); });
+        cluster.assertReady("the server is back");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(restart_test);
