Soak: loss of all power, kills in series, and odd records in the store

Cause: no soak killed all nodes and servers at once, or changed the configuration while all nodes were down. Faults moved to soak_faults.cpp.

--- a/packages/soak/src/chervilbend/soak/node_processes.cpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <csignal>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iterator>
 #include <sstream>
+#include <string_view>
 #include <system_error>
 
 namespace chervilbend::soak
@@ -24,9 +26,14 @@
 /// A signal before the program's own code runs has its default action (docs/incidents/process-start.md).
 constexpr long earlySignalMs = 100;
 
-std::string nameOf(std::size_t node)
+/// Whether it is a line of the JSON log on a configuration or a topic that could not be read, or on a condition that is missing.
+bool tellsOfReadiness(const std::string &line)
 {
-    return "front-" + std::to_string(node + 1);
+    const auto has = [&](std::string_view part) {
+        return line.find(part) != std::string::npos;
+    };
+    const bool isOfReads = has(R"("part":"store")") || has(R"("part":"config")");
+    return has(R"("event":"notReady")") || has(R"("event":"newestIncomplete")") || (isOfReads && (has(R"("level":"WARN")") || has(R"("level":"ERROR")")));
 }
 
 /// At most the hard limit. Does nothing if the process has ended.
@@ -71,8 +78,8 @@
         return "127.0.0.1:" + std::to_string(port) + "\n";
     };
     for (std::size_t node = 0; node < m_options.nodes; ++node) {
-        std::ofstream(m_options.folder + "/" + nameOf(node) + ".yaml")
-            << "node: " << nameOf(node) << "\nzone: a\nlisten: " << address(ports.callers(node)) << "readyListen: " << address(ports.ready(node))
+        std::ofstream(m_options.folder + "/" + nodeName(node) + ".yaml")
+            << "node: " << nodeName(node) << "\nzone: a\nlisten: " << address(ports.callers(node)) << "readyListen: " << address(ports.ready(node))
             << "peerListen: " << address(ports.peers(node)) << "metadataStore: " << address(ports.sharedStore())
             << "metricsListen: " << address(ports.metrics(node))
             << "jsonLog: true\nbalancerWait: 2500 ms\nprocessorShare: 0.25\nlinkRate: 1000.0\nshutdownBound: 8 s\ndrainTime: 2000 ms\ncommandGap: 3000 ms\n"
@@ -91,7 +98,7 @@
 
 std::optional<pid_t> node_processes::processOf(std::size_t node) const
 {
-    std::ifstream file(m_options.folder + "/" + nameOf(node) + ".pid");
+    std::ifstream file(m_options.folder + "/" + nodeName(node) + ".pid");
     pid_t process = 0;
     if (!(file >> process) || process <= 0) {
         return std::nullopt;
@@ -165,9 +172,31 @@
     return unexpected;
 }
 
+std::vector<std::string> node_processes::readinessLines(std::size_t node) const
+{
+    constexpr std::size_t maxLines = 6;
+    constexpr std::size_t maxLength = 400;
+    std::deque<std::string> last;
+    std::ifstream log(m_options.folder + "/" + nodeName(node) + ".log");
+    for (std::string line; std::getline(log, line);) {
+        if (tellsOfReadiness(line)) {
+            last.push_back(line.substr(0, maxLength));
+            if (last.size() > maxLines) {
+                last.pop_front();
+            }
+        }
+    }
+    return {last.begin(), last.end()};
+}
+
+std::string nodeName(std::size_t node)
+{
+    return "front-" + std::to_string(node + 1);
+}
+
 std::string runningProgram(const soak_options &options, std::size_t node)
 {
-    std::ifstream file(options.folder + "/" + nameOf(node) + ".program");
+    std::ifstream file(options.folder + "/" + nodeName(node) + ".program");
     std::string name;
     file >> name;
     return name;
--- a/packages/soak/src/chervilbend/soak/node_processes.hpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.hpp
@@ -37,18 +37,29 @@
     /// The node whose process has opened the connection from that port of 127.0.0.1, if there is one.
     std::optional<std::size_t> ownerOf(std::uint16_t port) const;
 
+    /// The process that the supervisor started last for the node.
+    std::optional<pid_t> processOf(std::size_t node) const;
+    /// Whether it was sent SIGTERM.
+    bool isStopping(pid_t process) const
+    {
+        return m_stopped.contains(process);
+    }
+
+    /// The last lines that the node has logged on why it is not ready, each shortened.
+    std::vector<std::string> readinessLines(std::size_t node) const;
+
     /// Ends for which no signal of this object is the reason, one a line.
     std::vector<std::string> unexpectedEnds() const;
 
 private:
-    /// The process that the supervisor started last for the node.
-    std::optional<pid_t> processOf(std::size_t node) const;
-
     const soak_options &m_options;
     std::set<pid_t> m_stopped;
     std::set<pid_t> m_killed;
 };
 
+/// The name of a node in the settings, the supervisor's files and the log.
+std::string nodeName(std::size_t node);
+
 /// What the supervisor calls the program that it started last for a node, from "front-N.program": during an upgrade nodes run different ones. Empty if there is
 /// no such file.
 std::string runningProgram(const soak_options &options, std::size_t node);
--- a/packages/soak/src/chervilbend/soak/node_rotation.cpp
+++ b/packages/soak/src/chervilbend/soak/node_rotation.cpp
@@ -23,7 +23,8 @@
 constexpr int missesUntilOut = 2;
 } // namespace
 
-node_rotation::node_rotation(const std::vector<std::uint16_t> &readyPorts)
+node_rotation::node_rotation(const std::vector<std::uint16_t> &readyPorts, answer_listener listener)
+    : m_listener(std::move(listener))
 {
     for (const std::uint16_t port : readyPorts) {
         m_nodes.push_back({port, missesUntilOut});
@@ -43,6 +44,7 @@
 
 asio::awaitable<void> node_rotation::ask(std::size_t node)
 {
+    const base::time_point askedAt = base::clock::now();
     net::http_client client;
     net::http_send_options options;
     options.answerTimeout = answerTimeout;
@@ -53,6 +55,7 @@
     const std::optional<net::http_response> answer = co_await client.send(address, std::move(request), options);
     const bool isReady = answer && answer->result() == net::http::status::ok;
     m_nodes[node].misses = isReady ? 0 : m_nodes[node].misses + 1;
+    m_listener(node, askedAt, isReady);
 }
 
 std::size_t node_rotation::choose(std::uint64_t hash) const
@@ -66,6 +69,11 @@
     return 2 * ready.size() < m_nodes.size() ? hash % m_nodes.size() : ready[hash % ready.size()];
 }
 
+bool node_rotation::isReady(std::size_t node) const
+{
+    return m_nodes[node].misses == 0;
+}
+
 bool node_rotation::areAllReady() const
 {
     return std::all_of(m_nodes.begin(), m_nodes.end(), [](const node_state &node) { return node.misses == 0; });
--- a/packages/soak/src/chervilbend/soak/soak_options.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_options.hpp
@@ -39,6 +39,8 @@
     std::string judgedProgram;
     /// Whether the configuration has accounts, and callers send keys. Builds before accounts take all requests that have none.
     bool hasAccounts = true;
+    /// Whether the store holds further records with odd keys, which builds before percent-encoded queries don't get past.
+    bool hasOddRecords = true;
     /// How long callers wait for the answer to an order.
     base::milliseconds orderTimeout{2'500};
 };
--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -8,11 +8,12 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
-#include <csignal>
+#include <chrono>
 #include <exception>
 #include <iostream>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -30,15 +31,8 @@
 constexpr base::milliseconds settlingTime{2'500};
 /// After the last answer, in which requests that were called not run may still run.
 constexpr base::milliseconds lateRunTime{2'500};
-constexpr base::milliseconds restartTimeout{15'000};
-constexpr base::milliseconds linkDelay{150};
 constexpr std::size_t maxPrintedBreaches = 12;
-/// How long another service has the address of a server.
-constexpr base::milliseconds reuseTime{3'000};
-constexpr std::string_view otherService = "other";
 constexpr int feedSlots = 16;
-/// A node that waits for a silent store gives up then: a long poll of 2 s and 0.9 s for the answer.
-constexpr base::milliseconds longestStoreWait{3'000};
 
 struct planned_change {
     /// Share of the duration.
@@ -46,7 +40,8 @@
     account_change change;
 };
 
-/// The halved limit lasts long enough that it binds in a soak of 20 s: it may take 3 s to propagate, and a window has 8 s.
+/// The halved limit lasts long enough that it binds in a soak of 20 s: it may take 3 s to propagate, and a window has 8 s. If a fault kills all nodes, the
+/// last change comes just before the last such fault.
 constexpr std::array<planned_change, 4> accountChanges{{
     {0.1, account_change::halveLimit},
     {0.25, account_change::addKey},
@@ -70,9 +65,16 @@
     , m_store(m_context.get_executor(), soak_ports(m_options).store(), m_options.seed)
     , m_sharedStore(m_context, {asio::ip::address_v4::loopback(), soak_ports(m_options).sharedStore()})
     , m_nodes(m_options)
-    , m_rotation(readyPorts(m_options))
+    , m_rotation(readyPorts(m_options), [this](std::size_t node, base::time_point at, bool isReady) { m_recovery.onAsked(node, at, isReady); })
     , m_schedule(scheduleFor(m_options))
+    , m_contents(m_options.seed)
+    , m_recovery(m_options.nodes)
+    , m_obstacles(m_options.nodes)
 {
+    if (m_options.hasOddRecords) {
+        m_store.setPageLimit(m_contents.pageLimit());
+        m_store.setKeyEncoding(m_contents.keyEncoding());
+    }
     const soak_ports ports(m_options);
     for (std::size_t node = 0; node < m_options.nodes; ++node) {
         m_storeRelays.push_back(std::make_unique<fakes::fault_relay>(m_context.get_executor(), ports.storeRelay(node), ports.store()));
@@ -164,7 +166,13 @@
     }
     m_wasPlayed = true;
     co_await net::sleepFor(settlingTime);
-    const base::time_point start = base::clock::now();
+    const base::time_point start = m_start = base::clock::now();
+    // Only now, so that a build that doesn't get past them fails as it is judged, and not as one that could not be run.
+    for (const further_record &record : m_options.hasOddRecords ? m_contents.initialRecords() : std::vector<further_record>()) {
+        write(record, m_store);
+    }
+    asio::co_spawn(m_context, playRecordChanges(start + m_options.duration), asio::detached);
+    asio::co_spawn(m_context, watchObstacles(), asio::detached);
     if (m_options.hasAccounts) {
         asio::co_spawn(m_context, playAccountChanges(start), asio::detached);
     }
@@ -183,21 +191,44 @@
         co_await net::sleepFor(pollInterval);
     }
     co_await net::sleepFor(lateRunTime);
-    const base::time_point restartEnd = base::clock::now() + restartTimeout;
-    while (!m_rotation.areAllReady() && base::clock::now() < restartEnd) {
+    const base::time_point recoveryEnd = base::clock::now() + recovery_watch::recoveryBound;
+    while (!m_rotation.areAllReady() && base::clock::now() < recoveryEnd) {
         co_await net::sleepFor(pollInterval);
     }
-    if (!m_rotation.areAllReady()) {
-        m_failures.emplace_back("FAULT: not all nodes are ready at the end");
-    }
+    judgeRecovery();
     for (const std::string &end : m_nodes.unexpectedEnds()) {
         m_failures.push_back("FAULT: ended by itself: " + end);
     }
-    if (m_ledger.served() * 4 < m_ledger.ended()) {
+    if ((m_ledger.served() - m_servedInOutages) * 4 < m_ledger.ended() - m_endedInOutages) {
         m_failures.emplace_back("less than a quarter of the attempts were served");
     }
 }
 
+void soak_run::judgeRecovery()
+{
+    const auto since = [this](base::time_point at) {
+        return std::to_string(std::chrono::duration_cast<base::milliseconds>(at - m_start).count()) + " ms";
+    };
+    const std::string bound = std::to_string(recovery_watch::recoveryBound.count()) + " ms";
+    std::set<std::size_t> nodes;
+    for (const recovery_watch::late_node &late : m_recovery.lateNodes()) {
+        m_failures.push_back("FAULT: " + nodeName(late.node) + " was not ready within " + bound + " after " + since(late.freeSince)
+                             + ", when the last obstacle ended; all nodes were killed at " + since(late.killedAt));
+        nodes.insert(late.node);
+    }
+    for (std::size_t node = 0; node < m_options.nodes; ++node) {
+        if (!m_rotation.isReady(node)) {
+            m_failures.push_back("FAULT: " + nodeName(node) + " is not ready at the end");
+            nodes.insert(node);
+        }
+    }
+    for (const std::size_t node : nodes) {
+        for (const std::string &line : m_nodes.readinessLines(node)) {
+            m_failures.push_back("  " + nodeName(node) + ": " + line);
+        }
+    }
+}
+
 asio::awaitable<void> soak_run::acceptForStore()
 {
     while (true) {
@@ -226,208 +257,33 @@
     --m_openCallers;
 }
 
-asio::awaitable<void> soak_run::playSchedule(base::time_point start)
-{
-    for (const scheduled_fault &fault : m_schedule) {
-        co_await net::sleepFor(start + fault.at - base::clock::now());
-        ++m_openFaults;
-        asio::co_spawn(m_context, playFault(fault), [this](const std::exception_ptr &) { --m_openFaults; });
-    }
-}
-
-asio::awaitable<void> soak_run::playFault(scheduled_fault fault)
-{
-    if (isDisruption(fault.kind)) {
-        asio::co_spawn(m_context, noteDisruption(fault.duration), asio::detached);
-    }
-    if (cutsStoreContact(fault.kind)) {
-        const bool isSilent = fault.kind == fault_kind::silenceStoreLink;
-        asio::co_spawn(m_context, noteContactLoss(isSilent ? longestStoreWait : fault.duration), asio::detached);
-    }
-    if (fault.kind <= fault_kind::starveNode) {
-        co_await playNodeFault(fault);
-    } else if (fault.kind <= fault_kind::hideServers) {
-        co_await playServerFault(fault);
-    } else if (fault.kind <= fault_kind::silenceStoreLink) {
-        co_await playLinkFault(fault);
-    } else {
-        co_await playStoreFault(fault);
-    }
-}
-
-asio::awaitable<void> soak_run::noteDisruption(base::milliseconds duration)
-{
-    const base::time_point end = base::clock::now() + duration;
-    do {
-        m_ledger.onDisruption();
-        co_await net::sleepFor(pollInterval);
-    } while (base::clock::now() < end);
-    m_ledger.onDisruption();
-}
-
-asio::awaitable<void> soak_run::noteContactLoss(base::milliseconds duration)
-{
-    const base::time_point end = base::clock::now() + duration;
-    while (base::clock::now() < end) {
-        m_ledger.quotas().onContactLoss();
-        co_await net::sleepFor(pollInterval);
-    }
-    m_ledger.quotas().onContactLoss();
-}
-
 asio::awaitable<void> soak_run::playAccountChanges(base::time_point start)
 {
+    constexpr base::milliseconds leadOfLast{150};
+    const std::optional<base::milliseconds> lastKill = lastKillOfAll(m_schedule);
     for (const planned_change &one : accountChanges) {
-        const auto at = static_cast<std::int64_t>(one.at * static_cast<double>(m_options.duration.count()));
-        co_await net::sleepFor(start + base::milliseconds(at) - base::clock::now());
+        base::milliseconds at(static_cast<std::int64_t>(one.at * static_cast<double>(m_options.duration.count())));
+        if (lastKill && at > *lastKill - leadOfLast) {
+            at = *lastKill - leadOfLast;
+        }
+        co_await net::sleepFor(start + at - base::clock::now());
         m_accounts.apply(one.change);
         writeConfiguration();
     }
 }
 
-void soak_run::stopNode(std::size_t node)
-{
-    if (m_nodes.signal(node, SIGTERM)) {
-        m_ledger.onStop(node);
-    }
-}
-
-asio::awaitable<void> soak_run::playNodeFault(scheduled_fault fault)
-{
-    constexpr int signalsInSeries = 6;
-    const std::size_t node = fault.target % m_options.nodes;
-    switch (fault.kind) {
-    case fault_kind::stopNode:
-        stopNode(node);
-        break;
-    case fault_kind::stopNodeTwice:
-        if (const std::optional<pid_t> process = m_nodes.signal(node, SIGTERM)) {
-            m_ledger.onStop(node);
-            co_await net::sleepFor(fault.duration);
-            m_nodes.signalProcess(*process, SIGTERM);
-        }
-        break;
-    case fault_kind::stopNodeInSeries:
-    case fault_kind::hangUpNode:
-        for (int i = 0; i < signalsInSeries; ++i) {
-            if (fault.kind == fault_kind::hangUpNode) {
-                m_nodes.signal(node, SIGHUP);
-            } else {
-                stopNode(node);
-            }
-            co_await net::sleepFor(fault.duration / signalsInSeries);
-        }
-        break;
-    case fault_kind::stopTwoNodes:
-        stopNode(node);
-        co_await net::sleepFor(fault.duration);
-        stopNode((node + 1) % m_options.nodes);
-        break;
-    case fault_kind::killNode:
-        m_nodes.signal(node, SIGKILL);
-        break;
-    case fault_kind::killAllNodes:
-        for (std::size_t one = 0; one < m_options.nodes; ++one) {
-            m_nodes.signal(one, SIGKILL);
-        }
-        break;
-    case fault_kind::starveNode:
-        if (const std::optional<pid_t> process = m_nodes.stopOpeningDescriptors(node)) {
-            co_await net::sleepFor(fault.duration);
-            m_nodes.resumeOpeningDescriptors(*process);
-        }
-        break;
-    default:
-        if (const std::optional<pid_t> process = m_nodes.signal(node, SIGSTOP)) {
-            co_await net::sleepFor(fault.duration);
-            m_nodes.signalProcess(*process, SIGCONT);
-        }
-        break;
-    }
-}
-
-asio::awaitable<void> soak_run::playServerFault(scheduled_fault fault)
-{
-    fakes::application_server &server = *m_servers[fault.target % m_options.servers];
-    if (fault.kind == fault_kind::stallServer) {
-        server.stall(fault.duration);
-    } else if (fault.kind == fault_kind::hideServers) {
-        for (const auto &one : m_servers) {
-            one->stopAccepting();
-        }
-        co_await net::sleepFor(fault.duration);
-        for (const auto &one : m_servers) {
-            one->resumeAccepting();
-        }
-    } else if (server.isRunning()) {
-        server.crash();
-        co_await net::sleepFor(fault.duration);
-        if (fault.kind == fault_kind::reuseServerAddress) {
-            server.setService(std::string(otherService));
-            server.start();
-            co_await net::sleepFor(reuseTime);
-            server.crash();
-            server.setService("desk");
-        }
-        server.start(fault.kind == fault_kind::crashServerKeepingId);
-    }
-}
-
-asio::awaitable<void> soak_run::playLinkFault(scheduled_fault fault)
+void soak_run::printRecords() const
 {
-    const bool isStore = fault.kind >= fault_kind::holdStoreRequests;
-    // Servers with odd numbers are behind relays.
-    const std::size_t server = (fault.target % m_options.servers) | 1U;
-    fakes::fault_relay *const relay = isStore ? m_storeRelays[fault.target % m_options.nodes].get()
-        : server < m_options.servers          ? m_serverRelays[server].get()
-                                              : nullptr;
-    if (!relay) {
-        co_return;
+    if (!m_options.hasOddRecords) {
+        return;
     }
-    fakes::link_state state;
-    switch (fault.kind) {
-    case fault_kind::silenceServerLink:
-    case fault_kind::silenceStoreLink:
-        relay->silence();
-        co_return;
-    case fault_kind::resetServerLink:
-        relay->resetConnections();
-        state.refusesConnections = true;
-        break;
-    case fault_kind::delayServerLink:
-        state.delay = linkDelay;
-        break;
-    case fault_kind::holdRequests:
-    case fault_kind::holdStoreRequests:
-        state.holdsRequests = true;
-        break;
-    default:
-        state.holdsAnswers = true;
-        break;
+    std::cout << "further records at first, and their changes in ms from the start of traffic:\n";
+    for (const further_record &record : m_contents.initialRecords()) {
+        std::cout << "  " << describe(record) << '\n';
     }
-    relay->setState(state);
-    co_await net::sleepFor(fault.duration);
-    relay->setState({});
-}
-
-asio::awaitable<void> soak_run::playStoreFault(scheduled_fault fault)
-{
-    switch (fault.kind) {
-    case fault_kind::busyStore:
-        m_store.setFault(fakes::store_fault::busy);
-        break;
-    case fault_kind::silentStore:
-        m_store.setFault(fakes::store_fault::silent);
-        break;
-    case fault_kind::slowStore:
-        m_store.setFault(fakes::store_fault::slow);
-        break;
-    default:
-        m_store.setFault(fakes::store_fault::lossy);
-        break;
+    for (const std::string &change : m_changes) {
+        std::cout << "  " << change << '\n';
     }
-    co_await net::sleepFor(fault.duration);
-    m_store.setFault(fakes::store_fault::none);
 }
 
 void soak_run::printResult() const
@@ -435,6 +291,7 @@
     std::cout << "seed " << m_options.seed << ", " << m_options.nodes << " nodes, " << m_options.servers << " servers, " << m_options.callers
               << " callers, attempts " << m_options.attempts << ", order timeout " << m_options.orderTimeout.count() << " ms, "
               << m_options.duration.count() / 1'000 << " s\n"
+              << (m_options.hasOddRecords ? m_contents.describeForm() : "") << "all nodes killed: " << m_recovery.kills() << " times\n"
               << m_ledger.summary();
     std::map<std::string, std::size_t> byRule;
     for (const breach &one : m_ledger.breaches()) {
@@ -460,6 +317,7 @@
     }
     if (!m_failures.empty() || !byRule.empty()) {
         std::cout << "schedule, in ms from the start of traffic:\n" << describe(m_schedule);
+        printRecords();
     }
 }
 
--- a/packages/soak/src/chervilbend/soak/soak_run.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.hpp
@@ -8,8 +8,10 @@
 #include <chervilbend/soak/fault_schedule.hpp>
 #include <chervilbend/soak/node_processes.hpp>
 #include <chervilbend/soak/node_rotation.hpp>
+#include <chervilbend/soak/recovery_watch.hpp>
 #include <chervilbend/soak/soak_accounts.hpp>
 #include <chervilbend/soak/soak_options.hpp>
+#include <chervilbend/soak/store_contents.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -55,10 +57,24 @@
     boost::asio::awaitable<void> playLinkFault(scheduled_fault fault);
     boost::asio::awaitable<void> playStoreFault(scheduled_fault fault);
     boost::asio::awaitable<void> noteContactLoss(base::milliseconds duration);
+    /// Plays a fault that kills all nodes.
+    boost::asio::awaitable<void> playOutage(scheduled_fault fault);
+    boost::asio::awaitable<void> playPowerLoss(scheduled_fault fault);
+    void killAllNodes();
+    void setStoreFault(fakes::store_fault fault);
+    static void startServer(fakes::application_server &server, bool keepsId);
+    /// Waits for the end of something that keeps the node from becoming ready.
+    boost::asio::awaitable<void> keepFromStarting(std::size_t node, base::milliseconds duration);
+    boost::asio::awaitable<void> watchObstacles();
+    void changeRecords(int count);
+    boost::asio::awaitable<void> playRecordChanges(base::time_point end);
     /// The operator's changes of the accounts, at fixed shares of the duration.
     boost::asio::awaitable<void> playAccountChanges(base::time_point start);
+    /// Adds a failure for each node that was not ready in time.
+    void judgeRecovery();
     /// Each call writes a new version.
     void writeConfiguration();
+    void printRecords() const;
     void printResult() const;
 
     const soak_options m_options;
@@ -73,6 +89,19 @@
     node_processes m_nodes;
     node_rotation m_rotation;
     const std::vector<scheduled_fault> m_schedule;
+    store_contents m_contents;
+    recovery_watch m_recovery;
+    /// Of each node, how many faults keep it from becoming ready now.
+    std::vector<int> m_obstacles;
+    /// Outages being played, and what ended meanwhile, when no server may be there to serve anything.
+    int m_openOutages = 0;
+    std::size_t m_servedInOutages = 0;
+    std::size_t m_endedInOutages = 0;
+    bool m_isStoreStrained = false;
+    int m_readLimits = 0;
+    /// The changes of further records, one a line, with their times in ms from the start of traffic.
+    std::vector<std::string> m_changes;
+    base::time_point m_start;
     soak_accounts m_accounts;
     int m_version = 2;
     std::size_t m_openCallers = 0;
--- a/packages/soak/src/main.cpp
+++ b/packages/soak/src/main.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/fakes/platform/answer_form.hpp>
 #include <chervilbend/soak/fault_schedule.hpp>
 #include <chervilbend/soak/soak_run.hpp>
+#include <chervilbend/soak/store_contents.hpp>
 
 #include <gflags/gflags.h>
 
@@ -26,7 +27,8 @@
 DEFINE_int32(attempts, 1, "Attempts that the routes of requests that may run once only allow");
 DEFINE_int64(order_timeout_ms, 2'500, "Deadline of orders in milliseconds");
 DEFINE_bool(accounts, true, "Whether the configuration has accounts with keys and quotas, which older builds don't know");
-DEFINE_bool(schedule, false, "Print the schedule of the seed, and end");
+DEFINE_bool(odd_records, true, "Whether the store holds further records with odd keys and answers in the pages of the seed, which older builds don't get past");
+DEFINE_bool(schedule, false, "Print the schedule and the form of the store that the seed gives, and end");
 
 namespace
 {
@@ -58,6 +60,7 @@
     options.onlyFault = FLAGS_only_fault;
     options.attempts = FLAGS_attempts;
     options.hasAccounts = FLAGS_accounts;
+    options.hasOddRecords = FLAGS_odd_records;
     options.orderTimeout = base::milliseconds(FLAGS_order_timeout_ms);
     if (options.nodes < 1 || options.nodes > 80 || options.servers < 1 || options.servers > 26 || options.seed < 1 || options.forms.empty()) {
         std::cerr << "chervilbend-soak: nodes must be 1 to 80, servers 1 to 26, the seed above 0, and forms known names\n";
@@ -69,6 +72,13 @@
     }
     if (FLAGS_schedule) {
         std::cout << soak::describe(soak::scheduleFor(options));
+        if (options.hasOddRecords) {
+            const soak::store_contents contents(options.seed);
+            std::cout << contents.describeForm();
+            for (const soak::further_record &record : contents.initialRecords()) {
+                std::cout << "  " << soak::describe(record) << '\n';
+            }
+        }
         return EXIT_SUCCESS;
     }
     try {
