Soak: ask the kernel for one socket in place of reading all

Cause: for each connection to the store the soak read /proc/net/tcp to find the node that opened it, on the event loop that plays the store, the servers and the callers. The list holds the connections of all processes, also closed ones. Change: it asks the socket monitor for the one connection.

--- a/packages/soak/src/chervilbend/soak/node_processes.cpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/soak/node_processes.hpp>
 
+#include <chervilbend/soak/socket_inode.hpp>
+
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -7,7 +9,6 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
-#include <iomanip>
 #include <iterator>
 #include <sstream>
 #include <string_view>
@@ -46,24 +47,6 @@
     }
 }
 
-/// What a descriptor of the process that opened the connection from that port of 127.0.0.1 links to; empty if it is closed.
-std::string socketOf(std::uint16_t port)
-{
-    std::ostringstream address;
-    address << "0100007F:" << std::uppercase << std::hex << std::setfill('0') << std::setw(4) << port;
-    std::ifstream connections("/proc/net/tcp");
-    for (std::string line; std::getline(connections, line);) {
-        // Number, local and remote address, state, queues, timer, retransmissions, user, time-out, and inode, which is 0 once closed.
-        std::istringstream words(line);
-        const std::vector<std::string> fields{std::istream_iterator<std::string>(words), {}};
-        constexpr std::size_t inode = 9;
-        if (fields.size() > inode && fields[1] == address.str() && fields[inode] != "0") {
-            return "socket:[" + fields[inode] + "]";
-        }
-    }
-    return {};
-}
-
 } // namespace
 
 node_processes::node_processes(const soak_options &options)
@@ -108,8 +91,9 @@
 
 std::optional<std::size_t> node_processes::ownerOf(std::uint16_t port) const
 {
-    const std::string socket = socketOf(port);
-    for (std::size_t node = 0; node < m_options.nodes && !socket.empty(); ++node) {
+    const std::optional<std::uint32_t> inode = inodeOfSocket(port, soak_ports(m_options).sharedStore());
+    const std::string socket = "socket:[" + std::to_string(inode.value_or(0)) + "]";
+    for (std::size_t node = 0; node < m_options.nodes && inode; ++node) {
         std::error_code error;
         std::filesystem::directory_iterator descriptor("/proc/" + std::to_string(processOf(node).value_or(0)) + "/fd", error);
         for (; !error && descriptor != std::filesystem::directory_iterator(); descriptor.increment(error)) {
--- a/packages/soak/src/chervilbend/soak/node_processes.hpp
+++ b/packages/soak/src/chervilbend/soak/node_processes.hpp
@@ -34,7 +34,7 @@
     /// Sends it to a process that may have ended.
     void signalProcess(pid_t process, int number);
 
-    /// The node whose process has opened the connection from that port of 127.0.0.1, if there is one.
+    /// The node whose process has opened the connection from that port of 127.0.0.1 to the shared store, if there is one.
     std::optional<std::size_t> ownerOf(std::uint16_t port) const;
 
     /// The process that the supervisor started last for the node.
