Soak: the newest configuration is in force on all nodes at the end

Cause: readiness shows that a node has some version, not that it has the one that was written while all nodes were down. Change: the soak reads the version from the metrics of each ready node at its end; another one than the newest breaks FAULT.

--- a/packages/soak/src/chervilbend/soak/soak_run.cpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include <chervilbend/soak/soak_run.hpp>
 
+#include <chervilbend/net/http_client.hpp>
 #include <chervilbend/net/sleep.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -196,6 +197,7 @@
         co_await net::sleepFor(pollInterval);
     }
     judgeRecovery();
+    co_await judgeVersions();
     for (const std::string &end : m_nodes.unexpectedEnds()) {
         m_failures.push_back("FAULT: ended by itself: " + end);
     }
@@ -229,6 +231,44 @@
     }
 }
 
+asio::awaitable<void> soak_run::judgeVersions()
+{
+    // Seconds after the last change, within which it has to be in force everywhere.
+    const std::string newest = std::to_string(m_version);
+    for (std::size_t node = 0; node < m_options.nodes; ++node) {
+        if (!m_rotation.isReady(node)) {
+            continue;
+        }
+        const std::optional<std::string> answer = co_await versionOf(node);
+        const std::string version = answer.value_or("unknown");
+        if (version != newest) {
+            std::string failure = "FAULT: " + nodeName(node);
+            failure.append(" has version ").append(version).append(" of the configuration in force at the end; the store's is ").append(newest);
+            m_failures.push_back(std::move(failure));
+        }
+    }
+}
+
+asio::awaitable<std::optional<std::string>> soak_run::versionOf(std::size_t node)
+{
+    constexpr base::milliseconds answerTimeout{2'000};
+    constexpr std::string_view metric = "\nchervilbend_configuration_version ";
+    net::http_client client;
+    net::http_send_options options;
+    options.answerTimeout = answerTimeout;
+    options.connectTimeout = answerTimeout;
+    net::http_request request(net::http::verb::get, "/metrics", 11);
+    // A variable, because g++ 12 destroys an aggregate that is a temporary argument of an awaited call twice.
+    const net::address address{"127.0.0.1", soak_ports(m_options).metrics(node)};
+    const std::optional<net::http_response> answer = co_await client.send(address, std::move(request), options);
+    const std::size_t begin = answer ? answer->body().find(metric) : std::string::npos;
+    if (begin == std::string::npos) {
+        co_return std::nullopt;
+    }
+    const std::size_t value = begin + metric.size();
+    co_return answer->body().substr(value, answer->body().find('\n', value) - value);
+}
+
 asio::awaitable<void> soak_run::acceptForStore()
 {
     while (true) {
--- a/packages/soak/src/chervilbend/soak/soak_run.hpp
+++ b/packages/soak/src/chervilbend/soak/soak_run.hpp
@@ -18,6 +18,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,10 @@
     boost::asio::awaitable<void> playAccountChanges(base::time_point start);
     /// Adds a failure for each node that was not ready in time.
     void judgeRecovery();
+    /// Adds a failure for each ready node in which another version of the configuration than the newest is in force.
+    boost::asio::awaitable<void> judgeVersions();
+    /// The version in force at the node, as its metrics name it; no value without an answer.
+    boost::asio::awaitable<std::optional<std::string>> versionOf(std::size_t node);
     /// Each call writes a new version.
     void writeConfiguration();
     void printRecords() const;
