--- a/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/endpoint_follower.cpp
@@ -43,6 +43,11 @@
     m_problemListener = std::move(listener);
 }
 
+void endpoint_follower::onFirstRead(std::function<void()> listener)
+{
+    m_firstReadListener = std::move(listener);
+}
+
 void endpoint_follower::onChange(std::function<void(const std::set<base::endpoint_id> &)> listener)
 {
     m_listener = std::move(listener);
@@ -75,6 +80,9 @@
 void endpoint_follower::noteRead(const read_time &readAt)
 {
     m_readAt = {std::max(m_readAt.steady, readAt.steady), std::max(m_readAt.boot, readAt.boot)};
+    if (const std::function<void()> listener = std::exchange(m_firstReadListener, nullptr)) {
+        listener();
+    }
 }
 
 void endpoint_follower::applyRead(const endpoint_page &page, bool isSnapshot, const read_time &requestedAt)
@@ -84,9 +92,11 @@
         return;
     }
     m_position = page.next;
-    noteRead(requestedAt);
+    if (page.isComplete) {
+        noteRead(requestedAt);
+    }
     const base::time_point now = base::clock::now();
-    notify(isSnapshot ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
+    notify(isSnapshot && page.isComplete ? m_registry.replace(page.changes, now, requestedAt.steady) : m_registry.apply(page.changes, now, requestedAt.steady));
 }
 
 void endpoint_follower::noteRestorations(base::time_point now)
@@ -129,6 +139,10 @@
             m_store.recovery().noteSuccess();
             noteRestorations(now);
             applyRead(*page, isSnapshot, requestedAt);
+            if (!isSnapshot && !page->isComplete) {
+                // The rest of the changes is there already.
+                continue;
+            }
             co_await m_wake.wait(base::clock::now() + (m_isHolder ? m_interval / holderReadFactor : m_interval));
             continue;
         }
