--- a/packages/node/tests/restart_test.cpp
+++ b/packages/node/tests/restart_test.cpp
@@ -6,11 +6,9 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <thread>
 #include <utility>
 #include <vector>
 
