Wait until all nodes have noticed the store's return before being ready without endpoints

What callers see: a node that has just started is ready without endpoints while another one still uses one. Cause: the other node's 2 s begin when it notices that the store is back, up to a retry later than this one. Change: 2 s more, which cover the longest pause between two retries and a slow call. Evidence: restart_test::nodeIsNotReadyWithoutServersThatTheOthersStillUse failed once in a full run of test_node beside other load, and not in 6 runs alone; with the change it passes in 8 runs side by side.

--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -54,6 +54,8 @@
 constexpr base::milliseconds callerIdleTimeout{60'000};
 
 constexpr base::milliseconds maxWaitForHolder{1'000};
+/// Within this time of the return of the store, all nodes have noticed it: the longest pause between two retries, and a slow call.
+constexpr base::milliseconds maxNoticeOfReturn{2'000};
 /// Connections to endpoints that tell whether this node reaches any.
 constexpr base::milliseconds probeTimeout{300};
 constexpr std::size_t leastProbes = 2;
@@ -427,7 +429,7 @@
     // While registrations that have lapsed come back, nodes that know the endpoints from before still use them. After that, no node has any: this one is as
     // good as the others, and says at once that it runs nothing.
     if (m_endpoints.endpoints().empty()) {
-        co_await net::sleepFor(fleet::endpoint_registry::reregistrationGrace);
+        co_await net::sleepFor(fleet::endpoint_registry::reregistrationGrace + maxNoticeOfReturn);
     }
     m_readiness.setMet("endpoints");
 }
