Name topics in the soak by what they hold, and share the tests' registrations

check-repo found a name of the users' wire outside the adapter, in the soak's description of its records, and duplicates the same registration in two tests of packages/fleet.

--- a/packages/fleet/tests/endpoint_follower_test.cpp
+++ b/packages/fleet/tests/endpoint_follower_test.cpp
@@ -1,3 +1,4 @@
+#include "registrations.hpp"
 #include "restorable_store.hpp"
 
 #include <chervilbend/fakes/virtual_time.hpp>
@@ -23,23 +24,10 @@
 {
 
 using base::milliseconds;
+using test::entryOf;
 
 constexpr milliseconds readInterval{800};
 
-endpoint_change entryOf(const std::string &id, std::int64_t heartbeat)
-{
-    endpoint_change change;
-    change.id = base::endpoint_id(id);
-    change.entry.emplace();
-    change.entry->id = change.id;
-    change.entry->service = base::service_id("chat");
-    change.entry->address = {"127.0.0.1", 4000};
-    change.entry->zone = base::zone_id("a");
-    change.entry->startedAt = 5;
-    change.entry->heartbeat = heartbeat;
-    return change;
-}
-
 /// A store whose answers to reads of changes end before the topic does and have no record, as when the next one is larger than an answer may be.
 class stuck_store : public test::restorable_store
 {
--- a/packages/fleet/tests/restored_store_test.cpp
+++ b/packages/fleet/tests/restored_store_test.cpp
@@ -1,3 +1,4 @@
+#include "registrations.hpp"
 #include "restorable_store.hpp"
 
 #include <chervilbend/fakes/seeded_random.hpp>
@@ -26,6 +27,7 @@
 {
 
 using base::milliseconds;
+using test::entryOf;
 
 constexpr milliseconds readInterval{800};
 constexpr milliseconds exchangeInterval{250};
@@ -33,21 +35,6 @@
 /// Time in which a change must be known everywhere.
 constexpr milliseconds propagationTime{2'000};
 
-endpoint_change entryOf(const std::string &id, std::int64_t heartbeat, bool draining = false)
-{
-    endpoint_change change;
-    change.id = base::endpoint_id(id);
-    change.entry.emplace();
-    change.entry->id = change.id;
-    change.entry->service = base::service_id("chat");
-    change.entry->address = {"127.0.0.1", 4000};
-    change.entry->zone = base::zone_id("a");
-    change.entry->startedAt = 5;
-    change.entry->heartbeat = heartbeat;
-    change.entry->draining = draining;
-    return change;
-}
-
 endpoint_change endOf(const std::string &id)
 {
     return {base::endpoint_id(id), std::nullopt};
--- a/packages/soak/src/chervilbend/soak/store_contents.cpp
+++ b/packages/soak/src/chervilbend/soak/store_contents.cpp
@@ -215,7 +215,7 @@
 
 std::string describe(const further_record &record)
 {
-    return (record.topic == shared_topic::operation ? "keyed.op \"" : "keyed.servers \"") + escaped(record.key) + "\" "
+    return (record.topic == shared_topic::operation ? "operation \"" : "servers \"") + escaped(record.key) + "\" "
         + (record.value.empty() ? "deleted" : std::to_string(record.value.size()) + " bytes");
 }
 
--- a/packages/soak/tests/store_contents_test.cpp
+++ b/packages/soak/tests/store_contents_test.cpp
@@ -148,8 +148,8 @@
 
     void printedKeyIsEscaped()
     {
-        CPPUNIT_ASSERT_EQUAL(std::string(R"(keyed.op "a\x20%\x5c\xff" 3 bytes)"), describe({shared_topic::operation, "a %\\\xff", "abc"}));
-        CPPUNIT_ASSERT_EQUAL(std::string(R"(keyed.servers "" deleted)"), describe({shared_topic::servers, "", ""}));
+        CPPUNIT_ASSERT_EQUAL(std::string(R"(operation "a\x20%\x5c\xff" 3 bytes)"), describe({shared_topic::operation, "a %\\\xff", "abc"}));
+        CPPUNIT_ASSERT_EQUAL(std::string(R"(servers "" deleted)"), describe({shared_topic::servers, "", ""}));
     }
 };
 
