Log how much of an answer had arrived, each failed read of the configuration, and why copies and pieces are refused

The incident's hypotheses differ in whether a read fails before its answer begins, with how many bytes, and whether other ways of getting the record are refused; all were "the endpoint did not answer in time" or silent. No change of behaviour.

--- a/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_backup.cpp
@@ -87,6 +87,13 @@
     if (isWritten) {
         writtenVersion = version;
     } else {
+        LOG4CXX_WARN(configLog(),
+                     base::log_event("configurationCopyNotWritten")
+                         .with("version", version)
+                         .with("copy", index)
+                         .with("bytes", record.size())
+                         .with("why", m_copies.lastReason().text)
+                         .text());
         co_await net::sleepFor(writeRetryInterval);
     }
 }
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -1,6 +1,7 @@
 #include <chervilbend/fleet/configuration_follower.hpp>
 
 #include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/configuration_provider.hpp>
 #include <chervilbend/fleet/fleet_store.hpp>
 #include <chervilbend/fleet/retry_backoff.hpp>
@@ -90,9 +91,7 @@
             }
             continue;
         }
-        if (backoff.failures() == 0) {
-            LOG4CXX_WARN(configLog(), "Cannot read the configuration, keeping the version in force: " << m_store.lastReason().text);
-        }
+        logFailedRead(backoff.failures() + 1);
         if (!std::exchange(m_isReadFailing, true)) {
             m_nodeNeeded.notify();
         }
@@ -128,6 +127,27 @@
     co_return page;
 }
 
+void configuration_follower::logFailedRead(int failures) const
+{
+    const std::string &why = m_store.lastReason().text;
+    if (failures == 1) {
+        LOG4CXX_WARN(configLog(), "Cannot read the configuration, keeping the version in force: " << why);
+        return;
+    }
+    LOG4CXX_WARN(configLog(),
+                 base::log_event("configurationUnreadable")
+                     .with("version", m_current ? m_current->version : 0)
+                     .with("failures", failures)
+                     .with("recordsBehind", recordsBehind().value_or(0))
+                     .with("why", why)
+                     .text());
+}
+
+std::optional<std::int64_t> configuration_follower::recordsBehind() const
+{
+    return m_position && m_holderPosition >= 0 ? std::optional(std::max<std::int64_t>(m_holderPosition - *m_position, 0)) : std::nullopt;
+}
+
 asio::awaitable<bool> configuration_follower::waitForHolder()
 {
     const bool isConfirmed = !m_isHolder && m_current && m_position && *m_position >= m_holderPosition && base::clock::now() < m_holderConfirmedUntil;
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -71,6 +71,9 @@
         return m_position;
     }
 
+    /// Records of the store that the holder of the command lease has read and this node has not. No value while either position is unknown.
+    std::optional<std::int64_t> recordsBehind() const;
+
     /// When the store last confirmed, to this node or to the holder, that this is the newest version.
     base::time_point confirmedAt() const
     {
@@ -81,6 +84,7 @@
     /// Waits while a confirmation of the holder makes a read by this node unnecessary. False when this node has to read.
     boost::asio::awaitable<bool> waitForHolder();
     boost::asio::awaitable<std::optional<configuration_page>> read(bool afterFailure);
+    void logFailedRead(int failures) const;
     void applyConfiguration(std::optional<traffic_configuration> newest, std::string record);
     /// Whether this node cannot read a version that another node has, as far as is known.
     bool needsNode() const;
--- a/packages/fleet/src/chervilbend/fleet/holder_configuration_provider.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_configuration_provider.cpp
@@ -1,5 +1,7 @@
 #include <chervilbend/fleet/holder_configuration_provider.hpp>
 
+#include <chervilbend/base/log.hpp>
+#include <chervilbend/base/log_event.hpp>
 #include <chervilbend/fleet/command_lease.hpp>
 #include <chervilbend/fleet/configuration_read_json.hpp>
 #include <chervilbend/fleet/configuration_read_method.hpp>
@@ -19,6 +21,12 @@
 /// The largest record takes 0.2 s on a link of 10 Mbit/s; the rest is for a holder whose event loop is late.
 constexpr base::milliseconds answerTimeout{700};
 
+const log4cxx::LoggerPtr &configLog()
+{
+    static const log4cxx::LoggerPtr logger = base::partLogger("config");
+    return logger;
+}
+
 } // namespace
 
 holder_configuration_provider::holder_configuration_provider(base::node_id node, const command_lease &lease, peers::rpc_caller &peers)
@@ -38,7 +46,11 @@
     }
     const Json::Value message = toJson(configuration_request{m_node, version});
     const std::optional<Json::Value> json = co_await m_peers.call(*address, configurationReadMethodName, message, answerTimeout);
-    co_return json ? readRemoteConfiguration(*json) : std::nullopt;
+    if (!json) {
+        LOG4CXX_DEBUG(configLog(), base::log_event("configurationNotTaken").with("node", holder->holder.value()).with("why", m_peers.lastReason().text).text());
+        co_return std::nullopt;
+    }
+    co_return readRemoteConfiguration(*json);
 }
 
 } // namespace chervilbend::fleet
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -58,6 +58,13 @@
     socket.set_option(asio::socket_base::receive_buffer_size(connection::receiveBufferBytes), ignored);
 }
 
+/// How much of an answer had arrived, for reasons of failures.
+std::string bodyProgress(const http::response_header<> &header, std::size_t received)
+{
+    const auto length = header[http::field::content_length];
+    return ", after " + std::to_string(received) + " of " + (length.empty() ? std::string("an unknown number of") : std::string(length)) + " bytes of its body";
+}
+
 /// Whether the status refuses a request, which the peer has not carried out.
 bool isRefusal(http::status status)
 {
@@ -103,7 +110,8 @@
         const std::optional<std::string_view> part = co_await stream->read();
         if (!part) {
             m_timedOut = stream->hasTimedOut();
-            co_return fail(stream->lastReason());
+            const base::reason &why = stream->lastReason();
+            co_return fail(why.kind, why.text + bodyProgress(stream->header(), response.body().size()));
         }
         if (part->empty()) {
             break;
