Bound a write of a request by its progress, not by its whole length

What callers see: a long request over a thin link fails, though its endpoint reads it all the time. Cause: one timer covered the whole write, so a request whose transfer took longer than answerTimeout (or 400 ms) could never be sent.

--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/in.h>
@@ -82,6 +83,28 @@
     }
 }
 
+struct write_result {
+    boost::system::error_code error;
+    /// Bytes that have been written.
+    std::size_t size = 0;
+};
+
+/// Writes the request. Each write that has an effect gives the next one as long as the first one had, within the deadline: a long request needs several.
+asio::awaitable<write_result> writeRequest(connection &endpoint, http_request &request, const http_send_options &options)
+{
+    http::request_serializer<http::string_body> serializer(request);
+    base::milliseconds timeout = std::max(options.answerTimeout, std::min(minWriteTimeout, options.deadline - base::clock::now()));
+    write_result result;
+    while (!result.error && !serializer.is_done()) {
+        endpoint.expireAfter(timeout);
+        const auto [error, size] = co_await http::async_write_some(endpoint.socket(), serializer, awaitTuple);
+        result.error = error;
+        result.size += size;
+        timeout = std::min(timeout, std::max(options.deadline - base::clock::now(), base::milliseconds(0)));
+    }
+    co_return result;
+}
+
 } // namespace
 
 http_client::http_client()
@@ -138,10 +161,12 @@
         request.set(http::field::host, toString(server));
     }
     request.prepare_payload();
-    endpoint->expireAfter(std::max(options.answerTimeout, std::min(minWriteTimeout, options.deadline - base::clock::now())));
     const bool isFirstRequest = endpoint->noteRequest();
     const bool headOnly = request.method() == http::verb::head;
-    const auto [error, size] = co_await http::async_write(endpoint->socket(), request, awaitTuple);
+    const auto [error, size] = co_await writeRequest(*endpoint, request, options);
+    if (options.slowestTransfer > 0) {
+        options.deadline = options.deadline + base::milliseconds(static_cast<std::int64_t>(size) / options.slowestTransfer);
+    }
     if (error) {
         m_timedOut = endpoint->hasExpired();
         // A request of which no byte was written was certainly not executed.
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -29,8 +29,13 @@
     /// Called when answerTimeout has passed without data, read or unread, before the deadline; true waits for another answerTimeout. An empty function means
     /// false.
     std::function<bool()> keepWaiting;
+    /// Longest time without a byte of the body of the answer, if that is shorter than answerTimeout.
+    base::milliseconds bodyStallTimeout = base::milliseconds::max();
     /// End of the whole exchange, including all reads of a stream.
     base::time_point deadline = base::time_point::max();
+    /// Slowest transfer of the bodies, in bytes per ms: each byte of them that is written or arrives moves the deadline by the time that it takes at this
+    /// rate, so that a long message may take longer than a short one. 0: the deadline does not move.
+    std::int64_t slowestTransfer = 0;
     /// Maximum size of the body of an answer that send() collects.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
     /// Uses a connection that carries nothing else, before or after. A pooled one may turn out to be closed only after the request was written; it is then
