Read a long answer of the store for as long as it arrives

Cause: the time limit of a call to the store, 900 ms, covered the whole answer whatever its length; what had arrived was thrown away, and each retry began anew, with the longer base64 form.

--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -42,7 +42,9 @@
     std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, bool isFirstRequest, release_callback release)
     : m_connection(std::move(endpoint))
     , m_readTimeout(options.answerTimeout)
+    , m_bodyStallTimeout(options.bodyStallTimeout)
     , m_deadline(options.deadline)
+    , m_slowestTransfer(options.slowestTransfer)
     , m_keepWaiting(options.keepWaiting)
     , m_release(std::move(release))
     , m_headOnly(headOnly)
@@ -94,9 +96,14 @@
     m_parser->skip(m_headOnly);
 }
 
+base::time_point http_client_stream::transferDeadline() const
+{
+    return m_slowestTransfer > 0 ? m_deadline + base::milliseconds(m_receivedBytes / m_slowestTransfer) : m_deadline;
+}
+
 void http_client_stream::armReadDeadline()
 {
-    const base::milliseconds remaining = std::max(m_deadline - base::clock::now(), base::milliseconds(0));
+    const base::milliseconds remaining = std::max(transferDeadline() - base::clock::now(), base::milliseconds(0));
     if (m_keepWaiting && m_readTimeout < remaining) {
         m_connection->interruptAfter(m_readTimeout);
     } else {
@@ -168,6 +175,7 @@
             co_return false;
         }
         if (isFinalStatus(status)) {
+            m_readTimeout = std::min(m_readTimeout, m_bodyStallTimeout);
             reserveForBody();
             co_return true;
         }
@@ -236,6 +244,7 @@
         }
         // No data is added when only chunk framing arrived.
         filled = m_readBuffer.size() - m_parser->get().body().size;
+        m_receivedBytes += static_cast<std::int64_t>(filled);
     }
     m_hasReadEnd = filled == 0;
     co_return std::string_view(m_readBuffer.data(), filled);
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -90,6 +90,8 @@
 
 private:
     void reserveForBody();
+    /// The deadline, moved by the bytes that have been transferred.
+    base::time_point transferDeadline() const;
     void armReadDeadline();
     /// Whether to repeat an operation that has timed out.
     bool shouldKeepWaiting(const boost::system::error_code &error);
@@ -99,7 +101,10 @@
 
     std::shared_ptr<connection> m_connection;
     base::milliseconds m_readTimeout;
+    base::milliseconds m_bodyStallTimeout;
     base::time_point m_deadline;
+    std::int64_t m_slowestTransfer;
+    std::int64_t m_receivedBytes = 0;
     std::function<bool()> m_keepWaiting;
     release_callback m_release;
     bool m_headOnly;
