Read only the newest version of the configuration when several are missing

What callers would see: during versions in quick succession a host with a thin link serves by versions that are seconds old. Cause: a node read every version that it had missed, one after the other, and a large one takes a thin link about as long as the next one takes to come. The position of the lease holder, and the end of the topic in each answer, now tell how many records are missing; if more than one, the newest records are read, after a failure too.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -78,6 +78,7 @@
                 m_confirmedAt = base::clock::now();
             }
             m_position = std::max(m_position.value_or(page->next), page->next);
+            m_storeEnd = std::max(m_storeEnd, page->end);
             applyConfiguration(std::move(page->newest), std::move(page->record));
             if (!m_current) {
                 co_await net::sleepFor(backoff.minimum());
@@ -109,8 +110,7 @@
         wait = base::milliseconds(0);
     }
     std::optional<configuration_page> page;
-    // After a failure only the newest version is read: the answer with all missed ones may take longer than a read may last.
-    const bool isNewestOnly = afterFailure || !m_position;
+    const bool isNewestOnly = readsNewestOnly(afterFailure);
     if (isNewestOnly) {
         wait = base::milliseconds(0);
     }
@@ -145,7 +145,18 @@
 
 std::optional<std::int64_t> configuration_follower::recordsBehind() const
 {
-    return m_position && m_holderPosition >= 0 ? std::optional(std::max<std::int64_t>(m_holderPosition - *m_position, 0)) : std::nullopt;
+    const std::int64_t end = std::max(m_holderPosition, m_storeEnd);
+    return m_position && end >= 0 ? std::optional(std::max<std::int64_t>(end - *m_position, 0)) : std::nullopt;
+}
+
+bool configuration_follower::readsNewestOnly(bool afterFailure) const
+{
+    if (!m_position) {
+        return true;
+    }
+    // Only the newest version counts, and each missed one takes a thin link as long. A single record is shorter as it is than among the newest records.
+    const std::int64_t behind = recordsBehind().value_or(0);
+    return behind > 1 || (afterFailure && behind != 1);
 }
 
 asio::awaitable<bool> configuration_follower::waitForHolder()
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -71,7 +71,8 @@
         return m_position;
     }
 
-    /// Records of the store that the holder of the command lease has read and this node has not. No value while either position is unknown.
+    /// Records of the store that this node has not read, as far as the holder of the command lease or an answer of the store has shown. No value while nothing
+    /// is known of it.
     std::optional<std::int64_t> recordsBehind() const;
 
     /// When the store last confirmed, to this node or to the holder, that this is the newest version.
@@ -84,6 +85,8 @@
     /// Waits while a confirmation of the holder makes a read by this node unnecessary. False when this node has to read.
     boost::asio::awaitable<bool> waitForHolder();
     boost::asio::awaitable<std::optional<configuration_page>> read(bool afterFailure);
+    /// Whether the next read is one of the newest version alone, rather than of all versions from the position on.
+    bool readsNewestOnly(bool afterFailure) const;
     void logFailedRead(int failures) const;
     void applyConfiguration(std::optional<traffic_configuration> newest, std::string record);
     /// Whether this node cannot read a version that another node has, as far as is known.
@@ -105,6 +108,8 @@
     /// The newest position that the holder has reported, and until when its confirmation replaces a read.
     std::int64_t m_holderPosition = -1;
     base::time_point m_holderConfirmedUntil;
+    /// The highest end of the records that an answer of the store has shown.
+    std::int64_t m_storeEnd = -1;
     bool m_isHolder = false;
     /// Whether the last read of the store has failed.
     bool m_isReadFailing = false;
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -27,6 +27,8 @@
     std::string record;
     /// Position at which the next read continues.
     std::int64_t next = 0;
+    /// Position after the last record of the store at the time of the read.
+    std::int64_t end = 0;
     /// Whether the store had no record after those that were read.
     bool isComplete = true;
 };
