Send large configurations to nodes that cannot read the store

What callers would see: a node that is cut off from the store serves by an old version for as long as that lasts, though others have the newest one. Cause: records above 256 KiB were refused, a bound on the length of the transfer that was right only while a call's time limit covered the whole answer. Calls between nodes wait while bytes arrive, so only the memory for an answer is bounded now (4 MiB); one answer at a time still leaves most of the sender's link. recordWithThousandsOfRoutesIsSent failed before.

--- a/packages/fleet/src/chervilbend/fleet/configuration_answer_limiter.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_answer_limiter.hpp
@@ -20,8 +20,9 @@
     /// Whether an answer of @p bytes may be sent to @p node now. If so, it counts as sent.
     bool tryStart(const base::node_id &node, std::size_t bytes);
 
-    /// Size of the largest record that is sent. On a link of 10 Mbit/s it takes 0.2 s, which leaves time within the asking node's timeout.
-    static constexpr std::size_t maxBytes = std::size_t{256} * 1'024;
+    /// Size of the largest record that is sent; it bounds the memory for the answer. A record of the largest fleets, with some thousands of routes, has less
+    /// than a quarter of it. How long it takes on a thin link is bounded by the asking node, which waits while bytes arrive.
+    static constexpr std::size_t maxBytes = std::size_t{4} * 1'024 * 1'024;
     /// Least time between two answers to one node. It is less than the shortest interval at which a node learns of newer versions from the lease holder,
     /// 250 ms, so that a node that follows each version is not refused.
     static constexpr base::milliseconds minInterval{200};
--- a/packages/fleet/src/chervilbend/fleet/holder_configuration_provider.cpp
+++ b/packages/fleet/src/chervilbend/fleet/holder_configuration_provider.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-/// The largest record takes 0.2 s on a link of 10 Mbit/s; the rest is for a holder whose event loop is late.
+/// Until the answer begins, and between two parts of it. It allows for a holder whose event loop is late.
 constexpr base::milliseconds answerTimeout{700};
 
 const log4cxx::LoggerPtr &configLog()
--- a/packages/fleet/tests/configuration_answer_limiter_test.cpp
+++ b/packages/fleet/tests/configuration_answer_limiter_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(manyNodesGetOneAnswerAtATime);
     CPPUNIT_TEST(oneNodeDoesNotGetAnswersInARow);
     CPPUNIT_TEST(tooLargeRecordIsNotSent);
+    CPPUNIT_TEST(recordWithThousandsOfRoutesIsSent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -60,6 +61,20 @@
         CPPUNIT_ASSERT(limiter.tryStart(base::node_id("n-1"), recordBytes));
     }
 
+    /// Failure: a node that was cut off from the store never got a large configuration, as every other node refused to send it.
+    void recordWithThousandsOfRoutesIsSent()
+    {
+        constexpr std::size_t bytes = 800'000;
+        constexpr base::milliseconds answerTime{1'600};
+        base::manual_time_source time;
+        configuration_answer_limiter limiter(linkMegabits);
+        CPPUNIT_ASSERT(limiter.tryStart(base::node_id("n-1"), bytes));
+        time.advance(answerTime - base::milliseconds(1));
+        CPPUNIT_ASSERT_MESSAGE("one at a time", !limiter.tryStart(base::node_id("n-2"), bytes));
+        time.advance(base::milliseconds(1));
+        CPPUNIT_ASSERT(limiter.tryStart(base::node_id("n-2"), bytes));
+    }
+
     void tooLargeRecordIsNotSent()
     {
         const base::manual_time_source time;
