Keep copies of configurations that are longer than a record of the store

What callers would see: after all nodes lost power while a part of the store is silent, every request is refused, although the copies of the configuration are meant for that. The new setting storeRecordLimit takes the platform's recordBytes.

--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -73,6 +73,7 @@
     base::milliseconds revocationBound{5'000};
     double quotaOvershoot = 0;
     std::int64_t configurationCopies = 0;
+    std::int64_t storeRecordLimit = 262'144;
 };
 
 } // namespace chervilbend::config
--- a/packages/fakes/src/chervilbend/fakes/platform/metadata_store.cpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/metadata_store.cpp
@@ -219,7 +219,10 @@
     const std::size_t offset = records.records().size();
     std::optional<std::vector<std::string>> appended = splitFrames(body);
     const std::optional<std::uint64_t> expected = query.number("at", offset);
-    if (!expected || !appended || !std::all_of(appended->begin(), appended->end(), [&](const std::string &record) { return records.canHold(record); })) {
+    const auto isAccepted = [&](const std::string &record) {
+        return records.canHold(record) && record.size() <= m_recordLimit;
+    };
+    if (!expected || !appended || !std::all_of(appended->begin(), appended->end(), isAccepted)) {
         return {400, ""};
     }
     if (*expected != offset) {
--- a/packages/fakes/src/chervilbend/fakes/platform/metadata_store.hpp
+++ b/packages/fakes/src/chervilbend/fakes/platform/metadata_store.hpp
@@ -77,6 +77,11 @@
     {
         m_retention = records;
     }
+    /// Refuses appends of longer records with 400.
+    void setRecordLimit(std::size_t bytes)
+    {
+        m_recordLimit = bytes;
+    }
     /// Refuses reads beyond the rate with 429; without a value, none.
     void setReadRate(std::optional<double> readsPerSecond);
 
@@ -112,6 +117,7 @@
     page_limit m_pageLimit;
     key_encoding m_keyEncoding = key_encoding::rawBytes;
     std::size_t m_retention = std::numeric_limits<std::size_t>::max();
+    std::size_t m_recordLimit = std::numeric_limits<std::size_t>::max();
     std::optional<call_rate> m_readRate;
     std::map<std::string, call_counts, std::less<>> m_calls;
     seeded_random m_random;
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -151,7 +151,7 @@
     , m_storeClient(storeClient(settings))
     , m_store(m_storeClient)
     , m_streamStore(m_storeClient)
-    , m_configurationCopies(m_storeClient, static_cast<int>(settings.configurationCopies))
+    , m_configurationCopies(m_storeClient, static_cast<int>(settings.configurationCopies), static_cast<std::size_t>(settings.storeRecordLimit))
     , m_refusedPartsStore(m_storeClient)
     , m_configuration(m_store, seedOf(settings))
     , m_endpointFollower(m_store, m_endpoints, readInterval(settings), seedOf(settings) + 1)
