Don't read copies of the configuration beside an answer that is arriving

What callers would see: after a restart, hosts with thin links take several times as long until they serve. Cause: a node without a configuration reads all copies once the answer is not whole after 150 ms, so on a thin link four transfers of the same record share the link. An answer of which parts arrive now counts as being answered; the copies are read if nothing arrives for 150 ms, or the read fails. copiesDoNotCompeteWithALongAnswer failed before.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -45,6 +45,16 @@
     : m_store(store)
     , m_seed(seed)
 {
+    m_store.onConfigurationArriving([this] {
+        if (m_answerDueAt) {
+            m_answerDueAt = std::max(*m_answerDueAt, base::clock::now() + slowReadThreshold);
+        }
+    });
+}
+
+configuration_follower::~configuration_follower()
+{
+    m_store.onConfigurationArriving(nullptr);
 }
 
 void configuration_follower::onChange(std::function<void(const traffic_configuration &)> listener)
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -27,6 +27,9 @@
 public:
     /// @p store must outlive the follower. @p seed is for the random delays after failures.
     explicit configuration_follower(fleet_store &store, std::uint64_t seed);
+    ~configuration_follower();
+    configuration_follower(const configuration_follower &) = delete;
+    configuration_follower &operator=(const configuration_follower &) = delete;
 
     /// Commands.
 
@@ -62,7 +65,7 @@
         return m_record;
     }
 
-    /// Whether the store has refused the last read of the configuration, or does not answer it.
+    /// Whether the store has refused the last read of the configuration, or does not answer it. An answer that arrives slowly is one.
     bool isUnreadable() const;
 
     /// Position in the store up to which the configuration is known.
@@ -99,7 +102,7 @@
     std::function<void(const traffic_configuration &)> m_listener;
     std::function<void()> m_takenListener;
     std::shared_ptr<const traffic_configuration> m_current;
-    /// When the answer to the present read will be late; no value between two reads.
+    /// When the answer to the present read, or its next part, will be late; no value between two reads.
     std::optional<base::time_point> m_answerDueAt;
     std::string m_record;
     std::optional<std::int64_t> m_position;
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -11,9 +11,11 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chervilbend::fleet
@@ -86,6 +88,12 @@
 public:
     virtual ~fleet_store() = default;
 
+    /// The listener is called each time that a part of an answer to a read of the configuration has arrived.
+    void onConfigurationArriving(std::function<void()> listener)
+    {
+        m_arrivingListener = std::move(listener);
+    }
+
     /// Shared by the tasks that call the store.
     store_recovery &recovery()
     {
@@ -111,8 +119,17 @@
         return 0;
     }
 
+protected:
+    void notifyConfigurationArriving() const
+    {
+        if (m_arrivingListener) {
+            m_arrivingListener();
+        }
+    }
+
 private:
     store_recovery m_recovery;
+    std::function<void()> m_arrivingListener;
 };
 
 } // namespace chervilbend::fleet
--- a/packages/fleet/tests/configuration_backup_test.cpp
+++ b/packages/fleet/tests/configuration_backup_test.cpp
@@ -36,7 +36,12 @@
 
     asio::awaitable<std::optional<configuration_page>> newestConfiguration() override
     {
+        const base::time_point arrivedAt = base::clock::now() + transferTime;
         co_await net::sleepFor(delay);
+        while (base::clock::now() < arrivedAt) {
+            notifyConfigurationArriving();
+            co_await net::sleepFor(std::min(base::milliseconds(20), arrivedAt - base::clock::now()));
+        }
         if (!readable) {
             co_return fail(base::error_kind::logUnavailable, "silent");
         }
@@ -54,6 +59,8 @@
     }
 
     std::optional<std::int64_t> readable;
+    /// How long an answer takes to arrive.
+    base::milliseconds transferTime{0};
 };
 
 /// Copies that are kept in memory; some of them can't be reached.
@@ -152,6 +159,7 @@
     CPPUNIT_TEST(copyNeverReplacesAVersion);
     CPPUNIT_TEST(holderWritesEachVersionOnce);
     CPPUNIT_TEST(nodeThatReadsTheRecordNeedsNoCopy);
+    CPPUNIT_TEST(copiesDoNotCompeteWithALongAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -202,6 +210,18 @@
         fixture.context.run_for(std::chrono::milliseconds(400));
         CPPUNIT_ASSERT_EQUAL(0, fixture.copies.reads);
     }
+
+    /// Failure: a node that started behind a thin link read the copies beside the record itself, which made all of them several times as slow.
+    void copiesDoNotCompeteWithALongAnswer()
+    {
+        backup_fixture fixture;
+        fixture.store.transferTime = base::milliseconds(800);
+        fixture.store.readable = 5;
+        fixture.copies.versions = {{0, 4}, {1, 4}, {2, 4}};
+        fixture.runUntil([&] { return fixture.version() != 0; });
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), fixture.version());
+        CPPUNIT_ASSERT_EQUAL(0, fixture.copies.reads);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_backup_test);
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -144,6 +144,9 @@
             co_return fail(base::error_kind::endpointInvalidAnswer, "the endpoint's answer exceeds the size limit");
         }
         response.body().append(*part);
+        if (options.bodyArriving) {
+            options.bodyArriving();
+        }
     }
     response.erase(http::field::transfer_encoding);
     co_return response;
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -29,6 +29,8 @@
     /// Called when answerTimeout has passed without data, read or unread, before the deadline; true waits for another answerTimeout. An empty function means
     /// false.
     std::function<bool()> keepWaiting;
+    /// Called by send() each time that a part of the body of the answer has arrived. May be empty.
+    std::function<void()> bodyArriving;
     /// Longest time without a byte of the body of the answer, if that is shorter than answerTimeout.
     base::milliseconds bodyStallTimeout = base::milliseconds::max();
     /// End of the whole exchange, including all reads of a stream.
