--- a/packages/external/tests/http_adapters_test.cpp
+++ b/packages/external/tests/http_adapters_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(skipsInvalidHosts);
     CPPUNIT_TEST(refusesMalformedStoreStatuses);
     CPPUNIT_TEST(failsOnSlowTruncatedAndOversizedAnswers);
+    CPPUNIT_TEST(longPageIsReadWhileItArrives);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -216,6 +217,24 @@
         CPPUNIT_ASSERT(append().status == append_status::unknown);
     }
 
+    /// Failure: a page that took longer over a thin link than a call without an answer may last was read again and again, and never whole.
+    void longPageIsReadWhileItArrives()
+    {
+        constexpr std::size_t payloadBytes = 60'000;
+        constexpr std::size_t sliceBytes = 2'000;
+        const std::string page = R"({"firstRetained":1,"head":9,"records":[{"offset":9,"payload":")" + std::string(payloadBytes, 'x') + R"("}]})";
+        serve([answer = ok(page)](std::shared_ptr<raw_peer> peer) -> asio::awaitable<void> {
+            co_await peer->readUntil("\r\n\r\n");
+            for (std::size_t begin = 0; begin < answer.size(); begin += sliceBytes) {
+                co_await peer->send(answer.substr(begin, sliceBytes));
+                co_await net::sleepFor(base::milliseconds(20));
+            }
+        });
+        const std::optional<external::log_page> read = readPage(8);
+        CPPUNIT_ASSERT(read);
+        CPPUNIT_ASSERT_EQUAL(payloadBytes, read->records.at(0).payload.size());
+    }
+
 private:
     static std::string withStatus(const std::string &status, const std::string &body)
     {
