--- a/packages/fleet/tests/configuration_backlog_test.cpp
+++ b/packages/fleet/tests/configuration_backlog_test.cpp
@@ -41,12 +41,21 @@
         while (offset >= versions.size() && base::clock::now() < until) {
             co_await net::sleepFor(base::milliseconds(10));
         }
-        const configuration_page page = pageOf(offset);
+        ++readsFromPosition;
+        configuration_page page = pageOf(offset);
+        if (isRecordTooLong) {
+            page.newest.reset();
+            page.next = position;
+            page.isComplete = page.next == page.end;
+        }
         co_await net::sleepFor(page.newest ? recordTime : delay);
         co_return page;
     }
 
     std::vector<std::int64_t> versions;
+    /// While set, answers to reads from a position have no room for a record.
+    bool isRecordTooLong = false;
+    int readsFromPosition = 0;
 
 private:
     configuration_page pageOf(std::size_t offset) const
@@ -100,6 +109,7 @@
     CPPUNIT_TEST_SUITE(configuration_backlog_test);
     CPPUNIT_TEST(newestOfManyVersionsIsInForceWithinTheBound);
     CPPUNIT_TEST(lastOfAFewVersionsIsReadAsItIs);
+    CPPUNIT_TEST(recordThatNoAnswerHasRoomForIsReadAsTheNewest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +136,21 @@
             CPPUNIT_ASSERT_EQUAL(node.store.versions.back(), node.follower.current()->version);
         }
     }
+
+    /// Failure: a node would read the same empty answer for ever, without a pause.
+    void recordThatNoAnswerHasRoomForIsReadAsTheNewest()
+    {
+        distant_node node;
+        node.store.isRecordTooLong = true;
+        node.store.readsFromPosition = 0;
+        for (int i = 0; i < 3; ++i) {
+            node.store.versions.push_back(node.store.versions.back() + 1);
+            node.follower.noteHolderPosition(static_cast<std::int64_t>(node.store.versions.size()), base::clock::now());
+            node.time.advance(base::milliseconds(2'000));
+            CPPUNIT_ASSERT_EQUAL(node.store.versions.back(), node.follower.current()->version);
+        }
+        CPPUNIT_ASSERT(node.store.readsFromPosition <= 10);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_backlog_test);
