--- a/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node_reports.cpp
@@ -59,7 +59,8 @@
     m_registry.gaugeFor("chervilbend_configuration_record_bytes", "Size of the configuration in force, as a record of the store").readFrom([this] {
         return static_cast<double>(m_configuration.record().size());
     });
-    m_registry.gaugeFor("chervilbend_configuration_records_behind", "Records of the configuration that are known to be in the store and that this node has not read")
+    m_registry
+        .gaugeFor("chervilbend_configuration_records_behind", "Records of the configuration that are known to be in the store and that this node has not read")
         .readFrom([this] { return static_cast<double>(m_configuration.recordsBehind().value_or(0)); });
     base::counter &configurationsFromNodes = m_registry.counterFor(
         "chervilbend_configurations_from_nodes_total", "Versions of the configuration that were taken from another node, because the store could not be read");
