Count a confirmation of the configuration from when the answer began to arrive

What callers would see: with strictRevocation, a key that was removed while a long answer arrives is accepted for as long again as the transfer takes. Cause: a read confirmed the version in force as of its end. That was wrong by 0.9 s at most while a call could not last longer; since long answers are read for as long as they arrive, it can be seconds. longAnswerConfirmsWhatHeldWhenItBegan failed before.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -46,8 +46,10 @@
     , m_seed(seed)
 {
     m_store.onConfigurationArriving([this] {
+        const base::time_point now = base::clock::now();
+        m_answerBeganAt = m_answerBeganAt.value_or(now);
         if (m_answerDueAt) {
-            m_answerDueAt = std::max(*m_answerDueAt, base::clock::now() + slowReadThreshold);
+            m_answerDueAt = std::max(*m_answerDueAt, now + slowReadThreshold);
         }
     });
 }
@@ -85,7 +87,7 @@
             m_isReadFailing = false;
             // The read does not confirm a version that has been taken from another node meanwhile.
             if (m_position == before && page->isComplete) {
-                m_confirmedAt = base::clock::now();
+                m_confirmedAt = std::max(m_confirmedAt, m_answerBeganAt.value_or(base::clock::now()));
             }
             m_position = std::max(m_position.value_or(page->next), page->next);
             m_storeEnd = std::max(m_storeEnd, page->end);
@@ -126,6 +128,7 @@
     if (isNewestOnly) {
         wait = base::milliseconds(0);
     }
+    m_answerBeganAt.reset();
     m_answerDueAt = requestedAt + wait + slowReadThreshold;
     if (isNewestOnly) {
         page = co_await m_store.newestConfiguration();
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -104,6 +104,8 @@
     std::shared_ptr<const traffic_configuration> m_current;
     /// When the answer to the present read, or its next part, will be late; no value between two reads.
     std::optional<base::time_point> m_answerDueAt;
+    /// When the answer to the last read began to arrive: what the store has confirmed, it has confirmed then.
+    std::optional<base::time_point> m_answerBeganAt;
     std::string m_record;
     std::optional<std::int64_t> m_position;
     base::time_point m_confirmedAt;
--- a/packages/fleet/tests/configuration_backup_test.cpp
+++ b/packages/fleet/tests/configuration_backup_test.cpp
@@ -160,6 +160,7 @@
     CPPUNIT_TEST(holderWritesEachVersionOnce);
     CPPUNIT_TEST(nodeThatReadsTheRecordNeedsNoCopy);
     CPPUNIT_TEST(copiesDoNotCompeteWithALongAnswer);
+    CPPUNIT_TEST(longAnswerConfirmsWhatHeldWhenItBegan);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -222,6 +223,16 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), fixture.version());
         CPPUNIT_ASSERT_EQUAL(0, fixture.copies.reads);
     }
+
+    /// Failure: a key that was removed while a long answer arrived was accepted for as long again as the transfer had taken.
+    void longAnswerConfirmsWhatHeldWhenItBegan()
+    {
+        backup_fixture fixture;
+        fixture.store.transferTime = base::milliseconds(800);
+        fixture.store.readable = 5;
+        fixture.runUntil([&] { return fixture.version() == 5; });
+        CPPUNIT_ASSERT(base::clock::now() - fixture.follower.confirmedAt() >= base::milliseconds(700));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_backup_test);
