Use the position's absence for a read that has brought no record

Cause: a flag of its own stood beside the position, although a node without a position reads the newest record already, as after records that are no longer retained. The flag is gone; test_fleet (157) holds, with recordThatNoAnswerHasRoomForIsReadAsTheNewest as it was.

--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -91,8 +91,10 @@
             }
             m_position = std::max(m_position.value_or(page->next), page->next);
             m_storeEnd = std::max(m_storeEnd, page->end);
-            // The next record may be longer than an answer with records from a position.
-            m_isPositionStuck = before && !page->isComplete && page->next <= *before;
+            if (before && m_position == before && !page->isComplete) {
+                // The next record may be longer than an answer with records from a position, so the newest one is read.
+                m_position.reset();
+            }
             applyConfiguration(std::move(page->newest), std::move(page->record));
             if (!m_current) {
                 co_await net::sleepFor(backoff.minimum());
@@ -166,7 +168,7 @@
 
 bool configuration_follower::readsNewestOnly(bool afterFailure) const
 {
-    if (!m_position || m_isPositionStuck) {
+    if (!m_position) {
         return true;
     }
     // Only the newest version counts, and each missed one takes a thin link as long. A single record is shorter as it is than among the newest records.
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -115,8 +115,6 @@
     base::time_point m_holderConfirmedUntil;
     /// The highest end of the records that an answer of the store has shown.
     std::int64_t m_storeEnd = -1;
-    /// Whether the last read from the position on has brought no record, although there are some.
-    bool m_isPositionStuck = false;
     bool m_isHolder = false;
     /// Whether the last read of the store has failed.
     bool m_isReadFailing = false;
