Keep the bounds by progress, and the moving deadline, in one place

No change of behaviour; test_net (66), test_platform (73), test_external (10) and test_fleet (157) hold.

--- a/packages/external/src/chervilbend/external/http/internal/json_client.cpp
+++ b/packages/external/src/chervilbend/external/http/internal/json_client.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/json/parse.hpp>
 
-#include <cstdint>
 #include <string_view>
 #include <utility>
 
@@ -20,8 +19,6 @@
 {
 /// The wire format has at most five levels of nesting.
 constexpr std::size_t maxDepth = 16;
-/// Bytes per ms.
-constexpr std::int64_t slowestTransfer = 32;
 } // namespace
 
 json_client::json_client(net::http_client &client, http_adapter_options options)
@@ -49,10 +46,7 @@
 {
     net::http_send_options options;
     options.connectTimeout = m_options.connectTimeout;
-    options.answerTimeout = m_options.answerTimeout + wait;
-    options.bodyStallTimeout = m_options.answerTimeout;
-    options.deadline = base::clock::now() + options.answerTimeout;
-    options.slowestTransfer = slowestTransfer;
+    options.boundByProgress(m_options.answerTimeout, wait);
     options.freshConnection = freshConnection;
     const std::shared_ptr<net::http_client_stream> answer = co_await m_client.open(std::move(address), std::move(request), options);
     if (!answer) {
--- a/packages/net/src/chervilbend/net/http_client.cpp
+++ b/packages/net/src/chervilbend/net/http_client.cpp
@@ -107,6 +107,14 @@
 
 } // namespace
 
+void http_send_options::boundByProgress(base::milliseconds timeout, base::milliseconds wait)
+{
+    answerTimeout = timeout + wait;
+    bodyStallTimeout = timeout;
+    deadline = base::clock::now() + answerTimeout;
+    slowestTransfer = slowestUsefulTransfer;
+}
+
 http_client::http_client()
     : m_idle(std::make_shared<std::map<address, std::vector<idle_connection>>>())
 {
@@ -167,9 +175,6 @@
     const bool isFirstRequest = endpoint->noteRequest();
     const bool headOnly = request.method() == http::verb::head;
     const auto [error, size] = co_await writeRequest(*endpoint, request, options);
-    if (options.slowestTransfer > 0) {
-        options.deadline = options.deadline + base::milliseconds(static_cast<std::int64_t>(size) / options.slowestTransfer);
-    }
     if (error) {
         m_timedOut = endpoint->hasExpired();
         // A request of which no byte was written was certainly not executed.
@@ -189,7 +194,7 @@
             idleAtAddress.push_back({std::move(used), base::clock::now()});
         }
     };
-    const auto stream = std::make_shared<http_client_stream>(endpoint, options, headOnly, isFirstRequest, releaseToPool);
+    const auto stream = std::make_shared<http_client_stream>(endpoint, options, size, headOnly, isFirstRequest, releaseToPool);
     if (options.freshConnection) {
         stream->closeAfterAnswer();
     }
--- a/packages/net/src/chervilbend/net/http_client.hpp
+++ b/packages/net/src/chervilbend/net/http_client.hpp
@@ -23,6 +23,10 @@
 
 /// Options for sending one request.
 struct http_send_options {
+    /// Bounds the exchange by its progress instead of its length: the server begins to answer within @p timeout, after holding the request for @p wait, and
+    /// goes on within @p timeout after each byte. A transfer that is slower than slowestUsefulTransfer ends.
+    void boundByProgress(base::milliseconds timeout, base::milliseconds wait);
+
     base::milliseconds connectTimeout{1'000};
     /// Until the header of the answer has arrived, and then for each read of its body.
     base::milliseconds answerTimeout{30'000};
@@ -38,6 +42,8 @@
     /// Slowest transfer of the bodies, in bytes per ms: each byte of them that is written or arrives moves the deadline by the time that it takes at this
     /// rate, so that a long message may take longer than a short one. 0: the deadline does not move.
     std::int64_t slowestTransfer = 0;
+    /// Bytes per ms. The links of small hosts carry ten times as much or more, but an answer shares them with callers' requests.
+    static constexpr std::int64_t slowestUsefulTransfer = 32;
     /// Maximum size of the body of an answer that send() collects.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
     /// Uses a connection that carries nothing else, before or after. A pooled one may turn out to be closed only after the request was written; it is then
--- a/packages/net/src/chervilbend/net/http_client_stream.cpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.cpp
@@ -38,13 +38,18 @@
 constexpr int maxInterimAnswers = 16;
 } // namespace
 
-http_client_stream::http_client_stream(
-    std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, bool isFirstRequest, release_callback release)
+http_client_stream::http_client_stream(std::shared_ptr<connection> endpoint,
+                                       const http_send_options &options,
+                                       std::size_t writtenBytes,
+                                       bool headOnly,
+                                       bool isFirstRequest,
+                                       release_callback release)
     : m_connection(std::move(endpoint))
     , m_readTimeout(options.answerTimeout)
     , m_bodyStallTimeout(options.bodyStallTimeout)
     , m_deadline(options.deadline)
     , m_slowestTransfer(options.slowestTransfer)
+    , m_transferredBytes(static_cast<std::int64_t>(writtenBytes))
     , m_keepWaiting(options.keepWaiting)
     , m_release(std::move(release))
     , m_headOnly(headOnly)
@@ -98,7 +103,7 @@
 
 base::time_point http_client_stream::transferDeadline() const
 {
-    return m_slowestTransfer > 0 ? m_deadline + base::milliseconds(m_receivedBytes / m_slowestTransfer) : m_deadline;
+    return m_slowestTransfer > 0 ? m_deadline + base::milliseconds(m_transferredBytes / m_slowestTransfer) : m_deadline;
 }
 
 void http_client_stream::armReadDeadline()
@@ -244,7 +249,7 @@
         }
         // No data is added when only chunk framing arrived.
         filled = m_readBuffer.size() - m_parser->get().body().size;
-        m_receivedBytes += static_cast<std::int64_t>(filled);
+        m_transferredBytes += static_cast<std::int64_t>(filled);
     }
     m_hasReadEnd = filled == 0;
     co_return std::string_view(m_readBuffer.data(), filled);
--- a/packages/net/src/chervilbend/net/http_client_stream.hpp
+++ b/packages/net/src/chervilbend/net/http_client_stream.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -29,8 +30,13 @@
     /// Takes a connection that can be reused, and the time for which it may stay idle.
     using release_callback = std::function<void(std::shared_ptr<connection>, base::milliseconds)>;
 
-    /// @p isFirstRequest tells whether no other request was sent on the connection before.
-    http_client_stream(std::shared_ptr<connection> endpoint, const http_send_options &options, bool headOnly, bool isFirstRequest, release_callback release);
+    /// @p writtenBytes is the size of the request; @p isFirstRequest tells whether no other request was sent on the connection before.
+    http_client_stream(std::shared_ptr<connection> endpoint,
+                       const http_send_options &options,
+                       std::size_t writtenBytes,
+                       bool headOnly,
+                       bool isFirstRequest,
+                       release_callback release);
     ~http_client_stream();
     http_client_stream(const http_client_stream &) = delete;
     http_client_stream &operator=(const http_client_stream &) = delete;
@@ -104,7 +110,7 @@
     base::milliseconds m_bodyStallTimeout;
     base::time_point m_deadline;
     std::int64_t m_slowestTransfer;
-    std::int64_t m_receivedBytes = 0;
+    std::int64_t m_transferredBytes;
     std::function<bool()> m_keepWaiting;
     release_callback m_release;
     bool m_headOnly;
