--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -47,7 +47,8 @@
 {
     m_store.onConfigurationArriving([this] {
         const base::time_point now = base::clock::now();
-        m_answerBeganAt = m_answerBeganAt.value_or(now);
+        m_read.answerBeganAt = m_read.answerBeganAt.value_or(now);
+        m_read.lastPartAt = now;
         if (m_answerDueAt) {
             m_answerDueAt = std::max(*m_answerDueAt, now + slowReadThreshold);
         }
@@ -87,7 +88,7 @@
             m_isReadFailing = false;
             // The read does not confirm a version that has been taken from another node meanwhile.
             if (m_position == before && page->isComplete) {
-                m_confirmedAt = std::max(m_confirmedAt, m_answerBeganAt.value_or(base::clock::now()));
+                m_confirmedAt = std::max(m_confirmedAt, m_read.answerBeganAt.value_or(base::clock::now()));
             }
             m_position = std::max(m_position.value_or(page->next), page->next);
             m_storeEnd = std::max(m_storeEnd, page->end);
@@ -95,7 +96,7 @@
                 // The next record may be longer than an answer with records from a position, so the newest one is read.
                 m_position.reset();
             }
-            applyConfiguration(std::move(page->newest), std::move(page->record));
+            applyPage(std::move(*page));
             if (!m_current) {
                 co_await net::sleepFor(backoff.minimum());
             }
@@ -130,7 +131,7 @@
     if (isNewestOnly) {
         wait = base::milliseconds(0);
     }
-    m_answerBeganAt.reset();
+    m_read = {requestedAt, std::nullopt, std::nullopt};
     m_answerDueAt = requestedAt + wait + slowReadThreshold;
     if (isNewestOnly) {
         page = co_await m_store.newestConfiguration();
@@ -144,6 +145,31 @@
     co_return page;
 }
 
+void configuration_follower::applyPage(configuration_page page)
+{
+    const std::int64_t before = m_current ? m_current->version : 0;
+    const std::size_t bytes = page.record.size();
+    const base::time_point decodedAt = base::clock::now();
+    applyConfiguration(std::move(page.newest), std::move(page.record));
+    if (m_current && m_current->version != before) {
+        const base::time_point beganAt = m_read.answerBeganAt.value_or(decodedAt);
+        const base::time_point arrivedAt = m_read.lastPartAt.value_or(decodedAt);
+        LOG4CXX_INFO(configLog(),
+                     base::log_event("configurationRead")
+                         .with("version", m_current->version)
+                         .with("bytes", bytes)
+                         .with("knownMs", (m_read.sentAt - std::min(m_newerKnownAt.value_or(m_read.sentAt), m_read.sentAt)).count())
+                         .with("answerMs", (beganAt - m_read.sentAt).count())
+                         .with("transferMs", (arrivedAt - beganAt).count())
+                         .with("decodeMs", (decodedAt - arrivedAt).count())
+                         .with("applyMs", (base::clock::now() - decodedAt).count())
+                         .text());
+    }
+    if (recordsBehind().value_or(0) == 0) {
+        m_newerKnownAt.reset();
+    }
+}
+
 void configuration_follower::logFailedRead(int failures) const
 {
     const std::string &why = m_store.lastReason().text;
@@ -199,6 +225,7 @@
         m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
     } else if (position > m_holderPosition) {
         m_holderPosition = position;
+        m_newerKnownAt = m_newerKnownAt.value_or(base::clock::now());
         m_wake.notify();
         m_nodeNeeded.notify();
     }
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -85,12 +85,22 @@
     }
 
 private:
+    /// When a read was sent, its answer began to arrive, and the last part of it arrived. What the store has confirmed, it has confirmed when it began to
+    /// answer.
+    struct read_stages {
+        base::time_point sentAt;
+        std::optional<base::time_point> answerBeganAt;
+        std::optional<base::time_point> lastPartAt;
+    };
+
     /// Waits while a confirmation of the holder makes a read by this node unnecessary. False when this node has to read.
     boost::asio::awaitable<bool> waitForHolder();
     boost::asio::awaitable<std::optional<configuration_page>> read(bool afterFailure);
     /// Whether the next read is one of the newest version alone, rather than of all versions from the position on.
     bool readsNewestOnly(bool afterFailure) const;
     void logFailedRead(int failures) const;
+    /// Puts what a read has brought in force, and logs how long each stage took.
+    void applyPage(configuration_page page);
     void applyConfiguration(std::optional<traffic_configuration> newest, std::string record);
     /// Whether this node cannot read a version that another node has, as far as is known.
     bool needsNode() const;
@@ -104,8 +114,10 @@
     std::shared_ptr<const traffic_configuration> m_current;
     /// When the answer to the present read, or its next part, will be late; no value between two reads.
     std::optional<base::time_point> m_answerDueAt;
-    /// When the answer to the last read began to arrive: what the store has confirmed, it has confirmed then.
-    std::optional<base::time_point> m_answerBeganAt;
+    /// The stages of the last read.
+    read_stages m_read;
+    /// When the lease holder or the store has shown a record that this node lacks; no value while none is known.
+    std::optional<base::time_point> m_newerKnownAt;
     std::string m_record;
     std::optional<std::int64_t> m_position;
     base::time_point m_confirmedAt;
