Wait longer for an answer that the store begins late because all nodes read

What callers would see: with many nodes or large records a version never arrives, and after a start of all nodes none serves. A read that is given up and begun again asks for the same bytes once more.

--- a/packages/config/src/chervilbend/config/node_setting_table.cpp
+++ b/packages/config/src/chervilbend/config/node_setting_table.cpp
@@ -352,6 +352,7 @@
                       "Copies of the configuration that the nodes keep in the metadata store, for nodes that start while a part of it is unavailable",
                       &s::configurationCopies),
         numberSetting("storeRecordLimit", "bytes", 1'024, 1'000'000'000, "Size of the longest record that the metadata store takes", &s::storeRecordLimit),
+        fractionSetting("storeReadRate", "MB/s", 0.1, 100'000, "Rate at which the metadata store answers the reads of all nodes together", &s::storeReadRate),
         fractionSetting(
             "quotaOvershoot", "of an account's quota", 0, 1, "By how much all nodes together may exceed the quota of an account", &s::quotaOvershoot),
         numberSetting("seed", "number", 0, 1'000'000'000, "Seed of the random number generator, for tests; 0 uses a random seed", &s::seed),
--- a/packages/config/src/chervilbend/config/node_settings.hpp
+++ b/packages/config/src/chervilbend/config/node_settings.hpp
@@ -74,6 +74,7 @@
     double quotaOvershoot = 0;
     std::int64_t configurationCopies = 0;
     std::int64_t storeRecordLimit = 262'144;
+    double storeReadRate = 80;
 };
 
 } // namespace chervilbend::config
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.cpp
@@ -30,6 +30,12 @@
 constexpr base::milliseconds holderConfirmationLifetime{1'200};
 /// A read that does not wait is normally answered within a few ms.
 constexpr base::milliseconds slowReadThreshold{150};
+/// The store sends the newest records in base64.
+constexpr double encodedSizeFactor = 4.0 / 3;
+/// First allowance of a node without a configuration, which does not know how long the record is. It asks the copies and the other nodes meanwhile. It doubles
+/// after each failure: reads that are given up and repeated keep the store busy.
+constexpr base::milliseconds unknownRecordAllowance{1'000};
+constexpr int maxAllowanceDoublings = 3;
 /// Upper bound of a wait that changes of the state end.
 constexpr base::milliseconds idleWait{10'000};
 
@@ -70,6 +76,17 @@
     m_takenListener = std::move(listener);
 }
 
+void configuration_follower::setNodeCount(int nodes)
+{
+    m_nodes = nodes;
+}
+
+void configuration_follower::setStoreReadRate(double megabytesPerSecond)
+{
+    constexpr double bytesPerMsOfMegabyte = 1'000;
+    m_storeBytesPerMs = megabytesPerSecond * bytesPerMsOfMegabyte;
+}
+
 asio::awaitable<void> configuration_follower::run()
 {
     retry_backoff backoff(m_seed);
@@ -78,7 +95,7 @@
             continue;
         }
         const std::optional<std::int64_t> before = m_position;
-        std::optional<configuration_page> page = co_await read(backoff.failures() > 0);
+        std::optional<configuration_page> page = co_await read(backoff.failures());
         if (page) {
             if (backoff.failures() > 0) {
                 LOG4CXX_INFO(configLog(), "Configuration is readable again after " << backoff.failures() << " failed reads.");
@@ -117,7 +134,7 @@
     }
 }
 
-asio::awaitable<std::optional<configuration_page>> configuration_follower::read(bool afterFailure)
+asio::awaitable<std::optional<configuration_page>> configuration_follower::read(int failures)
 {
     const base::time_point requestedAt = base::clock::now();
     base::milliseconds wait = requestedAt < m_shortPollUntil ? shortPoll : longPoll;
@@ -127,10 +144,11 @@
         wait = base::milliseconds(0);
     }
     std::optional<configuration_page> page;
-    const bool isNewestOnly = readsNewestOnly(afterFailure);
+    const bool isNewestOnly = readsNewestOnly(failures > 0);
     if (isNewestOnly) {
         wait = base::milliseconds(0);
     }
+    m_store.setAnswerAllowance(answerAllowance(failures));
     m_read = {requestedAt, std::nullopt, std::nullopt};
     m_answerDueAt = requestedAt + wait + slowReadThreshold;
     if (isNewestOnly) {
@@ -192,6 +210,15 @@
     return m_position && end >= 0 ? std::optional(std::max<std::int64_t>(end - *m_position, 0)) : std::nullopt;
 }
 
+base::milliseconds configuration_follower::answerAllowance(int failures) const
+{
+    if (!m_current) {
+        return unknownRecordAllowance * (1 << std::min(failures, maxAllowanceDoublings));
+    }
+    const double bytes = static_cast<double>(m_record.size()) * encodedSizeFactor * m_nodes;
+    return base::milliseconds(static_cast<std::int64_t>(bytes / m_storeBytesPerMs));
+}
+
 bool configuration_follower::readsNewestOnly(bool afterFailure) const
 {
     if (!m_position) {
--- a/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
+++ b/packages/fleet/src/chervilbend/fleet/configuration_follower.hpp
@@ -33,6 +33,10 @@
 
     /// Commands.
 
+    /// All nodes read a new version at the same time, so the more nodes there are, the longer the store takes to begin its answer.
+    void setNodeCount(int nodes);
+    /// @p megabytesPerSecond is the rate at which the store answers the reads of all nodes together; above 0.
+    void setStoreReadRate(double megabytesPerSecond);
     /// Follows the store. Does not return.
     boost::asio::awaitable<void> run();
     /// Follows another node while reads of the store fail and the holder of the command lease has read further, or this node has no configuration. Does
@@ -95,9 +99,11 @@
 
     /// Waits while a confirmation of the holder makes a read by this node unnecessary. False when this node has to read.
     boost::asio::awaitable<bool> waitForHolder();
-    boost::asio::awaitable<std::optional<configuration_page>> read(bool afterFailure);
+    boost::asio::awaitable<std::optional<configuration_page>> read(int failures);
     /// Whether the next read is one of the newest version alone, rather than of all versions from the position on.
     bool readsNewestOnly(bool afterFailure) const;
+    /// How long the store takes to send a record as long as the newest known one to all nodes. @p failures is the number of failed reads in a row.
+    base::milliseconds answerAllowance(int failures) const;
     void logFailedRead(int failures) const;
     /// Puts what a read has brought in force, and logs how long each stage took.
     void applyPage(configuration_page page);
@@ -109,6 +115,8 @@
 
     fleet_store &m_store;
     std::uint64_t m_seed;
+    int m_nodes = 1;
+    double m_storeBytesPerMs = 80'000;
     std::function<void(const traffic_configuration &)> m_listener;
     std::function<void()> m_takenListener;
     std::shared_ptr<const traffic_configuration> m_current;
--- a/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
+++ b/packages/fleet/src/chervilbend/fleet/fleet_store.hpp
@@ -94,6 +94,12 @@
         m_arrivingListener = std::move(listener);
     }
 
+    /// How much longer than usual an answer to a read of the configuration may take to begin, while the store sends it to other nodes.
+    void setAnswerAllowance(base::milliseconds allowance)
+    {
+        m_answerAllowance = allowance;
+    }
+
     /// Shared by the tasks that call the store.
     store_recovery &recovery()
     {
@@ -120,6 +126,11 @@
     }
 
 protected:
+    base::milliseconds answerAllowance() const
+    {
+        return m_answerAllowance;
+    }
+
     void notifyConfigurationArriving() const
     {
         if (m_arrivingListener) {
@@ -130,6 +141,7 @@
 private:
     store_recovery m_recovery;
     std::function<void()> m_arrivingListener;
+    base::milliseconds m_answerAllowance{0};
 };
 
 } // namespace chervilbend::fleet
--- a/packages/node/src/chervilbend/node/composition/platform_node.cpp
+++ b/packages/node/src/chervilbend/node/composition/platform_node.cpp
@@ -231,6 +231,7 @@
     m_knowledge.quotas->setOvershoot(m_settings.quotaOvershoot);
     m_knowledge.quotas->onIsolation(
         [](bool isIsolated) { LOG4CXX_INFO(nodeLog(), base::log_event(isIsolated ? "quotasIsolated" : "quotaIsolationEnded").text()); });
+    m_configuration.setStoreReadRate(m_settings.storeReadRate);
     m_configuration.onChange([this](const fleet::traffic_configuration &newest) {
         m_rateLimitExchange.setQuotaLimits(quotaLimitsOf(newest));
         m_routeApi.setRoutes(std::make_shared<const fleet::route_table>(m_configuration.current()));
@@ -306,6 +307,7 @@
     m_knowledge.quotas->setNodeCount(nodes);
     m_publishedVersions.setNodeCount(nodes);
     m_streamOrigins.setNodeCount(nodes);
+    m_configuration.setNodeCount(nodes);
 }
 
 std::optional<std::size_t> platform_node::run()
